Core: event loop, timers, links and messages between VMs

Cause: an empty tree; every module needs the same loop, ids, errors, logs, metrics, traces and a framed link to other VMs. Ruled out: Thrift's own transports (blocking), so Thrift is a codec only. Conclusion: the modules can be built side by side on these headers.

--- /dev/null
+++ b/core/metrics.cpp
@@ -0,0 +1,121 @@
+#include "core/metrics.h"
+
+#include <algorithm>
+
+namespace teasellock {
+
+namespace {
+
+constexpr double LeastSeconds = 10e-6;
+constexpr double MostSeconds = 100;
+constexpr unsigned BinsTotal = 140;
+constexpr unsigned BinsPerTextBucket = 10;
+
+std::string labelText(const metric_labels &Labels) {
+  std::string Text;
+  for (const auto &[Name, Value] : Labels) {
+    if (!Text.empty())
+      Text += ',';
+    Text += Name + "=\"";
+    for (char Char : Value) {
+      if (Char == '"' || Char == '\\')
+        Text += '\\';
+      Text += Char == '\n' ? ' ' : Char;
+    }
+    Text += '"';
+  }
+  return Text;
+}
+
+void appendSample(std::string &Text, const std::string &Name,
+                  const std::string &Labels, const std::string &Value) {
+  Text += Name;
+  if (!Labels.empty())
+    Text += "{" + Labels + "}";
+  Text += " " + Value + "\n";
+}
+
+} // namespace
+
+latency_histogram::latency_histogram()
+    : Bins(boost::histogram::make_histogram(
+          axis(BinsTotal, LeastSeconds, MostSeconds))) {}
+
+void latency_histogram::observe(duration Span) {
+  double Seconds = std::chrono::duration<double>(Span).count();
+  Bins(std::max(Seconds, LeastSeconds));
+  SumSeconds += Seconds;
+  ++Count;
+}
+
+duration latency_histogram::quantile(double Share) const {
+  if (Count == 0)
+    return duration::zero();
+  double Wanted = Share * static_cast<double>(Count);
+  double Seen = 0;
+  const auto &Axis = Bins.axis();
+  for (int Bin = 0; Bin < Axis.size(); ++Bin) {
+    Seen += Bins.at(Bin);
+    if (Seen >= Wanted)
+      return std::chrono::duration_cast<duration>(
+          std::chrono::duration<double>(Axis.value(Bin + 1)));
+  }
+  return std::chrono::duration_cast<duration>(
+      std::chrono::duration<double>(MostSeconds));
+}
+
+void latency_histogram::appendText(const std::string &Name,
+                                   const std::string &Labels,
+                                   std::string &Text) const {
+  std::string Prefix = Labels.empty() ? "" : Labels + ",";
+  const auto &Axis = Bins.axis();
+  double Seen = 0;
+  for (int Bin = 0; Bin < Axis.size(); ++Bin) {
+    Seen += Bins.at(Bin);
+    if ((Bin + 1) % BinsPerTextBucket == 0)
+      appendSample(Text, Name + "_bucket",
+                   Prefix + "le=\"" + std::to_string(Axis.value(Bin + 1)) +
+                       "\"",
+                   std::to_string(static_cast<std::uint64_t>(Seen)));
+  }
+  appendSample(Text, Name + "_bucket", Prefix + "le=\"+Inf\"",
+               std::to_string(Count));
+  appendSample(Text, Name + "_sum", Labels, std::to_string(SumSeconds));
+  appendSample(Text, Name + "_count", Labels, std::to_string(Count));
+}
+
+counter &metrics::counterOf(const std::string &Name,
+                            const metric_labels &Labels) {
+  return Counters[Name][labelText(Labels)];
+}
+
+gauge &metrics::gaugeOf(const std::string &Name, const metric_labels &Labels) {
+  return Gauges[Name][labelText(Labels)];
+}
+
+latency_histogram &metrics::histogramOf(const std::string &Name,
+                                        const metric_labels &Labels) {
+  return Histograms[Name][labelText(Labels)];
+}
+
+std::string metrics::prometheusText() const {
+  std::string Text;
+  for (const auto &[Name, Family] : Counters) {
+    Text += "# TYPE " + Name + " counter\n";
+    for (const auto &[Labels, Metric] : Family)
+      appendSample(Text, Name, Labels, std::to_string(Metric.Value));
+  }
+  for (const auto &[Name, Family] : Gauges) {
+    Text += "# TYPE " + Name + " gauge\n";
+    for (const auto &[Labels, Metric] : Family)
+      appendSample(Text, Name, Labels, std::to_string(Metric.Value));
+  }
+  for (const auto &[Name, Family] : Histograms) {
+    Text += "# TYPE " + Name + " histogram\n";
+    for (const auto &[Labels, Metric] : Family)
+      Metric.appendText(Name, Labels, Text);
+  }
+  return Text;
+}
+
+} // namespace teasellock
--- /dev/null
+++ b/modules/link/link_messages.thrift
@@ -0,0 +1,16 @@
+namespace cpp teasellock.wire
+
+/// One frame between two VMs.
+struct envelope {
+  1: i16 kind;
+  2: i64 request;
+  3: binary body;
+  4: optional string trace_parent;
+}
+
+/// The first frame of each direction of a connection.
+struct hello {
+  1: string vm;
+  2: i64 incarnation;
+  3: i32 protocol;
+}
--- /dev/null
+++ b/modules/link/tests/test_link_hub.cpp
@@ -0,0 +1,120 @@
+#include "modules/link/link_hub.h"
+
+#include <arpa/inet.h>
+#include <doctest/doctest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace teasellock;
+
+namespace {
+
+/// A hub of its own name on a free loopback port, on a shared loop.
+struct test_vm {
+  metrics Metrics;
+  tracer Tracer;
+  daemon_context Context;
+  link_hub Hub;
+
+  test_vm(event_loop &Loop, timer_service &Timers, const std::string &Name)
+      : Context{Loop, Timers, Metrics, Tracer,
+                vm_identity{vm_id(Name),
+                            incarnation(7),
+                            {},
+                            {},
+                            endpoint{"127.0.0.1", 0}}},
+        Hub(Context, settings()) {}
+
+  static link_settings settings() {
+    link_settings Settings;
+    Settings.HeartbeatPeriod = fromMilliseconds(20);
+    Settings.SilenceLimit = fromMilliseconds(150);
+    return Settings;
+  }
+};
+
+constexpr int MostTurns = 5000;
+
+template <typename Condition> bool runUntil(event_loop &Loop, Condition Done) {
+  for (int Turn = 0; Turn < MostTurns && !Done(); ++Turn)
+    Loop.runOnce();
+  return Done();
+}
+
+int connectTo(const endpoint &Endpoint) {
+  int Socket = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in Address = toSocketAddress(Endpoint);
+  REQUIRE(::connect(Socket, reinterpret_cast<sockaddr *>(&Address),
+                    sizeof(Address)) == 0);
+  return Socket;
+}
+
+} // namespace
+
+TEST_CASE("link: messages reach the receiver of their kind with the peer's "
+          "name") {
+  event_loop Loop;
+  timer_service Timers(Loop);
+  test_vm Left(Loop, Timers, "left");
+  test_vm Right(Loop, Timers, "right");
+  endpoint Address = Right.Hub.listen();
+  std::string Got;
+  std::string From;
+  Right.Hub.receive(message_kind(100), message_kind(199),
+                    [&](link_id Link, link_message &&Message) {
+                      Got = Message.Body;
+                      From = Right.Hub.peerOf(Link)->Vm.Value;
+                    });
+  link_id Link = Left.Hub.linkTo(Address);
+  CHECK_FALSE(Left.Hub.send(Link, {message_kind(100), {}, "early", ""}));
+  REQUIRE(runUntil(Loop, [&] { return Left.Hub.isOpen(Link); }));
+  CHECK(Left.Hub.send(Link, {message_kind(100), {}, "hello", ""}));
+  REQUIRE(runUntil(Loop, [&] { return !Got.empty(); }));
+  CHECK(Got == "hello");
+  CHECK(From == "left");
+}
+
+TEST_CASE("link: a peer that stays connected but silent is given up") {
+  event_loop Loop;
+  timer_service Timers(Loop);
+  test_vm Vm(Loop, Timers, "vm");
+  // A bare listener: the kernel acknowledges, nobody answers.
+  int Listener = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  sockaddr_in Address = toSocketAddress({"127.0.0.1", 0});
+  socklen_t Length = sizeof(Address);
+  REQUIRE(::bind(Listener, reinterpret_cast<sockaddr *>(&Address), Length) ==
+          0);
+  REQUIRE(::listen(Listener, 8) == 0);
+  ::getsockname(Listener, reinterpret_cast<sockaddr *>(&Address), &Length);
+  Vm.Hub.linkTo({"127.0.0.1", ntohs(Address.sin_port)});
+  // A second connection in the backlog means that the first was given up.
+  int Accepted = 0;
+  REQUIRE(runUntil(Loop, [&] {
+    if (::accept(Listener, nullptr, nullptr) >= 0)
+      ++Accepted;
+    return Accepted >= 2;
+  }));
+  ::close(Listener);
+}
+
+TEST_CASE("link: bytes that are no frame end the connection, not the hub") {
+  event_loop Loop;
+  timer_service Timers(Loop);
+  test_vm Vm(Loop, Timers, "vm");
+  endpoint Address = Vm.Hub.listen();
+  for (std::string Bad : {std::string("\xff\xff\xff\xff garbage"),
+                          std::string("\0\0\0\4\x7f\x7f\x7f\x7f", 8)}) {
+    int Socket = connectTo(Address);
+    REQUIRE(::send(Socket, Bad.data(), Bad.size(), 0) ==
+            static_cast<ssize_t>(Bad.size()));
+    bool Ended = runUntil(Loop, [&] {
+      char Buffer[256];
+      return ::recv(Socket, Buffer, sizeof(Buffer), MSG_DONTWAIT) == 0;
+    });
+    CHECK(Ended);
+    ::close(Socket);
+  }
+  test_vm Other(Loop, Timers, "other");
+  link_id Link = Other.Hub.linkTo(Address);
+  CHECK(runUntil(Loop, [&] { return Other.Hub.isOpen(Link); }));
+}
