--- a/modules/gateway/gateway_messages.thrift
+++ b/modules/gateway/gateway_messages.thrift
@@ -69,6 +69,9 @@
   11: string idempotency_key;
   /// Session settings in force, applied to the connection before the steps.
   12: map<string, string> settings;
+  /// The steps may end a transaction that wrote: losing their answer leaves
+  /// its outcome unknown.
+  13: bool may_commit;
 }
 
 /// A part of the answer. Kind 301.
@@ -91,6 +94,9 @@
   10: bool by_replica;
   /// The gateway no longer serves the group; the entry should look again.
   11: bool not_assigned;
+  /// For not_run under an idempotency key: no earlier attempt with that key
+  /// ran either, nor ever will.
+  12: bool resolved;
 }
 
 /// The caller went away or cancelled: stop working on it. Kind 302.
--- a/modules/gateway/gen/gateway_messages_types.cpp
+++ b/modules/gateway/gen/gateway_messages_types.cpp
@@ -554,6 +554,10 @@
 void statement_request::__set_settings(const std::map<std::string, std::string> & val) {
   this->settings = val;
 }
+
+void statement_request::__set_may_commit(const bool val) {
+  this->may_commit = val;
+}
 std::ostream& operator<<(std::ostream& out, const statement_request& obj)
 {
   obj.printTo(out);
@@ -707,6 +711,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->may_commit);
+          this->__isset.may_commit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -789,6 +801,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("may_commit", ::apache::thrift::protocol::T_BOOL, 13);
+  xfer += oprot->writeBool(this->may_commit);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -808,6 +824,7 @@
   swap(a.timeout_ms, b.timeout_ms);
   swap(a.idempotency_key, b.idempotency_key);
   swap(a.settings, b.settings);
+  swap(a.may_commit, b.may_commit);
   swap(a.__isset, b.__isset);
 }
 
@@ -824,6 +841,7 @@
   timeout_ms = other36.timeout_ms;
   idempotency_key = other36.idempotency_key;
   settings = other36.settings;
+  may_commit = other36.may_commit;
   __isset = other36.__isset;
 }
 statement_request::statement_request(statement_request&& other37) noexcept {
@@ -839,6 +857,7 @@
   timeout_ms = other37.timeout_ms;
   idempotency_key = std::move(other37.idempotency_key);
   settings = std::move(other37.settings);
+  may_commit = other37.may_commit;
   __isset = other37.__isset;
 }
 statement_request& statement_request::operator=(const statement_request& other38) {
@@ -854,6 +873,7 @@
   timeout_ms = other38.timeout_ms;
   idempotency_key = other38.idempotency_key;
   settings = other38.settings;
+  may_commit = other38.may_commit;
   __isset = other38.__isset;
   return *this;
 }
@@ -870,6 +890,7 @@
   timeout_ms = other39.timeout_ms;
   idempotency_key = std::move(other39.idempotency_key);
   settings = std::move(other39.settings);
+  may_commit = other39.may_commit;
   __isset = other39.__isset;
   return *this;
 }
@@ -888,6 +909,7 @@
   out << ", " << "timeout_ms=" << to_string(timeout_ms);
   out << ", " << "idempotency_key=" << to_string(idempotency_key);
   out << ", " << "settings=" << to_string(settings);
+  out << ", " << "may_commit=" << to_string(may_commit);
   out << ")";
 }
 
@@ -939,6 +961,10 @@
 void statement_reply::__set_not_assigned(const bool val) {
   this->not_assigned = val;
 }
+
+void statement_reply::__set_resolved(const bool val) {
+  this->resolved = val;
+}
 std::ostream& operator<<(std::ostream& out, const statement_reply& obj)
 {
   obj.printTo(out);
@@ -1057,6 +1083,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->resolved);
+          this->__isset.resolved = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1118,6 +1152,10 @@
   xfer += oprot->writeBool(this->not_assigned);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("resolved", ::apache::thrift::protocol::T_BOOL, 12);
+  xfer += oprot->writeBool(this->resolved);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1136,6 +1174,7 @@
   swap(a.upstream, b.upstream);
   swap(a.by_replica, b.by_replica);
   swap(a.not_assigned, b.not_assigned);
+  swap(a.resolved, b.resolved);
   swap(a.__isset, b.__isset);
 }
 
@@ -1151,6 +1190,7 @@
   upstream = other41.upstream;
   by_replica = other41.by_replica;
   not_assigned = other41.not_assigned;
+  resolved = other41.resolved;
   __isset = other41.__isset;
 }
 statement_reply::statement_reply(statement_reply&& other42) noexcept {
@@ -1165,6 +1205,7 @@
   upstream = std::move(other42.upstream);
   by_replica = other42.by_replica;
   not_assigned = other42.not_assigned;
+  resolved = other42.resolved;
   __isset = other42.__isset;
 }
 statement_reply& statement_reply::operator=(const statement_reply& other43) {
@@ -1179,6 +1220,7 @@
   upstream = other43.upstream;
   by_replica = other43.by_replica;
   not_assigned = other43.not_assigned;
+  resolved = other43.resolved;
   __isset = other43.__isset;
   return *this;
 }
@@ -1194,6 +1236,7 @@
   upstream = std::move(other44.upstream);
   by_replica = other44.by_replica;
   not_assigned = other44.not_assigned;
+  resolved = other44.resolved;
   __isset = other44.__isset;
   return *this;
 }
@@ -1211,6 +1254,7 @@
   out << ", " << "upstream=" << to_string(upstream);
   out << ", " << "by_replica=" << to_string(by_replica);
   out << ", " << "not_assigned=" << to_string(not_assigned);
+  out << ", " << "resolved=" << to_string(resolved);
   out << ")";
 }
 
--- a/modules/gateway/gen/gateway_messages_types.h
+++ b/modules/gateway/gen/gateway_messages_types.h
@@ -217,7 +217,7 @@
 std::ostream& operator<<(std::ostream& out, const statement_step& obj);
 
 typedef struct _statement_request__isset {
-  _statement_request__isset() : group(false), term(false), floor(false), floor_known(false), read_kind(false), access(false), transaction(false), opens_transaction(false), steps(false), timeout_ms(false), idempotency_key(false), settings(false) {}
+  _statement_request__isset() : group(false), term(false), floor(false), floor_known(false), read_kind(false), access(false), transaction(false), opens_transaction(false), steps(false), timeout_ms(false), idempotency_key(false), settings(false), may_commit(false) {}
   bool group :1;
   bool term :1;
   bool floor :1;
@@ -230,6 +230,7 @@
   bool timeout_ms :1;
   bool idempotency_key :1;
   bool settings :1;
+  bool may_commit :1;
 } _statement_request__isset;
 
 class statement_request : public virtual ::apache::thrift::TBase {
@@ -248,7 +249,8 @@
                       transaction(0),
                       opens_transaction(0),
                       timeout_ms(0),
-                      idempotency_key() {
+                      idempotency_key(),
+                      may_commit(0) {
   }
 
   virtual ~statement_request() noexcept;
@@ -268,6 +270,7 @@
   int64_t timeout_ms;
   std::string idempotency_key;
   std::map<std::string, std::string>  settings;
+  bool may_commit;
 
   _statement_request__isset __isset;
 
@@ -295,6 +298,8 @@
 
   void __set_settings(const std::map<std::string, std::string> & val);
 
+  void __set_may_commit(const bool val);
+
   bool operator == (const statement_request & rhs) const
   {
     if (!(group == rhs.group))
@@ -321,6 +326,8 @@
       return false;
     if (!(settings == rhs.settings))
       return false;
+    if (!(may_commit == rhs.may_commit))
+      return false;
     return true;
   }
   bool operator != (const statement_request &rhs) const {
@@ -340,7 +347,7 @@
 std::ostream& operator<<(std::ostream& out, const statement_request& obj);
 
 typedef struct _statement_reply__isset {
-  _statement_reply__isset() : outcome(false), messages(false), last(false), reached(false), term(false), transaction_status(false), code(false), problem(false), upstream(false), by_replica(false), not_assigned(false) {}
+  _statement_reply__isset() : outcome(false), messages(false), last(false), reached(false), term(false), transaction_status(false), code(false), problem(false), upstream(false), by_replica(false), not_assigned(false), resolved(false) {}
   bool outcome :1;
   bool messages :1;
   bool last :1;
@@ -352,6 +359,7 @@
   bool upstream :1;
   bool by_replica :1;
   bool not_assigned :1;
+  bool resolved :1;
 } _statement_reply__isset;
 
 class statement_reply : public virtual ::apache::thrift::TBase {
@@ -371,7 +379,8 @@
                     problem(),
                     upstream(),
                     by_replica(0),
-                    not_assigned(0) {
+                    not_assigned(0),
+                    resolved(0) {
   }
 
   virtual ~statement_reply() noexcept;
@@ -390,6 +399,7 @@
   std::string upstream;
   bool by_replica;
   bool not_assigned;
+  bool resolved;
 
   _statement_reply__isset __isset;
 
@@ -415,6 +425,8 @@
 
   void __set_not_assigned(const bool val);
 
+  void __set_resolved(const bool val);
+
   bool operator == (const statement_reply & rhs) const
   {
     if (!(outcome == rhs.outcome))
@@ -439,6 +451,8 @@
       return false;
     if (!(not_assigned == rhs.not_assigned))
       return false;
+    if (!(resolved == rhs.resolved))
+      return false;
     return true;
   }
   bool operator != (const statement_reply &rhs) const {
--- /dev/null
+++ b/modules/routing/routing_state.cpp
@@ -0,0 +1,506 @@
+#include "modules/routing/routing_state.h"
+
+#include <algorithm>
+#include <array>
+#include <tuple>
+
+namespace teasellock {
+
+namespace {
+
+constexpr const char *CannotConnectNow = "57P03";
+constexpr const char *TooManyConnections = "53300";
+constexpr const char *QueryCanceled = "57014";
+constexpr const char *ResolutionUnknown = "08007";
+constexpr const char *SerializationFailure = "40001";
+
+constexpr std::uint32_t DefaultWaitingLimit = 1000;
+/// Retries per second that time alone allows, and the most that are saved up.
+constexpr double RetriesPerSecond = 10;
+constexpr double MostSavedRetries = 100;
+
+using effect_kind = routing_effect::kind;
+
+routing_effect effectOf(effect_kind Kind, request_id Statement) {
+  routing_effect Effect;
+  Effect.Kind = Kind;
+  Effect.Statement = Statement;
+  return Effect;
+}
+
+void setDue(routing_state &State, request_id Id, routed_statement &Statement,
+            time_point At) {
+  State.Due.erase({Statement.DueAt, Id});
+  Statement.DueAt = At;
+  State.Due.insert({At, Id});
+}
+
+void removeFromWaiting(routing_state &State, request_id Id) {
+  if (State.Unsent.erase(Id) > 0)
+    --State.Groups[State.Statements.at(Id).Group].Waiting;
+}
+
+void addToWaiting(routing_state &State, request_id Id) {
+  if (State.Unsent.insert(Id).second)
+    ++State.Groups[State.Statements.at(Id).Group].Waiting;
+}
+
+/// Takes the attempt in flight off its gateway.
+void forgetAttempt(routing_state &State, routed_statement &Statement) {
+  if (Statement.Life != statement_life::Sent)
+    return;
+  State.Attempts.erase(Statement.Attempt);
+  auto Gateway = State.Gateways.find(Statement.Gateway);
+  if (Gateway != State.Gateways.end() && Gateway->second.InFlight > 0)
+    --Gateway->second.InFlight;
+  Statement.Life = statement_life::NotSent;
+}
+
+void erase(routing_state &State, request_id Id) {
+  auto &Statement = State.Statements.at(Id);
+  forgetAttempt(State, Statement);
+  removeFromWaiting(State, Id);
+  State.Due.erase({Statement.DueAt, Id});
+  State.Statements.erase(Id);
+}
+
+void finish(routing_state &State, request_id Id, routing_verdict Verdict,
+            routing_effects &Effects) {
+  auto Transaction = State.Statements.at(Id).Transaction;
+  auto Effect = effectOf(effect_kind::Finish, Id);
+  Effect.Verdict = std::move(Verdict);
+  erase(State, Id);
+  Effects.push_back(std::move(Effect));
+  releaseTransaction(State, Transaction, Effects);
+}
+
+routing_verdict unknownVerdict(const std::string &Reason) {
+  return {true, ResolutionUnknown,
+          "the outcome of the statement is unknown: " + Reason};
+}
+
+routing_verdict rolledBackVerdict(const std::string &Reason) {
+  return {false, SerializationFailure,
+          "the transaction was rolled back: " + Reason};
+}
+
+routing_verdict notRunVerdict(const std::string &Code,
+                              const std::string &Reason) {
+  return {false, Code, "the statement was not run: " + Reason};
+}
+
+/// Ends a statement that waits: not run, unless an earlier attempt may have.
+void giveUpWaiting(routing_state &State, request_id Id, const std::string &Code,
+                   const std::string &Reason, routing_effects &Effects) {
+  bool MayHaveRun = State.Statements.at(Id).MayHaveRun;
+  finish(State, Id,
+         MayHaveRun ? unknownVerdict(Reason) : notRunVerdict(Code, Reason),
+         Effects);
+}
+
+void refillBudget(routing_state &State, time_point Now) {
+  auto Elapsed =
+      std::chrono::duration<double>(Now - State.Budget.Updated).count();
+  State.Budget.Updated = Now;
+  State.Budget.Tokens = std::min(
+      MostSavedRetries, State.Budget.Tokens + Elapsed * RetriesPerSecond);
+}
+
+bool takeFromBudget(routing_state &State, time_point Now) {
+  refillBudget(State, Now);
+  if (State.Budget.Tokens < 1)
+    return false;
+  State.Budget.Tokens -= 1;
+  return true;
+}
+
+/// A number that looks random but depends on the seed only.
+std::uint64_t mix(std::uint64_t Seed) {
+  Seed += 0x9e3779b97f4a7c15ULL;
+  Seed = (Seed ^ (Seed >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  Seed = (Seed ^ (Seed >> 27)) * 0x94d049bb133111ebULL;
+  return Seed ^ (Seed >> 31);
+}
+
+/// Grows with each retry, spread over the upper half of its range.
+duration retryDelay(const routing_settings &Settings, request_id Id,
+                    std::uint32_t Retries) {
+  constexpr std::uint32_t MostDoublings = 16;
+  auto Full = std::min(Settings.MostRetryDelay,
+                       Settings.LeastRetryDelay *
+                           (1 << std::min(Retries, MostDoublings)));
+  auto Half = static_cast<std::uint64_t>(Full.count() / 2);
+  return duration(Half + mix(Id.Value * 31 + Retries) % (Half + 1));
+}
+
+bool pinned(const routed_statement &Statement) {
+  return Statement.Facts.InTransaction && !Statement.Facts.OpensTransaction;
+}
+
+/// The best open gateway of a group, if any.
+std::optional<vm_id> chooseGateway(const routing_state &State,
+                                   const group_routes &Routes, time_point Now) {
+  std::optional<vm_id> Best;
+  std::tuple<bool, int, std::uint32_t> BestRank;
+  for (const auto &Vm : Routes.Gateways) {
+    const auto &Gateway = State.Gateways.at(Vm);
+    if (!Gateway.Open)
+      continue;
+    std::tuple Rank(Gateway.AvoidUntil > Now, Gateway.Distance,
+                    Gateway.InFlight);
+    if (!Best || Rank < BestRank) {
+      Best = Vm;
+      BestRank = Rank;
+    }
+  }
+  return Best;
+}
+
+void emitSend(routing_state &State, request_id Id, const vm_id &Gateway,
+              routing_effects &Effects) {
+  removeFromWaiting(State, Id);
+  auto Effect = effectOf(effect_kind::Send, Id);
+  Effect.Gateway = Gateway;
+  Effects.push_back(std::move(Effect));
+}
+
+void sendPinned(routing_state &State, request_id Id, routing_effects &Effects) {
+  auto Found = State.Transactions.find(State.Statements.at(Id).Transaction);
+  if (Found == State.Transactions.end() || Found->second.Lost)
+    return finish(State, Id,
+                  rolledBackVerdict("the connection to its gateway was lost"),
+                  Effects);
+  emitSend(State, Id, Found->second.Gateway, Effects);
+}
+
+void wait(routing_state &State, request_id Id, const std::string &Reason,
+          routing_effects &Effects) {
+  addToWaiting(State, Id);
+  auto &Statement = State.Statements.at(Id);
+  if (!Reason.empty())
+    Statement.Reason = Reason;
+  setDue(State, Id, Statement, Statement.Deadline);
+  const auto &Routes = State.Groups[Statement.Group];
+  auto Limit =
+      Routes.WaitingLimit > 0 ? Routes.WaitingLimit : DefaultWaitingLimit;
+  if (Routes.Waiting > Limit)
+    giveUpWaiting(State, Id, TooManyConnections,
+                  "too many statements wait for the group", Effects);
+}
+
+/// Sends a statement if it may be sent now; otherwise it waits.
+void trySend(routing_state &State, request_id Id, time_point Now,
+             routing_effects &Effects) {
+  auto &Statement = State.Statements.at(Id);
+  if (Now >= Statement.Deadline)
+    return giveUpWaiting(State, Id, CannotConnectNow,
+                         Statement.Reason.empty() ? "its time was over"
+                                                  : Statement.Reason,
+                         Effects);
+  if (pinned(Statement))
+    return sendPinned(State, Id, Effects);
+  const auto &Routes = State.Groups[Statement.Group];
+  if (Statement.Facts.Write && !Routes.HasPrimary)
+    return wait(State, Id, "the group has no primary", Effects);
+  auto Gateway = chooseGateway(State, Routes, Now);
+  if (!Gateway)
+    return wait(State, Id, "no gateway of the group can be reached", Effects);
+  if (Now >= Statement.NotBefore && Statement.NeedsBudget) {
+    if (takeFromBudget(State, Now))
+      Statement.NeedsBudget = false;
+    else
+      Statement.NotBefore = Now + State.Settings.MostRetryDelay;
+  }
+  if (Now < Statement.NotBefore) {
+    wait(State, Id, "", Effects);
+    if (State.Statements.contains(Id))
+      setDue(State, Id, Statement,
+             std::min(Statement.NotBefore, Statement.Deadline));
+    return;
+  }
+  emitSend(State, Id, *Gateway, Effects);
+}
+
+void trySendAll(routing_state &State, time_point Now,
+                routing_effects &Effects) {
+  std::vector<request_id> Waiting(State.Unsent.begin(), State.Unsent.end());
+  for (auto Id : Waiting)
+    if (State.Unsent.contains(Id))
+      trySend(State, Id, Now, Effects);
+}
+
+void retryLater(routing_state &State, request_id Id, const std::string &Reason,
+                time_point Now, routing_effects &Effects) {
+  auto &Statement = State.Statements.at(Id);
+  forgetAttempt(State, Statement);
+  if (Statement.Facts.OpensTransaction)
+    releaseTransaction(State, Statement.Transaction, Effects);
+  Statement.Reason = Reason;
+  Statement.NeedsBudget = true;
+  Statement.NotBefore =
+      Now + retryDelay(State.Settings, Id, Statement.Retries++);
+  trySend(State, Id, Now, Effects);
+}
+
+void loseAnswer(routing_state &State, request_id Id, const std::string &Reason,
+                time_point Now, routing_effects &Effects) {
+  auto &Statement = State.Statements.at(Id);
+  switch (onAnswerLost(Statement.Facts, Statement.PartForwarded)) {
+  case loss_action::RetryWithKey:
+    Statement.MayHaveRun = true;
+    [[fallthrough]];
+  case loss_action::Retry:
+    return retryLater(State, Id, Reason, Now, Effects);
+  case loss_action::ReportUnknown:
+    return finish(State, Id, unknownVerdict(Reason), Effects);
+  case loss_action::ReportRolledBack:
+    return finish(State, Id, rolledBackVerdict(Reason), Effects);
+  case loss_action::BreakOff:
+    return finish(State, Id,
+                  {true, "08006", "the answer was broken off: " + Reason},
+                  Effects);
+  }
+}
+
+/// Whether "not run" for this reason may pass by itself or at another gateway.
+bool retryable(const reply_facts &Reply) {
+  constexpr std::array<std::string_view, 6> Codes = {
+      CannotConnectNow, TooManyConnections, "57P01", "57P02", "08001", "08006"};
+  return Reply.NotAssigned ||
+         std::find(Codes.begin(), Codes.end(), Reply.Code) != Codes.end();
+}
+
+void takeNotRun(routing_state &State, request_id Id, const reply_facts &Reply,
+                time_point Now, routing_effects &Effects) {
+  auto &Statement = State.Statements.at(Id);
+  bool Certain = !Statement.MayHaveRun || Reply.Resolved;
+  bool Retry = retryable(Reply) && !Reply.Resolved && !pinned(Statement) &&
+               !Statement.PartForwarded;
+  if (Retry) {
+    State.Gateways[Statement.Gateway].AvoidUntil =
+        Now + State.Settings.MostRetryDelay;
+    return retryLater(State, Id, Reply.Problem, Now, Effects);
+  }
+  finish(State, Id,
+         Certain ? routing_verdict{false, Reply.Code, Reply.Problem}
+                 : unknownVerdict(Reply.Problem),
+         Effects);
+}
+
+void takeAnswer(routing_state &State, request_id Id, const reply_facts &Reply,
+                bool OlderTerm, routing_effects &Effects) {
+  auto &Statement = State.Statements.at(Id);
+  if (!Reply.Last) {
+    Statement.PartForwarded = true;
+    Effects.push_back(effectOf(effect_kind::Forward, Id));
+    return;
+  }
+  if (OlderTerm && outcomeOpenWhenLost(Statement.Facts))
+    return finish(State, Id,
+                  unknownVerdict("the answer is of a superseded primary"),
+                  Effects);
+  auto Transaction = Statement.Transaction;
+  erase(State, Id);
+  if (!Reply.TransactionOpen)
+    State.Transactions.erase(Transaction);
+  Effects.push_back(effectOf(effect_kind::Forward, Id));
+}
+
+int distanceTo(const vm_identity &Self, const gateway_share &Share) {
+  if (Share.Vm == Self.Vm)
+    return 0;
+  if (Share.AvailabilityZone == Self.AvailabilityZone)
+    return 1;
+  return Share.Region == Self.Region ? 2 : 3;
+}
+
+void takeGateway(routing_state &State, const gateway_share &Share) {
+  auto &Gateway = State.Gateways[Share.Vm];
+  Gateway.Address = Share.Address;
+  Gateway.Distance = distanceTo(State.Self, Share);
+  if (Share.Vm == State.Self.Vm)
+    Gateway.Open =
+        State.LocalGateway && Share.Incarnation == State.Self.Incarnation;
+}
+
+/// Lets statements that wait for the group go without a retry delay.
+void hurryWaiting(routing_state &State, const group_id &Group, time_point Now) {
+  for (auto Id : State.Unsent) {
+    auto &Statement = State.Statements.at(Id);
+    if (Statement.Group != Group)
+      continue;
+    Statement.NotBefore = Now;
+    Statement.NeedsBudget = false;
+  }
+}
+
+/// A sent statement whose time and grace are over.
+void timeOut(routing_state &State, request_id Id, routing_effects &Effects) {
+  auto &Statement = State.Statements.at(Id);
+  auto Cancel = effectOf(effect_kind::Cancel, Id);
+  Cancel.Gateway = Statement.Gateway;
+  Cancel.Attempt = Statement.Attempt;
+  Effects.push_back(std::move(Cancel));
+  if (Statement.MayHaveRun || outcomeOpenWhenLost(Statement.Facts))
+    return finish(State, Id, unknownVerdict("no answer came in time"), Effects);
+  if (Statement.Facts.InTransaction)
+    return finish(State, Id, rolledBackVerdict("no answer came in time"),
+                  Effects);
+  finish(State, Id,
+         {true, QueryCanceled, "canceling statement due to statement timeout"},
+         Effects);
+}
+
+} // namespace
+
+void setView(routing_state &State, const group_view &View, time_point Now,
+             routing_effects &Effects) {
+  auto &Routes = State.Groups[View.Group];
+  Routes.HasPrimary = View.Primary.has_value();
+  Routes.Term = std::max(Routes.Term, View.Term);
+  Routes.WaitingLimit = View.Row.QueueLimit;
+  Routes.Gateways.clear();
+  if (!View.Removed)
+    for (const auto &Share : View.Gateways) {
+      takeGateway(State, Share);
+      Routes.Gateways.push_back(Share.Vm);
+    }
+  hurryWaiting(State, View.Group, Now);
+  trySendAll(State, Now, Effects);
+}
+
+void gatewayOpened(routing_state &State, const vm_id &Gateway, time_point Now,
+                   routing_effects &Effects) {
+  State.Gateways[Gateway].Open = true;
+  State.Gateways[Gateway].AvoidUntil = {};
+  trySendAll(State, Now, Effects);
+}
+
+void gatewayClosed(routing_state &State, const vm_id &Gateway, time_point Now,
+                   routing_effects &Effects) {
+  State.Gateways[Gateway].Open = false;
+  for (auto &[Id, Transaction] : State.Transactions)
+    if (Transaction.Gateway == Gateway)
+      Transaction.Lost = true;
+  std::vector<request_id> Lost;
+  for (auto &[Id, Statement] : State.Statements)
+    if (Statement.Life == statement_life::Sent && Statement.Gateway == Gateway)
+      Lost.push_back(Id);
+  for (auto Id : Lost)
+    loseAnswer(State, Id, "the connection to its gateway was lost", Now,
+               Effects);
+}
+
+void submitStatement(routing_state &State, request_id Id,
+                     routed_statement Statement, time_point Now,
+                     routing_effects &Effects) {
+  refillBudget(State, Now);
+  State.Budget.Tokens = std::min(
+      MostSavedRetries, State.Budget.Tokens + State.Settings.RetryBudget);
+  auto &Added = State.Statements[Id] = std::move(Statement);
+  setDue(State, Id, Added, Added.Deadline);
+  trySend(State, Id, Now, Effects);
+}
+
+void sent(routing_state &State, request_id Id, const vm_id &Gateway,
+          request_id Attempt) {
+  auto &Statement = State.Statements.at(Id);
+  Statement.Life = statement_life::Sent;
+  Statement.Gateway = Gateway;
+  Statement.Attempt = Attempt;
+  State.Attempts[Attempt] = Id;
+  ++State.Gateways[Gateway].InFlight;
+  setDue(State, Id, Statement, Statement.Deadline);
+  if (Statement.Facts.OpensTransaction)
+    State.Transactions[Statement.Transaction] = {Gateway, false};
+}
+
+void refused(routing_state &State, request_id Id, const vm_id &Gateway,
+             time_point Now, routing_effects &Effects) {
+  State.Gateways[Gateway].Open = false;
+  auto Found = State.Statements.find(Id);
+  if (Found == State.Statements.end())
+    return;
+  if (pinned(Found->second))
+    return finish(State, Id,
+                  rolledBackVerdict("the connection to its gateway was lost"),
+                  Effects);
+  trySend(State, Id, Now, Effects);
+}
+
+void replied(routing_state &State, const vm_id &Gateway, request_id Attempt,
+             const reply_facts &Reply, time_point Now,
+             routing_effects &Effects) {
+  auto Found = State.Attempts.find(Attempt);
+  if (Found == State.Attempts.end() ||
+      State.Statements.at(Found->second).Gateway != Gateway) {
+    Effects.push_back(effectOf(effect_kind::DropLate, {}));
+    return;
+  }
+  auto Id = Found->second;
+  auto &Routes = State.Groups[State.Statements.at(Id).Group];
+  bool OlderTerm = Reply.Term < Routes.Term;
+  Routes.Term = std::max(Routes.Term, Reply.Term);
+  switch (Reply.Outcome) {
+  case reply_facts::outcome::Answered:
+    return takeAnswer(State, Id, Reply, OlderTerm, Effects);
+  case reply_facts::outcome::NotRun:
+    return takeNotRun(State, Id, Reply, Now, Effects);
+  case reply_facts::outcome::Unknown:
+    return loseAnswer(State, Id, Reply.Problem, Now, Effects);
+  }
+}
+
+void cancelStatement(routing_state &State, request_id Id,
+                     routing_effects &Effects) {
+  auto Found = State.Statements.find(Id);
+  if (Found == State.Statements.end())
+    return;
+  if (Found->second.Life == statement_life::Sent) {
+    auto Cancel = effectOf(effect_kind::Cancel, Id);
+    Cancel.Gateway = Found->second.Gateway;
+    Cancel.Attempt = Found->second.Attempt;
+    Effects.push_back(std::move(Cancel));
+  }
+  erase(State, Id);
+}
+
+void releaseTransaction(routing_state &State, transaction_id Transaction,
+                        routing_effects &Effects) {
+  auto Found = State.Transactions.find(Transaction);
+  if (Found == State.Transactions.end())
+    return;
+  auto Release = effectOf(effect_kind::Release, {});
+  Release.Gateway = Found->second.Gateway;
+  Release.Transaction = Transaction;
+  bool Lost = Found->second.Lost;
+  State.Transactions.erase(Found);
+  if (!Lost)
+    Effects.push_back(std::move(Release));
+}
+
+void passTime(routing_state &State, time_point Now, routing_effects &Effects) {
+  while (!State.Due.empty() && State.Due.begin()->first <= Now) {
+    auto Id = State.Due.begin()->second;
+    auto &Statement = State.Statements.at(Id);
+    if (Statement.Life == statement_life::NotSent) {
+      State.Due.erase(State.Due.begin());
+      if (State.Unsent.contains(Id))
+        trySend(State, Id, Now, Effects);
+      continue;
+    }
+    auto LastMoment = Statement.Deadline + State.Settings.AnswerGrace;
+    if (Now < LastMoment)
+      setDue(State, Id, Statement, LastMoment);
+    else
+      timeOut(State, Id, Effects);
+  }
+}
+
+std::optional<time_point> nextDue(const routing_state &State) {
+  if (State.Due.empty())
+    return std::nullopt;
+  return State.Due.begin()->first;
+}
+
+} // namespace teasellock
--- /dev/null
+++ b/modules/routing/statement_router.cpp
@@ -0,0 +1,409 @@
+#include "modules/routing/statement_router.h"
+
+#include "core/event_log.h"
+#include "modules/link/codec.h"
+
+#include <deque>
+
+namespace teasellock {
+
+namespace {
+
+const message_kind RequestKind(300);
+const message_kind ReplyKind(301);
+const message_kind CancelKind(302);
+const message_kind ReleaseKind(303);
+
+reply_facts factsOf(const wire::statement_reply &Reply) {
+  reply_facts Facts;
+  switch (Reply.outcome) {
+  case wire::statement_outcome::answered:
+    Facts.Outcome = reply_facts::outcome::Answered;
+    break;
+  case wire::statement_outcome::not_run:
+    Facts.Outcome = reply_facts::outcome::NotRun;
+    break;
+  default:
+    Facts.Outcome = reply_facts::outcome::Unknown;
+  }
+  Facts.Last = Reply.last;
+  Facts.NotAssigned = Reply.not_assigned;
+  Facts.Resolved = Reply.resolved;
+  Facts.Term = term(static_cast<std::uint64_t>(Reply.term));
+  Facts.TransactionOpen =
+      Reply.transaction_status == 'T' || Reply.transaction_status == 'E';
+  Facts.Code = Reply.code;
+  Facts.Problem = Reply.problem;
+  return Facts;
+}
+
+routed_statement toRouted(const wire::statement_request &Request,
+                          time_point Now) {
+  routed_statement Statement;
+  Statement.Group = group_id(Request.group);
+  Statement.Facts.Write = Request.access == wire::statement_access::write;
+  Statement.Facts.InTransaction = Request.transaction != 0;
+  Statement.Facts.OpensTransaction = Request.opens_transaction;
+  Statement.Facts.MayCommit = Request.may_commit;
+  Statement.Facts.HasIdempotencyKey = !Request.idempotency_key.empty();
+  Statement.Transaction =
+      transaction_id(static_cast<std::uint64_t>(Request.transaction));
+  Statement.Deadline = Now + fromMilliseconds(Request.timeout_ms);
+  Statement.NotBefore = Now;
+  return Statement;
+}
+
+wire::statement_reply toReply(const routing_verdict &Verdict) {
+  wire::statement_reply Reply;
+  Reply.outcome = Verdict.Unknown ? wire::statement_outcome::unknown
+                                  : wire::statement_outcome::not_run;
+  Reply.last = true;
+  Reply.transaction_status = 'I';
+  Reply.code = Verdict.Code;
+  Reply.problem = Verdict.Problem;
+  return Reply;
+}
+
+} // namespace
+
+struct statement_router::state {
+  /// What a statement needs besides its decisions.
+  struct pending {
+    wire::statement_request Request;
+    std::string TraceParent;
+    std::function<void(wire::statement_reply)> Reply;
+  };
+
+  daemon_context &Context;
+  link_hub &Hub;
+  member_agent &Member;
+  gateway_service *Gateway;
+  routing_state Routing;
+  std::map<request_id, pending> Pending;
+  std::map<link_id, vm_id> VmOfLink;
+  std::map<vm_id, link_id> LinkOfVm;
+  std::map<vm_id, endpoint> AddressOfVm;
+  std::uint64_t LastTransaction = 0;
+  timer_subscription Timer;
+  std::optional<time_point> TimerAt;
+  /// Callbacks into this object hold it weakly: it may be gone by then.
+  std::shared_ptr<state *> Self = std::make_shared<state *>(this);
+  std::deque<routing_effect> Queue;
+  bool Working = false;
+  counter &Late;
+  counter &Sends;
+
+  state(daemon_context &Context, link_hub &Hub, member_agent &Member,
+        gateway_service *Gateway, routing_settings Settings)
+      : Context(Context), Hub(Hub), Member(Member), Gateway(Gateway),
+        Late(Context.Metrics.counterOf("teasellock_late_answers_total")),
+        Sends(Context.Metrics.counterOf("teasellock_statement_sends_total")) {
+    Routing.Settings = Settings;
+    Routing.Self = Context.Self;
+    Routing.LocalGateway = Gateway != nullptr;
+    Routing.Budget.Updated = Context.Timers.now();
+  }
+
+  template <typename Decide> void decide(Decide &&Decision) {
+    routing_effects Effects;
+    Decision(Effects);
+    carryOut(std::move(Effects), nullptr);
+  }
+
+  void carryOut(routing_effects Effects, wire::statement_reply *Reply);
+  void carryOut(const routing_effect &Effect);
+  void armTimer();
+  void send(request_id Id, const vm_id &Vm);
+  void sendLocal(request_id Attempt, const pending &Statement);
+  void forward(request_id Id, wire::statement_reply Reply);
+  void finish(request_id Id, wire::statement_reply Reply);
+  void takeReply(const vm_id &Vm, request_id Attempt,
+                 wire::statement_reply Reply);
+  void takeView(const group_view &View);
+  void dial(const vm_id &Vm, const endpoint &Address);
+  void tell(const vm_id &Vm, message_kind Kind, request_id Request,
+            std::string Body);
+  void cancelAt(const vm_id &Vm, request_id Attempt);
+  void releaseAt(const vm_id &Vm, transaction_id Transaction);
+};
+
+void statement_router::state::carryOut(routing_effects Effects,
+                                       wire::statement_reply *Reply) {
+  // A reply is forwarded at once: it belongs to this call alone.
+  for (auto &Effect : Effects) {
+    if (Effect.Kind == routing_effect::kind::Forward && Reply)
+      forward(Effect.Statement, std::move(*Reply));
+    else
+      Queue.push_back(std::move(Effect));
+  }
+  if (Working)
+    return;
+  Working = true;
+  while (!Queue.empty()) {
+    auto Effect = std::move(Queue.front());
+    Queue.pop_front();
+    carryOut(Effect);
+  }
+  Working = false;
+  armTimer();
+}
+
+void statement_router::state::carryOut(const routing_effect &Effect) {
+  switch (Effect.Kind) {
+  case routing_effect::kind::Send:
+    return send(Effect.Statement, Effect.Gateway);
+  case routing_effect::kind::Finish:
+    return finish(Effect.Statement, toReply(Effect.Verdict));
+  case routing_effect::kind::Cancel:
+    return cancelAt(Effect.Gateway, Effect.Attempt);
+  case routing_effect::kind::Release:
+    return releaseAt(Effect.Gateway, Effect.Transaction);
+  case routing_effect::kind::DropLate:
+    return Late.add();
+  case routing_effect::kind::Forward:
+    return;
+  }
+}
+
+void statement_router::state::armTimer() {
+  auto Due = nextDue(Routing);
+  if (!Due || (TimerAt && *TimerAt <= *Due))
+    return;
+  TimerAt = Due;
+  auto Span = std::max(duration(0), *Due - Context.Timers.now());
+  Timer = Context.Timers.after(Span, [this] {
+    TimerAt.reset();
+    decide([this](routing_effects &Effects) {
+      passTime(Routing, Context.Timers.now(), Effects);
+    });
+  });
+}
+
+void statement_router::state::send(request_id Id, const vm_id &Vm) {
+  auto Found = Pending.find(Id);
+  auto Routed = Routing.Statements.find(Id);
+  if (Found == Pending.end() || Routed == Routing.Statements.end())
+    return;
+  auto &Request = Found->second.Request;
+  auto Left = Routed->second.Deadline - Context.Timers.now();
+  Request.timeout_ms = std::max<std::int64_t>(1, toMilliseconds(Left));
+  Request.term = static_cast<std::int64_t>(
+      Routing.Groups[Routed->second.Group].Term.Value);
+  auto Attempt = Hub.nextRequest();
+  Sends.add();
+  if (Gateway && Vm == Context.Self.Vm) {
+    teasellock::sent(Routing, Id, Vm, Attempt);
+    return sendLocal(Attempt, Found->second);
+  }
+  auto Link = LinkOfVm.find(Vm);
+  if (Link != LinkOfVm.end() &&
+      Hub.send(Link->second, {RequestKind, Attempt, encode(Request),
+                              Found->second.TraceParent})) {
+    teasellock::sent(Routing, Id, Vm, Attempt);
+    return;
+  }
+  decide([&](routing_effects &Effects) {
+    refused(Routing, Id, Vm, Context.Timers.now(), Effects);
+  });
+}
+
+void statement_router::state::sendLocal(request_id Attempt,
+                                        const pending &Statement) {
+  std::weak_ptr<state *> Weak = Self;
+  Gateway->submitLocal(
+      Attempt, Statement.Request, Statement.TraceParent,
+      [Weak, Vm = Context.Self.Vm, Attempt](wire::statement_reply Reply) {
+        if (auto Alive = Weak.lock())
+          (*Alive)->takeReply(Vm, Attempt, std::move(Reply));
+      });
+}
+
+void statement_router::state::forward(request_id Id,
+                                      wire::statement_reply Reply) {
+  if (Reply.last)
+    return finish(Id, std::move(Reply));
+  auto Found = Pending.find(Id);
+  if (Found == Pending.end())
+    return;
+  // A copy: the callback may cancel the statement.
+  auto Callback = Found->second.Reply;
+  Callback(std::move(Reply));
+}
+
+void statement_router::state::finish(request_id Id,
+                                     wire::statement_reply Reply) {
+  auto Found = Pending.find(Id);
+  if (Found == Pending.end())
+    return;
+  auto Callback = std::move(Found->second.Reply);
+  Pending.erase(Found);
+  Callback(std::move(Reply));
+}
+
+void statement_router::state::takeReply(const vm_id &Vm, request_id Attempt,
+                                        wire::statement_reply Reply) {
+  routing_effects Effects;
+  replied(Routing, Vm, Attempt, factsOf(Reply), Context.Timers.now(), Effects);
+  carryOut(std::move(Effects), &Reply);
+}
+
+void statement_router::state::dial(const vm_id &Vm, const endpoint &Address) {
+  auto Link = Hub.linkTo(Address);
+  AddressOfVm[Vm] = Address;
+  LinkOfVm[Vm] = Link;
+  VmOfLink[Link] = Vm;
+}
+
+void statement_router::state::takeView(const group_view &View) {
+  for (const auto &Share : View.Gateways) {
+    if (Share.Vm == Context.Self.Vm)
+      continue;
+    auto Known = AddressOfVm.find(Share.Vm);
+    if (Known != AddressOfVm.end() && Known->second == Share.Address)
+      continue;
+    if (Known != AddressOfVm.end()) {
+      VmOfLink.erase(LinkOfVm[Share.Vm]);
+      decide([&](routing_effects &Effects) {
+        gatewayClosed(Routing, Share.Vm, Context.Timers.now(), Effects);
+      });
+    }
+    dial(Share.Vm, Share.Address);
+    if (Hub.isOpen(LinkOfVm[Share.Vm]))
+      decide([&](routing_effects &Effects) {
+        gatewayOpened(Routing, Share.Vm, Context.Timers.now(), Effects);
+      });
+  }
+  decide([&](routing_effects &Effects) {
+    setView(Routing, View, Context.Timers.now(), Effects);
+  });
+}
+
+void statement_router::state::tell(const vm_id &Vm, message_kind Kind,
+                                   request_id Request, std::string Body) {
+  auto Link = LinkOfVm.find(Vm);
+  if (Link != LinkOfVm.end())
+    Hub.send(Link->second, {Kind, Request, std::move(Body), {}});
+}
+
+void statement_router::state::cancelAt(const vm_id &Vm, request_id Attempt) {
+  if (Gateway && Vm == Context.Self.Vm)
+    return Gateway->cancelLocal(Attempt);
+  wire::statement_cancel Cancel;
+  Cancel.request = static_cast<std::int64_t>(Attempt.Value);
+  tell(Vm, CancelKind, Attempt, encode(Cancel));
+}
+
+void statement_router::state::releaseAt(const vm_id &Vm,
+                                        transaction_id Transaction) {
+  if (Gateway && Vm == Context.Self.Vm)
+    return Gateway->releaseLocal(Transaction);
+  wire::transaction_release Release;
+  Release.transaction = static_cast<std::int64_t>(Transaction.Value);
+  tell(Vm, ReleaseKind, Hub.nextRequest(), encode(Release));
+}
+
+statement_router::statement_router(daemon_context &Context, link_hub &Hub,
+                                   member_agent &Member,
+                                   gateway_service *Gateway,
+                                   routing_settings Settings)
+    : State(std::make_unique<state>(Context, Hub, Member, Gateway, Settings)) {}
+
+statement_router::~statement_router() { State->Self.reset(); }
+
+void statement_router::start() {
+  std::weak_ptr<state *> Weak = State->Self;
+  link_events Events;
+  Events.Opened = [Weak](link_id Link, const link_peer &) {
+    auto Alive = Weak.lock();
+    if (!Alive || !(*Alive)->VmOfLink.contains(Link))
+      return;
+    auto &Router = **Alive;
+    Router.decide([&](routing_effects &Effects) {
+      gatewayOpened(Router.Routing, Router.VmOfLink[Link],
+                    Router.Context.Timers.now(), Effects);
+    });
+  };
+  Events.Closed = [Weak](link_id Link, const error &) {
+    auto Alive = Weak.lock();
+    if (!Alive || !(*Alive)->VmOfLink.contains(Link))
+      return;
+    auto &Router = **Alive;
+    Router.decide([&](routing_effects &Effects) {
+      gatewayClosed(Router.Routing, Router.VmOfLink[Link],
+                    Router.Context.Timers.now(), Effects);
+    });
+  };
+  State->Hub.watch(std::move(Events));
+  State->Hub.receive(
+      ReplyKind, ReplyKind, [Weak](link_id Link, link_message &&Message) {
+        auto Alive = Weak.lock();
+        if (!Alive)
+          return;
+        auto &Router = **Alive;
+        auto Vm = Router.VmOfLink.find(Link);
+        if (Vm == Router.VmOfLink.end())
+          return Router.Late.add();
+        auto Reply =
+            decode<wire::statement_reply>(Message.Body, toString(Vm->second));
+        Router.takeReply(Vm->second, Message.Request, std::move(Reply));
+      });
+  State->Member.onViewChanged([Weak](const group_view &View) {
+    if (auto Alive = Weak.lock())
+      (*Alive)->takeView(View);
+  });
+  for (const auto &[Group, View] : State->Member.views())
+    State->takeView(View);
+}
+
+request_id
+statement_router::submit(wire::statement_request Statement,
+                         const std::string &TraceParent,
+                         std::function<void(wire::statement_reply)> Reply) {
+  auto Id = State->Hub.nextRequest();
+  auto Now = State->Context.Timers.now();
+  auto Routed = toRouted(Statement, Now);
+  State->Pending[Id] = {std::move(Statement), TraceParent, std::move(Reply)};
+  // The caller learns the number before the first reply.
+  std::weak_ptr<state *> Weak = State->Self;
+  State->Context.Loop.post([Weak, Id, Routed = std::move(Routed), Now] {
+    auto Alive = Weak.lock();
+    if (!Alive || !(*Alive)->Pending.contains(Id))
+      return;
+    (*Alive)->decide([&](routing_effects &Effects) {
+      submitStatement((*Alive)->Routing, Id, Routed, Now, Effects);
+    });
+  });
+  return Id;
+}
+
+void statement_router::cancel(request_id Request) {
+  State->Pending.erase(Request);
+  State->decide([&](routing_effects &Effects) {
+    cancelStatement(State->Routing, Request, Effects);
+  });
+}
+
+statement_life statement_router::lifeOf(request_id Request) const {
+  if (!State->Pending.contains(Request))
+    return statement_life::Answered;
+  auto Found = State->Routing.Statements.find(Request);
+  if (Found == State->Routing.Statements.end())
+    return statement_life::NotSent;
+  bool Sent =
+      Found->second.Life == statement_life::Sent || Found->second.MayHaveRun;
+  return Sent ? statement_life::Sent : statement_life::NotSent;
+}
+
+transaction_id statement_router::nextTransaction() {
+  return transaction_id(++State->LastTransaction);
+}
+
+void statement_router::release(transaction_id Transaction) {
+  State->decide([&](routing_effects &Effects) {
+    releaseTransaction(State->Routing, Transaction, Effects);
+  });
+}
+
+std::size_t statement_router::inFlight() const { return State->Pending.size(); }
+
+} // namespace teasellock
--- a/modules/routing/statement_router.h
+++ b/modules/routing/statement_router.h
@@ -3,20 +3,13 @@
 #pragma once
 
 #include "modules/gateway/gateway_service.h"
+#include "modules/routing/routing_state.h"
 
 #include <functional>
 #include <memory>
 
 namespace teasellock {
 
-/// Bounds on retries.
-struct routing_settings {
-  /// Share of statements that may be retried, over a short window.
-  double RetryBudget = 0.1;
-  duration LeastRetryDelay = fromMilliseconds(10);
-  duration MostRetryDelay = fromMilliseconds(200);
-};
-
 /// The entry's way to gateways, its own VM's among them.
 class statement_router {
 public:
@@ -37,6 +30,9 @@
   /// Forgets a statement: its late answers are dropped and counted.
   void cancel(request_id Request);
 
+  /// How far a statement got. Answered when it is not known.
+  statement_life lifeOf(request_id Request) const;
+
   /// A number for a new transaction.
   transaction_id nextTransaction();
 
--- /dev/null
+++ b/modules/routing/statement_state.cpp
@@ -0,0 +1,27 @@
+#include "modules/routing/statement_state.h"
+
+namespace teasellock {
+
+bool outcomeOpenWhenLost(const statement_facts &Facts) {
+  if (Facts.InTransaction)
+    return Facts.MayCommit;
+  return Facts.Write;
+}
+
+loss_action onAnswerLost(const statement_facts &Facts, bool PartForwarded) {
+  if (outcomeOpenWhenLost(Facts)) {
+    // A key covers a request that holds its whole transaction.
+    bool Whole = !Facts.InTransaction || Facts.OpensTransaction;
+    if (Facts.HasIdempotencyKey && Whole && !PartForwarded)
+      return loss_action::RetryWithKey;
+    return loss_action::ReportUnknown;
+  }
+  if (Facts.InTransaction && !Facts.OpensTransaction)
+    return loss_action::ReportRolledBack;
+  if (!PartForwarded)
+    return loss_action::Retry;
+  return Facts.InTransaction ? loss_action::ReportRolledBack
+                             : loss_action::BreakOff;
+}
+
+} // namespace teasellock
