--- /dev/null
+++ b/modules/caller/caller_batch.cpp
@@ -0,0 +1,395 @@
+#include "modules/caller/caller_decisions.h"
+
+#include <algorithm>
+
+namespace teasellock {
+
+namespace {
+
+using item_kind = batch_item::kind;
+
+constexpr std::size_t MostPrepared = 10000;
+
+wire::statement_step stepOf(wire::step_kind::type Kind, std::string Text) {
+  wire::statement_step Step;
+  Step.kind = Kind;
+  Step.sql = std::move(Text);
+  return Step;
+}
+
+/// Whether the batch may open a transaction before the item to be added.
+bool opensTransaction(const caller_batch &Batch) {
+  return std::any_of(
+      Batch.Items.begin(), Batch.Items.end(), [](const batch_item &Item) {
+        return Item.Kind == item_kind::Statement && Item.Info &&
+               (Item.Info->contains(statement_class::Begin) ||
+                Item.Info->contains(statement_class::BeginReadOnly));
+      });
+}
+
+/// Fails the batch at this place. In a transaction the upstream raises the
+/// error, so that the transaction fails there too; otherwise nothing of the
+/// batch runs, as if it had been rolled back.
+void addError(caller_state &State, const std::string &Code,
+              const std::string &Problem) {
+  batch_item Item;
+  if (State.Status != 'I' || opensTransaction(State.Batch)) {
+    Item.Kind = item_kind::Statement;
+    Item.Step =
+        stepOf(wire::step_kind::simple,
+               "DO $teasellock$ BEGIN RAISE EXCEPTION USING ERRCODE = " +
+                   quoteLiteral(Code) + ", MESSAGE = " + quoteLiteral(Problem) +
+                   "; END $teasellock$");
+    Item.Info =
+        std::make_shared<const text_info>(text_info{{statement_info()}, false});
+  } else {
+    State.Batch.Items.clear();
+    Item.Kind = item_kind::Error;
+    Item.Code = Code;
+    Item.Problem = Problem;
+  }
+  State.Batch.Items.push_back(std::move(Item));
+}
+
+void addBytes(caller_state &State, std::string Bytes) {
+  batch_item Item;
+  Item.Before = std::move(Bytes);
+  State.Batch.Items.push_back(std::move(Item));
+}
+
+std::string emptyMessage(char Type) {
+  std::string Bytes;
+  pg::appendEmpty(Bytes, Type);
+  return Bytes;
+}
+
+/// Why a text can't be served at all, as SQLSTATE and message.
+std::optional<std::pair<std::string, std::string>>
+refusalOf(const text_info &Info, bool InTransaction) {
+  for (const auto &Statement : Info.Statements) {
+    if (Statement.Class == statement_class::Copy)
+      return std::pair(sql_state::FeatureNotSupported, "COPY is not supported");
+    if (Statement.Class == statement_class::Unsupported && !InTransaction)
+      return std::pair(sql_state::FeatureNotSupported,
+                       "not supported: " + Statement.Feature);
+  }
+  return std::nullopt;
+}
+
+void takeSimpleQuery(caller_state &State, caller_environment &Environment,
+                     std::string_view Body) {
+  pg::field_reader Fields(Body);
+  std::string Text(Fields.cString());
+  Fields.expectEnd();
+  State.Batch.Complete = true;
+  batch_item Item;
+  Item.Kind = item_kind::Statement;
+  Item.Hints = parseHints(Text);
+  Item.Info = Environment.Statements.find(Item.Hints.Core);
+  Item.Hints.Core = {};
+  if (Item.Info->Statements.empty())
+    return addBytes(State, emptyMessage('I'));
+  if (auto Refusal = refusalOf(*Item.Info, State.Status != 'I'))
+    return addError(State, Refusal->first, Refusal->second);
+  Item.Step = stepOf(wire::step_kind::simple, std::move(Text));
+  State.Batch.Items.push_back(std::move(Item));
+}
+
+/// Whether the statement of an extended query is the entry's to answer.
+bool answeredHere(const text_info &Info) {
+  return Info.Statements.empty() ||
+         (Info.Statements.size() == 1 &&
+          treatmentOf(Info.Statements[0], false) != treatment::ToGateway);
+}
+
+void takeParse(caller_state &State, caller_environment &Environment,
+               std::string_view Body) {
+  pg::field_reader Fields(Body);
+  std::string Name(Fields.cString());
+  auto Statement = std::make_shared<prepared_statement>();
+  Statement->Text = Fields.cString();
+  auto Count = Fields.count16();
+  for (int I = 0; I < Count; ++I)
+    Statement->ParameterTypes.push_back(Fields.int32());
+  Fields.expectEnd();
+  Statement->Hints = parseHints(Statement->Text);
+  Statement->Info = Environment.Statements.find(Statement->Hints.Core);
+  Statement->Hints.Core = {};
+  bool InTransaction = State.Status != 'I' || opensTransaction(State.Batch);
+  if (auto Refusal = refusalOf(*Statement->Info, InTransaction))
+    return addError(State, Refusal->first, Refusal->second);
+  if (!Name.empty() && State.Prepared.contains(Name))
+    return addError(State, sql_state::DuplicateStatement,
+                    "prepared statement \"" + Name + "\" already exists");
+  if (State.Prepared.size() >= MostPrepared)
+    return addError(State, "54000", "too many prepared statements");
+  State.Prepared[Name] = Statement;
+  batch_item Item;
+  Item.Before = emptyMessage('1');
+  if (!answeredHere(*Statement->Info)) {
+    Item.Kind = item_kind::Validate;
+    Item.Name = Name;
+    Item.Info = Statement->Info;
+    Item.Hints = Statement->Hints;
+    Item.Step = stepOf(wire::step_kind::describe, Statement->Text);
+    Item.Step.parameter_types = Statement->ParameterTypes;
+  }
+  State.Batch.Items.push_back(std::move(Item));
+}
+
+/// The statement is used in the same batch: its use finds its errors.
+void dropValidation(caller_batch &Batch, const std::string &Name) {
+  for (auto &Item : Batch.Items)
+    if (Item.Kind == item_kind::Validate && Item.Name == Name)
+      Item.Kind = item_kind::Bytes;
+}
+
+std::vector<std::int16_t> readFormats(pg::field_reader &Fields) {
+  std::vector<std::int16_t> Formats;
+  auto Count = Fields.count16();
+  for (int I = 0; I < Count; ++I) {
+    auto Format = Fields.int16();
+    if (Format != 0 && Format != 1)
+      throw pg::malformed{"unsupported format code"};
+    Formats.push_back(Format);
+  }
+  return Formats;
+}
+
+std::vector<wire::parameter> readParameters(pg::field_reader &Fields) {
+  auto Formats = readFormats(Fields);
+  auto Count = static_cast<std::size_t>(Fields.count16());
+  if (Formats.size() > 1 && Formats.size() != Count)
+    throw pg::malformed{"parameter formats don't match the parameters"};
+  std::vector<wire::parameter> Parameters(Count);
+  for (std::size_t I = 0; I < Count; ++I) {
+    auto &Parameter = Parameters[I];
+    if (!Formats.empty())
+      Parameter.format = Formats[Formats.size() == 1 ? 0 : I];
+    auto Length = Fields.int32();
+    Parameter.null_value = Length == -1;
+    if (Length < -1)
+      throw pg::malformed{"invalid length of a parameter"};
+    if (Length >= 0)
+      Parameter.value = Fields.bytes(static_cast<std::size_t>(Length));
+  }
+  return Parameters;
+}
+
+void takeBind(caller_state &State, std::string_view Body) {
+  pg::field_reader Fields(Body);
+  std::string PortalName(Fields.cString());
+  std::string Name(Fields.cString());
+  auto Portal = std::make_shared<caller_portal>();
+  Portal->Parameters = readParameters(Fields);
+  Portal->ResultFormats = readFormats(Fields);
+  Fields.expectEnd();
+  auto Statement = State.Prepared.find(Name);
+  if (Statement == State.Prepared.end())
+    return addError(State, sql_state::InvalidStatementName,
+                    "prepared statement \"" + Name + "\" does not exist");
+  if (!PortalName.empty() && State.Portals.contains(PortalName))
+    return addError(State, sql_state::DuplicateCursor,
+                    "portal \"" + PortalName + "\" already exists");
+  dropValidation(State.Batch, Name);
+  Portal->Statement = Statement->second;
+  State.Portals[PortalName] = Portal;
+  addBytes(State, emptyMessage('2'));
+}
+
+void describeStatement(caller_state &State, const std::string &Name) {
+  auto Found = State.Prepared.find(Name);
+  if (Found == State.Prepared.end())
+    return addError(State, sql_state::InvalidStatementName,
+                    "prepared statement \"" + Name + "\" does not exist");
+  dropValidation(State.Batch, Name);
+  const auto &Statement = *Found->second;
+  batch_item Item;
+  if (answeredHere(*Statement.Info)) {
+    auto Shown = Statement.Info->Statements.empty()
+                     ? statement_info()
+                     : Statement.Info->Statements[0];
+    describeHere(Shown, true, Item.Before);
+  } else {
+    Item.Kind = item_kind::Describe;
+    Item.Info = Statement.Info;
+    Item.Hints = Statement.Hints;
+    Item.Step = stepOf(wire::step_kind::describe, Statement.Text);
+    Item.Step.parameter_types = Statement.ParameterTypes;
+  }
+  State.Batch.Items.push_back(std::move(Item));
+}
+
+void describePortal(caller_state &State, const std::string &Name) {
+  auto Found = State.Portals.find(Name);
+  if (Found == State.Portals.end())
+    return addError(State, sql_state::InvalidCursorName,
+                    "portal \"" + Name + "\" does not exist");
+  const auto &Portal = *Found->second;
+  const auto &Statement = *Portal.Statement;
+  batch_item Item;
+  if (answeredHere(*Statement.Info)) {
+    auto Shown = Statement.Info->Statements.empty()
+                     ? statement_info()
+                     : Statement.Info->Statements[0];
+    describeHere(Shown, false, Item.Before);
+  } else {
+    Item.Kind = item_kind::DescribePortal;
+    Item.Name = Name;
+    Item.Info = Statement.Info;
+    Item.Hints = Statement.Hints;
+    Item.Step = stepOf(wire::step_kind::describe, Statement.Text);
+    Item.Step.parameter_types = Statement.ParameterTypes;
+    Item.ResultFormats = Portal.ResultFormats;
+  }
+  State.Batch.Items.push_back(std::move(Item));
+}
+
+void takeDescribe(caller_state &State, std::string_view Body) {
+  pg::field_reader Fields(Body);
+  auto Kind = Fields.byte();
+  std::string Name(Fields.cString());
+  Fields.expectEnd();
+  if (Kind == 'S')
+    return describeStatement(State, Name);
+  if (Kind == 'P')
+    return describePortal(State, Name);
+  throw pg::malformed{"invalid DESCRIBE message subtype"};
+}
+
+/// The one format of all columns, or nothing when they differ.
+std::optional<std::int16_t>
+commonFormat(const std::vector<std::int16_t> &Formats) {
+  if (Formats.empty())
+    return std::int16_t(0);
+  for (auto Format : Formats)
+    if (Format != Formats[0])
+      return std::nullopt;
+  return Formats[0];
+}
+
+void takeExecute(caller_state &State, std::string_view Body) {
+  pg::field_reader Fields(Body);
+  std::string Name(Fields.cString());
+  auto MostRows = Fields.int32();
+  Fields.expectEnd();
+  auto Found = State.Portals.find(Name);
+  if (Found == State.Portals.end())
+    return addError(State, sql_state::InvalidCursorName,
+                    "portal \"" + Name + "\" does not exist");
+  const auto &Portal = *Found->second;
+  const auto &Statement = *Portal.Statement;
+  if (Statement.Info->Statements.empty())
+    return addBytes(State, emptyMessage('I'));
+  auto Format = commonFormat(Portal.ResultFormats);
+  if (!Format)
+    return addError(State, sql_state::FeatureNotSupported,
+                    "result columns of different formats are not supported");
+  if (MostRows > 0)
+    return addError(State, sql_state::FeatureNotSupported,
+                    "fetching a portal in parts is not supported");
+  auto &Items = State.Batch.Items;
+  batch_item Item;
+  Item.Kind = item_kind::Statement;
+  Item.Info = Statement.Info;
+  Item.Hints = Statement.Hints;
+  Item.Step = stepOf(wire::step_kind::execute, Statement.Text);
+  Item.Step.parameter_types = Statement.ParameterTypes;
+  Item.Step.parameters = Portal.Parameters;
+  Item.Step.result_format = *Format;
+  if (!Items.empty() && Items.back().Kind == item_kind::DescribePortal &&
+      Items.back().Name == Name) {
+    Item.Before = std::move(Items.back().Before);
+    Item.Step.describe_rows = true;
+    Items.pop_back();
+  }
+  Items.push_back(std::move(Item));
+}
+
+void takeClose(caller_state &State, std::string_view Body) {
+  pg::field_reader Fields(Body);
+  auto Kind = Fields.byte();
+  std::string Name(Fields.cString());
+  Fields.expectEnd();
+  if (Kind == 'S')
+    State.Prepared.erase(Name);
+  else if (Kind == 'P')
+    State.Portals.erase(Name);
+  else
+    throw pg::malformed{"invalid CLOSE message subtype"};
+  addBytes(State, emptyMessage('3'));
+}
+
+/// Messages of the extended protocol that are skipped after an error.
+bool takeExtended(caller_state &State, caller_environment &Environment,
+                  const pg::frame &Frame) {
+  switch (Frame.Type) {
+  case 'P':
+    takeParse(State, Environment, Frame.Body);
+    return true;
+  case 'B':
+    takeBind(State, Frame.Body);
+    return true;
+  case 'D':
+    takeDescribe(State, Frame.Body);
+    return true;
+  case 'E':
+    takeExecute(State, Frame.Body);
+    return true;
+  case 'C':
+    takeClose(State, Frame.Body);
+    return true;
+  default:
+    return false;
+  }
+}
+
+bool isExtended(char Type) {
+  return Type == 'P' || Type == 'B' || Type == 'D' || Type == 'E' ||
+         Type == 'C';
+}
+
+} // namespace
+
+void takeMessage(caller_state &State, caller_environment &Environment,
+                 const pg::frame &Frame, caller_effects &Effects) {
+  auto &Batch = State.Batch;
+  if (isExtended(Frame.Type)) {
+    bool AlreadyFailed =
+        Batch.Failed ||
+        (!Batch.Items.empty() && Batch.Items.back().Kind == item_kind::Error);
+    if (!AlreadyFailed)
+      takeExtended(State, Environment, Frame);
+    return;
+  }
+  switch (Frame.Type) {
+  case 'Q':
+    if (!Batch.Failed)
+      takeSimpleQuery(State, Environment, Frame.Body);
+    return runBatch(State, Environment, Effects);
+  case 'S':
+    Batch.Complete = true;
+    return runBatch(State, Environment, Effects);
+  case 'H':
+    return runBatch(State, Environment, Effects);
+  case 'F':
+    addError(State, sql_state::FeatureNotSupported,
+             "function calls by the protocol are not supported");
+    Batch.Complete = true;
+    return runBatch(State, Environment, Effects);
+  case 'd':
+  case 'c':
+  case 'f':
+    // Left over from a COPY that was refused.
+    return;
+  case 'X':
+    abandon(State, Effects);
+    Effects.Close = true;
+    return;
+  default:
+    throw pg::malformed{"invalid frontend message type " +
+                        std::to_string(static_cast<unsigned char>(Frame.Type))};
+  }
+}
+
+} // namespace teasellock
--- /dev/null
+++ b/modules/caller/caller_listener.cpp
@@ -0,0 +1,464 @@
+#include "modules/caller/caller_listener.h"
+
+#include "core/error.h"
+#include "core/event_log.h"
+#include "modules/caller/caller_state.h"
+#include "modules/caller/wire_format.h"
+
+#include <cerrno>
+#include <cstring>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <openssl/rand.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace teasellock {
+
+namespace {
+
+constexpr int ListenBacklog = 1024;
+constexpr std::size_t ReadBytes = 64 * 1024;
+/// While a request is in flight, a caller's further bytes are read up to this.
+constexpr std::size_t MostReadAhead = 256 * 1024;
+/// No new statement is begun while more than this waits to be written.
+constexpr std::size_t MostOutputBeforeNext = 1024 * 1024;
+/// A caller that takes no data is closed beyond this.
+constexpr std::size_t MostOutput = 64 * 1024 * 1024;
+/// Buffers that grew beyond this are given back once they are empty.
+constexpr std::size_t LargestKeptBuffer = 256;
+constexpr duration AcceptPause = std::chrono::milliseconds(100);
+constexpr duration StartupTimeout = std::chrono::milliseconds(60000);
+constexpr duration StartupCheckPeriod = std::chrono::milliseconds(5000);
+constexpr int KeepaliveIdleSeconds = 60;
+
+using caller_id = strong_type<struct caller_id_tag, std::uint64_t>;
+
+template <typename Number> Number randomNumber() {
+  Number Value = 0;
+  if (RAND_bytes(reinterpret_cast<unsigned char *>(&Value), sizeof(Value)) != 1)
+    throw error("caller.random", "openssl", "no random bytes");
+  return Value;
+}
+
+void setSocketOptions(int Socket) {
+  int On = 1;
+  ::setsockopt(Socket, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
+  ::setsockopt(Socket, SOL_SOCKET, SO_KEEPALIVE, &On, sizeof(On));
+  ::setsockopt(Socket, IPPROTO_TCP, TCP_KEEPIDLE, &KeepaliveIdleSeconds,
+               sizeof(KeepaliveIdleSeconds));
+}
+
+const char *outcomeName(wire::statement_outcome::type Outcome) {
+  switch (Outcome) {
+  case wire::statement_outcome::answered:
+    return "answered";
+  case wire::statement_outcome::not_run:
+    return "not_run";
+  default:
+    return "unknown";
+  }
+}
+
+} // namespace
+
+struct caller_listener::state {
+  /// The statement of a caller that is at the router.
+  struct in_flight {
+    request_id Request;
+    statement_class Class = statement_class::Write;
+    time_point Started;
+    span Span;
+  };
+
+  struct connection {
+    caller_id Id;
+    int Socket = -1;
+    descriptor_watch Watch;
+    std::string In;
+    std::string Out;
+    std::size_t OutStart = 0;
+    caller_state Caller;
+    std::unique_ptr<in_flight> InFlight;
+    time_point Accepted;
+    /// Close once everything is written.
+    bool Closing = false;
+  };
+
+  daemon_context &Context;
+  caller_upstream Upstream;
+  caller_settings Settings;
+  caller_environment Environment;
+  int Listener = -1;
+  descriptor_watch ListenerWatch;
+  timer_subscription AcceptAgain;
+  timer_subscription StartupCheck;
+  std::map<caller_id, std::unique_ptr<connection>> Connections;
+  std::map<cancel_key, caller_id> CancelKeys;
+  std::uint64_t LastCaller = 0;
+  bool Draining = false;
+  std::function<void()> Drained;
+  gauge &Callers;
+  /// Callbacks into this object hold it weakly.
+  std::shared_ptr<state *> Self = std::make_shared<state *>(this);
+
+  state(daemon_context &Context, caller_upstream TheUpstream,
+        const caller_settings &Settings)
+      : Context(Context), Upstream(std::move(TheUpstream)), Settings(Settings),
+        Callers(Context.Metrics.gaugeOf("teasellock_callers")) {
+    Environment.TokenSecret = Settings.TokenSecret;
+    Environment.StatementTimeout = Settings.StatementTimeout;
+    Environment.GroupKnown = Upstream.GroupKnown;
+  }
+
+  ~state() {
+    Self.reset();
+    for (auto &[Id, Connection] : Connections)
+      ::close(Connection->Socket);
+    if (Listener >= 0)
+      ::close(Listener);
+  }
+
+  connection *find(caller_id Id) {
+    auto Found = Connections.find(Id);
+    return Found == Connections.end() ? nullptr : Found->second.get();
+  }
+
+  void listen();
+  void accept();
+  void add(int Socket);
+  void refuse(int Socket);
+  void onReady(caller_id Id, readiness Ready);
+  bool readFrom(connection &Connection);
+  void process(connection &Connection);
+  void carryOut(connection &Connection, caller_effects Effects);
+  void submit(connection &Connection, submission Submission);
+  void onReply(caller_id Id, request_id Request, wire::statement_reply Reply);
+  void countReply(in_flight &InFlight, const wire::statement_reply &Reply);
+  void cancelOther(const cancel_key &Key);
+  bool flush(connection &Connection);
+  void settle(caller_id Id);
+  void drop(caller_id Id);
+  void checkStartups();
+  void checkDrained();
+};
+
+void caller_listener::state::listen() {
+  std::string Peer = toString(Settings.Listen);
+  Listener = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (Listener < 0)
+    throw error("caller.listen", Peer, std::strerror(errno));
+  int On = 1;
+  ::setsockopt(Listener, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
+  sockaddr_in Address = toSocketAddress(Settings.Listen);
+  socklen_t Length = sizeof(Address);
+  if (::bind(Listener, reinterpret_cast<sockaddr *>(&Address), Length) < 0 ||
+      ::listen(Listener, ListenBacklog) < 0)
+    throw error("caller.listen", Peer, std::strerror(errno));
+  ::getsockname(Listener, reinterpret_cast<sockaddr *>(&Address), &Length);
+  Settings.Listen.Port = ntohs(Address.sin_port);
+}
+
+void caller_listener::state::accept() {
+  for (;;) {
+    int Socket =
+        ::accept4(Listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (Socket >= 0) {
+      add(Socket);
+      continue;
+    }
+    if (errno != EMFILE && errno != ENFILE)
+      return;
+    event("caller.accept_failed", severity::Warning)
+        .with("reason", std::strerror(errno));
+    ListenerWatch.want({});
+    AcceptAgain = Context.Timers.after(AcceptPause, [this] {
+      ListenerWatch.want({true, false});
+    });
+    return;
+  }
+}
+
+void caller_listener::state::refuse(int Socket) {
+  std::string Out;
+  pg::appendError(Out, "FATAL", "53300", "sorry, too many callers already");
+  [[maybe_unused]] auto Ignored =
+      ::send(Socket, Out.data(), Out.size(), MSG_NOSIGNAL);
+  ::close(Socket);
+}
+
+void caller_listener::state::add(int Socket) {
+  if (Draining || Connections.size() >= Settings.MostCallers)
+    return refuse(Socket);
+  setSocketOptions(Socket);
+  auto Connection = std::make_unique<connection>();
+  Connection->Id = caller_id(++LastCaller);
+  Connection->Socket = Socket;
+  Connection->Accepted = Context.Timers.now();
+  auto &Caller = Connection->Caller;
+  constexpr std::uint64_t MostProcess = 0x7fffffff;
+  Caller.Key = {static_cast<std::int32_t>(LastCaller & MostProcess),
+                randomNumber<std::int32_t>()};
+  Caller.Session.Id = session_id(Context.Self.Vm.Value + "-" +
+                                 std::to_string(randomNumber<std::uint64_t>()));
+  CancelKeys[Caller.Key] = Connection->Id;
+  Connection->Watch = Context.Loop.watch(
+      Socket, {true, false},
+      [this, Id = Connection->Id](readiness Ready) { onReady(Id, Ready); });
+  Connections[Connection->Id] = std::move(Connection);
+  Callers.set(static_cast<double>(Connections.size()));
+}
+
+void caller_listener::state::onReady(caller_id Id, readiness Ready) {
+  auto *Connection = find(Id);
+  if (!Connection)
+    return;
+  if (Ready.Readable && !Connection->Closing && !readFrom(*Connection))
+    return drop(Id);
+  if (Ready.Writable && !flush(*Connection))
+    return drop(Id);
+  process(*Connection);
+  settle(Id);
+}
+
+bool caller_listener::state::readFrom(connection &Connection) {
+  static thread_local char Buffer[ReadBytes];
+  ssize_t Count = ::recv(Connection.Socket, Buffer, sizeof(Buffer), 0);
+  if (Count > 0) {
+    Connection.In.append(Buffer, static_cast<std::size_t>(Count));
+    return true;
+  }
+  return Count < 0 &&
+         (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+}
+
+void caller_listener::state::process(connection &Connection) {
+  if (Connection.Closing || Connection.In.empty() ||
+      Connection.Out.size() - Connection.OutStart > MostOutputBeforeNext)
+    return;
+  if (Connection.Caller.Phase == caller_state::phase::Busy)
+    return;
+  if (Connection.Caller.SpareTransaction <= Connection.Caller.Transaction)
+    Connection.Caller.SpareTransaction = Upstream.NextTransaction();
+  caller_effects Effects;
+  auto Used = takeBytes(Connection.Caller, Environment, Connection.In, Effects);
+  Connection.In.erase(0, Used);
+  if (Connection.In.empty() && Connection.In.capacity() > LargestKeptBuffer)
+    std::string().swap(Connection.In);
+  carryOut(Connection, std::move(Effects));
+}
+
+void caller_listener::state::carryOut(connection &Connection,
+                                      caller_effects Effects) {
+  Connection.Out += Effects.Out;
+  if (Effects.CancelRequest && Connection.InFlight) {
+    Upstream.Cancel(Connection.InFlight->Request);
+    Connection.InFlight.reset();
+  }
+  for (auto Transaction : Effects.Release)
+    Upstream.Release(Transaction);
+  if (Effects.Submit)
+    submit(Connection, std::move(*Effects.Submit));
+  if (Effects.CancelOther)
+    cancelOther(*Effects.CancelOther);
+  if (Effects.Close)
+    Connection.Closing = true;
+}
+
+void caller_listener::state::submit(connection &Connection,
+                                    submission Submission) {
+  auto &Caller = Connection.Caller;
+  if (Submission.Request.opens_transaction)
+    Caller.SpareTransaction = {};
+  auto InFlight = std::make_unique<in_flight>();
+  InFlight->Class = Submission.Class;
+  InFlight->Started = Context.Timers.now();
+  InFlight->Span = Context.Tracer.start(
+      "entry.statement", parseTraceParent(Submission.TraceParent));
+  InFlight->Span.set("group", Submission.Request.group);
+  InFlight->Span.set("class", toString(Submission.Class));
+  auto TraceParent = toTraceParent(InFlight->Span.context());
+  // The number is known only after submit(); no reply comes before that.
+  auto Request = std::make_shared<request_id>();
+  std::weak_ptr<state *> Weak = Self;
+  *Request = Upstream.Submit(
+      std::move(Submission.Request), TraceParent,
+      [Weak, Id = Connection.Id, Request](wire::statement_reply Reply) {
+        if (auto Alive = Weak.lock())
+          (*Alive)->onReply(Id, *Request, std::move(Reply));
+      });
+  InFlight->Request = *Request;
+  Connection.InFlight = std::move(InFlight);
+}
+
+void caller_listener::state::countReply(in_flight &InFlight,
+                                        const wire::statement_reply &Reply) {
+  auto &Metrics = Context.Metrics;
+  std::string Class = toString(InFlight.Class);
+  Metrics
+      .counterOf("teasellock_statements_total",
+                 {{"class", Class}, {"outcome", outcomeName(Reply.outcome)}})
+      .add();
+  Metrics.histogramOf("teasellock_statement_seconds", {{"class", Class}})
+      .observe(Context.Timers.now() - InFlight.Started);
+  if (InFlight.Class == statement_class::Read &&
+      Reply.outcome == wire::statement_outcome::answered)
+    Metrics
+        .counterOf("teasellock_reads_total",
+                   {{"by", Reply.by_replica ? "replica" : "primary"}})
+        .add();
+  InFlight.Span.set("outcome", outcomeName(Reply.outcome));
+  InFlight.Span.set("upstream", Reply.upstream);
+  InFlight.Span.end();
+}
+
+void caller_listener::state::onReply(caller_id Id, request_id Request,
+                                     wire::statement_reply Reply) {
+  auto *Connection = find(Id);
+  if (!Connection || !Connection->InFlight ||
+      Connection->InFlight->Request != Request)
+    return;
+  if (Reply.last) {
+    countReply(*Connection->InFlight, Reply);
+    Connection->InFlight.reset();
+  }
+  caller_effects Effects;
+  takeReply(Connection->Caller, Environment, Reply, Effects);
+  if (Draining)
+    drainCaller(Connection->Caller, Effects);
+  carryOut(*Connection, std::move(Effects));
+  if (Connection->Out.size() - Connection->OutStart > MostOutput) {
+    event("caller.closed", severity::Warning).with("reason", "takes no data");
+    return drop(Id);
+  }
+  process(*Connection);
+  settle(Id);
+}
+
+void caller_listener::state::cancelOther(const cancel_key &Key) {
+  auto Found = CancelKeys.find(Key);
+  if (Found == CancelKeys.end())
+    return;
+  auto Id = Found->second;
+  Context.Loop.post([this, Weak = std::weak_ptr<state *>(Self), Id] {
+    auto Alive = Weak.lock();
+    auto *Connection = Alive ? find(Id) : nullptr;
+    if (!Connection || !Connection->InFlight)
+      return;
+    caller_effects Effects;
+    cancelRequest(Connection->Caller, Environment,
+                  Upstream.WasSent(Connection->InFlight->Request), Effects);
+    carryOut(*Connection, std::move(Effects));
+    process(*Connection);
+    settle(Id);
+  });
+}
+
+bool caller_listener::state::flush(connection &Connection) {
+  auto &Out = Connection.Out;
+  while (Connection.OutStart < Out.size()) {
+    ssize_t Count = ::send(Connection.Socket, Out.data() + Connection.OutStart,
+                           Out.size() - Connection.OutStart, MSG_NOSIGNAL);
+    if (Count > 0) {
+      Connection.OutStart += static_cast<std::size_t>(Count);
+      continue;
+    }
+    if (errno == EINTR)
+      continue;
+    return errno == EAGAIN || errno == EWOULDBLOCK;
+  }
+  Out.clear();
+  Connection.OutStart = 0;
+  if (Out.capacity() > LargestKeptBuffer)
+    std::string().swap(Out);
+  return true;
+}
+
+void caller_listener::state::settle(caller_id Id) {
+  auto *Connection = find(Id);
+  if (!Connection)
+    return;
+  if (!flush(*Connection))
+    return drop(Id);
+  bool Written = Connection->Out.empty();
+  if (Connection->Closing && Written)
+    return drop(Id);
+  bool Busy = Connection->Caller.Phase == caller_state::phase::Busy;
+  bool Full = Busy && Connection->In.size() > MostReadAhead;
+  auto Waiting = Connection->Out.size() - Connection->OutStart;
+  bool Read = !Connection->Closing && !Full && Waiting <= MostOutputBeforeNext;
+  Connection->Watch.want({Read, !Written});
+}
+
+void caller_listener::state::drop(caller_id Id) {
+  auto Found = Connections.find(Id);
+  if (Found == Connections.end())
+    return;
+  auto Connection = std::move(Found->second);
+  Connections.erase(Found);
+  CancelKeys.erase(Connection->Caller.Key);
+  Callers.set(static_cast<double>(Connections.size()));
+  Connection->Watch = descriptor_watch();
+  ::close(Connection->Socket);
+  caller_effects Effects;
+  abandon(Connection->Caller, Effects);
+  carryOut(*Connection, std::move(Effects));
+  checkDrained();
+}
+
+void caller_listener::state::checkStartups() {
+  auto Now = Context.Timers.now();
+  std::vector<caller_id> Late;
+  for (auto &[Id, Connection] : Connections)
+    if (Connection->Caller.Phase == caller_state::phase::Startup &&
+        Now - Connection->Accepted > StartupTimeout)
+      Late.push_back(Id);
+  for (auto Id : Late)
+    drop(Id);
+}
+
+void caller_listener::state::checkDrained() {
+  if (!Draining || !Connections.empty() || !Drained)
+    return;
+  Context.Loop.post(std::exchange(Drained, nullptr));
+}
+
+caller_listener::caller_listener(daemon_context &Context,
+                                 caller_upstream Upstream,
+                                 const caller_settings &Settings)
+    : State(std::make_unique<state>(Context, std::move(Upstream), Settings)) {}
+
+caller_listener::~caller_listener() = default;
+
+endpoint caller_listener::start() {
+  State->listen();
+  State->ListenerWatch = State->Context.Loop.watch(
+      State->Listener, {true, false}, [this](readiness) { State->accept(); });
+  State->StartupCheck = State->Context.Timers.every(
+      StartupCheckPeriod, [this] { State->checkStartups(); });
+  return State->Settings.Listen;
+}
+
+void caller_listener::drain(std::function<void()> Done) {
+  State->Draining = true;
+  State->Drained = std::move(Done);
+  std::vector<caller_id> All;
+  for (auto &[Id, Connection] : State->Connections)
+    All.push_back(Id);
+  for (auto Id : All) {
+    auto *Connection = State->find(Id);
+    if (!Connection)
+      continue;
+    caller_effects Effects;
+    drainCaller(Connection->Caller, Effects);
+    State->carryOut(*Connection, std::move(Effects));
+    State->settle(Id);
+  }
+  State->checkDrained();
+}
+
+std::size_t caller_listener::callers() const {
+  return State->Connections.size();
+}
+
+} // namespace teasellock
--- /dev/null
+++ b/modules/caller/caller_request.cpp
@@ -0,0 +1,541 @@
+#include "core/error.h"
+#include "modules/caller/caller_decisions.h"
+#include "modules/control/group_view.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace teasellock {
+
+namespace {
+
+using item_kind = batch_item::kind;
+using phase = caller_state::phase;
+
+void failBatch(caller_state &State, const std::string &Code,
+               const std::string &Problem, std::string &Out) {
+  pg::appendError(Out, "ERROR", Code, Problem);
+  State.Batch.Failed = true;
+}
+
+void finishBatch(caller_state &State, const caller_environment &Environment,
+                 std::string &Out) {
+  State.Batch = {};
+  if (State.Status == 'I')
+    State.Portals.clear();
+  tellToken(State, Environment, Out);
+  pg::appendReady(Out, State.Status);
+  State.Phase = phase::Ready;
+}
+
+/// The statements of an item that runs now.
+std::vector<const statement_info *> statementsOf(const batch_item &Item) {
+  std::vector<const statement_info *> Statements;
+  if (Item.Index)
+    return {&Item.Info->Statements[*Item.Index]};
+  for (const auto &Statement : Item.Info->Statements)
+    Statements.push_back(&Statement);
+  return Statements;
+}
+
+bool has(const batch_item &Item, statement_class Class) {
+  if (Item.Kind != item_kind::Statement)
+    return false;
+  auto Statements = statementsOf(Item);
+  return std::any_of(
+      Statements.begin(), Statements.end(),
+      [&](const statement_info *Info) { return Info->Class == Class; });
+}
+
+bool mayOpenTransaction(const batch_item &Item) {
+  return has(Item, statement_class::Begin) ||
+         has(Item, statement_class::BeginReadOnly) ||
+         (Item.Kind == item_kind::Statement && Item.Info->Unparsed);
+}
+
+/// Whether the entry answers every statement of the item.
+bool runsHere(const batch_item &Item, bool InTransaction) {
+  if (Item.Kind != item_kind::Statement)
+    return false;
+  auto Statements = statementsOf(Item);
+  return std::none_of(
+      Statements.begin(), Statements.end(), [&](const statement_info *Info) {
+        return treatmentOf(*Info, InTransaction) == treatment::ToGateway;
+      });
+}
+
+/// Cuts a text whose statements the entry answers into one item for each.
+void splitFront(caller_batch &Batch) {
+  auto Whole = std::move(Batch.Items.front());
+  Batch.Items.pop_front();
+  for (std::size_t I = Whole.Info->Statements.size(); I-- > 0;) {
+    batch_item Item = Whole;
+    Item.Index = I;
+    if (I > 0)
+      Item.Before.clear();
+    Batch.Items.push_front(std::move(Item));
+  }
+}
+
+/// After a transaction was lost only its end is accepted.
+void runInLostTransaction(caller_state &State, const batch_item &Item,
+                          std::string &Out) {
+  bool Ends = has(Item, statement_class::Rollback) ||
+              has(Item, statement_class::Commit);
+  if (!Ends || statementsOf(Item).size() != 1)
+    return failBatch(State, sql_state::InFailedTransaction,
+                     "current transaction is aborted, commands ignored until "
+                     "end of transaction block",
+                     Out);
+  Out += Item.Before;
+  pg::appendCommandComplete(Out, "ROLLBACK");
+  State.TransactionLost = false;
+  State.Status = 'I';
+}
+
+void runLocally(caller_state &State, const caller_environment &Environment,
+                const batch_item &Item, std::string &Out) {
+  const auto &Info = *statementsOf(Item).front();
+  Out += Item.Before;
+  if (State.Status == 'E')
+    return failBatch(State, sql_state::InFailedTransaction,
+                     "current transaction is aborted, commands ignored until "
+                     "end of transaction block",
+                     Out);
+  bool DescribeRows =
+      Item.Step.kind == wire::step_kind::simple || Item.Step.describe_rows;
+  try {
+    runHere(State, Environment, Info, DescribeRows, Out);
+  } catch (const error &Problem) {
+    failBatch(State, Problem.step(), Problem.reason(), Out);
+  }
+}
+
+void startSettingChange(batch_item &Item) {
+  const auto &Info = *statementsOf(Item).front();
+  Item.Kind = item_kind::ChangeSetting;
+  Item.Step = wire::statement_step();
+  Item.Step.kind = wire::step_kind::simple;
+  Item.Step.sql = settingQuery(Info);
+}
+
+/// Moves the leading items that one request can hold out of the batch.
+std::vector<batch_item> takeRequestItems(caller_state &State) {
+  auto &Items = State.Batch.Items;
+  std::vector<batch_item> Taken;
+  bool InTransaction = State.Transaction != transaction_id();
+  std::string Before;
+  std::size_t Count = 0;
+  for (auto &Item : Items) {
+    bool Bytes = Item.Kind == item_kind::Bytes;
+    if (Item.Kind == item_kind::Error || runsHere(Item, InTransaction))
+      break;
+    ++Count;
+    Before += Item.Before;
+    if (Bytes)
+      continue;
+    InTransaction = InTransaction || mayOpenTransaction(Item);
+    Item.Before = std::move(Before);
+    Before.clear();
+    Taken.push_back(std::move(Item));
+  }
+  Items.erase(Items.begin(),
+              Items.begin() + static_cast<std::ptrdiff_t>(Count));
+  if (!Before.empty()) {
+    batch_item Rest;
+    Rest.Before = std::move(Before);
+    Items.push_front(std::move(Rest));
+  }
+  return Taken;
+}
+
+bool itemReads(const batch_item &Item) {
+  if (Item.Kind != item_kind::Statement)
+    return true;
+  if (Item.Info->Unparsed)
+    return false;
+  auto Statements = statementsOf(Item);
+  return std::all_of(Statements.begin(), Statements.end(),
+                     [](const statement_info *Info) {
+                       // A replica would say that it is read-only.
+                       if (Info->Class == statement_class::Show)
+                         return Info->Name != "transaction_read_only";
+                       return Info->Class == statement_class::Read ||
+                              Info->Class == statement_class::BeginReadOnly;
+                     });
+}
+
+statement_class classOf(const std::vector<batch_item> &Items) {
+  for (const auto &Item : Items)
+    if (Item.Kind == item_kind::Statement && !Item.Info->Statements.empty())
+      return statementsOf(Item).front()->Class;
+  return statement_class::Read;
+}
+
+void fillHints(const caller_state &State, const std::vector<batch_item> &Items,
+               submission &Submission) {
+  Submission.Request.read_kind = State.Local.ReadKind;
+  for (const auto &Item : Items) {
+    if (Item.Hints.ReadKind)
+      Submission.Request.read_kind = *Item.Hints.ReadKind;
+    if (!Item.Hints.IdempotencyKey.empty())
+      Submission.Request.idempotency_key = Item.Hints.IdempotencyKey;
+    if (!Item.Hints.TraceParent.empty())
+      Submission.TraceParent = Item.Hints.TraceParent;
+  }
+}
+
+/// Numbers the transaction that a request opens or belongs to.
+void fillTransaction(caller_state &State, const std::vector<batch_item> &Items,
+                     submission &Submission) {
+  auto &Request = Submission.Request;
+  bool Open = State.Transaction != transaction_id();
+  bool Opens =
+      !Open && std::any_of(Items.begin(), Items.end(), mayOpenTransaction);
+  if (Opens) {
+    State.Transaction = State.SpareTransaction;
+    State.SettingsAtBegin = State.Settings;
+    State.ReadOnlyTransaction =
+        std::all_of(Items.begin(), Items.end(), itemReads);
+  }
+  Request.transaction = static_cast<std::int64_t>(State.Transaction.Value);
+  Request.opens_transaction = Opens;
+  bool Commits = std::any_of(Items.begin(), Items.end(), [](const auto &Item) {
+    return has(Item, statement_class::Commit) ||
+           (Item.Kind == item_kind::Statement && Item.Info->Unparsed);
+  });
+  bool Reads = std::all_of(Items.begin(), Items.end(), itemReads) ||
+               State.ReadOnlyTransaction;
+  Request.access =
+      Reads ? wire::statement_access::read : wire::statement_access::write;
+  Request.may_commit = Commits && !State.ReadOnlyTransaction;
+}
+
+submission buildSubmission(caller_state &State,
+                           const caller_environment &Environment,
+                           std::vector<batch_item> &Items) {
+  submission Submission;
+  auto &Request = Submission.Request;
+  fillHints(State, Items, Submission);
+  fillTransaction(State, Items, Submission);
+  Submission.Class = classOf(Items);
+  Request.group = State.Session.Group.Value;
+  Request.floor_known = State.Session.Floor.has_value();
+  if (State.Session.Floor)
+    Request.floor = toWire(*State.Session.Floor);
+  Request.timeout_ms = toMilliseconds(
+      State.Local.StatementTimeout.value_or(Environment.StatementTimeout));
+  // Within a transaction the connection keeps its own changes.
+  Request.settings = State.SettingsAtBegin && State.Transaction.Value != 0
+                         ? *State.SettingsAtBegin
+                         : State.Settings;
+  for (auto &Item : Items) {
+    auto Kind = Item.Step.kind;
+    Request.steps.push_back(std::exchange(Item.Step, {}));
+    Item.Step.kind = Kind;
+  }
+  return Submission;
+}
+
+void startRequest(caller_state &State, const caller_environment &Environment,
+                  std::vector<batch_item> Items, caller_effects &Effects) {
+  Effects.Submit = buildSubmission(State, Environment, Items);
+  const auto &Sent = Effects.Submit->Request;
+  auto Request = std::make_unique<caller_request>();
+  Request->Write = Sent.access == wire::statement_access::write;
+  Request->InTransaction = Sent.transaction != 0;
+  Request->OpensTransaction = Sent.opens_transaction;
+  Request->MayCommit = Sent.may_commit;
+  Request->Items = std::move(Items);
+  State.Request = std::move(Request);
+  State.Phase = phase::Busy;
+}
+
+/// Passes on what an answer's next message gives the caller.
+class answer_reader {
+public:
+  answer_reader(caller_state &State, const caller_environment &Environment,
+                std::string &Out)
+      : State(State), Environment(Environment), Request(*State.Request),
+        Out(Out) {}
+
+  void take(std::string_view Messages) {
+    while (!Messages.empty()) {
+      auto Frame = pg::nextFrame(Messages, false);
+      if (!Frame)
+        throw pg::malformed{"the answer of the gateway is incomplete"};
+      takeOne(*Frame, Messages.substr(0, Frame->Size));
+      Messages.remove_prefix(Frame->Size);
+    }
+  }
+
+private:
+  void takeOne(const pg::frame &Frame, std::string_view Bytes) {
+    if (Frame.Type == 'N' || Frame.Type == 'S' || Frame.Type == 'A') {
+      Out += Bytes;
+      return;
+    }
+    if (Frame.Type == 'E') {
+      Out += Bytes;
+      State.Batch.Failed = true;
+      return;
+    }
+    if (State.Batch.Failed)
+      return;
+    if (Request.Step >= Request.Items.size())
+      throw pg::malformed{"the answer of the gateway has too many messages"};
+    auto &Item = Request.Items[Request.Step];
+    if (!Request.Started)
+      Out += Item.Before;
+    Request.Started = true;
+    if (Frame.Type == 'C')
+      State.LastTag = pg::field_reader(Frame.Body).cString();
+    pass(Item, Frame, Bytes);
+    if (endsStep(Item, Frame.Type)) {
+      ++Request.Step;
+      Request.Started = false;
+    }
+  }
+
+  void pass(batch_item &Item, const pg::frame &Frame, std::string_view Bytes) {
+    switch (Item.Kind) {
+    case item_kind::Validate:
+      return;
+    case item_kind::ChangeSetting:
+      if (Frame.Type == 'C')
+        finishSetting(Item);
+      return;
+    case item_kind::DescribePortal:
+      if (Frame.Type == 'T')
+        Out += withFormats(Bytes, Item.ResultFormats);
+      else if (Frame.Type != 't')
+        Out += Bytes;
+      return;
+    default:
+      Out += Bytes;
+    }
+  }
+
+  static bool endsStep(const batch_item &Item, char Type) {
+    if (Item.Kind == item_kind::Validate || Item.Kind == item_kind::Describe ||
+        Item.Kind == item_kind::DescribePortal)
+      return Type == 'T' || Type == 'n';
+    if (Type != 'C' && Type != 'I')
+      return false;
+    // A simple query has an answer for each of its statements.
+    return Item.Kind == item_kind::ChangeSetting ||
+           Item.Step.kind != wire::step_kind::simple;
+  }
+
+  void finishSetting(const batch_item &Item) {
+    for (const auto &Change : statementsOf(Item).front()->Settings)
+      applySetting(State, Environment, Change, Out);
+    pg::appendCommandComplete(Out, "SET");
+  }
+
+  /// Puts a portal's formats into a RowDescription.
+  static std::string withFormats(std::string_view Bytes,
+                                 const std::vector<std::int16_t> &Formats) {
+    pg::field_reader Fields(Bytes.substr(5));
+    pg::message_writer Message('T');
+    auto Count = Fields.count16();
+    Message.int16(static_cast<std::int16_t>(Count));
+    constexpr std::size_t BytesBeforeFormat = 16;
+    for (int I = 0; I < Count; ++I) {
+      Message.cString(Fields.cString());
+      Message.bytes(Fields.bytes(BytesBeforeFormat));
+      Fields.int16();
+      auto Known = static_cast<std::size_t>(I) < Formats.size();
+      Message.int16(Formats.empty() ? std::int16_t(0)
+                    : Known         ? Formats[static_cast<std::size_t>(I)]
+                                    : Formats[0]);
+    }
+    std::string Described;
+    Message.append(Described);
+    return Described;
+  }
+
+  caller_state &State;
+  const caller_environment &Environment;
+  caller_request &Request;
+  std::string &Out;
+};
+
+/// Whether an answer without an error has answered every step.
+bool isWhole(const caller_state &State) {
+  const auto &Request = *State.Request;
+  if (State.Batch.Failed || Request.Step >= Request.Items.size())
+    return true;
+  const auto &Last = Request.Items.back();
+  return Request.Step + 1 == Request.Items.size() && Request.Started &&
+         Last.Kind == item_kind::Statement &&
+         Last.Step.kind == wire::step_kind::simple;
+}
+
+void endTransaction(caller_state &State, bool RolledBack) {
+  if (RolledBack && State.SettingsAtBegin)
+    State.Settings = std::move(*State.SettingsAtBegin);
+  State.SettingsAtBegin.reset();
+  State.Transaction = {};
+  State.ReadOnlyTransaction = false;
+}
+
+/// Settings made inside a transaction count at once for its own SHOWs, which
+/// the upstream answers, and for later statements if it commits.
+void takeSettings(caller_state &State, const caller_environment &Environment,
+                  std::string &Out) {
+  for (const auto &Item : State.Request->Items) {
+    if (Item.Kind != item_kind::Statement)
+      continue;
+    for (const auto *Info : statementsOf(Item)) {
+      if (Info->Class == statement_class::Set && !Info->Local)
+        for (const auto &Change : Info->Settings)
+          applySetting(State, Environment, Change, Out);
+      if (Info->Class == statement_class::Reset && !Info->Name.empty())
+        applySetting(State, Environment, {Info->Name, std::nullopt}, Out);
+    }
+  }
+}
+
+void afterAnswer(caller_state &State, const caller_environment &Environment,
+                 const wire::statement_reply &Reply, std::string &Out) {
+  const auto &Request = *State.Request;
+  if (!State.Batch.Failed)
+    takeSettings(State, Environment, Out);
+  auto Reached = fromWire(Reply.reached);
+  if (Request.Write)
+    afterWrite(State.Session, Reached);
+  else
+    afterRead(State.Session, Reached, Reply.by_replica);
+  bool Open =
+      Reply.transaction_status == 'T' || Reply.transaction_status == 'E';
+  if (Request.InTransaction && !Open)
+    endTransaction(State,
+                   State.Batch.Failed || State.LastTag.starts_with("ROLLBACK"));
+  State.Status = Request.InTransaction && Open
+                     ? static_cast<char>(Reply.transaction_status)
+                     : 'I';
+}
+
+/// The router gave up: the statement was not run, or nobody knows.
+void afterFailure(caller_state &State, bool Unknown) {
+  const auto &Request = *State.Request;
+  bool OpenOutcome = Request.InTransaction ? Request.MayCommit : Request.Write;
+  if (Unknown && OpenOutcome)
+    afterUnknownWrite(State.Session);
+  if (!Request.InTransaction)
+    return;
+  // Whatever happened, the gateway no longer keeps the transaction.
+  bool Ended = Request.OpensTransaction || Request.MayCommit;
+  endTransaction(State, true);
+  State.TransactionLost = !Ended;
+  State.Status = Ended ? 'I' : 'E';
+}
+
+void takeLast(caller_state &State, const caller_environment &Environment,
+              const wire::statement_reply &Reply, caller_effects &Effects) {
+  if (Reply.outcome == wire::statement_outcome::answered) {
+    if (!isWhole(State))
+      failBatch(State, sql_state::InternalError,
+                "the answer of the gateway ended early", Effects.Out);
+    return afterAnswer(State, Environment, Reply, Effects.Out);
+  }
+  failBatch(State, Reply.code, Reply.problem, Effects.Out);
+  afterFailure(State, Reply.outcome == wire::statement_outcome::unknown);
+}
+
+} // namespace
+
+void tellToken(caller_state &State, const caller_environment &Environment,
+               std::string &Out) {
+  auto Token = toToken(State.Session, Environment.TokenSecret);
+  if (Token == State.ToldToken)
+    return;
+  pg::appendParameterStatus(Out, "teasellock.session", Token);
+  State.ToldToken = std::move(Token);
+}
+
+void runBatch(caller_state &State, caller_environment &Environment,
+              caller_effects &Effects) {
+  auto &Batch = State.Batch;
+  State.Phase = phase::Ready;
+  while (!Batch.Failed && !Batch.Items.empty()) {
+    auto &Front = Batch.Items.front();
+    bool InTransaction = State.Transaction != transaction_id();
+    bool Here = runsHere(Front, InTransaction);
+    if (Here && statementsOf(Front).size() > 1) {
+      splitFront(Batch);
+      continue;
+    }
+    bool Lost = State.TransactionLost && Front.Kind != item_kind::Bytes;
+    bool Answered = Here && treatmentOf(*statementsOf(Front).front(),
+                                        InTransaction) == treatment::Here;
+    if (Front.Kind != item_kind::Bytes && Front.Kind != item_kind::Error &&
+        !Lost && !Answered) {
+      std::vector<batch_item> Items;
+      if (Here) {
+        startSettingChange(Front);
+        Items.push_back(std::move(Front));
+        Batch.Items.pop_front();
+      } else {
+        Items = takeRequestItems(State);
+      }
+      return startRequest(State, Environment, std::move(Items), Effects);
+    }
+    auto Item = std::move(Front);
+    Batch.Items.pop_front();
+    if (Item.Kind == item_kind::Bytes)
+      Effects.Out += Item.Before;
+    else if (Item.Kind == item_kind::Error)
+      failBatch(State, Item.Code, Item.Problem, Effects.Out);
+    else if (Lost)
+      runInLostTransaction(State, Item, Effects.Out);
+    else
+      runLocally(State, Environment, Item, Effects.Out);
+  }
+  Batch.Items.clear();
+  if (Batch.Complete)
+    finishBatch(State, Environment, Effects.Out);
+}
+
+void takeReply(caller_state &State, caller_environment &Environment,
+               const wire::statement_reply &Reply, caller_effects &Effects) {
+  if (State.Phase != phase::Busy)
+    return;
+  try {
+    answer_reader(State, Environment, Effects.Out).take(Reply.messages);
+  } catch (const pg::malformed &Problem) {
+    // The caller must not take half an answer for a whole one.
+    return closeFatally(State, sql_state::InternalError, Problem.Problem,
+                        Effects);
+  } catch (const error &Problem) {
+    failBatch(State, Problem.step(), Problem.reason(), Effects.Out);
+  }
+  if (!Reply.last)
+    return;
+  takeLast(State, Environment, Reply, Effects);
+  State.Request.reset();
+  runBatch(State, Environment, Effects);
+}
+
+void cancelRequest(caller_state &State, caller_environment &Environment,
+                   bool Sent, caller_effects &Effects) {
+  if (State.Phase != phase::Busy)
+    return;
+  const auto &Request = *State.Request;
+  bool Open = Request.InTransaction ? Request.MayCommit : Request.Write;
+  bool Unknown = Sent && Open;
+  Effects.CancelRequest = true;
+  if (Request.InTransaction)
+    Effects.Release.push_back(State.Transaction);
+  failBatch(State,
+            Unknown ? sql_state::ResolutionUnknown : sql_state::QueryCanceled,
+            Unknown ? "canceled; the outcome of the statement is unknown"
+                    : "canceling statement due to user request",
+            Effects.Out);
+  afterFailure(State, Unknown);
+  State.Request.reset();
+  runBatch(State, Environment, Effects);
+}
+
+} // namespace teasellock
--- a/modules/caller/caller_server.h
+++ b/modules/caller/caller_server.h
@@ -2,26 +2,15 @@
 /// their tokens, and what each statement may do.
 #pragma once
 
+#include "modules/caller/caller_settings.h"
 #include "modules/membership/member_agent.h"
 #include "modules/routing/statement_router.h"
 
 #include <functional>
 #include <memory>
-#include <string>
 
 namespace teasellock {
 
-/// How callers are served.
-struct caller_settings {
-  endpoint Listen;
-  /// Signs session tokens; the same on all entries.
-  std::string TokenSecret;
-  /// Time for one statement unless the caller sets statement_timeout.
-  duration StatementTimeout = fromMilliseconds(30000);
-  /// Callers served at once; more are refused with 53300.
-  std::size_t MostCallers = 20000;
-};
-
 /// Serves callers on one port.
 class caller_server {
 public:
--- /dev/null
+++ b/modules/caller/caller_startup.cpp
@@ -0,0 +1,181 @@
+#include "core/error.h"
+#include "modules/caller/caller_decisions.h"
+
+namespace teasellock {
+
+namespace {
+
+constexpr const char *ServerVersion = "15.0";
+
+using parameters = std::map<std::string, std::string>;
+
+parameters readParameters(pg::field_reader &Fields) {
+  parameters Parameters;
+  while (!Fields.atEnd()) {
+    std::string Name(Fields.cString());
+    if (Name.empty())
+      return Parameters;
+    Parameters[Name] = Fields.cString();
+  }
+  throw pg::malformed{"invalid startup packet layout"};
+}
+
+/// Cuts the "options" parameter at spaces; a backslash keeps the next
+/// character.
+std::vector<std::string> splitOptions(const std::string &Options) {
+  std::vector<std::string> Words;
+  std::string Word;
+  bool Open = false;
+  for (std::size_t I = 0; I < Options.size(); ++I) {
+    char Char = Options[I];
+    if (Char == ' ' || Char == '\t' || Char == '\n') {
+      if (Open)
+        Words.push_back(std::move(Word));
+      Word.clear();
+      Open = false;
+      continue;
+    }
+    if (Char == '\\' && I + 1 < Options.size())
+      Char = Options[++I];
+    Word += Char;
+    Open = true;
+  }
+  if (Open)
+    Words.push_back(std::move(Word));
+  return Words;
+}
+
+/// Reads "-c name=value", "-cname=value" and "--name=value".
+std::vector<setting_change> readOptions(const std::string &Options) {
+  std::vector<setting_change> Settings;
+  auto Words = splitOptions(Options);
+  for (std::size_t I = 0; I < Words.size(); ++I) {
+    std::string Pair = Words[I];
+    if (Pair == "-c" && I + 1 < Words.size())
+      Pair = Words[++I];
+    else if (Pair.starts_with("-c") || Pair.starts_with("--"))
+      Pair = Pair.substr(2);
+    auto Equals = Pair.find('=');
+    if (Equals == std::string::npos || Pair[0] == '-')
+      throw error(sql_state::ProtocolViolation, "caller",
+                  "options: \"" + Words[I] + "\" is not understood");
+    std::string Name = Pair.substr(0, Equals);
+    for (char &Char : Name)
+      Char = Char == '-' ? '_' : Char;
+    Settings.push_back({Name, Pair.substr(Equals + 1)});
+  }
+  return Settings;
+}
+
+void applyStartup(caller_state &State, const caller_environment &Environment,
+                  const parameters &Parameters) {
+  std::string Ignored;
+  for (const auto &[Name, Value] : Parameters) {
+    if (Name == "user" || Name == "database" || Name.starts_with("_pq_."))
+      continue;
+    if (Name == "replication") {
+      if (Value != "false" && Value != "off" && Value != "0")
+        throw error(sql_state::FeatureNotSupported, "caller",
+                    "replication connections are not supported");
+      continue;
+    }
+    if (Name != "options") {
+      applySetting(State, Environment, {Name, Value}, Ignored);
+      continue;
+    }
+    for (const auto &Change : readOptions(Value))
+      applySetting(State, Environment, Change, Ignored);
+  }
+}
+
+std::string valueOr(const std::map<std::string, std::string> &Values,
+                    const std::string &Name, const std::string &Default) {
+  auto Found = Values.find(Name);
+  return Found == Values.end() ? Default : Found->second;
+}
+
+void welcome(caller_state &State, const caller_environment &Environment,
+             std::string &Out) {
+  pg::message_writer('R').int32(0).append(Out);
+  const auto &Set = State.Settings;
+  const std::vector<std::pair<const char *, std::string>> Reports = {
+      {"server_version", ServerVersion},
+      {"server_encoding", "UTF8"},
+      {"client_encoding", valueOr(Set, "client_encoding", "UTF8")},
+      {"application_name", State.Local.ApplicationName},
+      {"is_superuser", "off"},
+      {"session_authorization", State.User},
+      {"DateStyle", valueOr(Set, "datestyle", "ISO, MDY")},
+      {"IntervalStyle", valueOr(Set, "intervalstyle", "postgres")},
+      {"TimeZone", valueOr(Set, "timezone", "Etc/UTC")},
+      {"integer_datetimes", "on"},
+      {"standard_conforming_strings",
+       valueOr(Set, "standard_conforming_strings", "on")},
+      {"default_transaction_read_only",
+       valueOr(Set, "default_transaction_read_only", "off")},
+      {"in_hot_standby", "off"}};
+  for (const auto &[Name, Value] : Reports)
+    pg::appendParameterStatus(Out, Name, Value);
+  tellToken(State, Environment, Out);
+  pg::message_writer('K')
+      .int32(State.Key.Process)
+      .int32(State.Key.Secret)
+      .append(Out);
+  pg::appendReady(Out, State.Status);
+}
+
+void takeVersion3(caller_state &State, caller_environment &Environment,
+                  pg::field_reader &Fields, caller_effects &Effects) {
+  auto Parameters = readParameters(Fields);
+  State.User = Parameters["user"];
+  if (State.User.empty())
+    return closeFatally(State, sql_state::InvalidAuthorization,
+                        "no user name specified in startup packet", Effects);
+  auto Database = Parameters["database"];
+  group_id Group(Database.empty() ? State.User : Database);
+  if (!Environment.GroupKnown(Group))
+    return closeFatally(State, sql_state::InvalidCatalogName,
+                        "database \"" + Group.Value + "\" does not exist",
+                        Effects);
+  State.Session.Group = Group;
+  try {
+    applyStartup(State, Environment, Parameters);
+  } catch (const error &Problem) {
+    return closeFatally(State, Problem.step(), Problem.reason(), Effects);
+  }
+  State.Phase = caller_state::phase::Ready;
+  welcome(State, Environment, Effects.Out);
+}
+
+} // namespace
+
+void takeStartup(caller_state &State, caller_environment &Environment,
+                 std::string_view Body, caller_effects &Effects) {
+  pg::field_reader Fields(Body);
+  auto Code = Fields.int32();
+  if (Code == pg::SslRequestCode || Code == pg::GssRequestCode) {
+    Effects.Out += 'N';
+    return;
+  }
+  if (Code == pg::CancelRequestCode) {
+    auto Process = Fields.int32();
+    Effects.CancelOther = cancel_key{Process, Fields.int32()};
+    Effects.Close = true;
+    State.Phase = caller_state::phase::Closed;
+    return;
+  }
+  constexpr int MajorShift = 16;
+  if (Code >> MajorShift != pg::ProtocolVersion3 >> MajorShift)
+    return closeFatally(State, sql_state::FeatureNotSupported,
+                        "unsupported frontend protocol; 3.0 is supported",
+                        Effects);
+  if (Code != pg::ProtocolVersion3)
+    // NegotiateProtocolVersion: minor version 0, no options known.
+    pg::message_writer('v')
+        .int32(pg::ProtocolVersion3)
+        .int32(0)
+        .append(Effects.Out);
+  takeVersion3(State, Environment, Fields, Effects);
+}
+
+} // namespace teasellock
--- /dev/null
+++ b/modules/caller/session_settings.cpp
@@ -0,0 +1,327 @@
+#include "core/error.h"
+#include "modules/caller/caller_decisions.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace teasellock {
+
+namespace {
+
+constexpr const char *SessionName = "teasellock.session";
+constexpr const char *SessionIdName = "teasellock.session_id";
+constexpr const char *ReadKindName = "teasellock.read_kind";
+constexpr const char *ApplicationName = "application_name";
+constexpr const char *StatementTimeoutName = "statement_timeout";
+constexpr std::size_t LongestSessionId = 200;
+/// What a statement_timeout of 0 stands for.
+constexpr duration NoTimeout = std::chrono::hours(24);
+
+std::string lowerCase(std::string Text) {
+  std::transform(Text.begin(), Text.end(), Text.begin(),
+                 [](unsigned char Char) { return std::tolower(Char); });
+  return Text;
+}
+
+/// Settings that the entry keeps to itself.
+bool isLocalName(const std::string &Name) {
+  return Name.starts_with("teasellock.") || Name == ApplicationName ||
+         Name == StatementTimeoutName;
+}
+
+/// The name by which callers are told of a setting, or nothing.
+std::optional<std::string> reportedName(const std::string &Name) {
+  constexpr std::array<std::pair<const char *, const char *>, 7> Names = {{
+      {"application_name", "application_name"},
+      {"client_encoding", "client_encoding"},
+      {"datestyle", "DateStyle"},
+      {"default_transaction_read_only", "default_transaction_read_only"},
+      {"intervalstyle", "IntervalStyle"},
+      {"standard_conforming_strings", "standard_conforming_strings"},
+      {"timezone", "TimeZone"},
+  }};
+  for (const auto &[Key, Reported] : Names)
+    if (Name == Key)
+      return Reported;
+  return std::nullopt;
+}
+
+/// The value that upstreams have anyway, or nothing.
+std::optional<std::string> defaultOf(const std::string &Name) {
+  if (Name == "client_encoding")
+    return "UTF8";
+  if (Name == "datestyle")
+    return "ISO, MDY";
+  if (Name == "timezone")
+    return "Etc/UTC";
+  if (Name == "intervalstyle")
+    return "postgres";
+  if (Name == "standard_conforming_strings")
+    return "on";
+  if (Name == "default_transaction_read_only")
+    return "off";
+  return std::nullopt;
+}
+
+std::string normalized(const std::string &Name, const std::string &Value) {
+  auto Lower = lowerCase(Value);
+  if (Name == "client_encoding" &&
+      (Lower == "utf8" || Lower == "utf-8" || Lower == "unicode" ||
+       Lower == "'utf-8'" || Lower == "'utf8'"))
+    return "UTF8";
+  if (Name == "datestyle" && (Lower == "iso" || Lower == "iso, mdy"))
+    return "ISO, MDY";
+  return Value;
+}
+
+/// Milliseconds, or a number with a unit.
+duration parseTimeout(const std::string &Value) {
+  std::int64_t Number = 0;
+  auto End = Value.data() + Value.size();
+  auto Result = std::from_chars(Value.data(), End, Number);
+  std::string Unit(Result.ptr, End);
+  Unit.erase(std::remove(Unit.begin(), Unit.end(), ' '), Unit.end());
+  std::int64_t Factor = Unit.empty() || Unit == "ms" ? 1
+                        : Unit == "s"                ? 1000
+                        : Unit == "min"              ? 60 * 1000
+                        : Unit == "h"                ? 60 * 60 * 1000
+                                                     : 0;
+  constexpr std::int64_t Longest = 24LL * 60 * 60 * 1000;
+  if (Result.ec != std::errc() || Number < 0 || Factor == 0 ||
+      Number > Longest / Factor)
+    throw error(sql_state::InvalidParameterValue, "caller",
+                "invalid value for parameter \"statement_timeout\": \"" +
+                    Value + "\"");
+  return Number == 0 ? NoTimeout : fromMilliseconds(Number * Factor);
+}
+
+void continueSession(caller_state &State, const caller_environment &Environment,
+                     const std::string &Token) {
+  session_state Session;
+  try {
+    Session = parseToken(Token, State.Session.Group, Environment.TokenSecret);
+  } catch (const error &Problem) {
+    throw error(sql_state::InvalidAuthorization, "caller", Problem.reason());
+  }
+  // What this connection has seen of the same session still holds.
+  if (Session.Id == State.Session.Id && Session.Floor && State.Session.Floor)
+    Session.Floor = std::max(*Session.Floor, *State.Session.Floor);
+  State.Session = std::move(Session);
+}
+
+void nameSession(caller_state &State, const std::string &Id) {
+  if (Id.empty() || Id.size() > LongestSessionId)
+    throw error(sql_state::InvalidParameterValue, "caller",
+                "teasellock.session_id must have 1 to 200 bytes");
+  if (State.Session.Id.Value == Id)
+    return;
+  State.Session.Id = session_id(Id);
+  State.Session.Floor.reset();
+}
+
+void applyLocal(caller_state &State, const caller_environment &Environment,
+                const setting_change &Change) {
+  auto Value = Change.Value.value_or("");
+  if (Change.Name == ApplicationName)
+    State.Local.ApplicationName = Value;
+  else if (Change.Name == ReadKindName)
+    State.Local.ReadKind = Value;
+  else if (Change.Name == StatementTimeoutName)
+    State.Local.StatementTimeout =
+        Change.Value ? std::optional(parseTimeout(Value)) : std::nullopt;
+  else if (Change.Name == SessionName && Change.Value)
+    continueSession(State, Environment, Value);
+  else if (Change.Name == SessionIdName && Change.Value)
+    nameSession(State, Value);
+  else if (Change.Name != SessionName && Change.Name != SessionIdName)
+    throw error("42704", "caller",
+                "unrecognized configuration parameter \"" + Change.Name + "\"");
+}
+
+std::string showLocal(const caller_state &State,
+                      const caller_environment &Environment,
+                      const std::string &Name) {
+  if (Name == ApplicationName)
+    return State.Local.ApplicationName;
+  if (Name == ReadKindName)
+    return State.Local.ReadKind;
+  if (Name == SessionName)
+    return toToken(State.Session, Environment.TokenSecret);
+  if (Name == SessionIdName)
+    return State.Session.Id.Value;
+  if (Name == StatementTimeoutName) {
+    auto Timeout =
+        State.Local.StatementTimeout.value_or(Environment.StatementTimeout);
+    return Timeout >= NoTimeout
+               ? "0"
+               : std::to_string(toMilliseconds(Timeout)) + "ms";
+  }
+  throw error("42704", "caller",
+              "unrecognized configuration parameter \"" + Name + "\"");
+}
+
+bool onlyLocalNames(const statement_info &Info) {
+  return !Info.Settings.empty() &&
+         std::all_of(Info.Settings.begin(), Info.Settings.end(),
+                     [](const setting_change &Change) {
+                       return isLocalName(Change.Name);
+                     });
+}
+
+bool onlyDefaults(const statement_info &Info) {
+  return std::all_of(
+      Info.Settings.begin(), Info.Settings.end(),
+      [](const setting_change &Change) { return !Change.Value; });
+}
+
+void resetAll(caller_state &State, std::string &Out) {
+  auto Old = std::move(State.Settings);
+  State.Settings.clear();
+  State.Local = local_settings();
+  for (const auto &[Name, Value] : Old)
+    if (auto Reported = reportedName(Name))
+      pg::appendParameterStatus(Out, *Reported, defaultOf(Name).value_or(""));
+}
+
+void runReset(caller_state &State, const caller_environment &Environment,
+              const statement_info &Info, std::string &Out) {
+  if (Info.Name.empty())
+    resetAll(State, Out);
+  else
+    applySetting(State, Environment, {Info.Name, std::nullopt}, Out);
+  pg::appendCommandComplete(Out, "RESET");
+}
+
+void runDeallocate(caller_state &State, const statement_info &Info,
+                   std::string &Out) {
+  if (Info.Name.empty()) {
+    State.Prepared.clear();
+    return pg::appendCommandComplete(Out, "DEALLOCATE ALL");
+  }
+  if (State.Prepared.erase(Info.Name) == 0)
+    throw error(sql_state::InvalidStatementName, "caller",
+                "prepared statement \"" + Info.Name + "\" does not exist");
+  pg::appendCommandComplete(Out, "DEALLOCATE");
+}
+
+void runDiscard(caller_state &State, const statement_info &Info,
+                std::string &Out) {
+  std::string What = Info.Name.substr(std::string("DISCARD_").size());
+  if (What == "ALL") {
+    resetAll(State, Out);
+    State.Prepared.clear();
+    State.Portals.clear();
+  }
+  pg::appendCommandComplete(Out, "DISCARD " + What);
+}
+
+} // namespace
+
+treatment treatmentOf(const statement_info &Info, bool InTransaction) {
+  switch (Info.Class) {
+  case statement_class::Set:
+    if (onlyLocalNames(Info))
+      return treatment::Here;
+    if (InTransaction)
+      return treatment::ToGateway;
+    return Info.Local || onlyDefaults(Info) ? treatment::Here
+                                            : treatment::AsSetting;
+  case statement_class::Reset:
+    if (!Info.Name.empty() && isLocalName(Info.Name))
+      return treatment::Here;
+    return InTransaction ? treatment::ToGateway : treatment::Here;
+  case statement_class::Show:
+    return isLocalName(Info.Name) ? treatment::Here : treatment::ToGateway;
+  case statement_class::Discard:
+    return InTransaction ? treatment::ToGateway : treatment::Here;
+  case statement_class::Deallocate:
+    return treatment::Here;
+  default:
+    return treatment::ToGateway;
+  }
+}
+
+void runHere(caller_state &State, const caller_environment &Environment,
+             const statement_info &Info, bool DescribeRows, std::string &Out) {
+  switch (Info.Class) {
+  case statement_class::Show: {
+    auto Value = showLocal(State, Environment, Info.Name);
+    if (DescribeRows)
+      pg::appendTextColumn(Out, Info.Name);
+    pg::appendTextRow(Out, Value);
+    return pg::appendCommandComplete(Out, "SHOW");
+  }
+  case statement_class::Reset:
+    return runReset(State, Environment, Info, Out);
+  case statement_class::Deallocate:
+    return runDeallocate(State, Info, Out);
+  case statement_class::Discard:
+    return runDiscard(State, Info, Out);
+  default:
+    break;
+  }
+  if (Info.Local)
+    pg::appendError(Out, "WARNING", sql_state::NoActiveTransaction,
+                    "SET LOCAL can only be used in transaction blocks");
+  else
+    for (const auto &Change : Info.Settings)
+      applySetting(State, Environment, Change, Out);
+  pg::appendCommandComplete(Out, "SET");
+}
+
+void describeHere(const statement_info &Info, bool WithParameters,
+                  std::string &Out) {
+  if (WithParameters)
+    pg::message_writer('t').int16(0).append(Out);
+  if (Info.Class == statement_class::Show)
+    pg::appendTextColumn(Out, Info.Name);
+  else
+    pg::appendEmpty(Out, 'n');
+}
+
+std::string settingQuery(const statement_info &Info) {
+  std::string Query = "SELECT ";
+  const char *Separator = "";
+  for (const auto &Change : Info.Settings) {
+    if (!Change.Value)
+      continue;
+    Query += Separator;
+    Query += "pg_catalog.set_config(" + quoteLiteral(Change.Name) + ", " +
+             quoteLiteral(*Change.Value) + ", true)";
+    Separator = ", ";
+  }
+  return Query;
+}
+
+void applySetting(caller_state &State, const caller_environment &Environment,
+                  const setting_change &Change, std::string &Out) {
+  setting_change Set{lowerCase(Change.Name), Change.Value};
+  auto Reported = reportedName(Set.Name);
+  if (isLocalName(Set.Name)) {
+    applyLocal(State, Environment, Set);
+  } else {
+    if (Set.Value)
+      Set.Value = normalized(Set.Name, *Set.Value);
+    if (!Set.Value || Set.Value == defaultOf(Set.Name))
+      State.Settings.erase(Set.Name);
+    else
+      State.Settings[Set.Name] = *Set.Value;
+  }
+  if (Reported)
+    pg::appendParameterStatus(
+        Out, *Reported, Set.Value.value_or(defaultOf(Set.Name).value_or("")));
+}
+
+std::string quoteLiteral(std::string_view Text) {
+  bool Escapes = Text.find('\\') != std::string_view::npos;
+  std::string Quoted = Escapes ? " E'" : "'";
+  for (char Char : Text) {
+    if (Char == '\'' || Char == '\\')
+      Quoted += Char;
+    Quoted += Char;
+  }
+  return Quoted + "'";
+}
+
+} // namespace teasellock
