--- /dev/null
+++ b/modules/gateway/connection_pool.cpp
@@ -0,0 +1,231 @@
+#include "modules/gateway/connection_pool.h"
+
+#include "modules/upstream/dialect.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace teasellock {
+
+namespace {
+
+/// A connection idle for longer is checked before it is used again.
+constexpr duration TrustedIdleTime = std::chrono::seconds(3);
+
+bool needsReset(const pooled_connection &Connection,
+                const session_settings &Wanted) {
+  if (Connection.Changed)
+    return true;
+  return std::any_of(
+      Connection.Settings.begin(), Connection.Settings.end(),
+      [&](const auto &Setting) { return !Wanted.contains(Setting.first); });
+}
+
+std::string missingSettings(const session_settings &Present,
+                            const session_settings &Wanted) {
+  std::string Sql;
+  for (const auto &[Name, Value] : Wanted) {
+    auto Found = Present.find(Name);
+    if (Found != Present.end() && Found->second == Value)
+      continue;
+    Sql += dialect::set(Name, Value) + "; ";
+  }
+  return Sql;
+}
+
+std::vector<upstream_operation>
+sessionOperations(const pooled_connection &Connection,
+                  const session_settings &Wanted) {
+  std::vector<upstream_operation> Operations;
+  bool Reset = needsReset(Connection, Wanted);
+  if (Reset)
+    Operations.push_back(hiddenQuery(dialect::reset()));
+  std::string Sql =
+      missingSettings(Reset ? session_settings() : Connection.Settings, Wanted);
+  if (!Sql.empty())
+    Operations.push_back(hiddenQuery(std::move(Sql)));
+  return Operations;
+}
+
+/// One request for a connection, on its way.
+struct acquisition {
+  session_settings Settings;
+  std::function<void(acquired_connection)> Ready;
+  std::unique_ptr<pooled_connection> Connection;
+  timer_subscription CheckTimer;
+};
+
+} // namespace
+
+struct connection_pool::state
+    : std::enable_shared_from_this<connection_pool::state> {
+  state(daemon_context &Context, upstream_target Target, duration CheckTimeout,
+        std::function<void()> IdleLost)
+      : Context(Context), Target(std::move(Target)), CheckTimeout(CheckTimeout),
+        IdleLost(std::move(IdleLost)) {}
+
+  daemon_context &Context;
+  upstream_target Target;
+  duration CheckTimeout;
+  std::function<void()> IdleLost;
+  /// Most recently used last.
+  std::vector<std::unique_ptr<pooled_connection>> Idle;
+
+  void acquire(session_settings Settings,
+               std::function<void(acquired_connection)> Ready) {
+    auto Request = std::make_shared<acquisition>();
+    Request->Settings = std::move(Settings);
+    Request->Ready = std::move(Ready);
+    Request->Connection = takeIdle(Request->Settings);
+    if (!Request->Connection)
+      return open(Request);
+    Request->Connection->Connection->onLost(nullptr);
+    if (Context.Timers.now() - Request->Connection->IdleSince > TrustedIdleTime)
+      return check(Request);
+    applySettings(Request);
+  }
+
+  std::unique_ptr<pooled_connection>
+  takeIdle(const session_settings &Settings) {
+    if (Idle.empty())
+      return nullptr;
+    auto Same = std::find_if(Idle.rbegin(), Idle.rend(), [&](const auto &Each) {
+      return !Each->Changed && Each->Settings == Settings;
+    });
+    auto Chosen =
+        Same == Idle.rend() ? std::prev(Idle.end()) : std::next(Same).base();
+    auto Connection = std::move(*Chosen);
+    Idle.erase(Chosen);
+    return Connection;
+  }
+
+  void open(const std::shared_ptr<acquisition> &Request) {
+    Request->Connection = std::make_unique<pooled_connection>();
+    Request->Connection->Connection = std::make_unique<upstream_connection>(
+        Context, Target,
+        [Weak = weak_from_this(), Request](std::optional<error> Problem) {
+          if (auto Self = Weak.lock())
+            Self->onOpened(Request, Problem);
+        });
+  }
+
+  void onOpened(const std::shared_ptr<acquisition> &Request,
+                const std::optional<error> &Problem) {
+    if (!Problem)
+      return applySettings(Request);
+    acquired_connection Failed;
+    Failed.Problem = Problem;
+    Request->Ready(std::move(Failed));
+  }
+
+  // A connection that fails the check is replaced by a new one.
+  void check(const std::shared_ptr<acquisition> &Request) {
+    auto Weak = weak_from_this();
+    Request->CheckTimer = Context.Timers.after(CheckTimeout, [Weak, Request] {
+      if (auto Self = Weak.lock())
+        Self->replace(Request);
+    });
+    run_events Events;
+    Events.Collect = true;
+    Events.Done = [Weak, Request](run_result Result) {
+      auto Self = Weak.lock();
+      if (!Self)
+        return;
+      Request->CheckTimer.cancel();
+      if (Result.Broken || Result.Failure)
+        return Self->replace(Request);
+      Self->applySettings(Request);
+    };
+    std::vector<upstream_operation> Operations;
+    Operations.push_back(hiddenQuery("SELECT term FROM teasellock_term"));
+    Request->Connection->Connection->run(std::move(Operations),
+                                         std::move(Events));
+  }
+
+  void replace(const std::shared_ptr<acquisition> &Request) {
+    Request->CheckTimer.cancel();
+    Request->Connection->Connection->close();
+    open(Request);
+  }
+
+  void applySettings(const std::shared_ptr<acquisition> &Request) {
+    std::vector<upstream_operation> Operations =
+        sessionOperations(*Request->Connection, Request->Settings);
+    if (Operations.empty())
+      return succeed(Request);
+    run_events Events;
+    Events.Done = [Weak = weak_from_this(), Request](run_result Result) {
+      if (auto Self = Weak.lock())
+        Self->onSettings(Request, std::move(Result));
+    };
+    Request->Connection->Connection->run(std::move(Operations),
+                                         std::move(Events));
+  }
+
+  void onSettings(const std::shared_ptr<acquisition> &Request,
+                  run_result Result) {
+    if (Result.Broken)
+      return replace(Request);
+    if (!Result.Failure) {
+      Request->Connection->Settings = Request->Settings;
+      Request->Connection->Changed = false;
+      return succeed(Request);
+    }
+    acquired_connection Failed;
+    Failed.Problem = error("upstream.settings", toString(Target.Address),
+                           Result.Failure->Message);
+    Failed.SettingsRejected = std::move(Result.Messages);
+    Request->Connection->Connection->close();
+    Request->Ready(std::move(Failed));
+  }
+
+  void succeed(const std::shared_ptr<acquisition> &Request) {
+    acquired_connection Acquired;
+    Acquired.Connection = std::move(Request->Connection);
+    Request->Ready(std::move(Acquired));
+  }
+
+  void give(std::unique_ptr<pooled_connection> Connection) {
+    Connection->IdleSince = Context.Timers.now();
+    pooled_connection *Raw = Connection.get();
+    Connection->Connection->onLost([Weak = weak_from_this(), Raw] {
+      if (auto Self = Weak.lock())
+        Self->onIdleLost(Raw);
+    });
+    Idle.push_back(std::move(Connection));
+  }
+
+  void onIdleLost(pooled_connection *Lost) {
+    std::erase_if(
+        Idle, [&](const auto &Connection) { return Connection.get() == Lost; });
+    if (IdleLost)
+      IdleLost();
+  }
+};
+
+connection_pool::connection_pool(daemon_context &Context,
+                                 upstream_target Target, duration CheckTimeout,
+                                 std::function<void()> IdleLost)
+    : State(std::make_shared<state>(Context, std::move(Target), CheckTimeout,
+                                    std::move(IdleLost))) {}
+
+connection_pool::~connection_pool() { State->IdleLost = nullptr; }
+
+void connection_pool::acquire(session_settings Settings,
+                              std::function<void(acquired_connection)> Ready) {
+  State->acquire(std::move(Settings), std::move(Ready));
+}
+
+void connection_pool::give(std::unique_ptr<pooled_connection> Connection) {
+  State->give(std::move(Connection));
+}
+
+void connection_pool::closeIdle(std::size_t Count) {
+  Count = std::min(Count, State->Idle.size());
+  State->Idle.erase(State->Idle.begin(),
+                    State->Idle.begin() + static_cast<std::ptrdiff_t>(Count));
+}
+
+std::size_t connection_pool::idle() const { return State->Idle.size(); }
+
+} // namespace teasellock
--- /dev/null
+++ b/modules/gateway/gateway_service.cpp
@@ -0,0 +1,176 @@
+#include "modules/gateway/gateway_service.h"
+
+#include "core/event_log.h"
+#include "modules/gateway/group_gateway.h"
+#include "modules/link/codec.h"
+
+namespace teasellock {
+
+namespace {
+
+const message_kind StatementKind(300);
+const message_kind ReplyKind(301);
+const message_kind CancelKind(302);
+const message_kind ReleaseKind(303);
+const message_kind FirstKind(300);
+const message_kind LastKind(399);
+/// Stands for this VM's own entry.
+const link_id LocalLink(0);
+constexpr const char *CannotConnectNow = "57P03";
+
+} // namespace
+
+struct gateway_service::state {
+  state(daemon_context &Context, link_hub &Hub, member_agent &Member,
+        gateway_settings Settings)
+      : Context(Context), Hub(Hub), Member(Member),
+        Settings(std::move(Settings)) {}
+
+  daemon_context &Context;
+  link_hub &Hub;
+  member_agent &Member;
+  gateway_settings Settings;
+  std::map<group_id, std::unique_ptr<group_gateway>> Groups;
+
+  group_gateway &groupOf(const group_id &Group) {
+    std::unique_ptr<group_gateway> &Entry = Groups[Group];
+    if (!Entry)
+      Entry =
+          std::make_unique<group_gateway>(Context, hooks(), Settings, Group);
+    return *Entry;
+  }
+
+  membership_hooks hooks() {
+    return {[this] { return Member.leaseValid(); }, [this] { Member.hurry(); }};
+  }
+
+  void attach() {
+    gateway_hooks Hooks;
+    Hooks.Reports = [this] { return reports(); };
+    Hooks.Fence = [this](const group_id &Group, term Term,
+                         std::function<void(wire::fence_reply)> Answer) {
+      groupOf(Group).fence(Term, std::move(Answer));
+    };
+    Hooks.Promote = [this](const wire::promote &Order,
+                           std::function<void(wire::promote_reply)> Answer) {
+      groupOf(group_id(Order.group)).promote(Order, std::move(Answer));
+    };
+    Member.attachGateway(std::move(Hooks));
+  }
+
+  void start() {
+    Member.onViewChanged([this](const group_view &View) { apply(View); });
+    for (const auto &[Group, View] : Member.views())
+      apply(View);
+    Hub.receive(FirstKind, LastKind,
+                [this](link_id Link, link_message &&Message) {
+                  onMessage(Link, std::move(Message));
+                });
+    link_events Events;
+    Events.Opened = [](link_id, const link_peer &) {};
+    Events.Closed = [this](link_id Link, const error &) {
+      for (const auto &[Group, Gateway] : Groups)
+        Gateway->callerGone(Link);
+    };
+    Hub.watch(std::move(Events));
+  }
+
+  void apply(const group_view &View) { groupOf(View.Group).apply(View); }
+
+  std::vector<wire::group_report> reports() const {
+    std::vector<wire::group_report> Reports;
+    for (const auto &[Group, Gateway] : Groups)
+      if (Gateway->assigned())
+        Reports.push_back(Gateway->report());
+    return Reports;
+  }
+
+  void onMessage(link_id Link, link_message &&Message) {
+    std::string Peer = Hub.peerOf(Link) ? Hub.peerOf(Link)->Vm.Value : "";
+    if (Message.Kind == StatementKind) {
+      request_id Request = Message.Request;
+      auto Reply = [this, Link, Request](wire::statement_reply Answer) {
+        Hub.send(Link, {ReplyKind, Request, encode(Answer), ""});
+      };
+      return submit({{Link, Request},
+                     decode<wire::statement_request>(Message.Body, Peer),
+                     Message.TraceParent,
+                     Reply});
+    }
+    if (Message.Kind == CancelKind)
+      return cancel(
+          {Link,
+           request_id(static_cast<std::uint64_t>(
+               decode<wire::statement_cancel>(Message.Body, Peer).request))});
+    if (Message.Kind == ReleaseKind)
+      return release(Link,
+                     transaction_id(static_cast<std::uint64_t>(
+                         decode<wire::transaction_release>(Message.Body, Peer)
+                             .transaction)));
+    throw error("gateway.receive", Peer,
+                "unknown kind " + std::to_string(Message.Kind.Value));
+  }
+
+  void submit(arrived_statement Arrived) {
+    auto Found = Groups.find(group_id(Arrived.Statement.group));
+    if (Found != Groups.end())
+      return Found->second->submit(std::move(Arrived));
+    wire::statement_reply Refusal;
+    Refusal.outcome = wire::statement_outcome::not_run;
+    Refusal.last = true;
+    Refusal.code = CannotConnectNow;
+    Refusal.problem = "this VM does not know the group";
+    Refusal.transaction_status = 'I';
+    Refusal.not_assigned = true;
+    Arrived.Reply(std::move(Refusal));
+  }
+
+  void cancel(const caller_request &Caller) {
+    for (const auto &[Group, Gateway] : Groups)
+      Gateway->cancel(Caller);
+  }
+
+  void release(link_id Link, transaction_id Transaction) {
+    for (const auto &[Group, Gateway] : Groups)
+      Gateway->release(Link, Transaction);
+  }
+};
+
+gateway_service::gateway_service(daemon_context &Context, link_hub &Hub,
+                                 member_agent &Member,
+                                 gateway_settings Settings)
+    : State(
+          std::make_unique<state>(Context, Hub, Member, std::move(Settings))) {
+  State->attach();
+}
+
+gateway_service::~gateway_service() = default;
+
+void gateway_service::start() { State->start(); }
+
+void gateway_service::submitLocal(
+    request_id Request, wire::statement_request Statement,
+    const std::string &TraceParent,
+    std::function<void(wire::statement_reply)> Reply) {
+  State->submit({{LocalLink, Request},
+                 std::move(Statement),
+                 TraceParent,
+                 std::move(Reply)});
+}
+
+void gateway_service::cancelLocal(request_id Request) {
+  State->cancel({LocalLink, Request});
+}
+
+void gateway_service::releaseLocal(transaction_id Transaction) {
+  State->release(LocalLink, Transaction);
+}
+
+std::size_t gateway_service::inFlight() const {
+  std::size_t Count = 0;
+  for (const auto &[Group, Gateway] : State->Groups)
+    Count += Gateway->inFlight();
+  return Count;
+}
+
+} // namespace teasellock
--- /dev/null
+++ b/modules/gateway/group_gateway.cpp
@@ -0,0 +1,404 @@
+#include "modules/gateway/group_gateway.h"
+
+#include "core/event_log.h"
+#include "modules/gateway/group_state.h"
+#include "modules/upstream/message_encoder.h"
+
+#include <algorithm>
+
+namespace teasellock {
+
+namespace {
+
+constexpr duration TickPeriod = std::chrono::milliseconds(5);
+/// A gateway that was taken off a group may finish its transactions so long.
+constexpr duration RemovedGatewayGrace = std::chrono::seconds(30);
+/// How long a leaving primary still takes writes while control replaces it.
+constexpr duration LeavingPrimaryGrace = std::chrono::milliseconds(1500);
+/// Of a gateway's connections to an upstream, those kept for probes and
+/// checks.
+constexpr std::uint32_t ReservedConnections = 2;
+constexpr const char *CannotConnectNow = "57P03";
+constexpr const char *OutcomeUnknown = "08007";
+
+std::uint32_t statementConnections(std::uint32_t Share) {
+  if (Share == 0)
+    return 0;
+  return Share > ReservedConnections ? Share - ReservedConnections : 1;
+}
+
+} // namespace
+
+group_gateway::state::state(daemon_context &Context, membership_hooks Member,
+                            const gateway_settings &Settings, group_id Group)
+    : Context(Context), Member(std::move(Member)), Settings(Settings),
+      QueueSeconds(Context.Metrics.histogramOf(
+          "teasellock_gateway_queue_seconds", {{"group", Group.Value}})),
+      AcknowledgementSeconds(Context.Metrics.histogramOf(
+          "teasellock_acknowledgement_seconds", {{"group", Group.Value}})),
+      StatementSeconds(Context.Metrics.histogramOf(
+          "teasellock_upstream_statement_seconds", {{"group", Group.Value}})) {
+  View.Group = Group;
+}
+
+gateway_statement *group_gateway::state::find(std::uint64_t Id) {
+  auto Found = Statements.find(Id);
+  return Found == Statements.end() ? nullptr : Found->second.get();
+}
+
+upstream_slot *group_gateway::state::findUpstream(const upstream_id &Upstream) {
+  auto Found = Upstreams.find(Upstream);
+  return Found == Upstreams.end() ? nullptr : &Found->second;
+}
+
+upstream_target group_gateway::state::targetOf(
+    const upstream_announcement &Announcement) const {
+  upstream_target Target;
+  Target.Address = Announcement.Address;
+  Target.Database = View.Group.Value;
+  Target.User = Settings.User;
+  Target.Password = Settings.Password;
+  Target.ApplicationName =
+      dialect::applicationName(Context.Self.Vm, Context.Self.Incarnation);
+  Target.SslMode = Settings.SslMode;
+  Target.SslRootCertificate = Settings.SslRootCertificate;
+  Target.ConnectTimeout = Settings.ConnectTimeout;
+  return Target;
+}
+
+void group_gateway::state::apply(const group_view &NewView) {
+  std::vector<gateway_share> GatewaysBefore = std::move(View.Gateways);
+  bool TermChanged = NewView.Term != View.Term;
+  View = NewView;
+  auto Mine =
+      std::find_if(View.Gateways.begin(), View.Gateways.end(),
+                   [&](const gateway_share &Each) {
+                     return Each.Vm == Context.Self.Vm &&
+                            Each.Incarnation == Context.Self.Incarnation;
+                   });
+  Assigned = Mine != View.Gateways.end() && !View.Removed;
+  Share = Mine != View.Gateways.end() ? *Mine : gateway_share();
+  applyUpstreams();
+  applyLimits();
+  if (TermChanged)
+    serveVerdicts(onTerm(Gate, View.Term));
+  noteGatewayChanges(GatewaysBefore);
+  if (!Assigned)
+    refuseQueued();
+  if (!Ticker.active())
+    Ticker = Context.Timers.every(TickPeriod, [Weak = weak_from_this()] {
+      if (auto Self = Weak.lock())
+        Self->tick();
+    });
+}
+
+void group_gateway::state::applyUpstreams() {
+  std::set<upstream_id> Present;
+  for (const upstream_announcement &Announcement : View.Upstreams) {
+    Present.insert(Announcement.Upstream);
+    upstream_slot *Slot = findUpstream(Announcement.Upstream);
+    if (Slot && Slot->Announcement.Address != Announcement.Address) {
+      breakConnectionsTo(Announcement.Upstream, "the upstream moved");
+      Upstreams.erase(Announcement.Upstream);
+      Slot = nullptr;
+    }
+    if (!Slot)
+      addUpstream(Announcement);
+    upstream_slot &Current = Upstreams[Announcement.Upstream];
+    Current.Announcement = Announcement;
+    if (!Announcement.Leaving)
+      Current.LeavingSince.reset();
+    else if (!Current.LeavingSince)
+      Current.LeavingSince = now();
+  }
+  for (auto Slot = Upstreams.begin(); Slot != Upstreams.end();) {
+    if (Present.contains(Slot->first)) {
+      ++Slot;
+      continue;
+    }
+    breakConnectionsTo(Slot->first, "the upstream is gone");
+    Slot = Upstreams.erase(Slot);
+  }
+}
+
+void group_gateway::state::addUpstream(
+    const upstream_announcement &Announcement) {
+  upstream_slot &Slot = Upstreams[Announcement.Upstream];
+  auto Weak = weak_from_this();
+  upstream_id Id = Announcement.Upstream;
+  Slot.Pool = std::make_unique<connection_pool>(
+      Context, targetOf(Announcement), Settings.ProbeTimeout / 2, [Weak, Id] {
+        auto Self = Weak.lock();
+        if (!Self)
+          return;
+        admission_effects Effects;
+        loseIdle(Self->Admission, Id, Effects);
+        Self->applyEffects(Id, std::move(Effects));
+      });
+}
+
+void group_gateway::state::applyLimits() {
+  Admission.QueueLimit = View.Row.QueueLimit;
+  auto Weak = weak_from_this();
+  for (auto &[Id, Slot] : Upstreams) {
+    bool Open = Assigned && !Slot.Announcement.Leaving;
+    // A leaving primary serves until it is replaced, but not for long.
+    bool Replaced = !View.Primary || *View.Primary != Id;
+    if (Assigned && Slot.LeavingSince && !Replaced &&
+        now() - *Slot.LeavingSince < LeavingPrimaryGrace)
+      Open = true;
+    std::uint32_t Slots =
+        Assigned ? Share.Slots : Admission.Upstreams[Id].SlotLimit;
+    admission_effects Effects;
+    setLimits(Admission, Id, Open ? statementConnections(Share.Connections) : 0,
+              Slots, Effects);
+    applyEffects(Id, std::move(Effects));
+    if (Assigned && !Slot.Prober) {
+      Slot.Prober = std::make_unique<upstream_prober>(
+          Context, targetOf(Slot.Announcement),
+          probe_settings{Settings.ProbePeriod, Settings.ProbeTimeout},
+          [Weak, Id = Id](const probe_result &Probe) {
+            if (auto Self = Weak.lock())
+              Self->onProbe(Id, Probe);
+          });
+      endLeftoversOf(Context.Self.Vm, Context.Self.Incarnation);
+    }
+  }
+}
+
+void group_gateway::state::refuseQueued() {
+  std::vector<std::uint64_t> Ids;
+  for (const auto &[Id, Statement] : Statements)
+    if (!Statement->inTransaction() || Statement->Request.opens_transaction)
+      Ids.push_back(Id);
+  for (std::uint64_t Id : Ids) {
+    gateway_statement *Statement = find(Id);
+    if (!Statement || Statement->Purpose != run_purpose::Statement)
+      continue;
+    bool Waiting = Statement->Phase == statement_phase::AwaitingFloor ||
+                   Statement->Phase == statement_phase::AwaitingReplica;
+    if (Waiting || (Statement->Phase == statement_phase::Queued &&
+                    withdraw(Admission, Statement->Upstream, Id)))
+      refuse(*Statement, CannotConnectNow, "this VM no longer serves the group",
+             true);
+  }
+}
+
+// A gateway that lost the group still ends its transactions, under probes.
+void group_gateway::state::stopWhenUnused() {
+  if (Assigned || !Statements.empty() || !Transactions.empty())
+    return;
+  for (auto &[Id, Slot] : Upstreams)
+    Slot.Prober.reset();
+  Ticker.cancel();
+}
+
+void group_gateway::state::noteGatewayChanges(
+    const std::vector<gateway_share> &Before) {
+  for (const gateway_share &Old : Before) {
+    auto Now = std::find_if(
+        View.Gateways.begin(), View.Gateways.end(),
+        [&](const gateway_share &Each) { return Each.Vm == Old.Vm; });
+    if (Now == View.Gateways.end())
+      RemovedGateways[Old.Vm] = now() + RemovedGatewayGrace;
+    else if (Now->Incarnation != Old.Incarnation)
+      endLeftoversOf(Now->Vm, Now->Incarnation);
+  }
+  for (const gateway_share &Each : View.Gateways)
+    RemovedGateways.erase(Each.Vm);
+}
+
+void group_gateway::state::endLeftoversOf(const vm_id &Vm, incarnation Kept) {
+  for (auto &[Id, Slot] : Upstreams) {
+    if (!Slot.Prober)
+      continue;
+    std::vector<upstream_operation> Operations;
+    Operations.push_back(hiddenQuery(dialect::endLeftovers(Vm, Kept)));
+    Slot.Prober->runBetween(std::move(Operations), "gateway.end_leftovers");
+  }
+}
+
+void group_gateway::state::tick() {
+  admission_effects Effects;
+  expire(Admission, now(), Effects);
+  applyEffects(upstream_id(), std::move(Effects));
+  serveVerdicts(expire(Gate, now()));
+  std::vector<std::uint64_t> Ids;
+  for (const auto &[Id, Statement] : Statements)
+    Ids.push_back(Id);
+  for (std::uint64_t Id : Ids)
+    if (gateway_statement *Statement = find(Id))
+      tickStatement(*Statement);
+  for (std::size_t Index = 0; Index < Fences.size();)
+    if (now() - Fences[Index].StartedAt >= Settings.ProbeTimeout) {
+      pending_fence Due = std::move(Fences[Index]);
+      Fences.erase(Fences.begin() + static_cast<std::ptrdiff_t>(Index));
+      answerFence(Due);
+    } else {
+      ++Index;
+    }
+  for (auto Removed = RemovedGateways.begin();
+       Removed != RemovedGateways.end();)
+    if (Removed->second <= now()) {
+      endLeftoversOf(Removed->first, incarnation(0));
+      Removed = RemovedGateways.erase(Removed);
+    } else {
+      ++Removed;
+    }
+  for (const auto &[Id, Slot] : Upstreams)
+    if (Slot.LeavingSince && Admission.Upstreams[Id].ConnectionLimit > 0)
+      return applyLimits();
+  if (withinShare())
+    ConfirmedEpoch = Share.BudgetEpoch;
+  stopWhenUnused();
+}
+
+void group_gateway::state::tickStatement(gateway_statement &Statement) {
+  time_point Now = now();
+  bool Expired = Statement.Deadline <= Now;
+  switch (Statement.Phase) {
+  case statement_phase::AwaitingFloor:
+    if (Expired)
+      refuse(Statement, CannotConnectNow,
+             "the primary's position is not known");
+    return;
+  case statement_phase::AwaitingReplica:
+    if (Statement.CatchupDeadline <= Now)
+      readFromPrimary(Statement);
+    return;
+  case statement_phase::AwaitingKey:
+    if (Expired)
+      return giveUpUnknown(Statement, "the outcome could not be found out");
+    if (mayWrite())
+      beginWrite(Statement);
+    return;
+  case statement_phase::Running:
+    if (Expired) {
+      auto Id = Statement.Id;
+      run_result Late;
+      Late.Broken = true;
+      Late.Sent = true;
+      Late.Problem = "no answer before the deadline";
+      return onDone(Id, std::move(Late));
+    }
+    return checkSilence(Statement);
+  default:
+    return;
+  }
+}
+
+void group_gateway::state::reply(gateway_statement &Statement,
+                                 wire::statement_reply Reply) {
+  Reply.term = static_cast<std::int64_t>(View.Term.Value);
+  Reply.upstream = Statement.Upstream.Value;
+  Reply.by_replica = Statement.ByReplica;
+  if (Statement.Reply)
+    Statement.Reply(std::move(Reply));
+}
+
+void group_gateway::state::answer(gateway_statement &Statement,
+                                  const position &Reached,
+                                  char TransactionStatus) {
+  std::vector<std::string> Held = std::move(Statement.Held);
+  for (std::size_t Index = 0; Index + 1 < Held.size(); ++Index) {
+    wire::statement_reply Part;
+    Part.outcome = wire::statement_outcome::answered;
+    Part.messages = std::move(Held[Index]);
+    Part.last = false;
+    reply(Statement, std::move(Part));
+  }
+  wire::statement_reply Last;
+  Last.outcome = wire::statement_outcome::answered;
+  if (!Held.empty())
+    Last.messages = std::move(Held.back());
+  Last.last = true;
+  Last.reached = toWire(Reached);
+  Last.transaction_status = TransactionStatus;
+  reply(Statement, std::move(Last));
+  forget(Statement);
+}
+
+void group_gateway::state::refuse(gateway_statement &Statement,
+                                  const std::string &Code,
+                                  const std::string &Problem,
+                                  bool NotAssigned) {
+  wire::statement_reply Refusal;
+  Refusal.outcome = wire::statement_outcome::not_run;
+  Refusal.last = true;
+  Refusal.code = Code;
+  Refusal.problem = Problem;
+  Refusal.transaction_status = 'I';
+  Refusal.not_assigned = NotAssigned;
+  Statement.Span.set("outcome", "not_run");
+  reply(Statement, std::move(Refusal));
+  forget(Statement);
+}
+
+void group_gateway::state::giveUpUnknown(gateway_statement &Statement,
+                                         const std::string &Problem) {
+  wire::statement_reply Unknown;
+  Unknown.outcome = wire::statement_outcome::unknown;
+  Unknown.last = true;
+  Unknown.code = OutcomeUnknown;
+  Unknown.problem = Problem;
+  Unknown.transaction_status = 'I';
+  Statement.Span.set("outcome", "unknown");
+  reply(Statement, std::move(Unknown));
+  forget(Statement);
+}
+
+void group_gateway::state::forget(gateway_statement &Statement) {
+  Statement.UpstreamSpan.end();
+  Statement.Span.end();
+  Statements.erase(Statement.Id);
+}
+
+group_gateway::group_gateway(daemon_context &Context, membership_hooks Member,
+                             const gateway_settings &Settings, group_id Group)
+    : State(std::make_shared<state>(Context, std::move(Member), Settings,
+                                    std::move(Group))) {}
+
+group_gateway::~group_gateway() {
+  State->Ticker.cancel();
+  State->Statements.clear();
+  State->Transactions.clear();
+  State->Upstreams.clear();
+}
+
+void group_gateway::apply(const group_view &View) { State->apply(View); }
+
+void group_gateway::submit(arrived_statement Arrived) {
+  State->submit(std::move(Arrived));
+}
+
+void group_gateway::cancel(const caller_request &Caller) {
+  for (const auto &[Id, Statement] : State->Statements)
+    if (Statement->Caller == Caller)
+      return State->cancel(*Statement);
+}
+
+void group_gateway::release(link_id Link, transaction_id Transaction) {
+  State->release({Link, Transaction});
+}
+
+void group_gateway::callerGone(link_id Link) { State->callerGone(Link); }
+
+bool group_gateway::assigned() const { return State->Assigned; }
+
+wire::group_report group_gateway::report() const { return State->report(); }
+
+void group_gateway::fence(term Term,
+                          std::function<void(wire::fence_reply)> Answer) {
+  State->fenceTerm(Term, std::move(Answer));
+}
+
+void group_gateway::promote(const wire::promote &Order,
+                            std::function<void(wire::promote_reply)> Answer) {
+  State->promote(Order, std::move(Answer));
+}
+
+std::size_t group_gateway::inFlight() const {
+  return State->Statements.size() + State->Transactions.size();
+}
+
+} // namespace teasellock
--- /dev/null
+++ b/modules/gateway/group_keys.cpp
@@ -0,0 +1,144 @@
+#include "modules/gateway/group_state.h"
+#include "modules/upstream/message_encoder.h"
+
+namespace teasellock {
+
+namespace {
+
+constexpr const char *KeyGivenUp = "57P03";
+constexpr const char *SuccessfulCompletion = "00000";
+
+wire::step_kind::type kindOf(const std::vector<wire::statement_step> &Steps) {
+  for (const wire::statement_step &Step : Steps)
+    if (Step.kind == wire::step_kind::simple)
+      return wire::step_kind::simple;
+  return wire::step_kind::execute;
+}
+
+} // namespace
+
+bool group_gateway::state::hasKeyToRecord(
+    const gateway_statement &Statement) const {
+  if (Statement.Request.idempotency_key.empty() || Statement.isRead())
+    return false;
+  return !Statement.inTransaction() || Statement.Request.opens_transaction;
+}
+
+std::vector<upstream_operation>
+group_gateway::state::operationsOf(const gateway_statement &Statement) const {
+  std::vector<upstream_operation> Operations;
+  const std::string &Key = Statement.Request.idempotency_key;
+  if (Statement.Purpose == run_purpose::Tombstone) {
+    Operations.push_back(
+        hiddenQuery(dialect::recordKey(Key, key_outcome::Tombstone)));
+    return Operations;
+  }
+  bool Keyed = hasKeyToRecord(Statement);
+  bool Wrapped = Keyed && !Statement.inTransaction();
+  bool Simple = kindOf(Statement.Request.steps) == wire::step_kind::simple;
+  auto Hidden = [&](std::string Sql) {
+    Operations.push_back(Simple ? hiddenQuery(std::move(Sql))
+                                : hiddenStatement(std::move(Sql)));
+  };
+  if (Wrapped) {
+    Hidden("BEGIN");
+    Hidden(dialect::recordKey(Key, key_outcome::Ran));
+  }
+  for (const wire::statement_step &Step : Statement.Request.steps)
+    Operations.push_back({Step, false, true});
+  if (Wrapped)
+    Hidden("COMMIT");
+  else if (Keyed)
+    Hidden(dialect::recordKey(Key, key_outcome::Ran));
+  return Operations;
+}
+
+// In a transaction of the caller's own the conflict is the caller's to see.
+bool group_gateway::state::isKeyConflict(const gateway_statement &Statement,
+                                         const run_result &Result) const {
+  return hasKeyToRecord(Statement) && !Statement.inTransaction() &&
+         Result.Failure && Result.Failure->Code == UniqueViolation &&
+         Result.Failure->Operation == 1;
+}
+
+void group_gateway::state::lookUpKey(gateway_statement &Statement) {
+  Statement.Purpose = run_purpose::KeyLookup;
+  Statement.Held.clear();
+  run_events Events;
+  Events.Collect = true;
+  Events.Done = [Weak = weak_from_this(),
+                 Id = Statement.Id](run_result Result) {
+    if (auto Self = Weak.lock())
+      Self->onDone(Id, std::move(Result));
+  };
+  std::vector<upstream_operation> Operations;
+  Operations.push_back(hiddenQuery("ROLLBACK"));
+  Operations.push_back(
+      hiddenQuery(dialect::outcomeOfKey(Statement.Request.idempotency_key)));
+  Statement.Connection->Connection->run(std::move(Operations),
+                                        std::move(Events));
+}
+
+void group_gateway::state::onKeyLookup(std::uint64_t Id, run_result Result) {
+  gateway_statement &Statement = *find(Id);
+  Statement.Purpose = run_purpose::Statement;
+  bool Found = !Result.Broken && !Result.Failure && !Result.Tables.empty() &&
+               !Result.Tables.back().Rows.empty() &&
+               !Result.Tables.back().Rows[0].empty();
+  freeConnection(Statement, Result.Broken || Result.TransactionStatus != 'I'
+                                ? connection_fate::Close
+                                : connection_fate::Free);
+  if (!Found)
+    return resolveKey(Statement, "the key's outcome could not be read");
+  try {
+    Statement.KeyOutcome = dialect::parseKeyOutcome(
+        Result.Tables.back().Rows[0][0], Statement.Upstream.Value);
+  } catch (const error &Problem) {
+    return giveUpUnknown(Statement, Problem.what());
+  }
+  startGate(Statement);
+}
+
+// The key's row tells whether the statement ran: a tombstone that goes in
+// keeps it from ever committing, one that collides shows that it did.
+void group_gateway::state::resolveKey(gateway_statement &Statement,
+                                      const std::string &Problem) {
+  if (Statement.Deadline <= now())
+    return giveUpUnknown(Statement, Problem);
+  Statement.Purpose = run_purpose::Tombstone;
+  Statement.Phase = statement_phase::AwaitingKey;
+  Statement.Held.clear();
+  Statement.KeyOutcome.reset();
+}
+
+void group_gateway::state::onTombstone(gateway_statement &Statement,
+                                       run_result Result) {
+  if (Result.Broken) {
+    freeConnection(Statement, connection_fate::Close);
+    return resolveKey(Statement, Result.Problem);
+  }
+  if (Result.Failure && Result.Failure->Code == UniqueViolation)
+    return lookUpKey(Statement);
+  freeConnection(Statement, Result.TransactionStatus == 'I'
+                                ? connection_fate::Free
+                                : connection_fate::Close);
+  if (Result.Failure)
+    return giveUpUnknown(Statement, Result.Failure->Message);
+  Statement.KeyOutcome = key_outcome::Tombstone;
+  startGate(Statement);
+}
+
+void group_gateway::state::answerByKey(gateway_statement &Statement,
+                                       const position &Reached) {
+  if (*Statement.KeyOutcome == key_outcome::Tombstone)
+    return refuse(Statement, KeyGivenUp,
+                  "it did not run and never will under this idempotency key");
+  Statement.Held.clear();
+  Statement.Held.push_back(
+      makeNoticeResponse(SuccessfulCompletion,
+                         "already executed under this idempotency key") +
+      makeCommandComplete("INSERT 0 0"));
+  answer(Statement, Reached, 'I');
+}
+
+} // namespace teasellock
--- /dev/null
+++ b/modules/gateway/replica_choice.cpp
@@ -0,0 +1,57 @@
+#include "modules/gateway/replica_choice.h"
+
+#include <tuple>
+
+namespace teasellock {
+
+namespace {
+
+/// Smaller is better.
+auto rankOf(const replica_candidate &Candidate, const read_demand &Demand) {
+  double Load = (Candidate.InFlight + 1) / Candidate.Weight;
+  return std::make_tuple(
+      Candidate.Region != Demand.Region, Candidate.InFlight >= Candidate.Slots,
+      Candidate.AvailabilityZone != Demand.AvailabilityZone, Load);
+}
+
+} // namespace
+
+std::optional<duration> toleratedAge(const table_row &Row,
+                                     const read_kind &Kind) {
+  auto Found = Row.ReadAges.find(Kind);
+  if (Found == Row.ReadAges.end())
+    return std::nullopt;
+  return Found->second;
+}
+
+double weightOf(const table_row &Row, const upstream_id &Upstream,
+                const availability_zone_id &Zone) {
+  auto Found = Row.Weights.find(Upstream.Value);
+  if (Found == Row.Weights.end())
+    Found = Row.Weights.find(Zone.Value);
+  return Found == Row.Weights.end() ? 1 : Found->second;
+}
+
+bool isEligible(const replica_candidate &Candidate, const read_demand &Demand) {
+  if (Candidate.Weight <= 0 || Candidate.Replayed < Demand.Floor)
+    return false;
+  if (!Demand.MostAge)
+    return true;
+  return Candidate.Age && *Candidate.Age <= *Demand.MostAge;
+}
+
+std::optional<std::size_t>
+chooseReplica(const std::vector<replica_candidate> &Candidates,
+              const read_demand &Demand) {
+  std::optional<std::size_t> Best;
+  for (std::size_t Index = 0; Index < Candidates.size(); ++Index) {
+    if (!isEligible(Candidates[Index], Demand))
+      continue;
+    if (!Best ||
+        rankOf(Candidates[Index], Demand) < rankOf(Candidates[*Best], Demand))
+      Best = Index;
+  }
+  return Best;
+}
+
+} // namespace teasellock
--- /dev/null
+++ b/modules/gateway/side_session.cpp
@@ -0,0 +1,66 @@
+#include "modules/gateway/side_session.h"
+
+namespace teasellock {
+
+side_session::side_session(daemon_context &Context, upstream_target Target,
+                           duration Timeout)
+    : Context(Context), Target(std::move(Target)), Timeout(Timeout) {}
+
+std::shared_ptr<side_session> side_session::open(daemon_context &Context,
+                                                 upstream_target Target,
+                                                 duration Timeout) {
+  return std::shared_ptr<side_session>(
+      new side_session(Context, std::move(Target), Timeout));
+}
+
+void side_session::query(std::string NewSql, answer NewAnswer) {
+  Sql = std::move(NewSql);
+  Answer = std::move(NewAnswer);
+  Self = shared_from_this();
+  Timer = Context.Timers.after(Timeout, [Weak = weak_from_this()] {
+    auto Session = Weak.lock();
+    if (!Session)
+      return;
+    run_result Late;
+    Late.Broken = true;
+    Late.Problem = "no answer in time";
+    Session->finish(std::move(Late));
+  });
+  if (Connection && Connection->isOpen())
+    return send();
+  Connection = std::make_unique<upstream_connection>(
+      Context, Target, [Weak = weak_from_this()](std::optional<error> Problem) {
+        auto Session = Weak.lock();
+        if (!Session)
+          return;
+        if (!Problem)
+          return Session->send();
+        run_result Failed;
+        Failed.Broken = true;
+        Failed.Problem = Problem->reason();
+        Session->finish(std::move(Failed));
+      });
+}
+
+void side_session::send() {
+  run_events Events;
+  Events.Collect = true;
+  Events.Done = [Weak = weak_from_this()](run_result Result) {
+    if (auto Session = Weak.lock())
+      Session->finish(std::move(Result));
+  };
+  std::vector<upstream_operation> Operations;
+  Operations.push_back(hiddenQuery(Sql));
+  Connection->run(std::move(Operations), std::move(Events));
+}
+
+void side_session::finish(run_result Result) {
+  Timer.cancel();
+  auto Keep = std::exchange(Self, nullptr);
+  if (Result.Broken && Connection)
+    Connection->close();
+  if (auto Callback = std::exchange(Answer, nullptr))
+    Callback(std::move(Result));
+}
+
+} // namespace teasellock
