Main: the daemon, its settings and the HTTP API

Cause: the roles need one process with checked settings and an API. Ruled out: CLI11's own validators, which stop at the first bad value. Change: main/ with a table of settings (flag, variable, check), admin module on libmicrohttpd's epoll descriptor, announcements with checks. Measured: compiles without warnings; not run yet, the roles are to come. Conclusion: partial until the roles land.

--- a/core/time.h
+++ b/core/time.h
@@ -27,12 +27,12 @@
 using time_point = monotonic_clock::time_point;
 
 /// Whole milliseconds of a span, rounded down.
-inline std::int64_t toMilliseconds(duration Span) {
+constexpr std::int64_t toMilliseconds(duration Span) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(Span).count();
 }
 
 /// A span of so many milliseconds.
-inline duration fromMilliseconds(std::int64_t Milliseconds) {
+constexpr duration fromMilliseconds(std::int64_t Milliseconds) {
   return std::chrono::milliseconds(Milliseconds);
 }
 
--- /dev/null
+++ b/main/daemon_process.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "main/daemon_settings.h"
+
+#include <memory>
+
+namespace teasellock {
+
+/// One daemon: its loop and the tasks of the roles it was given.
+class daemon_process {
+public:
+  explicit daemon_process(const daemon_settings &Settings);
+  ~daemon_process();
+
+  /// Runs until SIGTERM or SIGINT and the graceful shutdown that follows.
+  void run();
+
+private:
+  void startDraining();
+  void finishDraining();
+
+  daemon_settings Settings;
+  event_loop Loop;
+  timer_service Timers;
+  metrics Metrics;
+  tracer Tracer;
+  daemon_context Context;
+  link_hub Hub;
+  member_agent Member;
+  std::unique_ptr<gateway_service> Gateway;
+  std::unique_ptr<statement_router> Router;
+  std::unique_ptr<caller_server> Callers;
+  std::unique_ptr<control_service> Control;
+  std::unique_ptr<admin_service> Admin;
+  bool Draining = false;
+  timer_subscription DrainDeadline;
+  timer_subscription DrainCheck;
+};
+
+} // namespace teasellock
--- /dev/null
+++ b/modules/admin/http_server.cpp
@@ -0,0 +1,181 @@
+#include "modules/admin/http_server.h"
+
+#include "core/error.h"
+
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+
+namespace teasellock {
+
+namespace {
+
+constexpr std::size_t LargestBody = 16 * 1024 * 1024;
+constexpr unsigned MostConnections = 256;
+constexpr unsigned IdleSeconds = 30;
+constexpr int StatusTooLarge = 413;
+constexpr std::string_view BearerPrefix = "Bearer ";
+
+} // namespace
+
+struct http_server::state {
+  /// One request on its way through. Lives until microhttpd is done with it;
+  /// the reply may come before, or later while the connection is suspended.
+  struct exchange {
+    http_request Request;
+    bool TooLarge = false;
+    bool Handled = false;
+    bool Suspended = false;
+    bool Answered = false;
+    http_response Response;
+    MHD_Connection *Connection = nullptr;
+  };
+
+  daemon_context &Context;
+  std::function<void(http_request, http_reply)> Handler;
+  MHD_Daemon *Daemon = nullptr;
+  descriptor_watch Watch;
+  timer_subscription Timeout;
+
+  explicit state(daemon_context &Context) : Context(Context) {}
+
+  void run();
+  void handle(const std::shared_ptr<exchange> &Exchange);
+  MHD_Result onAccess(MHD_Connection *Connection, const char *Url,
+                      const char *Method, const char *Data, size_t *Size,
+                      void **Slot);
+  static MHD_Result respond(MHD_Connection *Connection,
+                            const http_response &Response);
+};
+
+void http_server::state::run() {
+  MHD_run(Daemon);
+  MHD_UNSIGNED_LONG_LONG Milliseconds = 0;
+  if (MHD_get_timeout(Daemon, &Milliseconds) != MHD_YES) {
+    Timeout.cancel();
+    return;
+  }
+  Timeout = Context.Timers.after(
+      fromMilliseconds(static_cast<std::int64_t>(Milliseconds) + 1),
+      [this] { run(); });
+}
+
+void http_server::state::handle(const std::shared_ptr<exchange> &Exchange) {
+  Exchange->Handled = true;
+  auto Reply = [this, Weak = std::weak_ptr(Exchange)](http_response Response) {
+    auto Exchange = Weak.lock();
+    // The client may be gone, or a handler may answer twice.
+    if (!Exchange || Exchange->Answered)
+      return;
+    Exchange->Answered = true;
+    Exchange->Response = std::move(Response);
+    if (!Exchange->Suspended)
+      return;
+    Exchange->Suspended = false;
+    MHD_resume_connection(Exchange->Connection);
+    Context.Loop.post([this] { run(); });
+  };
+  try {
+    Handler(std::move(Exchange->Request), Reply);
+  } catch (const std::exception &Problem) {
+    Reply({400, "text/plain", std::string(Problem.what()) + "\n"});
+  }
+}
+
+MHD_Result http_server::state::onAccess(MHD_Connection *Connection,
+                                        const char *Url, const char *Method,
+                                        const char *Data, size_t *Size,
+                                        void **Slot) {
+  if (!*Slot) {
+    auto Exchange = std::make_shared<exchange>();
+    Exchange->Connection = Connection;
+    Exchange->Request.Method = Method;
+    Exchange->Request.Path = Url;
+    const char *Header = MHD_lookup_connection_value(
+        Connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_AUTHORIZATION);
+    if (Header && std::string_view(Header).starts_with(BearerPrefix))
+      Exchange->Request.BearerToken = Header + BearerPrefix.size();
+    *Slot = new std::shared_ptr<exchange>(std::move(Exchange));
+    return MHD_YES;
+  }
+  auto Exchange = *static_cast<std::shared_ptr<exchange> *>(*Slot);
+  if (*Size != 0) {
+    auto &Body = Exchange->Request.Body;
+    Exchange->TooLarge =
+        Exchange->TooLarge || Body.size() + *Size > LargestBody;
+    if (!Exchange->TooLarge)
+      Body.append(Data, *Size);
+    *Size = 0;
+    return MHD_YES;
+  }
+  if (Exchange->TooLarge)
+    return respond(Connection, {StatusTooLarge, "text/plain",
+                                "the body is longer than 16 MiB\n"});
+  if (!Exchange->Handled)
+    handle(Exchange);
+  if (Exchange->Answered)
+    return respond(Connection, Exchange->Response);
+  Exchange->Suspended = true;
+  MHD_suspend_connection(Connection);
+  return MHD_YES;
+}
+
+MHD_Result http_server::state::respond(MHD_Connection *Connection,
+                                       const http_response &Response) {
+  auto *Text = const_cast<char *>(Response.Body.data());
+  auto *Answer = MHD_create_response_from_buffer(Response.Body.size(), Text,
+                                                 MHD_RESPMEM_MUST_COPY);
+  MHD_add_response_header(Answer, MHD_HTTP_HEADER_CONTENT_TYPE,
+                          Response.ContentType.c_str());
+  auto Result = MHD_queue_response(
+      Connection, static_cast<unsigned>(Response.Status), Answer);
+  MHD_destroy_response(Answer);
+  return Result;
+}
+
+http_server::http_server(daemon_context &Context, const endpoint &Listen,
+                         std::function<void(http_request, http_reply)> Handler)
+    : State(std::make_unique<state>(Context)) {
+  State->Handler = std::move(Handler);
+  sockaddr_in Address = toSocketAddress(Listen);
+  auto OnAccess = [](void *Self, MHD_Connection *Connection, const char *Url,
+                     const char *Method, const char *, const char *Data,
+                     size_t *Size, void **Slot) -> MHD_Result {
+    return static_cast<state *>(Self)->onAccess(Connection, Url, Method, Data,
+                                                Size, Slot);
+  };
+  auto OnEnd = [](void *, MHD_Connection *, void **Slot,
+                  MHD_RequestTerminationCode) {
+    delete static_cast<std::shared_ptr<state::exchange> *>(*Slot);
+    *Slot = nullptr;
+  };
+  State->Daemon = MHD_start_daemon(
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, Listen.Port, nullptr, nullptr,
+      +OnAccess, State.get(), MHD_OPTION_SOCK_ADDR, &Address,
+      MHD_OPTION_NOTIFY_COMPLETED, +OnEnd, nullptr, MHD_OPTION_CONNECTION_LIMIT,
+      MostConnections, MHD_OPTION_CONNECTION_TIMEOUT, IdleSeconds,
+      MHD_OPTION_END);
+  if (!State->Daemon)
+    throw error("http.listen", toString(Listen), "can't be bound");
+  auto *Info = MHD_get_daemon_info(State->Daemon, MHD_DAEMON_INFO_EPOLL_FD);
+  State->Watch = Context.Loop.watch(Info->epoll_fd, {true, false},
+                                    [this](readiness) { State->run(); });
+}
+
+http_server::~http_server() {
+  State->Watch = descriptor_watch();
+  MHD_stop_daemon(State->Daemon);
+}
+
+endpoint http_server::bound() const {
+  auto *Info = MHD_get_daemon_info(State->Daemon, MHD_DAEMON_INFO_LISTEN_FD);
+  sockaddr_in Address = {};
+  socklen_t Length = sizeof(Address);
+  ::getsockname(Info->listen_fd, reinterpret_cast<sockaddr *>(&Address),
+                &Length);
+  char Text[INET_ADDRSTRLEN] = {};
+  ::inet_ntop(AF_INET, &Address.sin_addr, Text, sizeof(Text));
+  return {Text, ntohs(Address.sin_port)};
+}
+
+} // namespace teasellock
