Stand-in: a PostgreSQL-style upstream in memory for tests

Cause: no server to test against that lags, freezes, loses its tail and changes its primary on command. Change: tests/stand_in: wire protocol, SQL subset, transactions with row locks, replication with common-prefix rejoin, switches.

--- /dev/null
+++ b/tests/stand_in/evaluator.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "tests/stand_in/statement.h"
+#include "tests/stand_in/store.h"
+
+#include <functional>
+
+namespace teasellock::stand_in {
+
+/// What an expression can refer to besides its literals.
+struct evaluation_scope {
+  const table_layout *Layout = nullptr;
+  const row *Row = nullptr;
+  const std::vector<value> *Parameters = nullptr;
+  /// Calls a function of the server. Throws sql_error 42883 if unknown.
+  std::function<value(const std::string &, const std::vector<value> &)>
+      *CallFunction = nullptr;
+};
+
+/// Computes an expression. Throws sql_error.
+value evaluate(const expression &Expression, const evaluation_scope &Scope);
+
+/// Whether the value is the truth value true.
+bool isTrue(const value &Value);
+
+/// The type of an expression's result.
+sql_type typeOf(const expression &Expression, const table_layout *Layout);
+
+/// Whether the expression is a call of count, sum, min or max.
+bool isAggregate(const expression &Expression);
+
+/// Fills in the types of parameters that are still unknown.
+void inferParameters(const statement &Statement, const table_layout *Layout,
+                     std::vector<sql_type> &Types);
+
+} // namespace teasellock::stand_in
--- /dev/null
+++ b/tests/stand_in/replica_stream.cpp
@@ -0,0 +1,194 @@
+#include "tests/stand_in/replica_stream.h"
+#include "core/error.h"
+#include "core/event_log.h"
+
+namespace teasellock::stand_in {
+
+namespace {
+
+constexpr duration RetryDelay = std::chrono::milliseconds(100);
+constexpr duration SilenceLimit = std::chrono::seconds(2);
+constexpr duration SilenceCheckPeriod = std::chrono::milliseconds(250);
+constexpr std::int32_t ProtocolVersion = 196608;
+
+// A startup message has no type: one is written and taken off again.
+std::string startupMessage(const std::string &ApplicationName,
+                           const std::string &Database) {
+  std::string Out;
+  {
+    message_writer Message(Out, ' ');
+    Message.int32(ProtocolVersion);
+    for (std::string_view Text :
+         {std::string_view("user"), std::string_view("replication"),
+          std::string_view("database"), std::string_view(Database),
+          std::string_view("application_name"),
+          std::string_view(ApplicationName), std::string_view("replication"),
+          std::string_view("stand_in"), std::string_view("")})
+      Message.text(Text);
+  }
+  return Out.substr(1);
+}
+
+} // namespace
+
+replica_stream::replica_stream(event_loop &Loop, timer_service &Timers,
+                               store &Store, endpoint Primary,
+                               std::string ApplicationName,
+                               std::string Database,
+                               std::function<void()> OnApplied)
+    : Loop(Loop), Timers(Timers), Store(Store), Primary(std::move(Primary)),
+      ApplicationName(std::move(ApplicationName)),
+      Database(std::move(Database)), OnApplied(std::move(OnApplied)) {
+  SilenceTimer = Timers.every(SilenceCheckPeriod, [this] { watchSilence(); });
+  connect();
+}
+
+replica_stream::~replica_stream() = default;
+
+void replica_stream::setLag(duration To) { Lag = To; }
+
+void replica_stream::pause(bool Pause) {
+  Paused = Pause;
+  LastHeard = Timers.now();
+  if (Connection)
+    Connection->pause(Pause);
+  if (!Paused)
+    applyDue(Timers.now());
+}
+
+void replica_stream::mute() {
+  if (Connection)
+    Connection->mute();
+}
+
+void replica_stream::restart() { disconnect(); }
+
+void replica_stream::connect() {
+  LastHeard = Timers.now();
+  try {
+    Connection = std::make_unique<connection>(Loop, connectTo(Primary));
+  } catch (const error &Error) {
+    event("replication.connect_failed", severity::Warning)
+        .with("primary", toString(Primary))
+        .with("reason", Error.reason());
+    return disconnect();
+  }
+  Connection->start([this] { onData(); }, [this] { disconnect(); });
+  Connection->output() = startupMessage(ApplicationName, Database);
+  Search = startSearch(Store.log().size());
+  writeProbe(Connection->output(), Store, Search.Probed);
+  Connection->flush();
+  if (Paused)
+    Connection->pause(true);
+}
+
+void replica_stream::disconnect() {
+  Arrived.clear();
+  ApplyTimer.cancel();
+  // The connection may be the caller: it dies after this turn of the loop.
+  if (Connection) {
+    Connection->mute();
+    std::shared_ptr<connection> Old = std::move(Connection);
+    Loop.post([Old] {});
+  }
+  RetryTimer = Timers.after(RetryDelay, [this] { connect(); });
+}
+
+void replica_stream::watchSilence() {
+  if (!Connection || Paused || Timers.now() - LastHeard < SilenceLimit)
+    return;
+  event("replication.silent", severity::Warning)
+      .with("primary", toString(Primary));
+  disconnect();
+}
+
+void replica_stream::onData() {
+  if (Paused)
+    return;
+  LastHeard = Timers.now();
+  try {
+    std::size_t Offset = 0;
+    connection *Current = Connection.get();
+    while (auto Message = takeMessage(Current->input(), Offset, false)) {
+      onMessage(*Message);
+      if (Connection.get() != Current)
+        return;
+    }
+    Current->consume(Offset);
+  } catch (const sql_error &Error) {
+    event("replication.broken", severity::Warning)
+        .with("primary", toString(Primary))
+        .with("reason", Error.what());
+    return disconnect();
+  }
+  scheduleApply();
+}
+
+void replica_stream::onMessage(const message &Message) {
+  if (Message.Type == ProbeAnswer)
+    return onProbeAnswer(readProbeAnswer(Message.Payload));
+  if (Message.Type == Record)
+    Arrived.push_back({LastHeard + Lag, std::string(Message.Payload)});
+  else if (Message.Type == 'E')
+    disconnect();
+}
+
+void replica_stream::onProbeAnswer(const probe_answer &Answer) {
+  if (Answer.Term < Store.term()) {
+    event("replication.older_term", severity::Warning)
+        .with("primary", toString(Primary))
+        .with("term", Answer.Term);
+    return disconnect();
+  }
+  searchAnswered(Search, Answer.Matches,
+                 static_cast<std::size_t>(Answer.Records));
+  if (!Search.Done) {
+    writeProbe(Connection->output(), Store, Search.Probed);
+    return Connection->flush();
+  }
+  if (Search.Shared < Store.log().size())
+    event("replication.cut_tail")
+        .with("records", std::uint64_t(Store.log().size() - Search.Shared));
+  Store.truncate(Search.Shared);
+  writeStart(Connection->output(), Search.Shared);
+  Connection->flush();
+}
+
+void replica_stream::applyAll() { applyDue(time_point::max()); }
+
+void replica_stream::scheduleApply() {
+  if (Arrived.empty() || ApplyTimer.active())
+    return;
+  time_point Now = Timers.now();
+  if (Arrived.front().Due <= Now)
+    return applyDue(Now);
+  ApplyTimer = Timers.after(Arrived.front().Due - Now,
+                            [this] { applyDue(Timers.now()); });
+}
+
+void replica_stream::applyDue(time_point Until) {
+  if (Paused && Until != time_point::max())
+    return;
+  bool Any = false;
+  try {
+    while (!Arrived.empty() && Arrived.front().Due <= Until) {
+      Store.applyRecord(std::move(Arrived.front().Bytes));
+      Arrived.pop_front();
+      Any = true;
+    }
+  } catch (const sql_error &Error) {
+    event("replication.bad_record", severity::Error)
+        .with("reason", Error.what());
+    return disconnect();
+  }
+  if (Any && Connection) {
+    writeFlushed(Connection->output(), Store.endOffset());
+    Connection->flush();
+  }
+  if (Any)
+    OnApplied();
+  ApplyTimer.cancel();
+  scheduleApply();
+}
+
+} // namespace teasellock::stand_in
--- /dev/null
+++ b/tests/stand_in/replication.cpp
@@ -0,0 +1,106 @@
+#include "tests/stand_in/replication.h"
+
+#include <algorithm>
+
+namespace teasellock::stand_in {
+
+namespace {
+
+std::uint64_t chainAt(const store &Store, std::size_t Records) {
+  return Records == 0 ? 0 : Store.log()[Records - 1].Chain;
+}
+
+void answerProbe(const store &Store, message_reader Reader, std::string &Out) {
+  auto Records = static_cast<std::uint64_t>(Reader.int64());
+  auto Chain = static_cast<std::uint64_t>(Reader.int64());
+  bool Matches = Records <= Store.log().size() &&
+                 chainAt(Store, static_cast<std::size_t>(Records)) == Chain;
+  message_writer Answer(Out, ProbeAnswer);
+  Answer.byte(Matches ? 1 : 0);
+  Answer.int64(static_cast<std::int64_t>(Store.log().size()));
+  Answer.int64(static_cast<std::int64_t>(Store.term()));
+}
+
+void startStreaming(sender_state &Sender, const store &Store,
+                    message_reader Reader) {
+  auto Records = static_cast<std::uint64_t>(Reader.int64());
+  if (Records > Store.log().size())
+    throw sql_error("08P01", "replication starts behind the end of the log");
+  Sender.Streaming = true;
+  Sender.NextRecord = static_cast<std::size_t>(Records);
+  Sender.FlushedOffset =
+      Records == 0 ? 0 : Store.log()[Sender.NextRecord - 1].End;
+}
+
+} // namespace
+
+void handleReplicaMessage(sender_state &Sender, const store &Store,
+                          const message &Message, std::string &Out) {
+  message_reader Reader(Message.Payload);
+  switch (Message.Type) {
+  case Probe:
+    return answerProbe(Store, Reader, Out);
+  case Start:
+    return startStreaming(Sender, Store, Reader);
+  case Flushed:
+    Sender.FlushedOffset = static_cast<std::uint64_t>(Reader.int64());
+    return;
+  default:
+    throw sql_error("08P01", "unknown replication message");
+  }
+}
+
+void sendRecords(sender_state &Sender, const store &Store,
+                 std::size_t BufferBytes, std::string &Out) {
+  if (!Sender.Streaming)
+    return;
+  while (Sender.NextRecord < Store.log().size() && Out.size() < BufferBytes) {
+    message_writer Message(Out, Record);
+    Message.bytes(Store.log()[Sender.NextRecord].Bytes);
+    ++Sender.NextRecord;
+  }
+}
+
+prefix_search startSearch(std::size_t OwnRecords) {
+  prefix_search Search;
+  Search.Limit = OwnRecords + 1;
+  Search.Probed = OwnRecords;
+  return Search;
+}
+
+void searchAnswered(prefix_search &Search, bool Matches,
+                    std::size_t PrimaryRecords) {
+  if (Matches)
+    Search.Shared = Search.Probed;
+  else
+    Search.Limit = std::min(Search.Probed, PrimaryRecords + 1);
+  Search.Done = Search.Shared + 1 >= Search.Limit;
+  Search.Probed = Search.Shared + (Search.Limit - Search.Shared) / 2;
+}
+
+void writeProbe(std::string &Out, const store &Store, std::size_t Records) {
+  message_writer Message(Out, Probe);
+  Message.int64(static_cast<std::int64_t>(Records));
+  Message.int64(static_cast<std::int64_t>(chainAt(Store, Records)));
+}
+
+void writeStart(std::string &Out, std::size_t Records) {
+  message_writer Message(Out, Start);
+  Message.int64(static_cast<std::int64_t>(Records));
+}
+
+void writeFlushed(std::string &Out, std::uint64_t Offset) {
+  message_writer Message(Out, Flushed);
+  Message.int64(static_cast<std::int64_t>(Offset));
+}
+
+probe_answer readProbeAnswer(std::string_view Payload) {
+  message_reader Reader(Payload);
+  probe_answer Answer;
+  Answer.Matches = Reader.byte() != 0;
+  Answer.Records = static_cast<std::uint64_t>(Reader.int64());
+  Answer.Term = static_cast<std::uint64_t>(Reader.int64());
+  return Answer;
+}
+
+} // namespace teasellock::stand_in
--- /dev/null
+++ b/tests/stand_in/session_execution.cpp
@@ -0,0 +1,251 @@
+#include "tests/stand_in/server.h"
+#include "tests/stand_in/session.h"
+
+namespace teasellock::stand_in {
+
+namespace {
+
+constexpr duration DeadlockTimeout = std::chrono::seconds(1);
+
+bool isBoundary(statement_kind Kind) {
+  return Kind == statement_kind::Begin || Kind == statement_kind::Commit ||
+         Kind == statement_kind::Rollback;
+}
+
+const std::map<std::string, std::string> &defaultSettings() {
+  static const std::map<std::string, std::string> Defaults = {
+      {"server_version", "15.0"},
+      {"client_encoding", "UTF8"},
+      {"datestyle", "ISO, MDY"},
+      {"timezone", "UTC"},
+      {"search_path", "public"},
+      {"statement_timeout", "0"},
+      {"transaction_isolation", "read committed"},
+      {"standard_conforming_strings", "on"},
+      {"default_transaction_read_only", "off"}};
+  return Defaults;
+}
+
+} // namespace
+
+std::optional<result> session::run(const statement &Statement,
+                                   const std::vector<value> &Parameters) {
+  if (isBoundary(Statement.Kind))
+    return runBoundary(Statement);
+  if (Failed && InBlock)
+    throw sql_error("25P02", "current transaction is aborted, commands ignored "
+                             "until end of transaction block");
+  switch (Statement.Kind) {
+  case statement_kind::Set:
+  case statement_kind::Show:
+  case statement_kind::Reset:
+  case statement_kind::DiscardAll:
+  case statement_kind::AlterSystem:
+    return runSetting(Statement);
+  default:
+    return runOnTables(Statement, Parameters);
+  }
+}
+
+std::optional<result>
+session::runOnTables(const statement &Statement,
+                     const std::vector<value> &Parameters) {
+  if (!acquireSlot())
+    return std::nullopt;
+  Environment.ReadOnly = Server.isReplica();
+  SleepAsked.reset();
+  execution Execution = executeStatement(Server.tables(), Transaction,
+                                         Statement, Parameters, Environment);
+  if (Execution.WaitsFor) {
+    waitForLock(*Execution.WaitsFor);
+    return std::nullopt;
+  }
+  if (SleepAsked) {
+    Waiting = wait::Sleep;
+    Slept = true;
+    Timer = Server.timers().after(*SleepAsked, [this] { resume(); });
+    return std::nullopt;
+  }
+  endStatement();
+  return std::move(Execution.Result);
+}
+
+bool session::acquireSlot() {
+  duration ServiceTime = Server.options().StatementTime;
+  if (ServiceTime == duration::zero() || Served)
+    return true;
+  if (!HoldsSlot && !Server.takeSlot(*this)) {
+    Waiting = wait::Slot;
+    return false;
+  }
+  HoldsSlot = true;
+  Waiting = wait::Service;
+  Timer = Server.timers().after(ServiceTime, [this] {
+    Served = true;
+    resume();
+  });
+  return false;
+}
+
+void session::slotGranted() {
+  HoldsSlot = true;
+  resume();
+}
+
+void session::resume() {
+  Waiting = wait::None;
+  LockOwner.reset();
+  process();
+}
+
+void session::waitForLock(std::uint32_t Owner) {
+  Waiting = wait::Lock;
+  LockOwner = Owner;
+  if (HoldsSlot) {
+    HoldsSlot = false;
+    Server.freeSlot();
+  }
+  Timer = Server.timers().after(DeadlockTimeout, [this] { checkDeadlock(); });
+}
+
+void session::checkDeadlock() {
+  if (!LockOwner || !Server.deadlocked(Pid, *LockOwner)) {
+    Timer = Server.timers().after(DeadlockTimeout, [this] { checkDeadlock(); });
+    return;
+  }
+  onError(sql_error("40P01", "deadlock detected"));
+  if (InSimple)
+    finishSimple();
+  Executing.reset();
+  resume();
+}
+
+void session::cancelStatement() {
+  if (Waiting == wait::None || Waiting == wait::Start || Closed)
+    return;
+  Timer.cancel();
+  Server.forgetWaiting(Pid);
+  onError(sql_error("57014", "canceling statement due to user request"));
+  if (InSimple)
+    finishSimple();
+  Executing.reset();
+  resume();
+}
+
+void session::endStatement() {
+  Served = false;
+  Slept = false;
+  if (Waiting == wait::Slot)
+    Server.forgetWaiting(Pid);
+  if (HoldsSlot) {
+    HoldsSlot = false;
+    Server.freeSlot();
+  }
+}
+
+std::optional<result> session::runBoundary(const statement &Statement) {
+  result Result;
+  if (Statement.Kind == statement_kind::Begin) {
+    InBlock = true;
+    Result.Tag = "BEGIN";
+    return Result;
+  }
+  bool Commit = Statement.Kind == statement_kind::Commit && !Failed;
+  Result.Tag = Commit ? "COMMIT" : "ROLLBACK";
+  InBlock = false;
+  endTransaction(Commit);
+  Failed = false;
+  return Result;
+}
+
+void session::endTransaction(bool Commit) {
+  bool Logged = false;
+  if (Commit)
+    Logged = Server.tables().commit(Transaction);
+  else
+    Server.tables().rollback(Transaction);
+  if (!InBlock)
+    Failed = false;
+  Server.transactionEnded(Pid, Logged);
+}
+
+result session::runSetting(const statement &Statement) {
+  result Result;
+  const std::string &Name = Statement.Name;
+  switch (Statement.Kind) {
+  case statement_kind::Set:
+    Result.Tag = "SET";
+    Settings[Name] = Statement.Text;
+    if (Name == "application_name") {
+      ApplicationName = Statement.Text;
+      writeParameterStatus(Connection.output(), Name, ApplicationName);
+    }
+    return Result;
+  case statement_kind::Reset:
+    Result.Tag = "RESET";
+    if (Name == "all")
+      Settings = StartupSettings;
+    else
+      Settings.erase(Name);
+    return Result;
+  case statement_kind::DiscardAll:
+    if (InBlock)
+      throw sql_error("25001",
+                      "DISCARD ALL cannot run inside a transaction block");
+    Result.Tag = "DISCARD ALL";
+    Settings = StartupSettings;
+    Prepared.clear();
+    return Result;
+  case statement_kind::AlterSystem:
+    Server.alterSystem(Name, Statement.Text);
+    Result.Tag = "ALTER SYSTEM";
+    return Result;
+  default:
+    break;
+  }
+  auto Own = Settings.find(Name);
+  auto Default = defaultSettings().find(Name);
+  if (Own == Settings.end() && Default == defaultSettings().end())
+    throw sql_error("42704",
+                    "unrecognized configuration parameter \"" + Name + "\"");
+  Result.Tag = "SHOW";
+  Result.HasRows = true;
+  Result.Columns = {{Name, sql_type::Text}};
+  Result.Rows = {{Own != Settings.end() ? Own->second : Default->second}};
+  return Result;
+}
+
+value session::callFunction(const std::string &Name,
+                            const std::vector<value> &Arguments) {
+  if (Name == "pg_sleep")
+    return sleep(Arguments);
+  if (Name == "pg_backend_pid")
+    return std::int64_t(Pid);
+  if (Name == "current_database")
+    return Database;
+  if (Name == "current_setting" && !Arguments.empty()) {
+    auto Found = Settings.find(toText(Arguments[0]));
+    return Found == Settings.end() ? value{} : value{Found->second};
+  }
+  return Server.callFunction(Name, Arguments);
+}
+
+value session::sleep(const std::vector<value> &Arguments) {
+  if (Arguments.size() != 1)
+    throw sql_error("42883", "pg_sleep takes one argument");
+  if (Slept)
+    return std::string();
+  double Seconds = 0;
+  try {
+    Seconds = std::stod(toText(Arguments[0]));
+  } catch (const std::exception &) {
+    throw sql_error("22P02", "pg_sleep takes a number of seconds");
+  }
+  constexpr double MaximumSeconds = 3600;
+  Seconds = std::max(0.0, std::min(Seconds, MaximumSeconds));
+  SleepAsked = std::chrono::duration_cast<duration>(
+      std::chrono::duration<double>(Seconds));
+  return std::string();
+}
+
+} // namespace teasellock::stand_in
--- /dev/null
+++ b/tests/stand_in/wire.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "tests/stand_in/executor.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace teasellock::stand_in {
+
+/// Builds one message of the PostgreSQL protocol at the end of a buffer. The
+/// length is filled in when the object dies.
+class message_writer {
+public:
+  message_writer(std::string &Buffer, char Type);
+  ~message_writer();
+  message_writer(const message_writer &) = delete;
+  message_writer &operator=(const message_writer &) = delete;
+
+  /// Appends one byte.
+  void byte(char Byte) { Buffer.push_back(Byte); }
+
+  /// Appends numbers in network order.
+  void int16(std::int16_t Number);
+  void int32(std::int32_t Number);
+  void int64(std::int64_t Number);
+
+  /// Appends a text with its closing zero.
+  void text(std::string_view Text);
+
+  /// Appends bytes as they are.
+  void bytes(std::string_view Bytes) { Buffer.append(Bytes); }
+
+private:
+  std::string &Buffer;
+  std::size_t LengthAt;
+};
+
+/// Reads the fields of one message. Throws sql_error 08P01 when it ends early.
+class message_reader {
+public:
+  explicit message_reader(std::string_view Payload) : Left(Payload) {}
+
+  bool done() const { return Left.empty(); }
+  char byte();
+  std::int16_t int16();
+  std::int32_t int32();
+  std::int64_t int64();
+  std::string text();
+  std::string_view bytes(std::size_t Size);
+
+private:
+  std::string_view Left;
+};
+
+/// One complete message of a connection.
+struct message {
+  char Type = 0; // 0: startup
+  std::string_view Payload;
+};
+
+/// Takes the first message of the buffer from the offset on and moves the
+/// offset behind it. Nothing when it is not complete. Throws sql_error 08P01
+/// on an impossible length.
+std::optional<message> takeMessage(std::string_view Buffer, std::size_t &Offset,
+                                   bool Startup);
+
+/// The parameters of a startup message, options "-c name=value" included.
+std::map<std::string, std::string> startupParameters(message_reader Reader);
+
+void writeRowDescription(std::string &Out,
+                         const std::vector<output_column> &Columns,
+                         const std::vector<std::int16_t> &Formats);
+
+void writeDataRow(std::string &Out, const row &Row,
+                  const std::vector<output_column> &Columns,
+                  const std::vector<std::int16_t> &Formats);
+
+void writeError(std::string &Out, const std::string &SqlState,
+                const std::string &Text, bool Fatal);
+
+void writeParameterStatus(std::string &Out, std::string_view Name,
+                          std::string_view Value);
+
+/// The format asked for a column: none given means text, one is for all.
+std::int16_t formatOf(const std::vector<std::int16_t> &Formats,
+                      std::size_t Index);
+
+/// A bound parameter as a value. Throws sql_error on bad bytes.
+value readParameter(sql_type Type, std::int16_t Format, std::string_view Bytes);
+
+} // namespace teasellock::stand_in
