--- a/modules/consensus/consensus_messages.thrift
+++ b/modules/consensus/consensus_messages.thrift
@@ -7,6 +7,8 @@
   2: string vm;
   3: string address;
   4: bool voter;
+  /// The leader makes it a voter once it has caught up.
+  5: bool promote;
 }
 
 enum entry_kind {
@@ -26,6 +28,26 @@
   5: list<consensus_member> members;
 }
 
+/// What one write to the log makes durable, under one checksum.
+struct log_batch {
+  1: list<log_entry> entries;
+}
+
+/// The promises of a store: the file `vote`.
+struct vote_record {
+  1: i64 term;
+  2: i64 vote;
+  3: i64 cluster;
+}
+
+/// The state as of last_index: a file `snapshot-<index>`.
+struct snapshot_record {
+  1: i64 last_index;
+  2: i64 last_term;
+  3: list<consensus_member> members;
+  4: binary data;
+}
+
 /// Kind 200. Pre-vote when `trial`.
 struct vote_request {
   1: i64 term;
@@ -33,6 +55,10 @@
   3: i64 last_index;
   4: i64 last_term;
   5: bool trial;
+  /// Random id of the control group, chosen when it was founded.
+  6: i64 cluster;
+  /// The store asked; another store at the same address ignores it.
+  7: i64 recipient;
 }
 
 /// Kind 201.
@@ -52,6 +78,8 @@
   5: list<log_entry> entries;
   6: i64 commit;
   7: i64 round;
+  8: i64 cluster;
+  9: i64 recipient;
 }
 
 /// Kind 203.
@@ -74,6 +102,8 @@
   6: i64 offset;
   7: binary data;
   8: bool done;
+  9: i64 cluster;
+  10: i64 recipient;
 }
 
 /// Kind 205.
@@ -81,5 +111,8 @@
   1: i64 term;
   2: i64 follower;
   3: i64 last_index;
+  /// The offset of the part wanted next.
   4: i64 next_offset;
+  /// The follower holds the whole snapshot, durably.
+  5: bool installed;
 }
--- /dev/null
+++ b/modules/consensus/consensus_replication.cpp
@@ -0,0 +1,398 @@
+#include "modules/consensus/consensus_internal.h"
+
+#include "core/error.h"
+#include "modules/consensus/wire_members.h"
+
+#include <algorithm>
+
+namespace teasellock {
+
+namespace {
+
+/// Most bytes of commands in one append.
+constexpr std::size_t AppendBytes = 1024 * 1024;
+/// Bytes of a part of a snapshot.
+constexpr std::size_t SnapshotPartBytes = 256 * 1024;
+/// An append that is not answered for so many heartbeats is sent again.
+constexpr int ResendAfterHeartbeats = 4;
+/// Rounds whose send time is remembered for each follower.
+constexpr std::size_t MostOpenRounds = 256;
+
+wire::append_request makeAppend(const consensus_state &State, store_id To,
+                                std::uint64_t Previous) {
+  wire::append_request Request;
+  Request.term = toWire(State.Promises.Term);
+  Request.leader = toWire(State.Self);
+  Request.previous_index = toWire(Previous);
+  Request.previous_term =
+      toWire(Previous == 0 ? 0 : State.Log.termAt(Previous));
+  Request.commit = toWire(State.CommitIndex);
+  Request.round = toWire(State.Round);
+  Request.cluster = toWire(State.Promises.Cluster);
+  Request.recipient = toWire(To);
+  return Request;
+}
+
+void noteRound(consensus_state &State, follower_progress &Follower,
+               time_point Now) {
+  Follower.Rounds[State.Round] = Now;
+  if (Follower.Rounds.size() > MostOpenRounds)
+    Follower.Rounds.erase(Follower.Rounds.begin());
+}
+
+void sendSnapshotPart(consensus_state &State, store_id To,
+                      follower_progress &Follower, const decision_input &Input,
+                      consensus_effects &Effects) {
+  if (!Follower.Snapshot) {
+    Follower.Snapshot = State.Snapshot;
+    Follower.SnapshotOffset = 0;
+  }
+  const log_snapshot &Image = *Follower.Snapshot;
+  wire::snapshot_request Request;
+  Request.term = toWire(State.Promises.Term);
+  Request.leader = toWire(State.Self);
+  Request.last_index = toWire(Image.Index);
+  Request.last_term = toWire(Image.Term);
+  Request.members = toWire(Image.Members);
+  Request.offset = toWire(Follower.SnapshotOffset);
+  Request.data = Image.Data.substr(Follower.SnapshotOffset, SnapshotPartBytes);
+  Request.done =
+      Follower.SnapshotOffset + Request.data.size() == Image.Data.size();
+  Request.cluster = toWire(State.Promises.Cluster);
+  Request.recipient = toWire(To);
+  Follower.PendingRound = ++State.Round;
+  Follower.PendingSince = Input.Now;
+  Effects.Send.push_back({To, std::move(Request)});
+}
+
+/// Sends what the follower lacks.
+void sendEntries(consensus_state &State, store_id To,
+                 follower_progress &Follower, const decision_input &Input,
+                 consensus_effects &Effects) {
+  if (Follower.Snapshot || !State.Log.knows(Follower.Next - 1)) {
+    sendSnapshotPart(State, To, Follower, Input, Effects);
+    return;
+  }
+  State.Round += 1;
+  wire::append_request Request = makeAppend(State, To, Follower.Next - 1);
+  Request.entries = State.Log.slice(Follower.Next, AppendBytes);
+  noteRound(State, Follower, Input.Now);
+  Follower.PendingRound = State.Round;
+  Follower.PendingSince = Input.Now;
+  Effects.Send.push_back({To, std::move(Request)});
+}
+
+/// Sends an append without entries that can't conflict.
+void sendEmpty(consensus_state &State, store_id To, follower_progress &Follower,
+               const decision_input &Input, consensus_effects &Effects) {
+  State.Round += 1;
+  std::uint64_t Previous = State.Log.knows(Follower.Match) ? Follower.Match : 0;
+  noteRound(State, Follower, Input.Now);
+  Effects.Send.push_back({To, makeAppend(State, To, Previous)});
+}
+
+bool mayResend(const consensus_state &State, const follower_progress &Follower,
+               time_point Now) {
+  return Follower.PendingRound == 0 ||
+         Now - Follower.PendingSince >=
+             State.Timing.HeartbeatPeriod * ResendAfterHeartbeats;
+}
+
+/// Sends entries to every follower that lacks some and has answered.
+void sendToIdleFollowers(consensus_state &State, const decision_input &Input,
+                         consensus_effects &Effects) {
+  for (auto &[Store, Follower] : State.Followers)
+    if (Follower.PendingRound == 0 && Follower.Next <= State.SyncedIndex)
+      sendEntries(State, Store, Follower, Input, Effects);
+}
+
+void confirmRound(follower_progress &Follower, std::uint64_t Round,
+                  time_point Now) {
+  Follower.LastHeard = Now;
+  auto Found = Follower.Rounds.find(Round);
+  if (Found == Follower.Rounds.end())
+    return;
+  Follower.ConfirmedAt = std::max(Follower.ConfirmedAt, Found->second);
+  Follower.Rounds.erase(Found);
+}
+
+/// Whether the log holds the entry that the request builds on.
+bool matchesPrevious(const consensus_state &State,
+                     const wire::append_request &Message) {
+  std::uint64_t Previous = fromWire(Message.previous_index);
+  if (Previous <= std::max(State.Log.baseIndex(), State.CommitIndex))
+    return true;
+  return Previous <= State.Log.lastIndex() &&
+         State.Log.termAt(Previous) == fromWire(Message.previous_term);
+}
+
+/// Where the leader should go on from after a conflict: before the first entry
+/// of the conflicting term.
+std::uint64_t conflictHint(const consensus_state &State,
+                           std::uint64_t Previous) {
+  if (Previous > State.Log.lastIndex())
+    return State.Log.lastIndex();
+  std::uint64_t Term = State.Log.termAt(Previous);
+  std::uint64_t Hint = Previous;
+  while (Hint > State.CommitIndex && Hint > State.Log.baseIndex() &&
+         State.Log.termAt(Hint) == Term)
+    --Hint;
+  return Hint;
+}
+
+void storeEntries(consensus_state &State,
+                  const std::vector<wire::log_entry> &Entries,
+                  consensus_effects &Effects) {
+  for (const wire::log_entry &Entry : Entries) {
+    std::uint64_t Index = fromWire(Entry.index);
+    if (Index <= State.Log.baseIndex())
+      continue;
+    if (Index <= State.Log.lastIndex()) {
+      if (State.Log.termAt(Index) == fromWire(Entry.term))
+        continue;
+      if (Index <= State.CommitIndex)
+        throw error("consensus.append", std::to_string(Index),
+                    "a committed entry would be replaced");
+      truncateLog(State, Index);
+    }
+    if (Index != State.Log.lastIndex() + 1)
+      throw error("consensus.append", std::to_string(Index),
+                  "entries are not consecutive");
+    appendEntry(State, Entry, Effects);
+  }
+}
+
+/// Follows the sender of an append or snapshot. False if its term is over.
+bool acceptLeader(consensus_state &State, std::uint64_t Term, store_id Leader,
+                  std::uint64_t Cluster, const decision_input &Input,
+                  consensus_effects &Effects) {
+  if (Term < State.Promises.Term)
+    return false;
+  if (Term == State.Promises.Term && State.Role == consensus_role::Leader)
+    throw error("consensus.append", toString(Leader),
+                "a second leader in term " + std::to_string(Term));
+  if (Term > State.Promises.Term || State.Role != consensus_role::Follower)
+    stepDown(State, Term, Input, Effects);
+  if (State.Promises.Cluster == 0) {
+    State.Promises.Cluster = Cluster;
+    Effects.Disk.push_back(State.Promises);
+  }
+  State.Leader = Leader;
+  State.LeaderHeardAt = Input.Now;
+  postponeElection(State, Input);
+  return true;
+}
+
+} // namespace
+
+void trackFollowers(consensus_state &State) {
+  std::map<store_id, follower_progress> Tracked;
+  for (const control_member &Member : currentMembers(State)) {
+    if (Member.Store == State.Self)
+      continue;
+    auto Known = State.Followers.find(Member.Store);
+    if (Known != State.Followers.end())
+      Tracked[Member.Store] = std::move(Known->second);
+    else
+      Tracked[Member.Store].Next = State.Log.lastIndex() + 1;
+  }
+  State.Followers = std::move(Tracked);
+}
+
+void becomeLeader(consensus_state &State, const decision_input &Input,
+                  consensus_effects &Effects) {
+  State.Role = consensus_role::Leader;
+  State.Leader = State.Self;
+  State.LeaderSince = Input.Now;
+  State.Votes.clear();
+  State.Followers.clear();
+  trackFollowers(State);
+  appendEntry(State, nextEntry(State, wire::entry_kind::barrier), Effects);
+  State.BarrierIndex = State.Log.lastIndex();
+  sendHeartbeats(State, Input, Effects);
+}
+
+void sendHeartbeats(consensus_state &State, const decision_input &Input,
+                    consensus_effects &Effects) {
+  State.HeartbeatDue = Input.Now + State.Timing.HeartbeatPeriod;
+  trackFollowers(State);
+  for (auto &[Store, Follower] : State.Followers) {
+    bool Lacks = Follower.Next <= State.Log.lastIndex() || Follower.Snapshot;
+    if (Lacks && mayResend(State, Follower, Input.Now))
+      sendEntries(State, Store, Follower, Input, Effects);
+    else
+      sendEmpty(State, Store, Follower, Input, Effects);
+  }
+}
+
+void startRound(consensus_state &State, const decision_input &Input,
+                consensus_effects &Effects) {
+  if (State.Role != consensus_role::Leader)
+    return;
+  for (auto &[Store, Follower] : State.Followers)
+    sendEmpty(State, Store, Follower, Input, Effects);
+}
+
+time_point leaderConfirmedAt(const consensus_state &State, time_point Now) {
+  if (State.Role != consensus_role::Leader)
+    return {};
+  std::vector<time_point> Times;
+  for (const control_member &Member : currentMembers(State)) {
+    if (!Member.Voter)
+      continue;
+    auto Found = State.Followers.find(Member.Store);
+    if (Member.Store == State.Self)
+      Times.push_back(Now);
+    else
+      Times.push_back(Found == State.Followers.end()
+                          ? time_point()
+                          : Found->second.ConfirmedAt);
+  }
+  std::sort(Times.rbegin(), Times.rend());
+  std::size_t Quorum = quorumSize(currentMembers(State));
+  return Times.size() < Quorum ? time_point() : Times[Quorum - 1];
+}
+
+void advanceCommit(consensus_state &State, const decision_input &Input,
+                   consensus_effects &Effects) {
+  trackFollowers(State);
+  std::vector<std::uint64_t> Copies;
+  for (const control_member &Member : currentMembers(State))
+    if (Member.Voter)
+      Copies.push_back(Member.Store == State.Self
+                           ? State.SyncedIndex
+                           : State.Followers[Member.Store].Match);
+  std::sort(Copies.rbegin(), Copies.rend());
+  std::size_t Quorum = quorumSize(currentMembers(State));
+  std::uint64_t Held = Copies.size() < Quorum ? 0 : Copies[Quorum - 1];
+  bool OwnTerm =
+      Held > State.CommitIndex && State.Log.termAt(Held) == State.Promises.Term;
+  if (Held > State.CommitIndex && (OwnTerm || !State.Rules.CommitOwnTermOnly))
+    State.CommitIndex = Held;
+  sendToIdleFollowers(State, Input, Effects);
+  bool Removed = findMember(currentMembers(State), State.Self) == nullptr;
+  if (Removed && State.CommitIndex >= State.Memberships.back().Index)
+    stepDown(State, State.Promises.Term, Input, Effects);
+}
+
+void handleAppendRequest(consensus_state &State,
+                         const wire::append_request &Message,
+                         const decision_input &Input,
+                         consensus_effects &Effects) {
+  store_id Leader = storeFromWire(Message.leader);
+  wire::append_reply Reply;
+  Reply.follower = toWire(State.Self);
+  Reply.round = Message.round;
+  if (acceptLeader(State, fromWire(Message.term), Leader,
+                   fromWire(Message.cluster), Input, Effects)) {
+    std::uint64_t Previous = fromWire(Message.previous_index);
+    Reply.success = matchesPrevious(State, Message);
+    if (Reply.success) {
+      storeEntries(State, Message.entries, Effects);
+      std::uint64_t Match = Previous + Message.entries.size();
+      Reply.match_index = toWire(Match);
+      State.CommitIndex = std::max(State.CommitIndex,
+                                   std::min(fromWire(Message.commit), Match));
+    } else {
+      Reply.match_index = toWire(conflictHint(State, Previous));
+    }
+  }
+  Reply.term = toWire(State.Promises.Term);
+  Effects.Send.push_back({Leader, Reply});
+}
+
+void handleAppendReply(consensus_state &State,
+                       const wire::append_reply &Message,
+                       const decision_input &Input,
+                       consensus_effects &Effects) {
+  store_id Store = storeFromWire(Message.follower);
+  if (findMember(currentMembers(State), Store) == nullptr)
+    return;
+  if (fromWire(Message.term) > State.Promises.Term) {
+    stepDown(State, fromWire(Message.term), Input, Effects);
+    return;
+  }
+  auto Found = State.Followers.find(Store);
+  if (State.Role != consensus_role::Leader || Found == State.Followers.end() ||
+      fromWire(Message.term) != State.Promises.Term)
+    return;
+  follower_progress &Follower = Found->second;
+  bool AnswersPending = fromWire(Message.round) == Follower.PendingRound;
+  confirmRound(Follower, fromWire(Message.round), Input.Now);
+  std::uint64_t Index = fromWire(Message.match_index);
+  if (Message.success)
+    Follower.Match = std::max(Follower.Match, Index);
+  if (AnswersPending) {
+    Follower.PendingRound = 0;
+    Follower.Next = Index + 1;
+  }
+  Follower.Next = std::max(Follower.Next, Follower.Match + 1);
+  advanceCommit(State, Input, Effects);
+}
+
+void handleSnapshotRequest(consensus_state &State,
+                           const wire::snapshot_request &Message,
+                           const decision_input &Input,
+                           consensus_effects &Effects) {
+  store_id Leader = storeFromWire(Message.leader);
+  wire::snapshot_reply Reply;
+  Reply.follower = toWire(State.Self);
+  Reply.last_index = Message.last_index;
+  if (acceptLeader(State, fromWire(Message.term), Leader,
+                   fromWire(Message.cluster), Input, Effects)) {
+    std::uint64_t Index = fromWire(Message.last_index);
+    snapshot_assembly &Parts = State.Assembly;
+    if (Index > State.CommitIndex) {
+      if (Parts.Index != Index || Message.offset == 0)
+        Parts = {Index, fromWire(Message.last_term), ""};
+      bool Fits = fromWire(Message.offset) == Parts.Data.size();
+      if (Fits)
+        Parts.Data += Message.data;
+      if (Fits && Message.done)
+        installAssembly(State, fromWire(Message.members), Effects);
+      Reply.next_offset = toWire(Parts.Data.size());
+    }
+    Reply.installed = Index <= State.CommitIndex;
+  }
+  Reply.term = toWire(State.Promises.Term);
+  Effects.Send.push_back({Leader, Reply});
+}
+
+void handleSnapshotReply(consensus_state &State,
+                         const wire::snapshot_reply &Message,
+                         const decision_input &Input,
+                         consensus_effects &Effects) {
+  store_id Store = storeFromWire(Message.follower);
+  if (findMember(currentMembers(State), Store) == nullptr)
+    return;
+  if (fromWire(Message.term) > State.Promises.Term) {
+    stepDown(State, fromWire(Message.term), Input, Effects);
+    return;
+  }
+  auto Found = State.Followers.find(Store);
+  if (State.Role != consensus_role::Leader || Found == State.Followers.end() ||
+      fromWire(Message.term) != State.Promises.Term)
+    return;
+  follower_progress &Follower = Found->second;
+  Follower.LastHeard = Input.Now;
+  if (!Follower.Snapshot ||
+      Follower.Snapshot->Index != fromWire(Message.last_index))
+    return;
+  // A duplicate must not start a second stream of parts.
+  if (!Message.installed &&
+      fromWire(Message.next_offset) == Follower.SnapshotOffset)
+    return;
+  Follower.PendingRound = 0;
+  if (Message.installed) {
+    Follower.Match = std::max(Follower.Match, Follower.Snapshot->Index);
+    Follower.Next = Follower.Match + 1;
+    Follower.Snapshot = nullptr;
+    advanceCommit(State, Input, Effects);
+    return;
+  }
+  Follower.SnapshotOffset = std::min<std::uint64_t>(
+      fromWire(Message.next_offset), Follower.Snapshot->Data.size());
+  sendSnapshotPart(State, Store, Follower, Input, Effects);
+}
+
+} // namespace teasellock
--- a/modules/consensus/consensus_service.h
+++ b/modules/consensus/consensus_service.h
@@ -4,6 +4,7 @@
 /// that joins them to links and timers.
 #pragma once
 
+#include "modules/consensus/control_member.h"
 #include "modules/link/link_hub.h"
 
 #include <functional>
@@ -14,17 +15,6 @@
 
 namespace teasellock {
 
-/// Random identity of a data folder. A wiped VM comes back with another.
-using store_id = strong_type<struct store_id_tag, std::uint64_t>;
-
-/// A member of the control group.
-struct control_member {
-  store_id Store;
-  vm_id Vm;
-  endpoint Address;
-  bool Voter = true;
-};
-
 /// What the state machine above the log provides. All calls come on the loop.
 struct state_machine_hooks {
   /// Applies a committed command. Called once for each index in order.
@@ -47,6 +37,13 @@
   Unknown,
 };
 
+/// How far a replacement of a member is.
+struct replacement_progress {
+  bool Done = false;
+  /// What is being done now.
+  std::string Text;
+};
+
 /// How long the log waits, and when it compacts.
 struct consensus_settings {
   std::string DataFolder;
@@ -81,6 +78,24 @@
   void changeMembers(const std::vector<control_member> &Members,
                      std::function<void(proposal_outcome, revision)> Callback);
 
+  /// The next step by which New takes the place of Old, as text for the
+  /// operator; proposes it if it is due. To be called again until Done.
+  /// Throws error when it is refused.
+  replacement_progress replaceMember(store_id Old, const control_member &New);
+
+  /// The majority is gone for good: makes this store the only voter. Returns
+  /// the risk in words. Throws error while a leader is heard.
+  std::string forceMembers();
+
+  /// The latest instant at which a quorum is known to have still followed this
+  /// leader; the clock's origin if it is not leader. What was decided before
+  /// it was decided by the only leader.
+  time_point leaderConfirmedAt() const;
+
+  /// Asks a quorum now whether this is still the leader. Calls back once, with
+  /// true if a round that started after this call was answered by a quorum.
+  void confirmLeadership(std::function<void(bool)> Callback);
+
   bool isLeader() const;
   /// The leader's address, if one is known.
   std::optional<endpoint> leader() const;
--- /dev/null
+++ b/modules/consensus/control_member.cpp
@@ -0,0 +1,50 @@
+#include "modules/consensus/control_member.h"
+
+#include "modules/consensus/wire_members.h"
+
+#include <algorithm>
+
+namespace teasellock {
+
+const control_member *findMember(const member_list &Members, store_id Store) {
+  for (const control_member &Member : Members)
+    if (Member.Store == Store)
+      return &Member;
+  return nullptr;
+}
+
+std::size_t voterCount(const member_list &Members) {
+  return static_cast<std::size_t>(
+      std::count_if(Members.begin(), Members.end(),
+                    [](const control_member &Member) { return Member.Voter; }));
+}
+
+std::vector<wire::consensus_member> toWire(const member_list &Members) {
+  std::vector<wire::consensus_member> Result;
+  for (const control_member &Member : Members) {
+    wire::consensus_member Out;
+    Out.store = static_cast<std::int64_t>(Member.Store.Value);
+    Out.vm = Member.Vm.Value;
+    Out.address = toString(Member.Address);
+    Out.voter = Member.Voter;
+    Out.promote = Member.Promote;
+    Result.push_back(std::move(Out));
+  }
+  return Result;
+}
+
+member_list fromWire(const std::vector<wire::consensus_member> &Members) {
+  member_list Result;
+  for (const wire::consensus_member &Member : Members) {
+    control_member Out;
+    Out.Store = store_id(static_cast<std::uint64_t>(Member.store));
+    Out.Vm = vm_id(Member.vm);
+    Out.Address = parseEndpoint(Member.address);
+    Out.Voter = Member.voter;
+    Out.Promote = Member.promote;
+    Result.push_back(std::move(Out));
+  }
+  return Result;
+}
+
+} // namespace teasellock
--- a/modules/consensus/gen/consensus_messages_types.cpp
+++ b/modules/consensus/gen/consensus_messages_types.cpp
@@ -64,6 +64,10 @@
 void consensus_member::__set_voter(const bool val) {
   this->voter = val;
 }
+
+void consensus_member::__set_promote(const bool val) {
+  this->promote = val;
+}
 std::ostream& operator<<(std::ostream& out, const consensus_member& obj)
 {
   obj.printTo(out);
@@ -124,6 +128,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->promote);
+          this->__isset.promote = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -157,6 +169,10 @@
   xfer += oprot->writeBool(this->voter);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("promote", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->promote);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -168,6 +184,7 @@
   swap(a.vm, b.vm);
   swap(a.address, b.address);
   swap(a.voter, b.voter);
+  swap(a.promote, b.promote);
   swap(a.__isset, b.__isset);
 }
 
@@ -176,6 +193,7 @@
   vm = other0.vm;
   address = other0.address;
   voter = other0.voter;
+  promote = other0.promote;
   __isset = other0.__isset;
 }
 consensus_member::consensus_member(consensus_member&& other1) noexcept {
@@ -183,6 +201,7 @@
   vm = std::move(other1.vm);
   address = std::move(other1.address);
   voter = other1.voter;
+  promote = other1.promote;
   __isset = other1.__isset;
 }
 consensus_member& consensus_member::operator=(const consensus_member& other2) {
@@ -190,6 +209,7 @@
   vm = other2.vm;
   address = other2.address;
   voter = other2.voter;
+  promote = other2.promote;
   __isset = other2.__isset;
   return *this;
 }
@@ -198,6 +218,7 @@
   vm = std::move(other3.vm);
   address = std::move(other3.address);
   voter = other3.voter;
+  promote = other3.promote;
   __isset = other3.__isset;
   return *this;
 }
@@ -208,6 +229,7 @@
   out << ", " << "vm=" << to_string(vm);
   out << ", " << "address=" << to_string(address);
   out << ", " << "voter=" << to_string(voter);
+  out << ", " << "promote=" << to_string(promote);
   out << ")";
 }
 
@@ -423,6 +445,459 @@
 }
 
 
+log_batch::~log_batch() noexcept {
+}
+
+
+void log_batch::__set_entries(const std::vector<log_entry> & val) {
+  this->entries = val;
+}
+std::ostream& operator<<(std::ostream& out, const log_batch& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t log_batch::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->entries.clear();
+            uint32_t _size15;
+            ::apache::thrift::protocol::TType _etype18;
+            xfer += iprot->readListBegin(_etype18, _size15);
+            this->entries.resize(_size15);
+            uint32_t _i19;
+            for (_i19 = 0; _i19 < _size15; ++_i19)
+            {
+              xfer += this->entries[_i19].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.entries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t log_batch::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("log_batch");
+
+  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
+    std::vector<log_entry> ::const_iterator _iter20;
+    for (_iter20 = this->entries.begin(); _iter20 != this->entries.end(); ++_iter20)
+    {
+      xfer += (*_iter20).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(log_batch &a, log_batch &b) {
+  using ::std::swap;
+  swap(a.entries, b.entries);
+  swap(a.__isset, b.__isset);
+}
+
+log_batch::log_batch(const log_batch& other21) {
+  entries = other21.entries;
+  __isset = other21.__isset;
+}
+log_batch::log_batch(log_batch&& other22) noexcept {
+  entries = std::move(other22.entries);
+  __isset = other22.__isset;
+}
+log_batch& log_batch::operator=(const log_batch& other23) {
+  entries = other23.entries;
+  __isset = other23.__isset;
+  return *this;
+}
+log_batch& log_batch::operator=(log_batch&& other24) noexcept {
+  entries = std::move(other24.entries);
+  __isset = other24.__isset;
+  return *this;
+}
+void log_batch::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "log_batch(";
+  out << "entries=" << to_string(entries);
+  out << ")";
+}
+
+
+vote_record::~vote_record() noexcept {
+}
+
+
+void vote_record::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void vote_record::__set_vote(const int64_t val) {
+  this->vote = val;
+}
+
+void vote_record::__set_cluster(const int64_t val) {
+  this->cluster = val;
+}
+std::ostream& operator<<(std::ostream& out, const vote_record& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t vote_record::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->vote);
+          this->__isset.vote = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->cluster);
+          this->__isset.cluster = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t vote_record::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("vote_record");
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("vote", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->vote);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cluster", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->cluster);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(vote_record &a, vote_record &b) {
+  using ::std::swap;
+  swap(a.term, b.term);
+  swap(a.vote, b.vote);
+  swap(a.cluster, b.cluster);
+  swap(a.__isset, b.__isset);
+}
+
+vote_record::vote_record(const vote_record& other25) noexcept {
+  term = other25.term;
+  vote = other25.vote;
+  cluster = other25.cluster;
+  __isset = other25.__isset;
+}
+vote_record::vote_record(vote_record&& other26) noexcept {
+  term = other26.term;
+  vote = other26.vote;
+  cluster = other26.cluster;
+  __isset = other26.__isset;
+}
+vote_record& vote_record::operator=(const vote_record& other27) noexcept {
+  term = other27.term;
+  vote = other27.vote;
+  cluster = other27.cluster;
+  __isset = other27.__isset;
+  return *this;
+}
+vote_record& vote_record::operator=(vote_record&& other28) noexcept {
+  term = other28.term;
+  vote = other28.vote;
+  cluster = other28.cluster;
+  __isset = other28.__isset;
+  return *this;
+}
+void vote_record::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "vote_record(";
+  out << "term=" << to_string(term);
+  out << ", " << "vote=" << to_string(vote);
+  out << ", " << "cluster=" << to_string(cluster);
+  out << ")";
+}
+
+
+snapshot_record::~snapshot_record() noexcept {
+}
+
+
+void snapshot_record::__set_last_index(const int64_t val) {
+  this->last_index = val;
+}
+
+void snapshot_record::__set_last_term(const int64_t val) {
+  this->last_term = val;
+}
+
+void snapshot_record::__set_members(const std::vector<consensus_member> & val) {
+  this->members = val;
+}
+
+void snapshot_record::__set_data(const std::string& val) {
+  this->data = val;
+}
+std::ostream& operator<<(std::ostream& out, const snapshot_record& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t snapshot_record::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->last_index);
+          this->__isset.last_index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->last_term);
+          this->__isset.last_term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->members.clear();
+            uint32_t _size29;
+            ::apache::thrift::protocol::TType _etype32;
+            xfer += iprot->readListBegin(_etype32, _size29);
+            this->members.resize(_size29);
+            uint32_t _i33;
+            for (_i33 = 0; _i33 < _size29; ++_i33)
+            {
+              xfer += this->members[_i33].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.members = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->data);
+          this->__isset.data = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t snapshot_record::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("snapshot_record");
+
+  xfer += oprot->writeFieldBegin("last_index", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->last_index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("last_term", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->last_term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
+    std::vector<consensus_member> ::const_iterator _iter34;
+    for (_iter34 = this->members.begin(); _iter34 != this->members.end(); ++_iter34)
+    {
+      xfer += (*_iter34).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("data", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeBinary(this->data);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(snapshot_record &a, snapshot_record &b) {
+  using ::std::swap;
+  swap(a.last_index, b.last_index);
+  swap(a.last_term, b.last_term);
+  swap(a.members, b.members);
+  swap(a.data, b.data);
+  swap(a.__isset, b.__isset);
+}
+
+snapshot_record::snapshot_record(const snapshot_record& other35) {
+  last_index = other35.last_index;
+  last_term = other35.last_term;
+  members = other35.members;
+  data = other35.data;
+  __isset = other35.__isset;
+}
+snapshot_record::snapshot_record(snapshot_record&& other36) noexcept {
+  last_index = other36.last_index;
+  last_term = other36.last_term;
+  members = std::move(other36.members);
+  data = std::move(other36.data);
+  __isset = other36.__isset;
+}
+snapshot_record& snapshot_record::operator=(const snapshot_record& other37) {
+  last_index = other37.last_index;
+  last_term = other37.last_term;
+  members = other37.members;
+  data = other37.data;
+  __isset = other37.__isset;
+  return *this;
+}
+snapshot_record& snapshot_record::operator=(snapshot_record&& other38) noexcept {
+  last_index = other38.last_index;
+  last_term = other38.last_term;
+  members = std::move(other38.members);
+  data = std::move(other38.data);
+  __isset = other38.__isset;
+  return *this;
+}
+void snapshot_record::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "snapshot_record(";
+  out << "last_index=" << to_string(last_index);
+  out << ", " << "last_term=" << to_string(last_term);
+  out << ", " << "members=" << to_string(members);
+  out << ", " << "data=" << to_string(data);
+  out << ")";
+}
+
+
 vote_request::~vote_request() noexcept {
 }
 
@@ -446,6 +921,14 @@
 void vote_request::__set_trial(const bool val) {
   this->trial = val;
 }
+
+void vote_request::__set_cluster(const int64_t val) {
+  this->cluster = val;
+}
+
+void vote_request::__set_recipient(const int64_t val) {
+  this->recipient = val;
+}
 std::ostream& operator<<(std::ostream& out, const vote_request& obj)
 {
   obj.printTo(out);
@@ -514,6 +997,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->cluster);
+          this->__isset.cluster = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->recipient);
+          this->__isset.recipient = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -551,6 +1050,14 @@
   xfer += oprot->writeBool(this->trial);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("cluster", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->cluster);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("recipient", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->recipient);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -563,41 +1070,51 @@
   swap(a.last_index, b.last_index);
   swap(a.last_term, b.last_term);
   swap(a.trial, b.trial);
+  swap(a.cluster, b.cluster);
+  swap(a.recipient, b.recipient);
   swap(a.__isset, b.__isset);
 }
 
-vote_request::vote_request(const vote_request& other15) noexcept {
-  term = other15.term;
-  candidate = other15.candidate;
-  last_index = other15.last_index;
-  last_term = other15.last_term;
-  trial = other15.trial;
-  __isset = other15.__isset;
-}
-vote_request::vote_request(vote_request&& other16) noexcept {
-  term = other16.term;
-  candidate = other16.candidate;
-  last_index = other16.last_index;
-  last_term = other16.last_term;
-  trial = other16.trial;
-  __isset = other16.__isset;
-}
-vote_request& vote_request::operator=(const vote_request& other17) noexcept {
-  term = other17.term;
-  candidate = other17.candidate;
-  last_index = other17.last_index;
-  last_term = other17.last_term;
-  trial = other17.trial;
-  __isset = other17.__isset;
+vote_request::vote_request(const vote_request& other39) noexcept {
+  term = other39.term;
+  candidate = other39.candidate;
+  last_index = other39.last_index;
+  last_term = other39.last_term;
+  trial = other39.trial;
+  cluster = other39.cluster;
+  recipient = other39.recipient;
+  __isset = other39.__isset;
+}
+vote_request::vote_request(vote_request&& other40) noexcept {
+  term = other40.term;
+  candidate = other40.candidate;
+  last_index = other40.last_index;
+  last_term = other40.last_term;
+  trial = other40.trial;
+  cluster = other40.cluster;
+  recipient = other40.recipient;
+  __isset = other40.__isset;
+}
+vote_request& vote_request::operator=(const vote_request& other41) noexcept {
+  term = other41.term;
+  candidate = other41.candidate;
+  last_index = other41.last_index;
+  last_term = other41.last_term;
+  trial = other41.trial;
+  cluster = other41.cluster;
+  recipient = other41.recipient;
+  __isset = other41.__isset;
   return *this;
 }
-vote_request& vote_request::operator=(vote_request&& other18) noexcept {
-  term = other18.term;
-  candidate = other18.candidate;
-  last_index = other18.last_index;
-  last_term = other18.last_term;
-  trial = other18.trial;
-  __isset = other18.__isset;
+vote_request& vote_request::operator=(vote_request&& other42) noexcept {
+  term = other42.term;
+  candidate = other42.candidate;
+  last_index = other42.last_index;
+  last_term = other42.last_term;
+  trial = other42.trial;
+  cluster = other42.cluster;
+  recipient = other42.recipient;
+  __isset = other42.__isset;
   return *this;
 }
 void vote_request::printTo(std::ostream& out) const {
@@ -608,6 +1125,8 @@
   out << ", " << "last_index=" << to_string(last_index);
   out << ", " << "last_term=" << to_string(last_term);
   out << ", " << "trial=" << to_string(trial);
+  out << ", " << "cluster=" << to_string(cluster);
+  out << ", " << "recipient=" << to_string(recipient);
   out << ")";
 }
 
@@ -738,34 +1257,34 @@
   swap(a.__isset, b.__isset);
 }
 
-vote_reply::vote_reply(const vote_reply& other19) noexcept {
-  term = other19.term;
-  voter = other19.voter;
-  granted = other19.granted;
-  trial = other19.trial;
-  __isset = other19.__isset;
-}
-vote_reply::vote_reply(vote_reply&& other20) noexcept {
-  term = other20.term;
-  voter = other20.voter;
-  granted = other20.granted;
-  trial = other20.trial;
-  __isset = other20.__isset;
-}
-vote_reply& vote_reply::operator=(const vote_reply& other21) noexcept {
-  term = other21.term;
-  voter = other21.voter;
-  granted = other21.granted;
-  trial = other21.trial;
-  __isset = other21.__isset;
+vote_reply::vote_reply(const vote_reply& other43) noexcept {
+  term = other43.term;
+  voter = other43.voter;
+  granted = other43.granted;
+  trial = other43.trial;
+  __isset = other43.__isset;
+}
+vote_reply::vote_reply(vote_reply&& other44) noexcept {
+  term = other44.term;
+  voter = other44.voter;
+  granted = other44.granted;
+  trial = other44.trial;
+  __isset = other44.__isset;
+}
+vote_reply& vote_reply::operator=(const vote_reply& other45) noexcept {
+  term = other45.term;
+  voter = other45.voter;
+  granted = other45.granted;
+  trial = other45.trial;
+  __isset = other45.__isset;
   return *this;
 }
-vote_reply& vote_reply::operator=(vote_reply&& other22) noexcept {
-  term = other22.term;
-  voter = other22.voter;
-  granted = other22.granted;
-  trial = other22.trial;
-  __isset = other22.__isset;
+vote_reply& vote_reply::operator=(vote_reply&& other46) noexcept {
+  term = other46.term;
+  voter = other46.voter;
+  granted = other46.granted;
+  trial = other46.trial;
+  __isset = other46.__isset;
   return *this;
 }
 void vote_reply::printTo(std::ostream& out) const {
@@ -810,6 +1329,14 @@
 void append_request::__set_round(const int64_t val) {
   this->round = val;
 }
+
+void append_request::__set_cluster(const int64_t val) {
+  this->cluster = val;
+}
+
+void append_request::__set_recipient(const int64_t val) {
+  this->recipient = val;
+}
 std::ostream& operator<<(std::ostream& out, const append_request& obj)
 {
   obj.printTo(out);
@@ -874,14 +1401,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size23;
-            ::apache::thrift::protocol::TType _etype26;
-            xfer += iprot->readListBegin(_etype26, _size23);
-            this->entries.resize(_size23);
-            uint32_t _i27;
-            for (_i27 = 0; _i27 < _size23; ++_i27)
+            uint32_t _size47;
+            ::apache::thrift::protocol::TType _etype50;
+            xfer += iprot->readListBegin(_etype50, _size47);
+            this->entries.resize(_size47);
+            uint32_t _i51;
+            for (_i51 = 0; _i51 < _size47; ++_i51)
             {
-              xfer += this->entries[_i27].read(iprot);
+              xfer += this->entries[_i51].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -906,6 +1433,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->cluster);
+          this->__isset.cluster = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->recipient);
+          this->__isset.recipient = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -942,10 +1485,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<log_entry> ::const_iterator _iter28;
-    for (_iter28 = this->entries.begin(); _iter28 != this->entries.end(); ++_iter28)
+    std::vector<log_entry> ::const_iterator _iter52;
+    for (_iter52 = this->entries.begin(); _iter52 != this->entries.end(); ++_iter52)
     {
-      xfer += (*_iter28).write(oprot);
+      xfer += (*_iter52).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -959,6 +1502,14 @@
   xfer += oprot->writeI64(this->round);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("cluster", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->cluster);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("recipient", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->recipient);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -973,49 +1524,59 @@
   swap(a.entries, b.entries);
   swap(a.commit, b.commit);
   swap(a.round, b.round);
+  swap(a.cluster, b.cluster);
+  swap(a.recipient, b.recipient);
   swap(a.__isset, b.__isset);
 }
 
-append_request::append_request(const append_request& other29) {
-  term = other29.term;
-  leader = other29.leader;
-  previous_index = other29.previous_index;
-  previous_term = other29.previous_term;
-  entries = other29.entries;
-  commit = other29.commit;
-  round = other29.round;
-  __isset = other29.__isset;
-}
-append_request::append_request(append_request&& other30) noexcept {
-  term = other30.term;
-  leader = other30.leader;
-  previous_index = other30.previous_index;
-  previous_term = other30.previous_term;
-  entries = std::move(other30.entries);
-  commit = other30.commit;
-  round = other30.round;
-  __isset = other30.__isset;
-}
-append_request& append_request::operator=(const append_request& other31) {
-  term = other31.term;
-  leader = other31.leader;
-  previous_index = other31.previous_index;
-  previous_term = other31.previous_term;
-  entries = other31.entries;
-  commit = other31.commit;
-  round = other31.round;
-  __isset = other31.__isset;
+append_request::append_request(const append_request& other53) {
+  term = other53.term;
+  leader = other53.leader;
+  previous_index = other53.previous_index;
+  previous_term = other53.previous_term;
+  entries = other53.entries;
+  commit = other53.commit;
+  round = other53.round;
+  cluster = other53.cluster;
+  recipient = other53.recipient;
+  __isset = other53.__isset;
+}
+append_request::append_request(append_request&& other54) noexcept {
+  term = other54.term;
+  leader = other54.leader;
+  previous_index = other54.previous_index;
+  previous_term = other54.previous_term;
+  entries = std::move(other54.entries);
+  commit = other54.commit;
+  round = other54.round;
+  cluster = other54.cluster;
+  recipient = other54.recipient;
+  __isset = other54.__isset;
+}
+append_request& append_request::operator=(const append_request& other55) {
+  term = other55.term;
+  leader = other55.leader;
+  previous_index = other55.previous_index;
+  previous_term = other55.previous_term;
+  entries = other55.entries;
+  commit = other55.commit;
+  round = other55.round;
+  cluster = other55.cluster;
+  recipient = other55.recipient;
+  __isset = other55.__isset;
   return *this;
 }
-append_request& append_request::operator=(append_request&& other32) noexcept {
-  term = other32.term;
-  leader = other32.leader;
-  previous_index = other32.previous_index;
-  previous_term = other32.previous_term;
-  entries = std::move(other32.entries);
-  commit = other32.commit;
-  round = other32.round;
-  __isset = other32.__isset;
+append_request& append_request::operator=(append_request&& other56) noexcept {
+  term = other56.term;
+  leader = other56.leader;
+  previous_index = other56.previous_index;
+  previous_term = other56.previous_term;
+  entries = std::move(other56.entries);
+  commit = other56.commit;
+  round = other56.round;
+  cluster = other56.cluster;
+  recipient = other56.recipient;
+  __isset = other56.__isset;
   return *this;
 }
 void append_request::printTo(std::ostream& out) const {
@@ -1028,6 +1589,8 @@
   out << ", " << "entries=" << to_string(entries);
   out << ", " << "commit=" << to_string(commit);
   out << ", " << "round=" << to_string(round);
+  out << ", " << "cluster=" << to_string(cluster);
+  out << ", " << "recipient=" << to_string(recipient);
   out << ")";
 }
 
@@ -1175,38 +1738,38 @@
   swap(a.__isset, b.__isset);
 }
 
-append_reply::append_reply(const append_reply& other33) noexcept {
-  term = other33.term;
-  follower = other33.follower;
-  success = other33.success;
-  match_index = other33.match_index;
-  round = other33.round;
-  __isset = other33.__isset;
-}
-append_reply::append_reply(append_reply&& other34) noexcept {
-  term = other34.term;
-  follower = other34.follower;
-  success = other34.success;
-  match_index = other34.match_index;
-  round = other34.round;
-  __isset = other34.__isset;
-}
-append_reply& append_reply::operator=(const append_reply& other35) noexcept {
-  term = other35.term;
-  follower = other35.follower;
-  success = other35.success;
-  match_index = other35.match_index;
-  round = other35.round;
-  __isset = other35.__isset;
+append_reply::append_reply(const append_reply& other57) noexcept {
+  term = other57.term;
+  follower = other57.follower;
+  success = other57.success;
+  match_index = other57.match_index;
+  round = other57.round;
+  __isset = other57.__isset;
+}
+append_reply::append_reply(append_reply&& other58) noexcept {
+  term = other58.term;
+  follower = other58.follower;
+  success = other58.success;
+  match_index = other58.match_index;
+  round = other58.round;
+  __isset = other58.__isset;
+}
+append_reply& append_reply::operator=(const append_reply& other59) noexcept {
+  term = other59.term;
+  follower = other59.follower;
+  success = other59.success;
+  match_index = other59.match_index;
+  round = other59.round;
+  __isset = other59.__isset;
   return *this;
 }
-append_reply& append_reply::operator=(append_reply&& other36) noexcept {
-  term = other36.term;
-  follower = other36.follower;
-  success = other36.success;
-  match_index = other36.match_index;
-  round = other36.round;
-  __isset = other36.__isset;
+append_reply& append_reply::operator=(append_reply&& other60) noexcept {
+  term = other60.term;
+  follower = other60.follower;
+  success = other60.success;
+  match_index = other60.match_index;
+  round = other60.round;
+  __isset = other60.__isset;
   return *this;
 }
 void append_reply::printTo(std::ostream& out) const {
@@ -1256,6 +1819,14 @@
 void snapshot_request::__set_done(const bool val) {
   this->done = val;
 }
+
+void snapshot_request::__set_cluster(const int64_t val) {
+  this->cluster = val;
+}
+
+void snapshot_request::__set_recipient(const int64_t val) {
+  this->recipient = val;
+}
 std::ostream& operator<<(std::ostream& out, const snapshot_request& obj)
 {
   obj.printTo(out);
@@ -1320,14 +1891,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size37;
-            ::apache::thrift::protocol::TType _etype40;
-            xfer += iprot->readListBegin(_etype40, _size37);
-            this->members.resize(_size37);
-            uint32_t _i41;
-            for (_i41 = 0; _i41 < _size37; ++_i41)
+            uint32_t _size61;
+            ::apache::thrift::protocol::TType _etype64;
+            xfer += iprot->readListBegin(_etype64, _size61);
+            this->members.resize(_size61);
+            uint32_t _i65;
+            for (_i65 = 0; _i65 < _size61; ++_i65)
             {
-              xfer += this->members[_i41].read(iprot);
+              xfer += this->members[_i65].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1360,6 +1931,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->cluster);
+          this->__isset.cluster = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->recipient);
+          this->__isset.recipient = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1396,10 +1983,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<consensus_member> ::const_iterator _iter42;
-    for (_iter42 = this->members.begin(); _iter42 != this->members.end(); ++_iter42)
+    std::vector<consensus_member> ::const_iterator _iter66;
+    for (_iter66 = this->members.begin(); _iter66 != this->members.end(); ++_iter66)
     {
-      xfer += (*_iter42).write(oprot);
+      xfer += (*_iter66).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1417,6 +2004,14 @@
   xfer += oprot->writeBool(this->done);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("cluster", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->cluster);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("recipient", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->recipient);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1432,53 +2027,63 @@
   swap(a.offset, b.offset);
   swap(a.data, b.data);
   swap(a.done, b.done);
+  swap(a.cluster, b.cluster);
+  swap(a.recipient, b.recipient);
   swap(a.__isset, b.__isset);
 }
 
-snapshot_request::snapshot_request(const snapshot_request& other43) {
-  term = other43.term;
-  leader = other43.leader;
-  last_index = other43.last_index;
-  last_term = other43.last_term;
-  members = other43.members;
-  offset = other43.offset;
-  data = other43.data;
-  done = other43.done;
-  __isset = other43.__isset;
-}
-snapshot_request::snapshot_request(snapshot_request&& other44) noexcept {
-  term = other44.term;
-  leader = other44.leader;
-  last_index = other44.last_index;
-  last_term = other44.last_term;
-  members = std::move(other44.members);
-  offset = other44.offset;
-  data = std::move(other44.data);
-  done = other44.done;
-  __isset = other44.__isset;
-}
-snapshot_request& snapshot_request::operator=(const snapshot_request& other45) {
-  term = other45.term;
-  leader = other45.leader;
-  last_index = other45.last_index;
-  last_term = other45.last_term;
-  members = other45.members;
-  offset = other45.offset;
-  data = other45.data;
-  done = other45.done;
-  __isset = other45.__isset;
+snapshot_request::snapshot_request(const snapshot_request& other67) {
+  term = other67.term;
+  leader = other67.leader;
+  last_index = other67.last_index;
+  last_term = other67.last_term;
+  members = other67.members;
+  offset = other67.offset;
+  data = other67.data;
+  done = other67.done;
+  cluster = other67.cluster;
+  recipient = other67.recipient;
+  __isset = other67.__isset;
+}
+snapshot_request::snapshot_request(snapshot_request&& other68) noexcept {
+  term = other68.term;
+  leader = other68.leader;
+  last_index = other68.last_index;
+  last_term = other68.last_term;
+  members = std::move(other68.members);
+  offset = other68.offset;
+  data = std::move(other68.data);
+  done = other68.done;
+  cluster = other68.cluster;
+  recipient = other68.recipient;
+  __isset = other68.__isset;
+}
+snapshot_request& snapshot_request::operator=(const snapshot_request& other69) {
+  term = other69.term;
+  leader = other69.leader;
+  last_index = other69.last_index;
+  last_term = other69.last_term;
+  members = other69.members;
+  offset = other69.offset;
+  data = other69.data;
+  done = other69.done;
+  cluster = other69.cluster;
+  recipient = other69.recipient;
+  __isset = other69.__isset;
   return *this;
 }
-snapshot_request& snapshot_request::operator=(snapshot_request&& other46) noexcept {
-  term = other46.term;
-  leader = other46.leader;
-  last_index = other46.last_index;
-  last_term = other46.last_term;
-  members = std::move(other46.members);
-  offset = other46.offset;
-  data = std::move(other46.data);
-  done = other46.done;
-  __isset = other46.__isset;
+snapshot_request& snapshot_request::operator=(snapshot_request&& other70) noexcept {
+  term = other70.term;
+  leader = other70.leader;
+  last_index = other70.last_index;
+  last_term = other70.last_term;
+  members = std::move(other70.members);
+  offset = other70.offset;
+  data = std::move(other70.data);
+  done = other70.done;
+  cluster = other70.cluster;
+  recipient = other70.recipient;
+  __isset = other70.__isset;
   return *this;
 }
 void snapshot_request::printTo(std::ostream& out) const {
@@ -1492,6 +2097,8 @@
   out << ", " << "offset=" << to_string(offset);
   out << ", " << "data=" << to_string(data);
   out << ", " << "done=" << to_string(done);
+  out << ", " << "cluster=" << to_string(cluster);
+  out << ", " << "recipient=" << to_string(recipient);
   out << ")";
 }
 
@@ -1515,6 +2122,10 @@
 void snapshot_reply::__set_next_offset(const int64_t val) {
   this->next_offset = val;
 }
+
+void snapshot_reply::__set_installed(const bool val) {
+  this->installed = val;
+}
 std::ostream& operator<<(std::ostream& out, const snapshot_reply& obj)
 {
   obj.printTo(out);
@@ -1575,6 +2186,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->installed);
+          this->__isset.installed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1608,6 +2227,10 @@
   xfer += oprot->writeI64(this->next_offset);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("installed", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->installed);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1619,37 +2242,42 @@
   swap(a.follower, b.follower);
   swap(a.last_index, b.last_index);
   swap(a.next_offset, b.next_offset);
+  swap(a.installed, b.installed);
   swap(a.__isset, b.__isset);
 }
 
-snapshot_reply::snapshot_reply(const snapshot_reply& other47) noexcept {
-  term = other47.term;
-  follower = other47.follower;
-  last_index = other47.last_index;
-  next_offset = other47.next_offset;
-  __isset = other47.__isset;
-}
-snapshot_reply::snapshot_reply(snapshot_reply&& other48) noexcept {
-  term = other48.term;
-  follower = other48.follower;
-  last_index = other48.last_index;
-  next_offset = other48.next_offset;
-  __isset = other48.__isset;
-}
-snapshot_reply& snapshot_reply::operator=(const snapshot_reply& other49) noexcept {
-  term = other49.term;
-  follower = other49.follower;
-  last_index = other49.last_index;
-  next_offset = other49.next_offset;
-  __isset = other49.__isset;
+snapshot_reply::snapshot_reply(const snapshot_reply& other71) noexcept {
+  term = other71.term;
+  follower = other71.follower;
+  last_index = other71.last_index;
+  next_offset = other71.next_offset;
+  installed = other71.installed;
+  __isset = other71.__isset;
+}
+snapshot_reply::snapshot_reply(snapshot_reply&& other72) noexcept {
+  term = other72.term;
+  follower = other72.follower;
+  last_index = other72.last_index;
+  next_offset = other72.next_offset;
+  installed = other72.installed;
+  __isset = other72.__isset;
+}
+snapshot_reply& snapshot_reply::operator=(const snapshot_reply& other73) noexcept {
+  term = other73.term;
+  follower = other73.follower;
+  last_index = other73.last_index;
+  next_offset = other73.next_offset;
+  installed = other73.installed;
+  __isset = other73.__isset;
   return *this;
 }
-snapshot_reply& snapshot_reply::operator=(snapshot_reply&& other50) noexcept {
-  term = other50.term;
-  follower = other50.follower;
-  last_index = other50.last_index;
-  next_offset = other50.next_offset;
-  __isset = other50.__isset;
+snapshot_reply& snapshot_reply::operator=(snapshot_reply&& other74) noexcept {
+  term = other74.term;
+  follower = other74.follower;
+  last_index = other74.last_index;
+  next_offset = other74.next_offset;
+  installed = other74.installed;
+  __isset = other74.__isset;
   return *this;
 }
 void snapshot_reply::printTo(std::ostream& out) const {
@@ -1659,6 +2287,7 @@
   out << ", " << "follower=" << to_string(follower);
   out << ", " << "last_index=" << to_string(last_index);
   out << ", " << "next_offset=" << to_string(next_offset);
+  out << ", " << "installed=" << to_string(installed);
   out << ")";
 }
 
--- a/modules/consensus/gen/consensus_messages_types.h
+++ b/modules/consensus/gen/consensus_messages_types.h
@@ -39,6 +39,12 @@
 
 class log_entry;
 
+class log_batch;
+
+class vote_record;
+
+class snapshot_record;
+
 class vote_request;
 
 class vote_reply;
@@ -52,11 +58,12 @@
 class snapshot_reply;
 
 typedef struct _consensus_member__isset {
-  _consensus_member__isset() : store(false), vm(false), address(false), voter(false) {}
+  _consensus_member__isset() : store(false), vm(false), address(false), voter(false), promote(false) {}
   bool store :1;
   bool vm :1;
   bool address :1;
   bool voter :1;
+  bool promote :1;
 } _consensus_member__isset;
 
 class consensus_member : public virtual ::apache::thrift::TBase {
@@ -70,7 +77,8 @@
                    : store(0),
                      vm(),
                      address(),
-                     voter(0) {
+                     voter(0),
+                     promote(0) {
   }
 
   virtual ~consensus_member() noexcept;
@@ -78,6 +86,7 @@
   std::string vm;
   std::string address;
   bool voter;
+  bool promote;
 
   _consensus_member__isset __isset;
 
@@ -89,6 +98,8 @@
 
   void __set_voter(const bool val);
 
+  void __set_promote(const bool val);
+
   bool operator == (const consensus_member & rhs) const
   {
     if (!(store == rhs.store))
@@ -99,6 +110,8 @@
       return false;
     if (!(voter == rhs.voter))
       return false;
+    if (!(promote == rhs.promote))
+      return false;
     return true;
   }
   bool operator != (const consensus_member &rhs) const {
@@ -193,13 +206,183 @@
 
 std::ostream& operator<<(std::ostream& out, const log_entry& obj);
 
+typedef struct _log_batch__isset {
+  _log_batch__isset() : entries(false) {}
+  bool entries :1;
+} _log_batch__isset;
+
+class log_batch : public virtual ::apache::thrift::TBase {
+ public:
+
+  log_batch(const log_batch&);
+  log_batch(log_batch&&) noexcept;
+  log_batch& operator=(const log_batch&);
+  log_batch& operator=(log_batch&&) noexcept;
+  log_batch() noexcept {
+  }
+
+  virtual ~log_batch() noexcept;
+  std::vector<log_entry>  entries;
+
+  _log_batch__isset __isset;
+
+  void __set_entries(const std::vector<log_entry> & val);
+
+  bool operator == (const log_batch & rhs) const
+  {
+    if (!(entries == rhs.entries))
+      return false;
+    return true;
+  }
+  bool operator != (const log_batch &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const log_batch & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(log_batch &a, log_batch &b);
+
+std::ostream& operator<<(std::ostream& out, const log_batch& obj);
+
+typedef struct _vote_record__isset {
+  _vote_record__isset() : term(false), vote(false), cluster(false) {}
+  bool term :1;
+  bool vote :1;
+  bool cluster :1;
+} _vote_record__isset;
+
+class vote_record : public virtual ::apache::thrift::TBase {
+ public:
+
+  vote_record(const vote_record&) noexcept;
+  vote_record(vote_record&&) noexcept;
+  vote_record& operator=(const vote_record&) noexcept;
+  vote_record& operator=(vote_record&&) noexcept;
+  vote_record() noexcept
+              : term(0),
+                vote(0),
+                cluster(0) {
+  }
+
+  virtual ~vote_record() noexcept;
+  int64_t term;
+  int64_t vote;
+  int64_t cluster;
+
+  _vote_record__isset __isset;
+
+  void __set_term(const int64_t val);
+
+  void __set_vote(const int64_t val);
+
+  void __set_cluster(const int64_t val);
+
+  bool operator == (const vote_record & rhs) const
+  {
+    if (!(term == rhs.term))
+      return false;
+    if (!(vote == rhs.vote))
+      return false;
+    if (!(cluster == rhs.cluster))
+      return false;
+    return true;
+  }
+  bool operator != (const vote_record &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const vote_record & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(vote_record &a, vote_record &b);
+
+std::ostream& operator<<(std::ostream& out, const vote_record& obj);
+
+typedef struct _snapshot_record__isset {
+  _snapshot_record__isset() : last_index(false), last_term(false), members(false), data(false) {}
+  bool last_index :1;
+  bool last_term :1;
+  bool members :1;
+  bool data :1;
+} _snapshot_record__isset;
+
+class snapshot_record : public virtual ::apache::thrift::TBase {
+ public:
+
+  snapshot_record(const snapshot_record&);
+  snapshot_record(snapshot_record&&) noexcept;
+  snapshot_record& operator=(const snapshot_record&);
+  snapshot_record& operator=(snapshot_record&&) noexcept;
+  snapshot_record() noexcept
+                  : last_index(0),
+                    last_term(0),
+                    data() {
+  }
+
+  virtual ~snapshot_record() noexcept;
+  int64_t last_index;
+  int64_t last_term;
+  std::vector<consensus_member>  members;
+  std::string data;
+
+  _snapshot_record__isset __isset;
+
+  void __set_last_index(const int64_t val);
+
+  void __set_last_term(const int64_t val);
+
+  void __set_members(const std::vector<consensus_member> & val);
+
+  void __set_data(const std::string& val);
+
+  bool operator == (const snapshot_record & rhs) const
+  {
+    if (!(last_index == rhs.last_index))
+      return false;
+    if (!(last_term == rhs.last_term))
+      return false;
+    if (!(members == rhs.members))
+      return false;
+    if (!(data == rhs.data))
+      return false;
+    return true;
+  }
+  bool operator != (const snapshot_record &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const snapshot_record & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(snapshot_record &a, snapshot_record &b);
+
+std::ostream& operator<<(std::ostream& out, const snapshot_record& obj);
+
 typedef struct _vote_request__isset {
-  _vote_request__isset() : term(false), candidate(false), last_index(false), last_term(false), trial(false) {}
+  _vote_request__isset() : term(false), candidate(false), last_index(false), last_term(false), trial(false), cluster(false), recipient(false) {}
   bool term :1;
   bool candidate :1;
   bool last_index :1;
   bool last_term :1;
   bool trial :1;
+  bool cluster :1;
+  bool recipient :1;
 } _vote_request__isset;
 
 class vote_request : public virtual ::apache::thrift::TBase {
@@ -214,7 +397,9 @@
                  candidate(0),
                  last_index(0),
                  last_term(0),
-                 trial(0) {
+                 trial(0),
+                 cluster(0),
+                 recipient(0) {
   }
 
   virtual ~vote_request() noexcept;
@@ -223,6 +408,8 @@
   int64_t last_index;
   int64_t last_term;
   bool trial;
+  int64_t cluster;
+  int64_t recipient;
 
   _vote_request__isset __isset;
 
@@ -236,6 +423,10 @@
 
   void __set_trial(const bool val);
 
+  void __set_cluster(const int64_t val);
+
+  void __set_recipient(const int64_t val);
+
   bool operator == (const vote_request & rhs) const
   {
     if (!(term == rhs.term))
@@ -248,6 +439,10 @@
       return false;
     if (!(trial == rhs.trial))
       return false;
+    if (!(cluster == rhs.cluster))
+      return false;
+    if (!(recipient == rhs.recipient))
+      return false;
     return true;
   }
   bool operator != (const vote_request &rhs) const {
@@ -333,7 +528,7 @@
 std::ostream& operator<<(std::ostream& out, const vote_reply& obj);
 
 typedef struct _append_request__isset {
-  _append_request__isset() : term(false), leader(false), previous_index(false), previous_term(false), entries(false), commit(false), round(false) {}
+  _append_request__isset() : term(false), leader(false), previous_index(false), previous_term(false), entries(false), commit(false), round(false), cluster(false), recipient(false) {}
   bool term :1;
   bool leader :1;
   bool previous_index :1;
@@ -341,6 +536,8 @@
   bool entries :1;
   bool commit :1;
   bool round :1;
+  bool cluster :1;
+  bool recipient :1;
 } _append_request__isset;
 
 class append_request : public virtual ::apache::thrift::TBase {
@@ -356,7 +553,9 @@
                    previous_index(0),
                    previous_term(0),
                    commit(0),
-                   round(0) {
+                   round(0),
+                   cluster(0),
+                   recipient(0) {
   }
 
   virtual ~append_request() noexcept;
@@ -367,6 +566,8 @@
   std::vector<log_entry>  entries;
   int64_t commit;
   int64_t round;
+  int64_t cluster;
+  int64_t recipient;
 
   _append_request__isset __isset;
 
@@ -384,6 +585,10 @@
 
   void __set_round(const int64_t val);
 
+  void __set_cluster(const int64_t val);
+
+  void __set_recipient(const int64_t val);
+
   bool operator == (const append_request & rhs) const
   {
     if (!(term == rhs.term))
@@ -400,6 +605,10 @@
       return false;
     if (!(round == rhs.round))
       return false;
+    if (!(cluster == rhs.cluster))
+      return false;
+    if (!(recipient == rhs.recipient))
+      return false;
     return true;
   }
   bool operator != (const append_request &rhs) const {
@@ -492,7 +701,7 @@
 std::ostream& operator<<(std::ostream& out, const append_reply& obj);
 
 typedef struct _snapshot_request__isset {
-  _snapshot_request__isset() : term(false), leader(false), last_index(false), last_term(false), members(false), offset(false), data(false), done(false) {}
+  _snapshot_request__isset() : term(false), leader(false), last_index(false), last_term(false), members(false), offset(false), data(false), done(false), cluster(false), recipient(false) {}
   bool term :1;
   bool leader :1;
   bool last_index :1;
@@ -501,6 +710,8 @@
   bool offset :1;
   bool data :1;
   bool done :1;
+  bool cluster :1;
+  bool recipient :1;
 } _snapshot_request__isset;
 
 class snapshot_request : public virtual ::apache::thrift::TBase {
@@ -517,7 +728,9 @@
                      last_term(0),
                      offset(0),
                      data(),
-                     done(0) {
+                     done(0),
+                     cluster(0),
+                     recipient(0) {
   }
 
   virtual ~snapshot_request() noexcept;
@@ -529,6 +742,8 @@
   int64_t offset;
   std::string data;
   bool done;
+  int64_t cluster;
+  int64_t recipient;
 
   _snapshot_request__isset __isset;
 
@@ -548,6 +763,10 @@
 
   void __set_done(const bool val);
 
+  void __set_cluster(const int64_t val);
+
+  void __set_recipient(const int64_t val);
+
   bool operator == (const snapshot_request & rhs) const
   {
     if (!(term == rhs.term))
@@ -566,6 +785,10 @@
       return false;
     if (!(done == rhs.done))
       return false;
+    if (!(cluster == rhs.cluster))
+      return false;
+    if (!(recipient == rhs.recipient))
+      return false;
     return true;
   }
   bool operator != (const snapshot_request &rhs) const {
@@ -585,11 +808,12 @@
 std::ostream& operator<<(std::ostream& out, const snapshot_request& obj);
 
 typedef struct _snapshot_reply__isset {
-  _snapshot_reply__isset() : term(false), follower(false), last_index(false), next_offset(false) {}
+  _snapshot_reply__isset() : term(false), follower(false), last_index(false), next_offset(false), installed(false) {}
   bool term :1;
   bool follower :1;
   bool last_index :1;
   bool next_offset :1;
+  bool installed :1;
 } _snapshot_reply__isset;
 
 class snapshot_reply : public virtual ::apache::thrift::TBase {
@@ -603,7 +827,8 @@
                  : term(0),
                    follower(0),
                    last_index(0),
-                   next_offset(0) {
+                   next_offset(0),
+                   installed(0) {
   }
 
   virtual ~snapshot_reply() noexcept;
@@ -611,6 +836,7 @@
   int64_t follower;
   int64_t last_index;
   int64_t next_offset;
+  bool installed;
 
   _snapshot_reply__isset __isset;
 
@@ -622,6 +848,8 @@
 
   void __set_next_offset(const int64_t val);
 
+  void __set_installed(const bool val);
+
   bool operator == (const snapshot_reply & rhs) const
   {
     if (!(term == rhs.term))
@@ -632,6 +860,8 @@
       return false;
     if (!(next_offset == rhs.next_offset))
       return false;
+    if (!(installed == rhs.installed))
+      return false;
     return true;
   }
   bool operator != (const snapshot_reply &rhs) const {
--- /dev/null
+++ b/modules/consensus/log_frame.cpp
@@ -0,0 +1,66 @@
+#include "modules/consensus/log_frame.h"
+
+#include <boost/crc.hpp>
+#include <boost/endian/conversion.hpp>
+#include <cstdint>
+
+namespace teasellock {
+
+namespace {
+
+constexpr std::string_view Magic = "TLR1";
+constexpr std::size_t LengthOffset = 4;
+constexpr std::size_t ChecksumOffset = 8;
+constexpr std::size_t HeaderSize = 12;
+
+std::uint32_t checksum(std::string_view Payload) {
+  boost::crc_32_type Crc;
+  Crc.process_bytes(Payload.data(), Payload.size());
+  return Crc.checksum();
+}
+
+std::uint32_t readNumber(std::string_view Content, std::size_t Offset) {
+  return boost::endian::load_big_u32(
+      reinterpret_cast<const unsigned char *>(Content.data() + Offset));
+}
+
+void appendNumber(std::string &To, std::size_t Number) {
+  unsigned char Bytes[4];
+  boost::endian::store_big_u32(Bytes, static_cast<std::uint32_t>(Number));
+  To.append(reinterpret_cast<const char *>(Bytes), sizeof(Bytes));
+}
+
+} // namespace
+
+std::string frame(std::string_view Payload) {
+  std::string Bytes(Magic);
+  appendNumber(Bytes, Payload.size());
+  appendNumber(Bytes, checksum(Payload));
+  Bytes.append(Payload);
+  return Bytes;
+}
+
+frame_scan readFrame(std::string_view Content, std::size_t Offset) {
+  frame_scan Scan;
+  if (Content.size() < Offset + HeaderSize ||
+      Content.substr(Offset, Magic.size()) != Magic)
+    return Scan;
+  std::size_t Length = readNumber(Content, Offset + LengthOffset);
+  if (Content.size() - Offset - HeaderSize < Length)
+    return Scan;
+  Scan.Payload = Content.substr(Offset + HeaderSize, Length);
+  Scan.Whole =
+      checksum(Scan.Payload) == readNumber(Content, Offset + ChecksumOffset);
+  Scan.NextOffset = Offset + HeaderSize + Length;
+  return Scan;
+}
+
+bool holdsWholeFrame(std::string_view Content, std::size_t Offset) {
+  for (std::size_t At = Content.find(Magic, Offset);
+       At != std::string_view::npos; At = Content.find(Magic, At + 1))
+    if (readFrame(Content, At).Whole)
+      return true;
+  return false;
+}
+
+} // namespace teasellock
