--- /dev/null
+++ b/modules/control/assignment.cpp
@@ -0,0 +1,306 @@
+#include "modules/control/assignment.h"
+
+#include "modules/control/budget.h"
+#include "modules/control/leases.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+
+namespace teasellock {
+
+namespace {
+
+/// What one assignment decision looks at.
+struct assignment_input {
+  const control_state &State;
+  const leader_state &Leader;
+  const decision_settings &Settings;
+  time_point Now;
+};
+
+bool isGone(const assignment_input &Input, const vm_id &Vm) {
+  // A new leader gives every VM the time to be heard.
+  return Input.Now - Input.Leader.LeadingSince >= Input.Settings.VmTimeout &&
+         !heardWithin(Input.Leader, Vm, Input.Settings.VmTimeout, Input.Now);
+}
+
+bool isDraining(const assignment_input &Input, const vm_id &Vm) {
+  auto Found = Input.State.Vms.find(Vm);
+  return Found != Input.State.Vms.end() && Found->second.Draining;
+}
+
+std::size_t wantedGateways(const group_state &Group) {
+  auto Limits = limitsOf(Group);
+  std::size_t Wanted = std::max<std::uint32_t>(Group.Row.Gateways, 1);
+  // Every gateway needs a connection and a slot of its own.
+  std::size_t Useful = std::min(Limits.Connections, Limits.Slots);
+  return std::max<std::size_t>(std::min(Wanted, Useful), 1);
+}
+
+std::map<vm_id, std::size_t> loads(const control_state &State) {
+  std::map<vm_id, std::size_t> Result;
+  for (const auto &[Name, Group] : State.Groups)
+    for (const auto &Share : Group.Gateways)
+      ++Result[Share.Vm];
+  return Result;
+}
+
+/// Smaller is better: zones not yet covered, zones and regions of the group's
+/// upstreams, few groups.
+auto rankOf(const group_state &Group, const vm_record &Vm, std::size_t Load) {
+  std::size_t SameZone = 0;
+  std::size_t UpstreamsInZone = 0;
+  std::size_t UpstreamsInRegion = 0;
+  for (const auto &Share : Group.Gateways)
+    SameZone += Share.AvailabilityZone == Vm.AvailabilityZone;
+  for (const auto &[Name, Upstream] : Group.Upstreams) {
+    UpstreamsInZone += Upstream.AvailabilityZone == Vm.AvailabilityZone;
+    UpstreamsInRegion += Upstream.Region == Vm.Region;
+  }
+  return std::tuple(SameZone, UpstreamsInZone == 0,
+                    Group.Upstreams.size() - UpstreamsInRegion, Load, Vm.Vm);
+}
+
+const vm_record *bestCandidate(const assignment_input &Input,
+                               const group_state &Group) {
+  auto Loads = loads(Input.State);
+  const vm_record *Best = nullptr;
+  for (const auto &[Name, Vm] : Input.State.Vms) {
+    if (Vm.Draining || findShare(Group, Name) ||
+        !heardWithin(Input.Leader, Name, Input.Settings.VmTimeout, Input.Now))
+      continue;
+    if (!Best ||
+        rankOf(Group, Vm, Loads[Name]) < rankOf(Group, *Best, Loads[Best->Vm]))
+      Best = &Vm;
+  }
+  return Best;
+}
+
+void addHolder(group_state &Group, const gateway_share &Share) {
+  share_holder Holder;
+  Holder.Vm = Share.Vm;
+  Holder.Incarnation = Share.Incarnation;
+  // Without a primary it can't acknowledge; the end of the promotion lifts it.
+  Holder.Fenced = Group.Promotion.has_value();
+  Group.Holders.push_back(Holder);
+}
+
+/// A holder that gets its group back before it was released keeps its entry.
+void addGateway(group_state &Group, const vm_record &Vm) {
+  gateway_share Share;
+  Share.Vm = Vm.Vm;
+  Share.Incarnation = Vm.Incarnation;
+  Share.Address = Vm.Address;
+  Share.AvailabilityZone = Vm.AvailabilityZone;
+  Share.Region = Vm.Region;
+  Group.Gateways.push_back(Share);
+  for (auto &Holder : Group.Holders) {
+    if (Holder.Vm != Vm.Vm || Holder.Incarnation != Vm.Incarnation)
+      continue;
+    Holder.RemovedAt = revision();
+    Holder.Epoch = Group.BudgetEpoch + 1;
+    Holder.Fenced = Holder.Fenced && Group.Promotion.has_value();
+    return;
+  }
+  addHolder(Group, Share);
+}
+
+void markRemoved(group_state &Group, const gateway_share &Share) {
+  for (auto &Holder : Group.Holders)
+    if (Holder.Vm == Share.Vm && Holder.Incarnation == Share.Incarnation)
+      Holder.RemovedAt = revision(ThisRevision);
+}
+
+void removeGateway(group_state &Group, const vm_id &Vm) {
+  auto Found =
+      std::find_if(Group.Gateways.begin(), Group.Gateways.end(),
+                   [&](const gateway_share &Share) { return Share.Vm == Vm; });
+  if (Found == Group.Gateways.end())
+    return;
+  markRemoved(Group, *Found);
+  Group.Gateways.erase(Found);
+}
+
+/// A VM that came back as another incarnation starts with an empty share.
+void replaceRestarted(const assignment_input &Input, group_state &Group) {
+  std::vector<vm_record> Restarted;
+  for (const auto &Share : Group.Gateways) {
+    auto Vm = Input.State.Vms.find(Share.Vm);
+    if (Vm != Input.State.Vms.end() &&
+        Vm->second.Incarnation != Share.Incarnation)
+      Restarted.push_back(Vm->second);
+  }
+  for (const auto &Vm : Restarted) {
+    removeGateway(Group, Vm.Vm);
+    addGateway(Group, Vm);
+  }
+}
+
+bool hasReported(const assignment_input &Input, const group_state &Group,
+                 const gateway_share &Share) {
+  auto Vm = Input.Leader.Vms.find(Share.Vm);
+  return Vm != Input.Leader.Vms.end() &&
+         Vm->second.Incarnation == Share.Incarnation &&
+         Vm->second.Groups.contains(Group.Group);
+}
+
+struct gateway_census {
+  std::vector<vm_id> Gone;
+  std::vector<vm_id> Draining;
+  std::vector<vm_id> Staying;
+  /// All that stay have taken the group up.
+  bool Ready = true;
+};
+
+gateway_census countGateways(const assignment_input &Input,
+                             const group_state &Group) {
+  gateway_census Census;
+  for (const auto &Share : Group.Gateways) {
+    if (isGone(Input, Share.Vm)) {
+      Census.Gone.push_back(Share.Vm);
+    } else if (isDraining(Input, Share.Vm)) {
+      Census.Draining.push_back(Share.Vm);
+    } else {
+      Census.Staying.push_back(Share.Vm);
+      Census.Ready = Census.Ready && hasReported(Input, Group, Share);
+    }
+  }
+  return Census;
+}
+
+void assignGateways(const assignment_input &Input, group_state &Group) {
+  replaceRestarted(Input, Group);
+  std::size_t Wanted = wantedGateways(Group);
+  auto Census = countGateways(Input, Group);
+  std::size_t Staying = Census.Staying.size();
+  std::size_t Added = 0;
+  while (Staying + Added < Wanted) {
+    const auto *Vm = bestCandidate(Input, Group);
+    if (!Vm)
+      break;
+    addGateway(Group, *Vm);
+    ++Added;
+  }
+  // Those gone or draining go as others take their place; draining ones only
+  // once the others are ready.
+  std::size_t Surplus =
+      Group.Gateways.size() > Wanted ? Group.Gateways.size() - Wanted : 0;
+  for (const auto &Vm : Census.Gone)
+    if (Surplus > 0 || Staying + Added > 0) {
+      removeGateway(Group, Vm);
+      Surplus -= Surplus > 0;
+    }
+  bool Ready = Census.Ready && Added == 0 && Staying > 0;
+  for (const auto &Vm : Census.Draining)
+    if (Ready && Staying >= std::min(Wanted, Group.Gateways.size() - 1)) {
+      removeGateway(Group, Vm);
+      Surplus -= Surplus > 0;
+    }
+  for (; Surplus > 0 && Census.Staying.size() > Wanted; --Surplus) {
+    removeGateway(Group, Census.Staying.back());
+    Census.Staying.pop_back();
+  }
+}
+
+enum class holder_fate { Stays, Released, Ended };
+
+holder_fate fateOf(const assignment_input &Input, const group_state &Group,
+                   const share_holder &Holder) {
+  if (Holder.RemovedAt == revision() ||
+      Holder.RemovedAt == revision(ThisRevision))
+    return holder_fate::Stays;
+  gateway_run Run(Holder.Vm, Holder.Incarnation);
+  if (leaseEnd(Input.Leader, Run, Input.Settings) <= Input.Now)
+    return holder_fate::Ended;
+  auto Vm = Input.Leader.Vms.find(Holder.Vm);
+  bool Heard = Vm != Input.Leader.Vms.end() &&
+               Vm->second.Incarnation == Holder.Incarnation &&
+               Vm->second.Applied >= Holder.RemovedAt;
+  if (Heard && !Vm->second.Groups.contains(Group.Group))
+    return holder_fate::Released;
+  return holder_fate::Stays;
+}
+
+/// Forgets holders that can neither acknowledge nor hold connections. What
+/// they acknowledged last is unknown until the primary has been probed again.
+void releaseHolders(const assignment_input &Input, group_state &Group,
+                    std::string &Reason) {
+  if (Group.Promotion)
+    return;
+  std::erase_if(Group.Holders, [&](const share_holder &Holder) {
+    auto Fate = fateOf(Input, Group, Holder);
+    if (Fate == holder_fate::Stays)
+      return false;
+    Reason += Holder.Vm.Value + (Fate == holder_fate::Released
+                                     ? " has released the group; "
+                                     : " has lost its lease unheard; ");
+    if (!Holder.Fenced) {
+      Group.Dirty = true;
+      Group.DirtySince = revision(ThisRevision);
+    }
+    return true;
+  });
+}
+
+std::string gatewaysText(const group_state &Group) {
+  std::string Text;
+  for (const auto &Share : Group.Gateways)
+    Text += (Text.empty() ? "" : ",") + Share.Vm.Value;
+  return Text.empty() ? "none" : Text;
+}
+
+bool sameVms(const group_state &Left, const group_state &Right) {
+  return gatewaysText(Left) == gatewaysText(Right);
+}
+
+} // namespace
+
+group_decision decideAssignment(const control_state &State,
+                                const group_state &Group,
+                                const leader_state &Leader,
+                                const decision_settings &Settings,
+                                time_point Now) {
+  assignment_input Input{State, Leader, Settings, Now};
+  group_decision Decision;
+  group_state Next = Group;
+  releaseHolders(Input, Next, Decision.Reason);
+  group_state Assigned = Next;
+  if (Group.Removed)
+    while (!Assigned.Gateways.empty())
+      removeGateway(Assigned, vm_id(Assigned.Gateways.back().Vm));
+  else if (!Group.Upstreams.empty())
+    assignGateways(Input, Assigned);
+  std::string Id = "assign-" + Group.Group.Value + "-" + gatewaysText(Assigned);
+  bool Moves = !sameVms(Group, Assigned) && !Group.Gateways.empty();
+  if (Moves && Group.Row.Mode == operating_mode::Hand &&
+      !Leader.Approved.contains(Id)) {
+    Decision.Proposal = proposal{Id, Group.Group, "assign",
+                                 "gateways " + gatewaysText(Group) + " -> " +
+                                     gatewaysText(Assigned)};
+    Assigned = Next;
+  }
+  confirmShares(Assigned, Leader);
+  divideBudget(Assigned);
+  if (Assigned == Group)
+    return Decision;
+  Decision.Kind = "assign";
+  Decision.Reason += "gateways " + gatewaysText(Group) + " -> " +
+                     gatewaysText(Assigned) + ", budget epoch " +
+                     std::to_string(Assigned.BudgetEpoch);
+  Decision.Next = std::move(Assigned);
+  return Decision;
+}
+
+bool isReleased(const control_state &State, const vm_id &Vm) {
+  for (const auto &[Name, Group] : State.Groups) {
+    if (findShare(Group, Vm))
+      return false;
+    for (const auto &Holder : Group.Holders)
+      if (Holder.Vm == Vm)
+        return false;
+  }
+  return true;
+}
+
+} // namespace teasellock
--- /dev/null
+++ b/modules/control/control_codec.cpp
@@ -0,0 +1,191 @@
+#include "modules/control/control_codec.h"
+
+#include "modules/link/codec.h"
+
+namespace teasellock {
+
+namespace {
+
+std::int64_t toSigned(std::uint64_t Number) {
+  return static_cast<std::int64_t>(Number);
+}
+
+std::uint64_t toUnsigned(std::int64_t Number) {
+  return static_cast<std::uint64_t>(Number);
+}
+
+std::uint32_t toCount(std::int32_t Number) {
+  return Number < 0 ? 0 : static_cast<std::uint32_t>(Number);
+}
+
+std::string nameOf(const std::optional<upstream_id> &Upstream) {
+  return Upstream ? Upstream->Value : std::string();
+}
+
+std::optional<upstream_id> upstreamOf(const std::string &Name) {
+  if (Name.empty())
+    return std::nullopt;
+  return upstream_id(Name);
+}
+
+wire::share_holder toWire(const share_holder &Holder) {
+  wire::share_holder Result;
+  Result.vm = Holder.Vm.Value;
+  Result.incarnation = toSigned(Holder.Incarnation.Value);
+  Result.connections = static_cast<std::int32_t>(Holder.Connections);
+  Result.slots = static_cast<std::int32_t>(Holder.Slots);
+  Result.epoch = toSigned(Holder.Epoch);
+  Result.fenced = Holder.Fenced;
+  Result.removed_at = toSigned(Holder.RemovedAt.Value);
+  return Result;
+}
+
+share_holder fromWire(const wire::share_holder &Holder) {
+  share_holder Result;
+  Result.Vm = vm_id(Holder.vm);
+  Result.Incarnation = incarnation(toUnsigned(Holder.incarnation));
+  Result.Connections = toCount(Holder.connections);
+  Result.Slots = toCount(Holder.slots);
+  Result.Epoch = toUnsigned(Holder.epoch);
+  Result.Fenced = Holder.fenced;
+  Result.RemovedAt = revision(toUnsigned(Holder.removed_at));
+  return Result;
+}
+
+wire::promotion_record toWire(const promotion_state &Promotion) {
+  wire::promotion_record Result;
+  Result.ordering = Promotion.Phase == promotion_phase::Ordering;
+  Result.reason = Promotion.Reason;
+  Result.fenced_term = toSigned(Promotion.FencedTerm.Value);
+  Result.deposed = nameOf(Promotion.Deposed);
+  Result.wanted = nameOf(Promotion.Wanted);
+  Result.forced = Promotion.Forced;
+  Result.chosen = nameOf(Promotion.Chosen);
+  Result.chosen_position = toWire(Promotion.ChosenPosition);
+  return Result;
+}
+
+promotion_state fromWire(const wire::promotion_record &Record) {
+  promotion_state Result;
+  Result.Phase =
+      Record.ordering ? promotion_phase::Ordering : promotion_phase::Fencing;
+  Result.Reason = Record.reason;
+  Result.FencedTerm = term(toUnsigned(Record.fenced_term));
+  Result.Deposed = upstreamOf(Record.deposed);
+  Result.Wanted = upstreamOf(Record.wanted);
+  Result.Forced = Record.forced;
+  Result.Chosen = upstreamOf(Record.chosen);
+  Result.ChosenPosition = teasellock::fromWire(Record.chosen_position);
+  return Result;
+}
+
+} // namespace
+
+wire::vm_record toWire(const vm_record &Vm) {
+  wire::vm_record Result;
+  Result.vm = Vm.Vm.Value;
+  Result.incarnation = toSigned(Vm.Incarnation.Value);
+  Result.address = toString(Vm.Address);
+  Result.availability_zone = Vm.AvailabilityZone.Value;
+  Result.region = Vm.Region.Value;
+  Result.draining = Vm.Draining;
+  return Result;
+}
+
+vm_record fromWire(const wire::vm_record &Vm) {
+  vm_record Result;
+  Result.Vm = vm_id(Vm.vm);
+  Result.Incarnation = incarnation(toUnsigned(Vm.incarnation));
+  Result.Address = parseEndpoint(Vm.address);
+  Result.AvailabilityZone = availability_zone_id(Vm.availability_zone);
+  Result.Region = region_id(Vm.region);
+  Result.Draining = Vm.draining;
+  return Result;
+}
+
+wire::group_record toWire(const group_state &Group) {
+  wire::group_record Result;
+  Result.group = Group.Group.Value;
+  Result.revision = toSigned(Group.Revision.Value);
+  Result.row = toWire(Group.Row);
+  Result.term = toSigned(Group.Term.Value);
+  Result.primary = nameOf(Group.Primary);
+  for (const auto &[Name, Upstream] : Group.Upstreams)
+    Result.upstreams.push_back(toWire(Upstream));
+  for (const auto &Share : Group.Gateways)
+    Result.gateways.push_back(toWire(Share));
+  for (const auto &Holder : Group.Holders)
+    Result.holders.push_back(toWire(Holder));
+  Result.watermark = toWire(Group.Watermark);
+  Result.dirty = Group.Dirty;
+  Result.dirty_since = toSigned(Group.DirtySince.Value);
+  Result.least_ack_replicas = static_cast<std::int32_t>(Group.LeastAckReplicas);
+  Result.budget_epoch = toSigned(Group.BudgetEpoch);
+  if (Group.Promotion)
+    Result.__set_promotion(toWire(*Group.Promotion));
+  Result.removed = Group.Removed;
+  return Result;
+}
+
+group_state fromWire(const wire::group_record &Record) {
+  group_state Result;
+  Result.Group = group_id(Record.group);
+  Result.Revision = revision(toUnsigned(Record.revision));
+  Result.Row = fromWire(Record.row);
+  Result.Term = term(toUnsigned(Record.term));
+  Result.Primary = upstreamOf(Record.primary);
+  for (const auto &Upstream : Record.upstreams)
+    Result.Upstreams[upstream_id(Upstream.upstream)] = fromWire(Upstream);
+  for (const auto &Share : Record.gateways)
+    Result.Gateways.push_back(fromWire(Share));
+  for (const auto &Holder : Record.holders)
+    Result.Holders.push_back(fromWire(Holder));
+  Result.Watermark = fromWire(Record.watermark);
+  Result.Dirty = Record.dirty;
+  Result.DirtySince = revision(toUnsigned(Record.dirty_since));
+  Result.LeastAckReplicas = toCount(Record.least_ack_replicas);
+  Result.BudgetEpoch = toUnsigned(Record.budget_epoch);
+  if (Record.__isset.promotion)
+    Result.Promotion = fromWire(Record.promotion);
+  Result.Removed = Record.removed;
+  return Result;
+}
+
+std::string encodeSnapshot(const control_state &State) {
+  wire::control_snapshot Result;
+  Result.applied = toSigned(State.Applied.Value);
+  Result.table_version = toSigned(State.TableVersion.Value);
+  Result.last_edit = State.LastEdit.Value;
+  for (const auto &[Name, Vm] : State.Vms)
+    Result.vms.push_back(toWire(Vm));
+  for (const auto &[Name, Group] : State.Groups)
+    Result.groups.push_back(toWire(Group));
+  for (const auto &Answer : State.Edits) {
+    wire::edit_record Record;
+    Record.edit_id = Answer.Edit.Value;
+    Record.accepted = Answer.Accepted;
+    Record.version = toSigned(Answer.Version.Value);
+    Record.winning_edit = Answer.WinningEdit.Value;
+    Result.edits.push_back(Record);
+  }
+  return encode(Result);
+}
+
+control_state decodeSnapshot(const std::string &Text) {
+  auto Snapshot = decode<wire::control_snapshot>(Text, "snapshot");
+  control_state Result;
+  Result.Applied = revision(toUnsigned(Snapshot.applied));
+  Result.TableVersion = table_version(toUnsigned(Snapshot.table_version));
+  Result.LastEdit = edit_id(Snapshot.last_edit);
+  for (const auto &Vm : Snapshot.vms)
+    Result.Vms[vm_id(Vm.vm)] = fromWire(Vm);
+  for (const auto &Group : Snapshot.groups)
+    Result.Groups[group_id(Group.group)] = fromWire(Group);
+  for (const auto &Record : Snapshot.edits)
+    Result.Edits.push_back({edit_id(Record.edit_id), Record.accepted,
+                            table_version(toUnsigned(Record.version)),
+                            edit_id(Record.winning_edit)});
+  return Result;
+}
+
+} // namespace teasellock
--- /dev/null
+++ b/modules/control/control_state.cpp
@@ -0,0 +1,199 @@
+#include "modules/control/control_state.h"
+
+#include "modules/control/control_codec.h"
+
+#include <algorithm>
+#include <set>
+
+namespace teasellock {
+
+namespace {
+
+group_state &groupOf(control_state &State, const group_id &Name) {
+  auto &Group = State.Groups[Name];
+  Group.Group = Name;
+  Group.Row.Group = Name;
+  return Group;
+}
+
+void rememberEdit(control_state &State, edit_answer Answer) {
+  State.Edits.push_back(std::move(Answer));
+  if (State.Edits.size() > RememberedEdits)
+    State.Edits.pop_front();
+}
+
+void setRow(group_state &Group, const table_row &Row, revision Index) {
+  if (!Group.Removed && Group.Row == Row)
+    return;
+  Group.Row = Row;
+  Group.Removed = false;
+  Group.LeastAckReplicas = std::min(Group.LeastAckReplicas, Row.AckReplicas);
+  Group.Revision = Index;
+}
+
+void removeMissingRows(control_state &State, const std::set<group_id> &Kept,
+                       revision Index) {
+  for (auto &[Name, Group] : State.Groups) {
+    if (Group.Removed || Kept.contains(Name))
+      continue;
+    Group.Removed = true;
+    Group.Revision = Index;
+  }
+}
+
+void applyRows(control_state &State, const std::vector<wire::table_row> &Rows,
+               revision Index) {
+  std::set<group_id> Kept;
+  for (const auto &Wire : Rows) {
+    table_row Row = fromWire(Wire);
+    Kept.insert(Row.Group);
+    bool Known = State.Groups.contains(Row.Group);
+    auto &Group = groupOf(State, Row.Group);
+    if (!Known || Group.Term == term())
+      Group.LeastAckReplicas = Row.AckReplicas;
+    setRow(Group, Row, Index);
+  }
+  removeMissingRows(State, Kept, Index);
+}
+
+void applyEdit(control_state &State, revision Index,
+               const wire::table_edit &Edit) {
+  edit_id Id(Edit.edit_id);
+  if (findEdit(State, Id))
+    return;
+  auto Base = static_cast<std::uint64_t>(Edit.base_version);
+  if (Base != State.TableVersion.Value) {
+    rememberEdit(State, {Id, false, State.TableVersion, State.LastEdit});
+    return;
+  }
+  applyRows(State, Edit.rows, Index);
+  ++State.TableVersion.Value;
+  State.LastEdit = Id;
+  rememberEdit(State, {Id, true, State.TableVersion, Id});
+}
+
+void applyVm(control_state &State, const vm_record &Vm) {
+  auto Found = State.Vms.find(Vm.Vm);
+  if (Found != State.Vms.end() && Vm.Incarnation < Found->second.Incarnation)
+    return;
+  State.Vms[Vm.Vm] = Vm;
+}
+
+void applyAnnouncement(control_state &State, revision Index,
+                       const upstream_announcement &Announcement) {
+  auto &Group = groupOf(State, Announcement.Group);
+  auto &Known = Group.Upstreams[Announcement.Upstream];
+  if (Known == Announcement)
+    return;
+  Known = Announcement;
+  Group.Revision = Index;
+}
+
+void resolveRevision(revision &Value, revision Index) {
+  if (Value.Value == ThisRevision)
+    Value = Index;
+}
+
+void applyGroup(control_state &State, revision Index, group_state Next) {
+  auto Found = State.Groups.find(Next.Group);
+  if (Found == State.Groups.end() || Found->second.Revision != Next.Revision)
+    return;
+  resolveRevision(Next.DirtySince, Index);
+  for (auto &Holder : Next.Holders)
+    resolveRevision(Holder.RemovedAt, Index);
+  Next.Revision = Index;
+  Found->second = std::move(Next);
+}
+
+} // namespace
+
+void applyCommand(control_state &State, revision Index,
+                  const wire::control_command &Command) {
+  State.Applied = Index;
+  if (Command.__isset.edit)
+    applyEdit(State, Index, Command.edit);
+  if (Command.__isset.vm)
+    applyVm(State, fromWire(Command.vm));
+  if (Command.__isset.announcement)
+    applyAnnouncement(State, Index, fromWire(Command.announcement));
+  if (Command.__isset.group)
+    applyGroup(State, Index, fromWire(Command.group));
+}
+
+wire::control_command makeEditCommand(const edit_id &Edit, table_version Base,
+                                      const std::vector<table_row> &Rows) {
+  wire::table_edit Wire;
+  Wire.edit_id = Edit.Value;
+  Wire.base_version = static_cast<std::int64_t>(Base.Value);
+  for (const auto &Row : Rows)
+    Wire.rows.push_back(toWire(Row));
+  wire::control_command Result;
+  Result.__set_edit(Wire);
+  return Result;
+}
+
+wire::control_command makeVmCommand(const vm_record &Vm) {
+  wire::control_command Result;
+  Result.__set_vm(toWire(Vm));
+  return Result;
+}
+
+wire::control_command
+makeAnnouncementCommand(const upstream_announcement &Announcement) {
+  wire::control_command Result;
+  Result.__set_announcement(toWire(Announcement));
+  return Result;
+}
+
+wire::control_command makeGroupCommand(const group_state &Next) {
+  wire::control_command Result;
+  Result.__set_group(toWire(Next));
+  return Result;
+}
+
+group_view viewOf(const group_state &Group) {
+  group_view View;
+  View.Group = Group.Group;
+  View.Revision = Group.Revision;
+  View.Row = Group.Row;
+  View.Term = Group.Term;
+  View.Primary = Group.Primary;
+  for (const auto &[Name, Upstream] : Group.Upstreams)
+    View.Upstreams.push_back(Upstream);
+  View.Gateways = Group.Gateways;
+  View.Watermark = Group.Watermark;
+  View.Removed = Group.Removed;
+  return View;
+}
+
+const edit_answer *findEdit(const control_state &State, const edit_id &Edit) {
+  auto Found = std::find_if(
+      State.Edits.rbegin(), State.Edits.rend(),
+      [&](const edit_answer &Answer) { return Answer.Edit == Edit; });
+  return Found == State.Edits.rend() ? nullptr : &*Found;
+}
+
+std::vector<table_row> tableRows(const control_state &State) {
+  std::vector<table_row> Rows;
+  for (const auto &[Name, Group] : State.Groups)
+    if (!Group.Removed)
+      Rows.push_back(Group.Row);
+  return Rows;
+}
+
+const gateway_share *findShare(const group_state &Group, const vm_id &Vm) {
+  for (const auto &Share : Group.Gateways)
+    if (Share.Vm == Vm)
+      return &Share;
+  return nullptr;
+}
+
+const share_holder *findHolder(const group_state &Group, const vm_id &Vm,
+                               incarnation Incarnation) {
+  for (const auto &Holder : Group.Holders)
+    if (Holder.Vm == Vm && Holder.Incarnation == Incarnation)
+      return &Holder;
+  return nullptr;
+}
+
+} // namespace teasellock
--- /dev/null
+++ b/modules/control/leases.cpp
@@ -0,0 +1,168 @@
+#include "modules/control/leases.h"
+
+#include <algorithm>
+
+namespace teasellock {
+
+namespace {
+
+incarnation incarnationOf(const wire::renewal &Renewal) {
+  return incarnation(static_cast<std::uint64_t>(Renewal.incarnation));
+}
+
+revision appliedOf(const wire::renewal &Renewal) {
+  return revision(static_cast<std::uint64_t>(Renewal.applied_revision));
+}
+
+bool primaryRefused(const group_state &Group,
+                    const group_observation &Observation) {
+  if (!Group.Primary)
+    return false;
+  auto Found = Observation.Upstreams.find(*Group.Primary);
+  return Found != Observation.Upstreams.end() && !Found->second.Reachable &&
+         Found->second.Refused;
+}
+
+group_observation readGroupReport(const wire::renewal &Renewal,
+                                  const wire::group_report &Report,
+                                  time_point Now) {
+  group_observation Result;
+  Result.ReceivedAt = Now;
+  Result.SentAtUs = Renewal.sent_at_us;
+  Result.Term = term(static_cast<std::uint64_t>(Report.term));
+  Result.Acknowledged = fromWire(Report.acknowledged);
+  Result.BudgetEpoch = static_cast<std::uint64_t>(Report.budget_epoch);
+  Result.Upstreams = readReports(Report.upstreams);
+  return Result;
+}
+
+void takeReports(const control_state &State, vm_observation &Vm,
+                 const wire::renewal &Renewal, time_point Now) {
+  std::map<group_id, group_observation> Groups;
+  for (const auto &Report : Renewal.groups) {
+    group_id Name(Report.group);
+    auto Known = State.Groups.find(Name);
+    if (Known == State.Groups.end())
+      continue;
+    auto Observation = readGroupReport(Renewal, Report, Now);
+    if (primaryRefused(Known->second, Observation))
+      Observation.RefusedInRow = Vm.Groups[Name].RefusedInRow + 1;
+    Groups[Name] = std::move(Observation);
+  }
+  Vm.Groups = std::move(Groups);
+}
+
+/// Notes the first renewal of a run that was sent after the VM had applied the
+/// group's dirty revision: probes that began later are newer than it.
+void noteDirtySeen(const control_state &State, leader_state &Leader,
+                   const gateway_run &Run, const wire::renewal &Renewal) {
+  for (const auto &[Name, Group] : State.Groups) {
+    if (!Group.Dirty)
+      continue;
+    auto &Orders = Leader.Orders[Name];
+    if (Orders.DirtySince != Group.DirtySince) {
+      Orders.DirtySince = Group.DirtySince;
+      Orders.DirtySeenAtUs.clear();
+    }
+    if (appliedOf(Renewal) >= Group.DirtySince)
+      Orders.DirtySeenAtUs.try_emplace(Run, Renewal.sent_at_us);
+  }
+}
+
+} // namespace
+
+std::map<upstream_id, upstream_observation>
+readReports(const std::vector<wire::upstream_report> &Reports) {
+  std::map<upstream_id, upstream_observation> Result;
+  for (const auto &Report : Reports) {
+    upstream_observation Observation;
+    Observation.Upstream = upstream_id(Report.upstream);
+    Observation.Reachable = Report.reachable;
+    Observation.Replica = Report.replica;
+    Observation.Replayed = fromWire(Report.replayed);
+    Observation.Age =
+        fromMilliseconds(std::max<std::int64_t>(Report.age_ms, 0));
+    Observation.Unreachable =
+        fromMilliseconds(std::max<std::int64_t>(Report.unreachable_ms, 0));
+    Observation.Refused = Report.refused;
+    Observation.Problem = Report.problem;
+    Result[Observation.Upstream] = std::move(Observation);
+  }
+  return Result;
+}
+
+std::optional<vm_record> changedRecord(const control_state &State,
+                                       const wire::renewal &Renewal) {
+  vm_record Record;
+  Record.Vm = vm_id(Renewal.vm);
+  Record.Incarnation = incarnationOf(Renewal);
+  Record.Address = parseEndpoint(Renewal.address);
+  Record.AvailabilityZone = availability_zone_id(Renewal.availability_zone);
+  Record.Region = region_id(Renewal.region);
+  Record.Draining = Renewal.draining;
+  auto Known = State.Vms.find(Record.Vm);
+  if (Known == State.Vms.end())
+    return Record;
+  if (Known->second.Incarnation > Record.Incarnation)
+    return std::nullopt;
+  // An operator's drain holds until the process restarts.
+  if (Known->second.Incarnation == Record.Incarnation)
+    Record.Draining = Record.Draining || Known->second.Draining;
+  if (Known->second == Record)
+    return std::nullopt;
+  return Record;
+}
+
+renewal_verdict takeRenewal(const control_state &State, leader_state &Leader,
+                            const wire::renewal &Renewal,
+                            const decision_settings &Settings, time_point Now) {
+  gateway_run Run(vm_id(Renewal.vm), incarnationOf(Renewal));
+  auto Known = State.Vms.find(Run.first);
+  if (Known != State.Vms.end() && Run.second < Known->second.Incarnation)
+    return renewal_verdict::Refused;
+  if (Known == State.Vms.end() || Run.second != Known->second.Incarnation)
+    return renewal_verdict::Unregistered;
+  Leader.LeaseEnds[Run] = Now + Settings.LeaseTime + Settings.LeaseMargin;
+  auto &Vm = Leader.Vms[Run.first];
+  if (Vm.Incarnation != Run.second)
+    Vm = vm_observation();
+  // A renewal overtaken by a later one brings no news.
+  if (Renewal.sent_at_us < Vm.SentAtUs)
+    return renewal_verdict::Granted;
+  Vm.Incarnation = Run.second;
+  Vm.HeardAt = Now;
+  Vm.Applied = std::max(Vm.Applied, appliedOf(Renewal));
+  Vm.SentAtUs = Renewal.sent_at_us;
+  takeReports(State, Vm, Renewal, Now);
+  noteDirtySeen(State, Leader, Run, Renewal);
+  return renewal_verdict::Granted;
+}
+
+time_point leaseEnd(const leader_state &Leader, const gateway_run &Run,
+                    const decision_settings &Settings) {
+  auto Found = Leader.LeaseEnds.find(Run);
+  auto Unknown =
+      Leader.LeadingSince + Settings.LeaseTime + Settings.LeaseMargin;
+  if (Found == Leader.LeaseEnds.end())
+    return Unknown;
+  return std::max(Unknown, Found->second);
+}
+
+bool heardWithin(const leader_state &Leader, const vm_id &Vm, duration Span,
+                 time_point Now) {
+  auto Found = Leader.Vms.find(Vm);
+  return Found != Leader.Vms.end() && Now - Found->second.HeardAt <= Span;
+}
+
+void forgetEndedLeases(const control_state &State, leader_state &Leader,
+                       time_point Now) {
+  std::set<gateway_run> Needed;
+  for (const auto &[Name, Group] : State.Groups)
+    for (const auto &Holder : Group.Holders)
+      Needed.emplace(Holder.Vm, Holder.Incarnation);
+  std::erase_if(Leader.LeaseEnds, [&](const auto &Entry) {
+    return Entry.second < Now && !Needed.contains(Entry.first);
+  });
+}
+
+} // namespace teasellock
--- /dev/null
+++ b/modules/control/promotion.cpp
@@ -0,0 +1,791 @@
+#include "modules/control/promotion.h"
+
+#include "core/error.h"
+#include "modules/control/leases.h"
+
+#include <algorithm>
+
+namespace teasellock {
+
+namespace {
+
+/// A refused primary is down after so many reports in a row, or so long.
+constexpr std::uint32_t RefusedReports = 2;
+const duration RefusedTime = fromMilliseconds(100);
+/// A gateway whose report leaves the primary's state open is asked again after
+/// this.
+const duration FreshReportDelay = fromMilliseconds(50);
+const duration FailedOrderDelay = fromMilliseconds(50);
+
+std::string millisecondsText(duration Span) {
+  return std::to_string(toMilliseconds(Span)) + " ms";
+}
+
+const group_orders *ordersOf(const group_state &Group,
+                             const leader_state &Leader) {
+  auto Found = Leader.Orders.find(Group.Group);
+  if (Found == Leader.Orders.end() || Found->second.Term != Group.Term)
+    return nullptr;
+  return &Found->second;
+}
+
+group_orders &beginOrders(const group_state &Group, leader_state &Leader,
+                          time_point Now) {
+  auto &Orders = Leader.Orders[Group.Group];
+  if (Orders.Term != Group.Term) {
+    Orders.Term = Group.Term;
+    Orders.FencingSince = Now;
+    Orders.AskedAt.clear();
+    Orders.Answers.clear();
+    Orders.OrdersSent = 0;
+    Orders.Reply.reset();
+  }
+  return Orders;
+}
+
+/// A gateway's latest report on the group, if it is from the assigned run.
+const group_observation *reportOf(const group_state &Group,
+                                  const leader_state &Leader,
+                                  const gateway_share &Share) {
+  auto Vm = Leader.Vms.find(Share.Vm);
+  if (Vm == Leader.Vms.end() || Vm->second.Incarnation != Share.Incarnation)
+    return nullptr;
+  auto Report = Vm->second.Groups.find(Group.Group);
+  return Report == Vm->second.Groups.end() ? nullptr : &Report->second;
+}
+
+const upstream_observation *probeOf(const group_observation *Report,
+                                    const upstream_id &Upstream) {
+  if (!Report)
+    return nullptr;
+  auto Found = Report->Upstreams.find(Upstream);
+  return Found == Report->Upstreams.end() ? nullptr : &Found->second;
+}
+
+group_decision waiting(std::string Why) {
+  group_decision Decision;
+  Decision.Waiting = std::move(Why);
+  return Decision;
+}
+
+group_decision change(group_state Next, std::string Kind, std::string Reason) {
+  group_decision Decision;
+  Decision.Next = std::move(Next);
+  Decision.Kind = std::move(Kind);
+  Decision.Reason = std::move(Reason);
+  return Decision;
+}
+
+/// In hand mode an act becomes a proposal until an operator approves it.
+group_decision allowed(const group_state &Group, const leader_state &Leader,
+                       group_decision Decision) {
+  if (Group.Row.Mode == operating_mode::Auto || !Decision.Next)
+    return Decision;
+  std::string Id =
+      Decision.Kind + "-" + Group.Group.Value + "-" + toString(Group.Term);
+  if (Leader.Approved.contains(Id))
+    return Decision;
+  group_decision Result;
+  Result.Proposal = proposal{Id, Group.Group, Decision.Kind, Decision.Reason};
+  Result.Waiting =
+      "an operator must approve proposal " + Id + ": " + Decision.Reason;
+  return Result;
+}
+
+//===----------------------------------------------------------------------===//
+// First primary
+//===----------------------------------------------------------------------===//
+
+/// The latest probe of each upstream over all gateways that are alive.
+std::map<upstream_id, upstream_observation>
+latestProbes(const group_state &Group, const leader_state &Leader,
+             const decision_settings &Settings, time_point Now) {
+  std::map<upstream_id, upstream_observation> Result;
+  std::map<upstream_id, time_point> Times;
+  for (const auto &Share : Group.Gateways) {
+    const auto *Report = reportOf(Group, Leader, Share);
+    if (!Report || !heardWithin(Leader, Share.Vm, Settings.AliveTimeout, Now))
+      continue;
+    for (const auto &[Name, Probe] : Report->Upstreams) {
+      time_point At = Report->ReceivedAt - Probe.Age;
+      if (!Probe.Reachable || (Times.contains(Name) && Times[Name] >= At))
+        continue;
+      Times[Name] = At;
+      Result[Name] = Probe;
+    }
+  }
+  return Result;
+}
+
+std::string
+positionsText(const std::map<upstream_id, upstream_observation> &Probes) {
+  std::string Text;
+  for (const auto &[Name, Probe] : Probes) {
+    Text += Text.empty() ? "" : ", ";
+    Text += Name.Value + " at " + toString(Probe.Replayed) +
+            (Probe.Replica ? " (replica)" : " (primary)");
+  }
+  return Text.empty() ? "none heard" : Text;
+}
+
+/// The only non-replica with the highest position, unless a replica has
+/// replayed a higher term.
+const upstream_observation *
+acceptedFirst(const std::map<upstream_id, upstream_observation> &Probes,
+              std::string &Why) {
+  const upstream_observation *Best = nullptr;
+  bool Tied = false;
+  term HighestTerm;
+  for (const auto &[Name, Probe] : Probes) {
+    HighestTerm = std::max(HighestTerm, Probe.Replayed.Term);
+    if (Probe.Replica)
+      continue;
+    Tied = Best && Best->Replayed == Probe.Replayed;
+    if (!Best || Best->Replayed < Probe.Replayed)
+      Best = &Probe;
+  }
+  if (!Best)
+    Why = "no upstream is a primary";
+  else if (Tied)
+    Why = "several primaries at the same position";
+  else if (Best->Replayed.Term < HighestTerm)
+    Why = "a replica has replayed a higher term than any primary";
+  return Why.empty() ? Best : nullptr;
+}
+
+group_decision decideFirst(const group_state &Group, const leader_state &Leader,
+                           const decision_settings &Settings, time_point Now) {
+  if (Group.Upstreams.empty())
+    return waiting("no upstream has been announced");
+  if (Group.Gateways.empty())
+    return waiting("no gateway is assigned");
+  auto Probes = latestProbes(Group, Leader, Settings, Now);
+  for (const auto &[Name, Upstream] : Group.Upstreams)
+    if (!Probes.contains(Name))
+      return waiting("no gateway has reached upstream " + Name.Value);
+  std::string Why;
+  const auto *First = acceptedFirst(Probes, Why);
+  if (!First)
+    return waiting(Why + ": " + positionsText(Probes));
+  group_state Next = Group;
+  Next.LeastAckReplicas = Group.Row.AckReplicas;
+  Next.Watermark = std::max(Group.Watermark, First->Replayed);
+  std::string Reason = "first primary: " + positionsText(Probes);
+  if (First->Replayed.Term > term() && First->Replayed.Term >= Group.Term) {
+    Next.Term = First->Replayed.Term;
+    Next.Primary = First->Upstream;
+    // Its acknowledgements of earlier times are bounded by a later probe.
+    Next.Dirty = true;
+    Next.DirtySince = revision(ThisRevision);
+    return allowed(Group, Leader, change(Next, "adopt", Reason));
+  }
+  Next.Promotion = promotion_state();
+  Next.Promotion->Phase = promotion_phase::Ordering;
+  Next.Promotion->Reason = Reason;
+  Next.Promotion->FencedTerm = Group.Term;
+  Next.Promotion->Chosen = First->Upstream;
+  Next.Promotion->ChosenPosition = First->Replayed;
+  Next.Term = term(std::max(Group.Term, First->Replayed.Term).Value + 1);
+  return allowed(Group, Leader, change(Next, "adopt", Reason));
+}
+
+//===----------------------------------------------------------------------===//
+// Failure detection
+//===----------------------------------------------------------------------===//
+
+/// What the gateways that are alive say of the primary.
+struct primary_health {
+  std::uint32_t Alive = 0;
+  std::uint32_t Reaching = 0;
+  /// Unreachable for the failure timeout.
+  std::uint32_t Lost = 0;
+  /// Known to be down.
+  std::uint32_t Refused = 0;
+  std::vector<vm_id> ToAsk;
+  std::string Text;
+};
+
+/// Whether a probe that failed has failed long enough; asks for a newer report
+/// when only the time since it was sent is missing.
+void countFailed(const group_state &Group, const vm_id &Vm,
+                 const group_observation &Report,
+                 const upstream_observation &Probe, time_point Now,
+                 primary_health &Health) {
+  Health.Text += Vm.Value + ": " +
+                 (Probe.Problem.empty() ? "unreachable" : Probe.Problem) +
+                 " for " + millisecondsText(Probe.Unreachable) + "; ";
+  if (Probe.Refused && (Report.RefusedInRow >= RefusedReports ||
+                        Probe.Unreachable >= RefusedTime))
+    ++Health.Refused;
+  if (Probe.Unreachable >= Group.Row.FailureTimeout) {
+    ++Health.Lost;
+    return;
+  }
+  duration Since = Now - Report.ReceivedAt;
+  bool Due = Probe.Unreachable + Since >= Group.Row.FailureTimeout ||
+             (Probe.Refused && Since >= FreshReportDelay);
+  if (Due)
+    Health.ToAsk.push_back(Vm);
+}
+
+primary_health healthOf(const group_state &Group, const leader_state &Leader,
+                        const decision_settings &Settings, time_point Now) {
+  primary_health Health;
+  for (const auto &Share : Group.Gateways) {
+    if (!heardWithin(Leader, Share.Vm, Settings.AliveTimeout, Now))
+      continue;
+    ++Health.Alive;
+    const auto *Report = reportOf(Group, Leader, Share);
+    const auto *Probe = probeOf(Report, *Group.Primary);
+    if (!Probe)
+      continue;
+    if (!Probe->Reachable) {
+      countFailed(Group, Share.Vm, *Report, *Probe, Now, Health);
+      continue;
+    }
+    ++Health.Reaching;
+    if (Now - Report->ReceivedAt >= FreshReportDelay)
+      Health.ToAsk.push_back(Share.Vm);
+  }
+  bool AnyFailed = !Health.Text.empty();
+  if (!AnyFailed)
+    Health.ToAsk.clear();
+  return Health;
+}
+
+bool isSuspect(const group_state &Group, const primary_health &Health) {
+  if (Health.Reaching > 0 || Health.Alive == 0)
+    return false;
+  if (Health.Refused == Health.Alive)
+    return true;
+  std::size_t Majority = Group.Gateways.size() / 2 + 1;
+  return Health.Lost >= Majority || Health.Lost == Health.Alive;
+}
+
+group_state beginFencing(const group_state &Group, const std::string &Reason) {
+  group_state Next = Group;
+  Next.Promotion = promotion_state();
+  Next.Promotion->Reason = Reason;
+  Next.Promotion->FencedTerm = Group.Term;
+  Next.Promotion->Deposed = Group.Primary;
+  Next.Primary.reset();
+  return Next;
+}
+
+/// Whether a replica that stays is close enough to take over from a primary
+/// that leaves.
+bool hasSuccessor(const group_state &Group, const leader_state &Leader,
+                  const decision_settings &Settings, time_point Now) {
+  for (const auto &[Name, Probe] : latestProbes(Group, Leader, Settings, Now)) {
+    auto Known = Group.Upstreams.find(Name);
+    if (Known != Group.Upstreams.end() && !Known->second.Leaving &&
+        Name != Group.Primary && Probe.Replica &&
+        Probe.Replayed.Term == Group.Term)
+      return true;
+  }
+  return false;
+}
+
+group_decision decideFailure(const group_state &Group,
+                             const leader_state &Leader,
+                             const decision_settings &Settings,
+                             time_point Now) {
+  auto Health = healthOf(Group, Leader, Settings, Now);
+  if (isSuspect(Group, Health)) {
+    std::string Reason =
+        "primary " + Group.Primary->Value + " failed: " + Health.Text;
+    return allowed(Group, Leader,
+                   change(beginFencing(Group, Reason), "failover", Reason));
+  }
+  auto Known = Group.Upstreams.find(*Group.Primary);
+  if (Known != Group.Upstreams.end() && Known->second.Leaving &&
+      hasSuccessor(Group, Leader, Settings, Now)) {
+    std::string Reason = "primary " + Group.Primary->Value + " is leaving";
+    return allowed(Group, Leader,
+                   change(beginFencing(Group, Reason), "handover", Reason));
+  }
+  group_decision Decision;
+  Decision.Nudges = std::move(Health.ToAsk);
+  if (!Health.Text.empty())
+    Decision.Waiting = "primary not failed for all gateways: " + Health.Text;
+  return Decision;
+}
+
+//===----------------------------------------------------------------------===//
+// Fencing and the choice of a candidate
+//===----------------------------------------------------------------------===//
+
+/// How far the fence has come.
+struct fence_progress {
+  /// Holders that have neither answered nor lost their lease.
+  std::string Pending;
+  /// A holder's lease has ended without an answer.
+  bool Unheard = false;
+  /// When the last unheard lease ended.
+  time_point UnheardSince;
+};
+
+fence_progress progressOf(const group_state &Group, const leader_state &Leader,
+                          const decision_settings &Settings, time_point Now) {
+  fence_progress Progress;
+  const auto *Orders = ordersOf(Group, Leader);
+  for (const auto &Holder : Group.Holders) {
+    gateway_run Run(Holder.Vm, Holder.Incarnation);
+    if (Holder.Fenced || (Orders && Orders->Answers.contains(Run)))
+      continue;
+    time_point End = leaseEnd(Leader, Run, Settings);
+    if (Settings.Rules.Lease && Now < End) {
+      Progress.Pending += Holder.Vm.Value + " (lease ends in " +
+                          millisecondsText(End - Now) + ") ";
+      continue;
+    }
+    Progress.Unheard = true;
+    Progress.UnheardSince = std::max(Progress.UnheardSince, End);
+  }
+  return Progress;
+}
+
+/// The freshest probe of each upstream among the answers that count.
+std::map<upstream_id, upstream_observation>
+heardUpstreams(const group_state &Group, const group_orders &Orders,
+               const fence_progress &Progress, const promotion_rules &Rules) {
+  std::map<upstream_id, upstream_observation> Result;
+  std::map<upstream_id, time_point> Times;
+  for (const auto &[Run, Answer] : Orders.Answers) {
+    if (Progress.Unheard && Rules.FreshPositions &&
+        Answer.AskedAt < Progress.UnheardSince)
+      continue;
+    for (const auto &[Name, Probe] : Answer.Upstreams) {
+      if (!Probe.Reachable || !Group.Upstreams.contains(Name))
+        continue;
+      if (Times.contains(Name) && Answer.AskedAt < Times[Name])
+        continue;
+      Times[Name] = Answer.AskedAt;
+      Result[Name] = Probe;
+    }
+  }
+  return Result;
+}
+
+/// Replicas that must be heard so that every acknowledged write is on one.
+std::size_t neededReplicas(const group_state &Group) {
+  const auto &Deposed = Group.Promotion->Deposed;
+  std::size_t Replicas = Group.Upstreams.size();
+  if (Deposed && Group.Upstreams.contains(*Deposed))
+    --Replicas;
+  if (Group.LeastAckReplicas > Replicas)
+    return 1;
+  return Replicas - Group.LeastAckReplicas + 1;
+}
+
+/// What a candidate must fulfil, and who was heard.
+struct candidate_search {
+  const group_state &Group;
+  const promotion_rules &Rules;
+  std::map<upstream_id, upstream_observation> Heard;
+  position Watermark;
+  bool NeedsQuorum = false;
+
+  bool reaches(const position &Candidate, const position &Least) const {
+    if (!Rules.TermOrder)
+      return Candidate.Offset >= Least.Offset;
+    return Candidate >= Least;
+  }
+
+  bool below(const upstream_observation &Left,
+             const upstream_observation &Right) const {
+    if (!Rules.TermOrder)
+      return Left.Replayed.Offset < Right.Replayed.Offset;
+    return Left.Replayed < Right.Replayed;
+  }
+};
+
+/// The highest of the replicas heard; leaving ones only when Leaving is set.
+const upstream_observation *highest(const candidate_search &Search,
+                                    bool Leaving) {
+  const upstream_observation *Best = nullptr;
+  for (const auto &[Name, Probe] : Search.Heard) {
+    if (Name == Search.Group.Promotion->Deposed)
+      continue;
+    if (!Leaving && Search.Group.Upstreams.at(Name).Leaving)
+      continue;
+    if (!Best || Search.below(*Best, Probe))
+      Best = &Probe;
+  }
+  return Best;
+}
+
+std::size_t heardReplicas(const candidate_search &Search) {
+  const auto &Deposed = Search.Group.Promotion->Deposed;
+  std::size_t Count = Search.Heard.size();
+  return Deposed && Search.Heard.contains(*Deposed) ? Count - 1 : Count;
+}
+
+const upstream_observation *findReplica(const candidate_search &Search,
+                                        std::string &Why) {
+  const auto *Best = highest(Search, true);
+  if (!Best) {
+    Why = "no replica was heard";
+    return nullptr;
+  }
+  if (Search.NeedsQuorum &&
+      heardReplicas(Search) < neededReplicas(Search.Group)) {
+    Why = "a gateway went unheard, so " +
+          std::to_string(neededReplicas(Search.Group)) +
+          " replicas must be heard; " + std::to_string(heardReplicas(Search)) +
+          " were";
+    return nullptr;
+  }
+  position Least = Search.Watermark;
+  if (Search.NeedsQuorum)
+    Least = std::max(Least, Best->Replayed);
+  const auto *Staying = highest(Search, false);
+  if (Staying && Search.reaches(Staying->Replayed, Least))
+    return Staying;
+  if (!Search.Rules.Watermark || Search.reaches(Best->Replayed, Least))
+    return Best;
+  Why = "the highest replica heard, " + Best->Upstream.Value + " at " +
+        toString(Best->Replayed) + ", is below the acknowledged position " +
+        toString(Search.Watermark);
+  return nullptr;
+}
+
+/// The former primary, if it is back with all it had.
+const upstream_observation *findFormer(const candidate_search &Search) {
+  const auto &Promotion = *Search.Group.Promotion;
+  if (!Promotion.Deposed || !Search.Heard.contains(*Promotion.Deposed))
+    return nullptr;
+  const auto &Former = Search.Heard.at(*Promotion.Deposed);
+  bool Whole = !Former.Replica &&
+               Former.Replayed.Term == Promotion.FencedTerm &&
+               Former.Replayed >= Search.Watermark;
+  return Whole ? &Former : nullptr;
+}
+
+const upstream_observation *findWanted(const candidate_search &Search,
+                                       std::string &Why) {
+  const auto &Promotion = *Search.Group.Promotion;
+  auto Found = Search.Heard.find(*Promotion.Wanted);
+  if (Found == Search.Heard.end()) {
+    Why = "the wanted upstream " + Promotion.Wanted->Value + " was not heard";
+    return nullptr;
+  }
+  if (Promotion.Forced)
+    return &Found->second;
+  const auto *Former = findFormer(Search);
+  if (Former == &Found->second)
+    return Former;
+  const auto *Replica = findReplica(Search, Why);
+  if (!Replica)
+    return nullptr;
+  position Least = Search.Watermark;
+  if (Search.NeedsQuorum)
+    Least = std::max(Least, highest(Search, true)->Replayed);
+  if (Search.reaches(Found->second.Replayed, Least))
+    return &Found->second;
+  Why = "the wanted upstream " + Promotion.Wanted->Value + " at " +
+        toString(Found->second.Replayed) + " is below " + toString(Least);
+  return nullptr;
+}
+
+const upstream_observation *chooseCandidate(const candidate_search &Search,
+                                            const group_orders &Orders,
+                                            const decision_settings &Settings,
+                                            time_point Now, std::string &Why) {
+  if (Search.Group.Promotion->Wanted)
+    return findWanted(Search, Why);
+  const auto *Replica = findReplica(Search, Why);
+  if (Replica)
+    return Replica;
+  bool Alone =
+      neededReplicas(Search.Group) == 1 && Search.Group.Upstreams.size() == 1;
+  if (Alone || Now - Orders.FencingSince >= Settings.FormerPrimaryDelay)
+    return findFormer(Search);
+  return nullptr;
+}
+
+/// The state in which the chosen upstream is ordered to become primary.
+group_state beginOrdering(const candidate_search &Search,
+                          const upstream_observation &Chosen,
+                          const fence_progress &Progress,
+                          const group_orders &Orders) {
+  group_state Next = Search.Group;
+  auto &Promotion = *Next.Promotion;
+  Promotion.Phase = promotion_phase::Ordering;
+  Promotion.Chosen = Chosen.Upstream;
+  Promotion.ChosenPosition = Chosen.Replayed;
+  term Highest = Next.Term;
+  for (const auto &[Name, Probe] : Search.Heard)
+    Highest = std::max(Highest, Probe.Replayed.Term);
+  Next.Term = term(Highest.Value + 1);
+  Next.Watermark = Search.Watermark;
+  if (Search.NeedsQuorum && Search.Rules.Carry)
+    Next.Watermark = std::max(Next.Watermark, Chosen.Replayed);
+  Next.Dirty = false;
+  if (Progress.Unheard)
+    std::erase_if(Next.Holders, [&](const share_holder &Holder) {
+      gateway_run Run(Holder.Vm, Holder.Incarnation);
+      return !Holder.Fenced && !Orders.Answers.contains(Run);
+    });
+  for (auto &Holder : Next.Holders)
+    Holder.Fenced = true;
+  return Next;
+}
+
+std::vector<gateway_run> fenceTargets(const group_state &Group) {
+  std::vector<gateway_run> Targets;
+  for (const auto &Share : Group.Gateways)
+    Targets.emplace_back(Share.Vm, Share.Incarnation);
+  for (const auto &Holder : Group.Holders) {
+    gateway_run Run(Holder.Vm, Holder.Incarnation);
+    if (!Holder.Fenced &&
+        std::find(Targets.begin(), Targets.end(), Run) == Targets.end())
+      Targets.push_back(Run);
+  }
+  return Targets;
+}
+
+/// Whom to ask now: those never asked, those whose answer is overdue or was
+/// not enough, and those who answered before the last unheard lease ended.
+std::vector<gateway_run> dueFences(const group_state &Group,
+                                   const group_orders *Orders,
+                                   const fence_progress &Progress,
+                                   const decision_settings &Settings,
+                                   time_point Now) {
+  std::vector<gateway_run> Due;
+  for (const auto &Run : fenceTargets(Group)) {
+    auto Asked = Orders ? Orders->AskedAt.find(Run)
+                        : decltype(Orders->AskedAt.find(Run))();
+    bool Never = !Orders || Asked == Orders->AskedAt.end();
+    if (Never || Now - Asked->second >= Settings.OrderTimeout ||
+        (Progress.Unheard && Asked->second < Progress.UnheardSince))
+      Due.push_back(Run);
+  }
+  return Due;
+}
+
+group_decision decideFencing(const group_state &Group,
+                             const leader_state &Leader,
+                             const decision_settings &Settings,
+                             time_point Now) {
+  auto Progress = progressOf(Group, Leader, Settings, Now);
+  const auto *Orders = ordersOf(Group, Leader);
+  group_decision Decision;
+  Decision.Fences = dueFences(Group, Orders, Progress, Settings, Now);
+  if (!Progress.Pending.empty()) {
+    Decision.Waiting = "waiting for the fence: " + Progress.Pending;
+    return Decision;
+  }
+  if (!Orders || Orders->Answers.empty()) {
+    Decision.Waiting = "no gateway has answered with positions";
+    return Decision;
+  }
+  candidate_search Search{
+      Group, Settings.Rules,
+      heardUpstreams(Group, *Orders, Progress, Settings.Rules),
+      knownWatermark(Group, Leader)};
+  bool Dirty = Group.Dirty && Settings.Rules.Dirty;
+  Search.NeedsQuorum = Settings.Rules.Quorum && (Progress.Unheard || Dirty);
+  std::string Why;
+  const auto *Chosen = chooseCandidate(Search, *Orders, Settings, Now, Why);
+  if (!Chosen) {
+    Decision.Waiting = Why + " (heard " + positionsText(Search.Heard) + ")";
+    return Decision;
+  }
+  std::string Reason = Group.Promotion->Reason + " -> " +
+                       Chosen->Upstream.Value + "; acknowledged up to " +
+                       toString(Search.Watermark) + "; heard " +
+                       positionsText(Search.Heard);
+  return change(beginOrdering(Search, *Chosen, Progress, *Orders), "promote",
+                Reason);
+}
+
+//===----------------------------------------------------------------------===//
+// The order
+//===----------------------------------------------------------------------===//
+
+group_decision finishPromotion(const group_state &Group) {
+  group_state Next = Group;
+  Next.Primary = Group.Promotion->Chosen;
+  Next.Promotion.reset();
+  Next.LeastAckReplicas = Group.Row.AckReplicas;
+  for (auto &Holder : Next.Holders) {
+    const auto *Share = findShare(Next, Holder.Vm);
+    Holder.Fenced = !Share || Share->Incarnation != Holder.Incarnation;
+  }
+  return change(Next, "promoted",
+                Next.Primary->Value + " is primary of term " +
+                    toString(Next.Term));
+}
+
+std::optional<gateway_run> nextPromoter(const group_state &Group,
+                                        const leader_state &Leader,
+                                        const decision_settings &Settings,
+                                        std::uint32_t Attempt, time_point Now) {
+  std::vector<gateway_run> Alive;
+  for (const auto &Share : Group.Gateways)
+    if (heardWithin(Leader, Share.Vm, Settings.AliveTimeout, Now))
+      Alive.emplace_back(Share.Vm, Share.Incarnation);
+  if (Alive.empty())
+    return std::nullopt;
+  return Alive[Attempt % Alive.size()];
+}
+
+group_decision seekAnother(const group_state &Group) {
+  group_state Next = Group;
+  auto &Promotion = *Next.Promotion;
+  std::string Reason = Promotion.Chosen->Value +
+                       " did not become primary of "
+                       "term " +
+                       toString(Group.Term);
+  Promotion.Phase = promotion_phase::Fencing;
+  Promotion.Reason += "; " + Reason;
+  Promotion.Chosen.reset();
+  return change(Next, "promotion_failed", Reason);
+}
+
+group_decision decideOrdering(const group_state &Group,
+                              const leader_state &Leader,
+                              const decision_settings &Settings,
+                              time_point Now) {
+  const auto *Orders = ordersOf(Group, Leader);
+  bool Failed = Orders && Orders->Reply && !Orders->Reply->done;
+  if (Orders && Orders->Reply && Orders->Reply->done)
+    return finishPromotion(Group);
+  std::uint32_t Sent = Orders ? Orders->OrdersSent : 0;
+  duration Patience = Failed ? FailedOrderDelay : Settings.OrderTimeout;
+  std::string Problem = Failed ? ": " + Orders->Reply->problem : "";
+  if (Sent > 0 && Now - Orders->OrderedAt < Patience)
+    return waiting("waiting for " + Group.Promotion->Chosen->Value +
+                   " to be promoted" + Problem);
+  if (Sent >= Settings.MostOrders)
+    return seekAnother(Group);
+  group_decision Decision;
+  Decision.Promoter = nextPromoter(Group, Leader, Settings, Sent, Now);
+  Decision.Waiting =
+      Decision.Promoter
+          ? "ordering " + Group.Promotion->Chosen->Value + Problem
+          : "no gateway is alive to promote " + Group.Promotion->Chosen->Value;
+  return Decision;
+}
+
+} // namespace
+
+position knownWatermark(const group_state &Group, const leader_state &Leader) {
+  position Highest = Group.Watermark;
+  const auto *Orders = ordersOf(Group, Leader);
+  if (Orders)
+    for (const auto &[Run, Answer] : Orders->Answers)
+      Highest = std::max(Highest, Answer.Acknowledged);
+  for (const auto &[Name, Vm] : Leader.Vms) {
+    auto Report = Vm.Groups.find(Group.Group);
+    if (Report != Vm.Groups.end())
+      Highest = std::max(Highest, Report->second.Acknowledged);
+  }
+  return Highest;
+}
+
+group_decision decidePromotion(const group_state &Group,
+                               const leader_state &Leader,
+                               const decision_settings &Settings,
+                               time_point Now) {
+  if (Group.Removed)
+    return {};
+  if (!Group.Promotion)
+    return Group.Primary ? decideFailure(Group, Leader, Settings, Now)
+                         : decideFirst(Group, Leader, Settings, Now);
+  if (Group.Promotion->Phase == promotion_phase::Fencing)
+    return decideFencing(Group, Leader, Settings, Now);
+  return decideOrdering(Group, Leader, Settings, Now);
+}
+
+group_decision decideCleaning(const group_state &Group,
+                              const leader_state &Leader,
+                              const decision_settings &) {
+  if (!Group.Dirty || !Group.Primary)
+    return {};
+  auto Orders = Leader.Orders.find(Group.Group);
+  if (Orders == Leader.Orders.end() ||
+      Orders->second.DirtySince != Group.DirtySince)
+    return {};
+  for (const auto &Share : Group.Gateways) {
+    const auto *Report = reportOf(Group, Leader, Share);
+    const auto *Probe = probeOf(Report, *Group.Primary);
+    auto Seen = Orders->second.DirtySeenAtUs.find(
+        gateway_run(Share.Vm, Share.Incarnation));
+    if (!Probe || Seen == Orders->second.DirtySeenAtUs.end())
+      continue;
+    std::int64_t ProbedAtUs = Report->SentAtUs - Probe->Age.count();
+    if (!Probe->Reachable || Probe->Replica || ProbedAtUs <= Seen->second ||
+        Probe->Replayed.Term != Group.Term)
+      continue;
+    group_state Next = Group;
+    Next.Dirty = false;
+    Next.Watermark = std::max(knownWatermark(Group, Leader), Probe->Replayed);
+    return change(Next, "watermark",
+                  "raised to the primary's position " +
+                      toString(Probe->Replayed));
+  }
+  return {};
+}
+
+void noteFencesSent(const group_state &Group, leader_state &Leader,
+                    const std::vector<gateway_run> &Runs, time_point Now) {
+  auto &Orders = beginOrders(Group, Leader, Now);
+  for (const auto &Run : Runs)
+    Orders.AskedAt[Run] = Now;
+}
+
+void takeFenceReply(const group_state &Group, leader_state &Leader,
+                    const gateway_run &Run, const wire::fence_reply &Reply,
+                    time_point AskedAt) {
+  if (static_cast<std::uint64_t>(Reply.term) != Group.Term.Value)
+    return;
+  auto &Orders = beginOrders(Group, Leader, AskedAt);
+  auto &Answer = Orders.Answers[Run];
+  position Highest =
+      std::max(Answer.Acknowledged, fromWire(Reply.acknowledged));
+  if (AskedAt >= Answer.AskedAt) {
+    Answer.AskedAt = AskedAt;
+    Answer.Upstreams = readReports(Reply.upstreams);
+  }
+  Answer.Acknowledged = Highest;
+}
+
+void noteOrderSent(const group_state &Group, leader_state &Leader,
+                   time_point Now) {
+  auto &Orders = beginOrders(Group, Leader, Now);
+  Orders.OrderedAt = Now;
+  ++Orders.OrdersSent;
+  Orders.Reply.reset();
+}
+
+void takePromoteReply(const group_state &Group, leader_state &Leader,
+                      const wire::promote_reply &Reply) {
+  if (!Group.Promotion || !Group.Promotion->Chosen ||
+      static_cast<std::uint64_t>(Reply.term) != Group.Term.Value ||
+      Reply.upstream != Group.Promotion->Chosen->Value)
+    return;
+  auto &Orders = Leader.Orders[Group.Group];
+  if (Orders.Term == Group.Term)
+    Orders.Reply = Reply;
+}
+
+group_state promoteByHand(const group_state &Group, const upstream_id &Upstream,
+                          bool Force) {
+  if (!Group.Upstreams.contains(Upstream))
+    throw error("control.promote", Group.Group.Value,
+                "upstream " + Upstream.Value + " has not been announced");
+  if (Group.Primary == Upstream)
+    throw error("control.promote", Group.Group.Value,
+                Upstream.Value + " is the primary");
+  std::string Reason = "by hand";
+  group_state Next = Group.Promotion ? Group : beginFencing(Group, Reason);
+  Next.Promotion->Phase = promotion_phase::Fencing;
+  Next.Promotion->Wanted = Upstream;
+  Next.Promotion->Forced = Force;
+  Next.Promotion->Chosen.reset();
+  return Next;
+}
+
+} // namespace teasellock
