--- a/modules/consensus/consensus_internal.h
+++ b/modules/consensus/consensus_internal.h
@@ -66,6 +66,17 @@
 /// Leader: starts and ends the records of followers as the membership says.
 void trackFollowers(consensus_state &State);
 
+/// Follows the sender of an append or snapshot. False if its term is over.
+bool acceptLeader(consensus_state &State, std::uint64_t Term, store_id Leader,
+                  std::uint64_t Cluster, const decision_input &Input,
+                  consensus_effects &Effects);
+
+/// Leader: sends the next part of a snapshot to a follower that needs entries
+/// which are not held any more.
+void sendSnapshotPart(consensus_state &State, store_id To,
+                      follower_progress &Follower, const decision_input &Input,
+                      consensus_effects &Effects);
+
 /// Replaces the own state by the snapshot that has arrived in parts.
 void installAssembly(consensus_state &State, member_list Members,
                      consensus_effects &Effects);
--- a/modules/consensus/consensus_messages.thrift
+++ b/modules/consensus/consensus_messages.thrift
@@ -31,6 +31,8 @@
 /// What one write to the log makes durable, under one checksum.
 struct log_batch {
   1: list<log_entry> entries;
+  /// What the store knew to be committed before these entries.
+  2: i64 commit;
 }
 
 /// The promises of a store: the file `vote`.
--- a/modules/consensus/consensus_replication.cpp
+++ b/modules/consensus/consensus_replication.cpp
@@ -9,10 +9,6 @@
 
 namespace {
 
-/// Most bytes of commands in one append.
-constexpr std::size_t AppendBytes = 1024 * 1024;
-/// Bytes of a part of a snapshot.
-constexpr std::size_t SnapshotPartBytes = 256 * 1024;
 /// An append that is not answered for so many heartbeats is sent again.
 constexpr int ResendAfterHeartbeats = 4;
 /// Rounds whose send time is remembered for each follower.
@@ -40,31 +36,6 @@
     Follower.Rounds.erase(Follower.Rounds.begin());
 }
 
-void sendSnapshotPart(consensus_state &State, store_id To,
-                      follower_progress &Follower, const decision_input &Input,
-                      consensus_effects &Effects) {
-  if (!Follower.Snapshot) {
-    Follower.Snapshot = State.Snapshot;
-    Follower.SnapshotOffset = 0;
-  }
-  const log_snapshot &Image = *Follower.Snapshot;
-  wire::snapshot_request Request;
-  Request.term = toWire(State.Promises.Term);
-  Request.leader = toWire(State.Self);
-  Request.last_index = toWire(Image.Index);
-  Request.last_term = toWire(Image.Term);
-  Request.members = toWire(Image.Members);
-  Request.offset = toWire(Follower.SnapshotOffset);
-  Request.data = Image.Data.substr(Follower.SnapshotOffset, SnapshotPartBytes);
-  Request.done =
-      Follower.SnapshotOffset + Request.data.size() == Image.Data.size();
-  Request.cluster = toWire(State.Promises.Cluster);
-  Request.recipient = toWire(To);
-  Follower.PendingRound = ++State.Round;
-  Follower.PendingSince = Input.Now;
-  Effects.Send.push_back({To, std::move(Request)});
-}
-
 /// Sends what the follower lacks.
 void sendEntries(consensus_state &State, store_id To,
                  follower_progress &Follower, const decision_input &Input,
@@ -75,7 +46,7 @@
   }
   State.Round += 1;
   wire::append_request Request = makeAppend(State, To, Follower.Next - 1);
-  Request.entries = State.Log.slice(Follower.Next, AppendBytes);
+  Request.entries = State.Log.slice(Follower.Next, State.Limits.AppendBytes);
   noteRound(State, Follower, Input.Now);
   Follower.PendingRound = State.Round;
   Follower.PendingSince = Input.Now;
@@ -162,7 +133,8 @@
   }
 }
 
-/// Follows the sender of an append or snapshot. False if its term is over.
+} // namespace
+
 bool acceptLeader(consensus_state &State, std::uint64_t Term, store_id Leader,
                   std::uint64_t Cluster, const decision_input &Input,
                   consensus_effects &Effects) {
@@ -183,8 +155,6 @@
   return true;
 }
 
-} // namespace
-
 void trackFollowers(consensus_state &State) {
   std::map<store_id, follower_progress> Tracked;
   for (const control_member &Member : currentMembers(State)) {
@@ -330,69 +300,4 @@
   advanceCommit(State, Input, Effects);
 }
 
-void handleSnapshotRequest(consensus_state &State,
-                           const wire::snapshot_request &Message,
-                           const decision_input &Input,
-                           consensus_effects &Effects) {
-  store_id Leader = storeFromWire(Message.leader);
-  wire::snapshot_reply Reply;
-  Reply.follower = toWire(State.Self);
-  Reply.last_index = Message.last_index;
-  if (acceptLeader(State, fromWire(Message.term), Leader,
-                   fromWire(Message.cluster), Input, Effects)) {
-    std::uint64_t Index = fromWire(Message.last_index);
-    snapshot_assembly &Parts = State.Assembly;
-    if (Index > State.CommitIndex) {
-      if (Parts.Index != Index || Message.offset == 0)
-        Parts = {Index, fromWire(Message.last_term), ""};
-      bool Fits = fromWire(Message.offset) == Parts.Data.size();
-      if (Fits)
-        Parts.Data += Message.data;
-      if (Fits && Message.done)
-        installAssembly(State, fromWire(Message.members), Effects);
-      Reply.next_offset = toWire(Parts.Data.size());
-    }
-    Reply.installed = Index <= State.CommitIndex;
-  }
-  Reply.term = toWire(State.Promises.Term);
-  Effects.Send.push_back({Leader, Reply});
-}
-
-void handleSnapshotReply(consensus_state &State,
-                         const wire::snapshot_reply &Message,
-                         const decision_input &Input,
-                         consensus_effects &Effects) {
-  store_id Store = storeFromWire(Message.follower);
-  if (findMember(currentMembers(State), Store) == nullptr)
-    return;
-  if (fromWire(Message.term) > State.Promises.Term) {
-    stepDown(State, fromWire(Message.term), Input, Effects);
-    return;
-  }
-  auto Found = State.Followers.find(Store);
-  if (State.Role != consensus_role::Leader || Found == State.Followers.end() ||
-      fromWire(Message.term) != State.Promises.Term)
-    return;
-  follower_progress &Follower = Found->second;
-  Follower.LastHeard = Input.Now;
-  if (!Follower.Snapshot ||
-      Follower.Snapshot->Index != fromWire(Message.last_index))
-    return;
-  // A duplicate must not start a second stream of parts.
-  if (!Message.installed &&
-      fromWire(Message.next_offset) == Follower.SnapshotOffset)
-    return;
-  Follower.PendingRound = 0;
-  if (Message.installed) {
-    Follower.Match = std::max(Follower.Match, Follower.Snapshot->Index);
-    Follower.Next = Follower.Match + 1;
-    Follower.Snapshot = nullptr;
-    advanceCommit(State, Input, Effects);
-    return;
-  }
-  Follower.SnapshotOffset = std::min<std::uint64_t>(
-      fromWire(Message.next_offset), Follower.Snapshot->Data.size());
-  sendSnapshotPart(State, Store, Follower, Input, Effects);
-}
-
 } // namespace teasellock
--- a/modules/consensus/consensus_service.cpp
+++ b/modules/consensus/consensus_service.cpp
@@ -144,8 +144,7 @@
       .with("entries", static_cast<std::uint64_t>(Recovered.Entries.size()))
       .with("cut_bytes", static_cast<std::uint64_t>(Recovered.CutBytes));
   Decisions = startConsensus(
-      Recovered.Store, Recovered.Promises, Recovered.Snapshot,
-      std::move(Recovered.Entries),
+      std::move(Recovered),
       {Settings.HeartbeatPeriod, Settings.ElectionTimeout}, input());
 }
 
@@ -215,7 +214,7 @@
   if (const auto *Promises = std::get_if<store_promises>(&Operation))
     Store.savePromises(*Promises);
   if (const auto *Append = std::get_if<append_entries>(&Operation))
-    Store.append(Append->Entries);
+    Store.append(Append->Entries, Append->Commit);
   if (const auto *Install = std::get_if<install_snapshot>(&Operation)) {
     Store.saveSnapshot(*Install->Snapshot, Install->DiscardLog);
     Hooks.Restore(revision(Install->Snapshot->Index), Install->Snapshot->Data);
@@ -288,7 +287,8 @@
 
 void consensus_service::state::resolveConfirmations() {
   bool Leads = Decisions.Role == consensus_role::Leader;
-  time_point Confirmed = teasellock::leaderConfirmedAt(Decisions, Context.Timers.now());
+  time_point Confirmed =
+      teasellock::leaderConfirmedAt(Decisions, Context.Timers.now());
   while (!Confirmations.empty() &&
          (!Leads || Confirmations.front().AskedAt <= Confirmed)) {
     auto Callback = std::move(Confirmations.front().Callback);
--- a/modules/consensus/consensus_state.cpp
+++ b/modules/consensus/consensus_state.cpp
@@ -58,28 +58,27 @@
 
 } // namespace
 
-consensus_state startConsensus(store_id Self, const store_promises &Promises,
-                               std::shared_ptr<const log_snapshot> Snapshot,
-                               std::deque<wire::log_entry> Entries,
+consensus_state startConsensus(recovered_log Recovered,
                                const consensus_timing &Timing,
                                const decision_input &Input) {
   consensus_state State;
-  State.Self = Self;
+  State.Self = Recovered.Store;
   State.Timing = Timing;
-  State.Promises = Promises;
-  if (Snapshot) {
+  State.Promises = Recovered.Promises;
+  if (const auto &Snapshot = Recovered.Snapshot) {
     State.Memberships.front() = {Snapshot->Index, Snapshot->Members};
-    State.CommitIndex = State.AppliedIndex = Snapshot->Index;
+    State.AppliedIndex = Snapshot->Index;
     State.Log.reset(Snapshot->Index, Snapshot->Term);
-    State.Snapshot = std::move(Snapshot);
+    State.Snapshot = Snapshot;
   }
-  for (wire::log_entry &Entry : Entries) {
+  for (wire::log_entry &Entry : Recovered.Entries) {
     if (Entry.kind == wire::entry_kind::membership)
       State.Memberships.push_back(
           {fromWire(Entry.index), fromWire(Entry.members)});
     State.Log.append(std::move(Entry));
   }
   State.SyncedIndex = State.Log.lastIndex();
+  State.CommitIndex = std::max(State.AppliedIndex, Recovered.Commit);
   // A leader may have been heard right before the restart.
   State.LeaderHeardAt = Input.Now;
   postponeElection(State, Input);
@@ -220,7 +219,7 @@
         {fromWire(Entry.index), fromWire(Entry.members)});
   if (Effects.Disk.empty() ||
       !std::holds_alternative<append_entries>(Effects.Disk.back()))
-    Effects.Disk.push_back(append_entries{});
+    Effects.Disk.push_back(append_entries{State.CommitIndex, {}});
   std::get<append_entries>(Effects.Disk.back()).Entries.push_back(Entry);
   State.Log.append(std::move(Entry));
 }
--- a/modules/consensus/consensus_state.h
+++ b/modules/consensus/consensus_state.h
@@ -40,6 +40,14 @@
   duration ElectionTimeout = fromMilliseconds(500);
 };
 
+/// How much goes into one message.
+struct message_limits {
+  /// Bytes of commands in one append; one entry is always sent.
+  std::size_t AppendBytes = 1024 * 1024;
+  /// Bytes of a part of a snapshot.
+  std::size_t SnapshotPartBytes = 256 * 1024;
+};
+
 /// What a decision gets from outside.
 struct decision_input {
   time_point Now;
@@ -84,6 +92,7 @@
   store_id Self;
   consensus_timing Timing;
   consensus_rules Rules;
+  message_limits Limits;
   store_promises Promises;
   consensus_log Log;
   /// The last entry that is durable here.
@@ -120,6 +129,8 @@
 };
 
 struct append_entries {
+  /// What was committed before these entries.
+  std::uint64_t Commit = 0;
   std::vector<wire::log_entry> Entries;
 };
 
@@ -139,9 +150,7 @@
 };
 
 /// The state of a member after a start from its files.
-consensus_state startConsensus(store_id Self, const store_promises &Promises,
-                               std::shared_ptr<const log_snapshot> Snapshot,
-                               std::deque<wire::log_entry> Entries,
+consensus_state startConsensus(recovered_log Recovered,
                                const consensus_timing &Timing,
                                const decision_input &Input);
 
--- a/modules/consensus/gen/consensus_messages_types.cpp
+++ b/modules/consensus/gen/consensus_messages_types.cpp
@@ -452,6 +452,10 @@
 void log_batch::__set_entries(const std::vector<log_entry> & val) {
   this->entries = val;
 }
+
+void log_batch::__set_commit(const int64_t val) {
+  this->commit = val;
+}
 std::ostream& operator<<(std::ostream& out, const log_batch& obj)
 {
   obj.printTo(out);
@@ -500,6 +504,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->commit);
+          this->__isset.commit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -529,6 +541,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("commit", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->commit);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -537,24 +553,29 @@
 void swap(log_batch &a, log_batch &b) {
   using ::std::swap;
   swap(a.entries, b.entries);
+  swap(a.commit, b.commit);
   swap(a.__isset, b.__isset);
 }
 
 log_batch::log_batch(const log_batch& other21) {
   entries = other21.entries;
+  commit = other21.commit;
   __isset = other21.__isset;
 }
 log_batch::log_batch(log_batch&& other22) noexcept {
   entries = std::move(other22.entries);
+  commit = other22.commit;
   __isset = other22.__isset;
 }
 log_batch& log_batch::operator=(const log_batch& other23) {
   entries = other23.entries;
+  commit = other23.commit;
   __isset = other23.__isset;
   return *this;
 }
 log_batch& log_batch::operator=(log_batch&& other24) noexcept {
   entries = std::move(other24.entries);
+  commit = other24.commit;
   __isset = other24.__isset;
   return *this;
 }
@@ -562,6 +583,7 @@
   using ::apache::thrift::to_string;
   out << "log_batch(";
   out << "entries=" << to_string(entries);
+  out << ", " << "commit=" << to_string(commit);
   out << ")";
 }
 
--- a/modules/consensus/gen/consensus_messages_types.h
+++ b/modules/consensus/gen/consensus_messages_types.h
@@ -207,8 +207,9 @@
 std::ostream& operator<<(std::ostream& out, const log_entry& obj);
 
 typedef struct _log_batch__isset {
-  _log_batch__isset() : entries(false) {}
+  _log_batch__isset() : entries(false), commit(false) {}
   bool entries :1;
+  bool commit :1;
 } _log_batch__isset;
 
 class log_batch : public virtual ::apache::thrift::TBase {
@@ -218,20 +219,26 @@
   log_batch(log_batch&&) noexcept;
   log_batch& operator=(const log_batch&);
   log_batch& operator=(log_batch&&) noexcept;
-  log_batch() noexcept {
+  log_batch() noexcept
+            : commit(0) {
   }
 
   virtual ~log_batch() noexcept;
   std::vector<log_entry>  entries;
+  int64_t commit;
 
   _log_batch__isset __isset;
 
   void __set_entries(const std::vector<log_entry> & val);
 
+  void __set_commit(const int64_t val);
+
   bool operator == (const log_batch & rhs) const
   {
     if (!(entries == rhs.entries))
       return false;
+    if (!(commit == rhs.commit))
+      return false;
     return true;
   }
   bool operator != (const log_batch &rhs) const {
--- a/modules/consensus/log_store.cpp
+++ b/modules/consensus/log_store.cpp
@@ -150,6 +150,8 @@
     auto Batch = decode<wire::log_batch>(Scan.Payload, path(Name));
     for (wire::log_entry &Entry : Batch.entries)
       addRecovered(std::move(Entry), Name, Offset);
+    Recovered.Commit =
+        std::max(Recovered.Commit, static_cast<std::uint64_t>(Batch.commit));
     Offset = Scan.NextOffset;
   }
   Segments.back().Size = Offset;
@@ -198,6 +200,7 @@
   }
   if (!Conflicts)
     return;
+  Recovered.Commit = Recovered.Snapshot->Index;
   Entries.clear();
   removeAllSegments();
 }
@@ -227,13 +230,15 @@
   Segments.push_back({Number, 0, 0});
 }
 
-void log_store::append(const std::vector<wire::log_entry> &Entries) {
+void log_store::append(const std::vector<wire::log_entry> &Entries,
+                       std::uint64_t Commit) {
   if (Entries.empty())
     return;
   if (Segments.empty() || Segments.back().Size >= SegmentSize)
     beginSegment();
   wire::log_batch Batch;
   Batch.entries = Entries;
+  Batch.commit = static_cast<std::int64_t>(Commit);
   std::string Bytes = frame(encode(Batch));
   segment &Current = Segments.back();
   std::string File = path(numbered(SegmentPrefix, Current.Number));
--- a/modules/consensus/log_store.h
+++ b/modules/consensus/log_store.h
@@ -43,6 +43,8 @@
   std::shared_ptr<const log_snapshot> Snapshot;
   /// The entries after the snapshot.
   std::deque<wire::log_entry> Entries;
+  /// Entries up to here are known to be committed.
+  std::uint64_t Commit = 0;
   /// Bytes of an unfinished write that were cut off.
   std::size_t CutBytes = 0;
 };
@@ -66,7 +68,9 @@
   void savePromises(const store_promises &Promises);
 
   /// Appends entries in one write and one sync.
-  void append(const std::vector<wire::log_entry> &Entries);
+  /// Commit is what is known to be committed among those before them.
+  void append(const std::vector<wire::log_entry> &Entries,
+              std::uint64_t Commit);
 
   /// Writes a snapshot and deletes the segments and snapshots it replaces. With
   /// DiscardLog no entry in the log is kept.
