--- a/tests/stand_in/executor.h
+++ b/tests/stand_in/executor.h
@@ -49,6 +49,10 @@
                            const std::vector<value> &Parameters,
                            execution_environment &Environment);
 
+/// The columns that SELECT or RETURNING yields. Throws sql_error 42703.
+std::vector<output_column> outputColumns(const std::vector<selected> &Outputs,
+                                         const table_layout *Layout);
+
 /// What a statement needs and returns.
 struct statement_description {
   std::vector<sql_type> Parameters;
--- a/tests/stand_in/session.cpp
+++ b/tests/stand_in/session.cpp
@@ -218,12 +218,12 @@
   Message.byte(!InBlock ? 'I' : Failed ? 'E' : 'T');
 }
 
-void session::sendReplication(bool KeepAlive_) {
+void session::sendReplication(bool SignOfLife) {
   if (!Replicating || Server.frozen() || Connection.muted())
     return;
   std::string &Out = Connection.output();
   sendRecords(Sender, Server.tables(), ReplicationBufferBytes, Out);
-  if (KeepAlive_)
+  if (SignOfLife)
     emptyMessage(Out, KeepAlive);
   Connection.flush();
 }
--- a/tests/stand_in/session.h
+++ b/tests/stand_in/session.h
@@ -62,7 +62,7 @@
   void terminate(const std::string &SqlState, const std::string &Reason);
 
   /// Sends new records to the replica and a sign of life.
-  void sendReplication(bool KeepAlive);
+  void sendReplication(bool SignOfLife);
 
   void pause(bool Paused);
   void mute();
