--- a/modules/consensus/consensus_internal.h
+++ b/modules/consensus/consensus_internal.h
@@ -61,7 +61,8 @@
                    consensus_effects &Effects);
 
 /// Leader: makes the next founder or replacement a voter if it has caught up.
-void promoteCaughtUp(consensus_state &State, consensus_effects &Effects);
+void promoteCaughtUp(consensus_state &State, const decision_input &Input,
+                     consensus_effects &Effects);
 
 /// Leader: starts and ends the records of followers as the membership says.
 void trackFollowers(consensus_state &State);
--- a/modules/consensus/consensus_service.cpp
+++ b/modules/consensus/consensus_service.cpp
@@ -372,7 +372,7 @@
     return;
   }
   std::uint64_t Index =
-      appendMembers(State->Decisions, Members, State->Effects);
+      appendMembers(State->Decisions, Members, State->input(), State->Effects);
   State->Proposals[Index] = {State->Decisions.Promises.Term,
                              std::move(Callback)};
   State->scheduleFlush();
--- a/modules/consensus/consensus_state.cpp
+++ b/modules/consensus/consensus_state.cpp
@@ -121,7 +121,7 @@
       return;
     if (Input.Now >= State.HeartbeatDue)
       sendHeartbeats(State, Input, Effects);
-    promoteCaughtUp(State, Effects);
+    promoteCaughtUp(State, Input, Effects);
     return;
   }
   if (Input.Now >= State.ElectionDue && isVoter(State))
--- a/modules/consensus/membership_change.cpp
+++ b/modules/consensus/membership_change.cpp
@@ -4,6 +4,7 @@
 #include "modules/consensus/consensus_internal.h"
 #include "modules/consensus/wire_members.h"
 
+#include <algorithm>
 #include <set>
 
 namespace teasellock {
@@ -40,6 +41,22 @@
   return State.CommitIndex >= State.BarrierIndex;
 }
 
+bool isHeard(const consensus_state &State, store_id Store, time_point Now) {
+  if (Store == State.Self)
+    return true;
+  auto Found = State.Followers.find(Store);
+  return Found != State.Followers.end() &&
+         Now - Found->second.LastHeard <= State.Timing.ElectionTimeout;
+}
+
+std::size_t heardVoters(const consensus_state &State,
+                        const member_list &Members, time_point Now) {
+  return static_cast<std::size_t>(std::count_if(
+      Members.begin(), Members.end(), [&](const control_member &Member) {
+        return Member.Voter && isHeard(State, Member.Store, Now);
+      }));
+}
+
 member_list without(member_list Members, store_id Store) {
   std::erase_if(Members, [&](const control_member &Member) {
     return Member.Store == Store;
@@ -70,7 +87,8 @@
     throw error("consensus.members", "all", "nobody would vote");
 }
 
-void checkChange(const consensus_state &State, const member_list &Members) {
+void checkChange(const consensus_state &State, const member_list &Members,
+                 time_point Now) {
   if (State.Role != consensus_role::Leader)
     refuse(State, "not the leader");
   checkMembers(Members);
@@ -84,11 +102,14 @@
     refuse(State, "nothing would change");
   if (State.Rules.ChangeOneMemberAtATime && Differing != 1)
     refuse(State, "more than one member would change");
+  if (heardVoters(State, Members, Now) < quorumSize(Members))
+    refuse(State, "no quorum of the new membership is heard");
 }
 
 std::uint64_t appendMembers(consensus_state &State, const member_list &Members,
+                            const decision_input &Input,
                             consensus_effects &Effects) {
-  checkChange(State, Members);
+  checkChange(State, Members, Input.Now);
   wire::log_entry Entry = nextEntry(State, wire::entry_kind::membership);
   Entry.members = toWire(Members);
   appendEntry(State, std::move(Entry), Effects);
@@ -102,11 +123,13 @@
          Found->second.Match + CaughtUpEntries >= State.Log.lastIndex();
 }
 
-void promoteCaughtUp(consensus_state &State, consensus_effects &Effects) {
+void promoteCaughtUp(consensus_state &State, const decision_input &Input,
+                     consensus_effects &Effects) {
   if (!ownEntryIsCommitted(State) || !lastChangeIsCommitted(State))
     return;
   for (const control_member &Member : currentMembers(State)) {
-    if (Member.Voter || !Member.Promote || !hasCaughtUp(State, Member.Store))
+    if (Member.Voter || !Member.Promote || !hasCaughtUp(State, Member.Store) ||
+        !isHeard(State, Member.Store, Input.Now))
       continue;
     member_list Next = currentMembers(State);
     for (control_member &Changed : Next)
@@ -114,7 +137,7 @@
         Changed.Voter = true;
         Changed.Promote = false;
       }
-    appendMembers(State, Next, Effects);
+    appendMembers(State, Next, Input, Effects);
     return;
   }
 }
--- a/modules/consensus/membership_change.h
+++ b/modules/consensus/membership_change.h
@@ -10,11 +10,13 @@
 void checkMembers(const member_list &Members);
 
 /// Throws error unless this leader may propose this membership now.
-void checkChange(const consensus_state &State, const member_list &Members);
+void checkChange(const consensus_state &State, const member_list &Members,
+                 time_point Now);
 
 /// Leader only: appends a membership, in force at once. Returns its index.
 /// Throws error as checkChange() does.
 std::uint64_t appendMembers(consensus_state &State, const member_list &Members,
+                            const decision_input &Input,
                             consensus_effects &Effects);
 
 /// Whether a member holds all that is committed but for a few entries.
