Cluster scripts: control members as objects, columns as control names them

Cause: the tool sent members as texts, which control refuses. Change: the tool parses store:vm:address:port itself.

--- a/ctl/table_commands.cpp
+++ b/ctl/table_commands.cpp
@@ -161,7 +161,7 @@
   std::cout << Answer.Body.dump(2) << "\n";
   if (Answer.Status != StatusOk)
     return Failed;
-  return Answer.Body.value("applied_everywhere", false) ? Succeeded : Different;
+  return Answer.Body.at("behind").empty() ? Succeeded : Different;
 }
 
 } // namespace teasellock
--- a/ctl/teasellock.cpp
+++ b/ctl/teasellock.cpp
@@ -10,6 +10,7 @@
 
 namespace {
 
+constexpr std::size_t LongestStoreId = 19;
 constexpr auto WatchPeriod = std::chrono::seconds(1);
 
 /// What was given on the command line.
@@ -24,14 +25,37 @@
   std::string EditId;
   std::uint64_t BaseVersion = 0;
   bool Force = false;
-  std::string OldStore;
-  std::string NewStore;
   std::vector<std::string> Members;
   std::vector<std::string> TraceFiles;
 };
 
 using command = std::function<int(command_context &)>;
 
+/// Reads "store:vm:address:port", with ":non-voter" behind it or not.
+nlohmann::json parseMembers(const std::vector<std::string> &Texts) {
+  constexpr std::string_view NonVoter = ":non-voter";
+  nlohmann::json Members = nlohmann::json::array();
+  for (std::string Text : Texts) {
+    bool Voter = !Text.ends_with(NonVoter);
+    if (!Voter)
+      Text.resize(Text.size() - NonVoter.size());
+    std::size_t First = Text.find(':');
+    std::size_t Second = Text.find(':', First + 1);
+    if (First == std::string::npos || Second == std::string::npos ||
+        First == 0 || First > LongestStoreId ||
+        Text.find_first_not_of("0123456789") < First)
+      throw error("control.member", Text,
+                  "expected store:vm:address:port with a store id from "
+                  "control status");
+    endpoint Address = parseEndpoint(Text.substr(Second + 1));
+    Members.push_back({{"store", std::stoull(Text.substr(0, First))},
+                       {"vm", Text.substr(First + 1, Second - First - 1)},
+                       {"address", toString(Address)},
+                       {"voter", Voter}});
+  }
+  return Members;
+}
+
 /// Adds a command that runs Run; Example is printed with its help.
 CLI::App *addCommand(CLI::App &Parent, const std::string &Name,
                      const std::string &Meaning, const std::string &Example,
@@ -80,14 +104,15 @@
   addCommand(App, "groups", "every group: primary, term, gateways",
              "teasellock groups --watch", Chosen, [](command_context &C) {
                return showList(C, "/v1/groups", "groups",
-                               {"group", "mode", "term", "primary", "watermark",
-                                "gateways", "reason"});
+                               {"group", "term", "primary", "gateways",
+                                "promoting", "dirty", "waiting"});
              });
   addCommand(App, "vms", "every VM: zone, lease, applied revision",
              "teasellock vms", Chosen, [](command_context &C) {
                return showList(C, "/v1/vms", "vms",
                                {"vm", "availability_zone", "region", "address",
-                                "leased", "draining", "applied_revision"});
+                                "lease_ms", "draining", "applied",
+                                "heard_ms_ago"});
              });
   addCommand(App, "group", "all that is known of one group",
              "teasellock group despacho-1", Chosen,
@@ -124,7 +149,7 @@
   addCommand(*Proposals, "list", "all open proposals with their reasons",
              "teasellock proposals list", Chosen, [](command_context &C) {
                return showList(C, "/v1/proposals", "proposals",
-                               {"id", "group", "action", "reason"});
+                               {"id", "group", "kind", "reason", "rejected"});
              });
   for (std::string Verb : {"approve", "reject"})
     addCommand(*Proposals, Verb, Verb + " one proposal",
@@ -148,7 +173,7 @@
       "1122334455:vm-1:10.0.0.1:9000",
       Chosen, [&](command_context &C) {
         return showCall(C, "POST", "/v1/control/init",
-                        {{"members", Given.Members}});
+                        {{"members", parseMembers(Given.Members)}});
       });
   Init->add_option("--member", Given.Members,
                    "store:vm:address:port of each control VM")
@@ -158,24 +183,19 @@
              [](command_context &C) {
                return showCall(C, "GET", "/v1/control/status", nullptr);
              });
-  auto *Replace = addCommand(
-      *Control, "replace", "put a new store in the place of a lost one",
-      "teasellock control replace --old 1122334455 --new "
-      "6677889900:vm-2:10.0.0.2:9000",
+  auto *Members = addCommand(
+      *Control, "members",
+      "change the members by one: add, remove or turn one into a voter",
+      "teasellock control members --member 1122334455:vm-1:10.0.0.1:9000 "
+      "--member 6677889900:vm-2:10.0.0.2:9000:non-voter",
       Chosen, [&](command_context &C) {
         return showCall(C, "POST", "/v1/control/replace",
-                        {{"old", Given.OldStore},
-                         {"new", Given.NewStore},
-                         {"force", Given.Force}});
+                        {{"members", parseMembers(Given.Members)}});
       });
-  Replace->add_option("--old", Given.OldStore, "store id of the lost member")
-      ->required();
-  Replace
-      ->add_option("--new", Given.NewStore,
-                   "store:vm:address:port of the new one")
+  Members
+      ->add_option("--member", Given.Members,
+                   "store:vm:address:port[:non-voter], all that shall be")
       ->required();
-  Replace->add_flag("--force", Given.Force,
-                    "even where accepted changes may be lost");
 }
 
 void addTraceCommand(CLI::App &App, arguments &Given, command &Chosen) {
--- a/tests/cluster/cluster.sh
+++ b/tests/cluster/cluster.sh
@@ -90,7 +90,7 @@
   write_table
   wait_for 10 "the table" api table apply "$CLUSTER_DIR/table.csv"
   for g in $(seq "$GROUPS_TOTAL"); do
-    start_upstream "$g" 1 --primary-of "despacho-$g"
+    start_upstream "$g" 1 --primary-of
     for u in 2 3; do start_upstream "$g" $u --follow "$(upstream_address "$g" 1):5432"; done
   done
   for g in $(seq "$GROUPS_TOTAL"); do wait_for 15 "group $g" sql $((1 + g)) "$g" "DELETE FROM bookings WHERE id = 'none'"; done
