Bench: a load tool that checks every answer

Cause: no load tool of our own that finds stale, lost and doubled writes while it measures. Change: bench/ with sessions over libpq, a ledger for each session that is read back in the end, gap tracking, idle connections, CSV and a gnuplot script; tests of the decisions.

--- /dev/null
+++ b/bench/load_phase.cpp
@@ -0,0 +1,137 @@
+#include "bench/load_phase.h"
+#include "bench/load_session.h"
+
+#include <ctime>
+
+namespace teasellock::bench {
+
+namespace {
+
+constexpr duration CsvPeriod = std::chrono::seconds(1);
+
+} // namespace
+
+struct load_phase::state {
+  state(event_loop &Loop, timer_service &Timers, phase_settings Given,
+        csv_output &Csv)
+      : Settings(std::move(Given)), Context{Loop, Timers, Settings, {},
+                                            {},   false,  false},
+        Csv(Csv) {}
+
+  void makeSessions();
+  void addSession(const std::string &Group, std::size_t Index);
+  void startTimers();
+  void stop();
+  void sessionStopped();
+  void verifyNext();
+
+  phase_settings Settings;
+  phase_context Context;
+  csv_output &Csv;
+  std::vector<std::unique_ptr<load_session>> Sessions;
+  /// Keeps the ids of repeated runs apart.
+  std::int64_t RunNumber = std::time(nullptr);
+  std::size_t Running = 0;
+  std::size_t Verified = 0;
+  std::int64_t Second = 0;
+  time_point Began;
+  time_point Ended;
+  timer_subscription StopTimer;
+  timer_subscription CsvTimer;
+  timer_subscription PauseTimer;
+  timer_subscription ResumeTimer;
+  std::function<void()> Done;
+};
+
+load_phase::load_phase(event_loop &Loop, timer_service &Timers,
+                       phase_settings Settings, csv_output &Csv)
+    : State(std::make_unique<state>(Loop, Timers, std::move(Settings), Csv)) {}
+
+load_phase::~load_phase() = default;
+
+void load_phase::run(std::function<void()> Done) {
+  State->Done = std::move(Done);
+  State->Began = State->Context.Timers.now();
+  State->makeSessions();
+  State->startTimers();
+  State->Running = State->Sessions.size();
+  for (auto &Session : State->Sessions)
+    Session->start([this] { State->sessionStopped(); });
+}
+
+void load_phase::state::addSession(const std::string &Group,
+                                   std::size_t Index) {
+  std::string Name = Settings.Name + "-" + std::to_string(RunNumber) + "-" +
+                     std::to_string(Index);
+  auto Seed = static_cast<std::uint32_t>(Settings.Seed * 10007 + Index);
+  Sessions.push_back(
+      std::make_unique<load_session>(Context, Name, Group, Index, Seed));
+}
+
+void load_phase::state::makeSessions() {
+  auto Count = static_cast<std::size_t>(Settings.Connections);
+  auto Roaming =
+      static_cast<std::size_t>(static_cast<double>(Count) * Settings.RoamShare);
+  for (std::size_t Index = 0; Index < Count; ++Index) {
+    addSession(Settings.Groups[Index % Settings.Groups.size()], Index);
+    if (Index < Roaming)
+      Sessions.back()->roam();
+  }
+  if (!Settings.WatchGap)
+    return;
+  gap_tracker Tracker;
+  Tracker.LateAfter = Settings.GapLateAfter;
+  Tracker.CountedFrom = Began + Settings.GapCountedAfter;
+  for (const std::string &Group : Settings.Groups) {
+    addSession(Group, Sessions.size());
+    Sessions.back()->watchGap(Tracker);
+  }
+}
+
+void load_phase::state::startTimers() {
+  StopTimer = Context.Timers.after(Settings.Length, [this] { stop(); });
+  CsvTimer = Context.Timers.every(CsvPeriod, [this] {
+    Csv.write(Settings.Name, Second++, Context.Second);
+    Context.Second = run_figures();
+  });
+  if (Settings.PauseAt == duration::zero())
+    return;
+  PauseTimer =
+      Context.Timers.after(Settings.PauseAt, [this] { Context.Paused = true; });
+  ResumeTimer = Context.Timers.after(Settings.PauseAt + Settings.PauseLength,
+                                     [this] { Context.Paused = false; });
+}
+
+void load_phase::state::stop() {
+  Context.Stopping = true;
+  CsvTimer.cancel();
+  Ended = Context.Timers.now();
+  Context.Total.Elapsed = Ended - Began;
+  if (Sessions.empty())
+    Done();
+}
+
+void load_phase::state::sessionStopped() {
+  if (--Running == 0)
+    Context.Loop.post([this] { verifyNext(); });
+}
+
+void load_phase::state::verifyNext() {
+  if (Verified == Sessions.size())
+    return Done();
+  Sessions[Verified++]->verify(
+      [this] { Context.Loop.post([this] { verifyNext(); }); });
+}
+
+const run_figures &load_phase::figures() const { return State->Context.Total; }
+
+std::vector<std::pair<std::string, duration>> load_phase::gaps() const {
+  std::vector<std::pair<std::string, duration>> Gaps;
+  for (const auto &Session : State->Sessions)
+    if (Session->gap())
+      Gaps.emplace_back(Session->group(),
+                        longestGap(*Session->gap(), State->Ended));
+  return Gaps;
+}
+
+} // namespace teasellock::bench
--- /dev/null
+++ b/bench/teasellock_bench.cpp
@@ -0,0 +1,128 @@
+#include "bench/bench_settings.h"
+#include "bench/entry_metrics.h"
+#include "bench/idle_connections.h"
+#include "core/error.h"
+#include "core/event_log.h"
+
+#include <iostream>
+
+using namespace teasellock;
+using namespace teasellock::bench;
+
+namespace {
+
+constexpr duration SettleTime = std::chrono::seconds(1);
+
+/// Runs the loop until one asynchronous step calls back.
+void waitFor(event_loop &Loop,
+             const std::function<void(std::function<void()>)> &Step) {
+  bool Done = false;
+  Loop.post([&] {
+    Step([&] {
+      Done = true;
+      Loop.stop();
+    });
+  });
+  while (!Done)
+    Loop.run();
+}
+
+class bench_run {
+public:
+  explicit bench_run(bench_settings Given)
+      : Settings(std::move(Given)), Timers(Loop), Csv(Settings.Csv) {}
+
+  int run() {
+    if (Settings.Direct)
+      runDirect();
+    if (Settings.Phase.Targets.empty())
+      return Failures > 0;
+    if (Settings.Idle > 0)
+      openIdle();
+    runEntries();
+    std::cout << "failures=" << Failures << std::endl;
+    return Failures > 0;
+  }
+
+private:
+  void runDirect() {
+    phase_settings Phase = Settings.Phase;
+    Phase.Name = "direct";
+    Phase.Targets = {*Settings.Direct};
+    Phase.Groups.resize(1);
+    Phase.Connections = Settings.DirectConnections;
+    Phase.RoamShare = 0;
+    Phase.WatchGap = false;
+    runPhase(Phase, "direct_");
+  }
+
+  void runEntries() {
+    read_counts Before = fetchReads(Settings.Metrics);
+    runPhase(Settings.Phase, "");
+    if (Settings.Metrics.empty())
+      return;
+    read_counts After = fetchReads(Settings.Metrics);
+    double Replica = After.Replica - Before.Replica;
+    double Primary = After.Primary - Before.Primary;
+    std::cout << "reads_by_replica=" << Replica << '\n'
+              << "reads_by_primary=" << Primary << '\n';
+    if (Replica + Primary > 0)
+      std::cout << "replica_read_share=" << Replica / (Replica + Primary)
+                << '\n';
+  }
+
+  void runPhase(const phase_settings &Phase, const std::string &Prefix) {
+    load_phase Run(Loop, Timers, Phase, Csv);
+    waitFor(Loop,
+            [&Run](std::function<void()> Done) { Run.run(std::move(Done)); });
+    printFigures(Prefix, Run.figures());
+    for (const auto &[Group, Gap] : Run.gaps())
+      std::cout << Prefix << "gap_ms_" << Group << '=' << toMilliseconds(Gap)
+                << '\n';
+    Failures += violationCount(Run.figures()) + Run.figures().Unverified;
+  }
+
+  void openIdle() {
+    std::int64_t Before =
+        Settings.EntryPid ? residentBytes(Settings.EntryPid) : 0;
+    Idle.emplace(Loop, Timers, Settings.Phase.Targets,
+                 Settings.Phase.Groups.front());
+    waitFor(Loop, [this](std::function<void()> Done) {
+      Idle->open(Settings.Idle, std::move(Done));
+    });
+    timer_subscription Settled;
+    waitFor(Loop, [this, &Settled](std::function<void()> Done) {
+      Settled = Timers.after(SettleTime, std::move(Done));
+    });
+    std::cout << "idle_opened=" << Idle->opened() << '\n'
+              << "idle_failed=" << Idle->failed() << '\n';
+    if (!Settings.EntryPid || Idle->opened() == 0)
+      return;
+    std::int64_t Grown = residentBytes(Settings.EntryPid) - Before;
+    std::cout << "idle_bytes_per_connection="
+              << Grown / static_cast<std::int64_t>(Idle->opened()) << std::endl;
+  }
+
+  bench_settings Settings;
+  event_loop Loop;
+  timer_service Timers;
+  csv_output Csv;
+  std::optional<idle_connections> Idle;
+  std::uint64_t Failures = 0;
+};
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  CLI::App App("Loads teasellock and checks what it promises.");
+  bench_flags Flags;
+  declareFlags(App, Flags);
+  CLI11_PARSE(App, Count, Arguments);
+  try {
+    startEventLog(severity::Warning);
+    return bench_run(toSettings(Flags)).run();
+  } catch (const error &Error) {
+    std::cerr << Error.what() << std::endl;
+    return 2;
+  }
+}
