--- a/bench/report.cpp
+++ b/bench/report.cpp
@@ -77,7 +77,7 @@
        {violation::StaleRead, violation::ForeignAnswer, violation::DoubledWrite,
         violation::LostWrite, violation::NotRunRan}) {
     auto Found = Figures.Violations.find(Violation);
-    Line("violations_" + toString(Violation),
+    Line("violations_" + violationName(Violation),
          Found == Figures.Violations.end() ? 0 : Found->second);
   }
   std::cout.flush();
--- a/bench/workload.cpp
+++ b/bench/workload.cpp
@@ -62,7 +62,7 @@
 
 } // namespace
 
-std::string toString(violation Violation) {
+std::string violationName(violation Violation) {
   switch (Violation) {
   case violation::StaleRead:
     return "stale_read";
--- a/bench/workload.h
+++ b/bench/workload.h
@@ -55,7 +55,7 @@
 };
 
 /// The name of a violation in reports.
-std::string toString(violation Violation);
+std::string violationName(violation Violation);
 
 /// Chooses the next statement of a session.
 planned_statement planStatement(session_ledger &Ledger, const workload_mix &Mix,
