--- a/modules/consensus/consensus_service.cpp
+++ b/modules/consensus/consensus_service.cpp
@@ -288,7 +288,8 @@
 
 void consensus_service::state::resolveConfirmations() {
   bool Leads = Decisions.Role == consensus_role::Leader;
-  time_point Confirmed = teasellock::leaderConfirmedAt(Decisions, Context.Timers.now());
+  time_point Confirmed =
+      teasellock::leaderConfirmedAt(Decisions, Context.Timers.now());
   while (!Confirmations.empty() &&
          (!Leads || Confirmations.front().AskedAt <= Confirmed)) {
     auto Callback = std::move(Confirmations.front().Callback);
--- a/modules/gateway/tests/test_group_gateway.cpp
+++ b/modules/gateway/tests/test_group_gateway.cpp
@@ -14,8 +14,9 @@
 
 void createTable(gateway_bed &Bed) {
   auto Answer = Bed.finish(gateway_bed::write(
-      "CREATE TABLE bookings (id bigint PRIMARY KEY, rider text)"));
+      "CREATE TABLE fares (id bigint PRIMARY KEY, rider text)"));
   REQUIRE(Answer.Last.outcome == Answered);
+  REQUIRE(holds(Answer.Messages, "CREATE TABLE"));
 }
 
 } // namespace
@@ -24,12 +25,12 @@
           "that floor sees it on a replica") {
   gateway_bed Bed;
   createTable(Bed);
-  auto Write = Bed.finish(
-      gateway_bed::write("INSERT INTO bookings VALUES (1, 'ana')"));
+  auto Write =
+      Bed.finish(gateway_bed::write("INSERT INTO fares VALUES (1, 'ana')"));
   CHECK(Write.Last.outcome == Answered);
   CHECK(Write.Last.upstream == "a");
   CHECK(Write.Last.reached.offset > 0);
-  auto Request = gateway_bed::read("SELECT rider FROM bookings WHERE id = 1");
+  auto Request = gateway_bed::read("SELECT rider FROM fares WHERE id = 1");
   Request.floor = Write.Last.reached;
   auto Read = Bed.finish(Request);
   CHECK(Read.Last.outcome == Answered);
@@ -41,8 +42,8 @@
           "position") {
   gateway_bed Bed;
   createTable(Bed);
-  Bed.finish(gateway_bed::write("INSERT INTO bookings VALUES (1, 'ana')"));
-  auto Request = gateway_bed::read("SELECT rider FROM bookings WHERE id = 1");
+  Bed.finish(gateway_bed::write("INSERT INTO fares VALUES (1, 'ana')"));
+  auto Request = gateway_bed::read("SELECT rider FROM fares WHERE id = 1");
   Request.floor_known = false;
   auto Read = Bed.finish(Request);
   CHECK(Read.Last.outcome == Answered);
@@ -54,11 +55,11 @@
   gateway_bed Bed;
   createTable(Bed);
   Bed.LeaseValid = false;
-  auto Refused = Bed.finish(
-      gateway_bed::write("INSERT INTO bookings VALUES (1, 'ana')"));
+  auto Refused =
+      Bed.finish(gateway_bed::write("INSERT INTO fares VALUES (1, 'ana')"));
   CHECK(Refused.Last.outcome == NotRun);
   Bed.LeaseValid = true;
-  auto Request = gateway_bed::write("INSERT INTO bookings VALUES (2, 'eva')");
+  auto Request = gateway_bed::write("INSERT INTO fares VALUES (2, 'eva')");
   Request.timeout_ms = 200;
   auto Lost = Bed.start(Request);
   Bed.LeaseValid = false;
@@ -74,7 +75,7 @@
   Bed.Servers["b"]->runSwitch("lag 60000");
   Bed.Servers["c"]->runSwitch("lag 60000");
   auto Write =
-      Bed.start(gateway_bed::write("INSERT INTO bookings VALUES (1, 'ana')"));
+      Bed.start(gateway_bed::write("INSERT INTO fares VALUES (1, 'ana')"));
   for (int Turn = 0; Turn < 200; ++Turn)
     Bed.Loop.runOnce();
   REQUIRE_FALSE(Write->Done);
@@ -87,8 +88,8 @@
   REQUIRE(Bed.runUntil([&] { return Reply.has_value(); }));
   CHECK(Reply->upstreams.size() == 3);
   CHECK(Reply->acknowledged.offset > 0);
-  auto Refused = Bed.finish(
-      gateway_bed::write("INSERT INTO bookings VALUES (2, 'eva')"));
+  auto Refused =
+      Bed.finish(gateway_bed::write("INSERT INTO fares VALUES (2, 'eva')"));
   CHECK(Refused.Last.outcome == NotRun);
 }
 
@@ -100,14 +101,14 @@
   Begin.transaction = 5;
   Begin.opens_transaction = true;
   CHECK(Bed.finish(Begin).Last.transaction_status == 'T');
-  auto Insert = gateway_bed::write("INSERT INTO bookings VALUES (1, 'ana')");
+  auto Insert = gateway_bed::write("INSERT INTO fares VALUES (1, 'ana')");
   Insert.transaction = 5;
   CHECK(Bed.finish(Insert).Last.transaction_status == 'T');
   Bed.Gateway->release(link_id(1), transaction_id(5));
   auto Commit = gateway_bed::write("COMMIT");
   Commit.transaction = 5;
   CHECK(Bed.finish(Commit).Last.outcome == NotRun);
-  auto Read = gateway_bed::read("SELECT rider FROM bookings WHERE id = 1");
+  auto Read = gateway_bed::read("SELECT rider FROM fares WHERE id = 1");
   Read.floor_known = false;
   CHECK_FALSE(holds(Bed.finish(Read).Messages, "ana"));
   CHECK(Bed.Gateway->inFlight() == 0);
@@ -117,7 +118,7 @@
   gateway_bed Bed;
   createTable(Bed);
   for (const char *Sql :
-       {"BEGIN", "INSERT INTO bookings VALUES (1, 'ana')", "COMMIT"}) {
+       {"BEGIN", "INSERT INTO fares VALUES (1, 'ana')", "COMMIT"}) {
     auto Request = gateway_bed::write(Sql);
     Request.transaction = 9;
     Request.opens_transaction = std::string(Sql) == "BEGIN";
@@ -134,7 +135,7 @@
 TEST_CASE("gateway: a key runs once") {
   gateway_bed Bed;
   createTable(Bed);
-  auto Request = gateway_bed::write("INSERT INTO bookings VALUES (1, 'ana')");
+  auto Request = gateway_bed::write("INSERT INTO fares VALUES (1, 'ana')");
   Request.idempotency_key = "k1";
   CHECK(Bed.finish(Request).Last.outcome == Answered);
   auto Again = Bed.finish(Request);
@@ -151,7 +152,7 @@
     auto Request = gateway_bed::write("");
     wire::statement_step &Step = Request.steps[0];
     Step.kind = wire::step_kind::execute;
-    Step.sql = "INSERT INTO bookings VALUES ($1, $2)";
+    Step.sql = "INSERT INTO fares VALUES ($1, $2)";
     Step.parameter_types = {20, 25};
     Step.parameters.resize(2);
     Step.parameters[0].value = std::to_string(Round);
@@ -160,7 +161,7 @@
     CHECK(Answer.Last.outcome == Answered);
     CHECK(holds(Answer.Messages, "INSERT 0 1"));
   }
-  auto Describe = gateway_bed::read("SELECT rider FROM bookings");
+  auto Describe = gateway_bed::read("SELECT rider FROM fares");
   Describe.steps[0].kind = wire::step_kind::describe;
   auto Answer = Bed.finish(Describe);
   CHECK(Answer.Last.outcome == Answered);
@@ -179,8 +180,8 @@
   Order.term = 2;
   for (int Round = 0; Round < 2; ++Round) {
     std::optional<wire::promote_reply> Reply;
-    Bed.Gateway->promote(
-        Order, [&](wire::promote_reply Answer) { Reply = Answer; });
+    Bed.Gateway->promote(Order,
+                         [&](wire::promote_reply Answer) { Reply = Answer; });
     REQUIRE(Bed.runUntil([&] { return Reply.has_value(); }));
     CHECK(Reply->problem == "");
     CHECK(Reply->done);
@@ -190,8 +191,8 @@
   Bed.View.Primary = upstream_id("b");
   Bed.Gateway->apply(Bed.View);
   CHECK(Bed.runUntil([&] { return Bed.Servers["a"]->isReplica(); }));
-  auto Write = Bed.finish(
-      gateway_bed::write("INSERT INTO bookings VALUES (1, 'ana')"));
+  auto Write =
+      Bed.finish(gateway_bed::write("INSERT INTO fares VALUES (1, 'ana')"));
   CHECK(Write.Last.outcome == Answered);
   CHECK(Write.Last.reached.term == 2);
 }
