--- a/modules/control/control_service.cpp
+++ b/modules/control/control_service.cpp
@@ -76,6 +76,8 @@
   decision_settings Settings;
   control_state Replicated;
   leader_state Leader;
+  /// How long after a quorum followed this leader none other can be elected.
+  duration ConfirmationLife;
   bool Leading = false;
   /// Grows whenever leadership changes; answers of an earlier time are void.
   std::uint64_t Leadership = 0;
@@ -97,6 +99,7 @@
   state(daemon_context &Context, link_hub &Hub, control_settings Settings,
         consensus_settings ConsensusSettings)
       : Context(Context), Hub(Hub), Settings(decisionSettings(Settings)),
+        ConfirmationLife(ConsensusSettings.ElectionTimeout / 2),
         Promotions(
             Context.Metrics.counterOf("teasellock_control_promotions_total")),
         Renewals(
@@ -113,6 +116,8 @@
                std::function<void(proposal_outcome)> Done);
 
   void onRenewal(link_id Link, link_message &&Message);
+  void handleRenewal(link_id Link, link_message &&Message,
+                     const wire::renewal &Renewal);
   void registerVm(link_id Link, link_message &&Message,
                   const wire::renewal &Renewal, const vm_record &Record);
   void refuseRenewal(link_id Link, const link_message &Message,
@@ -238,6 +243,22 @@
     refuseRenewal(Link, Message, Renewal);
     return;
   }
+  if (now() - Consensus.leaderConfirmedAt() < ConfirmationLife) {
+    handleRenewal(Link, std::move(Message), Renewal);
+    return;
+  }
+  // No lease is granted before a quorum has said that this is the leader.
+  Consensus.confirmLeadership(
+      [this, Link, Renewal, Message = std::move(Message)](bool Leads) mutable {
+        if (Leads && Leading)
+          handleRenewal(Link, std::move(Message), Renewal);
+        else
+          refuseRenewal(Link, Message, Renewal);
+      });
+}
+
+void control_service::state::handleRenewal(link_id Link, link_message &&Message,
+                                           const wire::renewal &Renewal) {
   auto Record = changedRecord(Replicated, Renewal);
   auto Verdict = takeRenewal(Replicated, Leader, Renewal, Settings, now());
   if (Verdict == renewal_verdict::Refused) {
@@ -774,11 +795,22 @@
 
 namespace {
 
+/// Store ids are written as numbers or, beyond what JavaScript holds, as text.
+store_id readStore(const json &Json) {
+  try {
+    if (Json.is_string())
+      return store_id(std::stoull(Json.get<std::string>()));
+    return store_id(Json.get<std::uint64_t>());
+  } catch (const std::exception &) {
+    throw error("control.member", "request", "store must be a number");
+  }
+}
+
 /// Reads {store, vm, address, voter}. Throws error when a field is missing.
 control_member readMember(const json &Json) {
   control_member Member;
   try {
-    Member.Store = store_id(Json.at("store").get<std::uint64_t>());
+    Member.Store = readStore(Json.at("store"));
     Member.Vm = vm_id(Json.at("vm").get<std::string>());
     Member.Address = parseEndpoint(Json.at("address").get<std::string>());
     Member.Voter = Json.value("voter", true);
@@ -812,21 +844,24 @@
 
 void control_service::state::replaceMember(const std::string &Body,
                                            const operator_answer &Answer) {
-  if (!Consensus.isLeader()) {
-    notLeader(Answer);
-    return;
-  }
+  json Request = json::parse(Body, nullptr, false);
   try {
-    auto Members = readMembers(json::parse(Body, nullptr, false));
-    Consensus.changeMembers(
-        Members, [this, Answer](proposal_outcome Outcome, revision) {
-          if (Outcome == proposal_outcome::Committed)
-            Answer(200, Consensus.statusJson());
-          else if (Outcome == proposal_outcome::NotLeader)
-            notLeader(Answer);
-          else
-            Answer(503, errorResult(503, "outcome unknown").Body);
-        });
+    if (Request.is_object() && Request.contains("force") &&
+        Request["force"] == true) {
+      Answer(200, text({{"done", true}, {"risk", Consensus.forceMembers()}}));
+      return;
+    }
+    if (!Consensus.isLeader()) {
+      notLeader(Answer);
+      return;
+    }
+    if (!Request.is_object() || !Request.contains("old") ||
+        !Request.contains("new"))
+      throw error("control.replace", "request", "{old, new} expected");
+    auto Progress = Consensus.replaceMember(readStore(Request["old"]),
+                                            readMember(Request["new"]));
+    Answer(Progress.Done ? 200 : 202,
+           text({{"done", Progress.Done}, {"step", Progress.Text}}));
   } catch (const error &Problem) {
     Answer(400, errorResult(400, Problem.reason()).Body);
   }
--- /dev/null
+++ b/modules/control/tests/test_control_service.cpp
@@ -0,0 +1,277 @@
+#include "modules/control/control_service.h"
+#include "modules/membership/member_agent.h"
+
+#include <doctest/doctest.h>
+#include <filesystem>
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+using namespace teasellock;
+
+namespace {
+
+struct temporary_folder {
+  std::string Path;
+
+  temporary_folder() {
+    char Pattern[] = "/tmp/teasellock-control-XXXXXX";
+    Path = ::mkdtemp(Pattern);
+  }
+  ~temporary_folder() { std::filesystem::remove_all(Path); }
+};
+
+/// A database server as probes see it.
+struct fake_upstream {
+  bool Up = true;
+  bool Replica = true;
+  position Replayed{term(1), 100};
+};
+
+using fake_group = std::map<std::string, fake_upstream>;
+
+/// A VM whose gateway answers from a fake group.
+struct test_vm {
+  metrics Metrics;
+  tracer Tracer;
+  daemon_context Context;
+  link_hub Hub;
+  fake_group &Upstreams;
+  std::unique_ptr<member_agent> Agent;
+  time_point DownSince{};
+
+  test_vm(event_loop &Loop, timer_service &Timers, const std::string &Name,
+          fake_group &Upstreams)
+      : Context{Loop,
+                Timers,
+                Metrics,
+                Tracer,
+                {vm_id(Name),
+                 incarnation(1),
+                 availability_zone_id("zone-" + Name),
+                 region_id("region"),
+                 {"127.0.0.1", 0}}},
+        Hub(Context, link_settings()), Upstreams(Upstreams) {
+    Context.Self.Internal = Hub.listen();
+  }
+
+  void join(const endpoint &Control) {
+    membership_settings Settings;
+    Settings.Control = {Control};
+    Settings.RenewalPeriod = fromMilliseconds(40);
+    Agent = std::make_unique<member_agent>(Context, Hub, Settings);
+    gateway_hooks Hooks;
+    Hooks.Reports = [this] { return reports(); };
+    Hooks.Fence = [this](const group_id &Group, term Term, auto Answer) {
+      wire::fence_reply Reply;
+      Reply.group = Group.Value;
+      Reply.term = static_cast<std::int64_t>(Term.Value);
+      Reply.upstreams = probes();
+      Answer(Reply);
+    };
+    Hooks.Promote = [this](const wire::promote &Order, auto Answer) {
+      auto &Upstream = Upstreams[Order.upstream];
+      Upstream.Replica = false;
+      Upstream.Replayed = {term(static_cast<std::uint64_t>(Order.term)),
+                           Upstream.Replayed.Offset + 1};
+      wire::promote_reply Reply;
+      Reply.group = Order.group;
+      Reply.upstream = Order.upstream;
+      Reply.term = Order.term;
+      Reply.done = true;
+      Answer(Reply);
+    };
+    Agent->attachGateway(std::move(Hooks));
+    Agent->start();
+  }
+
+  std::vector<wire::upstream_report> probes() {
+    std::vector<wire::upstream_report> Result;
+    for (auto &[Name, Upstream] : Upstreams) {
+      wire::upstream_report Report;
+      Report.upstream = Name;
+      Report.reachable = Upstream.Up;
+      Report.refused = !Upstream.Up;
+      Report.unreachable_ms = Upstream.Up ? 0 : 150;
+      Report.replica = Upstream.Replica;
+      Report.replayed = toWire(Upstream.Replayed);
+      Result.push_back(Report);
+    }
+    return Result;
+  }
+
+  std::vector<wire::group_report> reports() {
+    std::vector<wire::group_report> Result;
+    for (const auto &[Name, View] : Agent->views())
+      for (const auto &Share : View.Gateways)
+        if (Share.Vm == Context.Self.Vm) {
+          wire::group_report Report;
+          Report.group = Name.Value;
+          Report.term = static_cast<std::int64_t>(View.Term.Value);
+          Report.budget_epoch = static_cast<std::int64_t>(Share.BudgetEpoch);
+          Report.upstreams = probes();
+          Result.push_back(Report);
+        }
+    return Result;
+  }
+};
+
+/// One control member and three VMs on one loop.
+struct deployment {
+  event_loop Loop;
+  timer_service Timers{Loop};
+  temporary_folder Folder;
+  fake_group Upstreams;
+  test_vm First{Loop, Timers, "one", Upstreams};
+  test_vm Second{Loop, Timers, "two", Upstreams};
+  test_vm Third{Loop, Timers, "three", Upstreams};
+  std::unique_ptr<control_service> Control;
+
+  deployment() {
+    consensus_settings Consensus;
+    Consensus.DataFolder = Folder.Path;
+    Consensus.HeartbeatPeriod = fromMilliseconds(20);
+    Consensus.ElectionTimeout = fromMilliseconds(100);
+    Control = std::make_unique<control_service>(First.Context, First.Hub,
+                                                control_settings(), Consensus);
+    Control->start();
+  }
+
+  template <typename Condition> bool runUntil(Condition Done) {
+    const duration Patience = fromMilliseconds(10000);
+    for (time_point Start = Timers.now();
+         Timers.now() - Start < Patience && !Done();)
+      Loop.runOnce();
+    return Done();
+  }
+
+  std::pair<int, nlohmann::json> ask(const std::string &Method,
+                                     const std::string &Path,
+                                     const nlohmann::json &Body = {}) {
+    std::optional<std::pair<int, nlohmann::json>> Result;
+    Control->handleOperator(Method, Path, Body.dump(),
+                            [&](int Status, const std::string &Text) {
+                              Result = {Status, nlohmann::json::parse(Text)};
+                            });
+    REQUIRE(runUntil([&] { return Result.has_value(); }));
+    return *Result;
+  }
+
+  void found() {
+    auto Status = ask("GET", "/v1/control/status").second;
+    nlohmann::json Member = {
+        {"store", Status["store"]},
+        {"vm", "one"},
+        {"address", toString(First.Context.Self.Internal)}};
+    CHECK(ask("POST", "/v1/control/init", {{"members", {Member}}}).first ==
+          200);
+    REQUIRE(runUntil([&] { return Control->isLeader(); }));
+    for (auto *Vm : {&First, &Second, &Third})
+      Vm->join(First.Context.Self.Internal);
+  }
+
+  void announce(const std::string &Upstream, bool Leaving = false) {
+    upstream_announcement Announcement;
+    Announcement.Group = group_id("fares");
+    Announcement.Upstream = upstream_id(Upstream);
+    Announcement.Address = {"10.0.0.1", 5432};
+    Announcement.Connections = 25;
+    Announcement.Slots = 3;
+    Announcement.Leaving = Leaving;
+    Second.Agent->announce(Announcement);
+  }
+
+  const group_view *view() { return Third.Agent->find(group_id("fares")); }
+
+  bool primaryIs(const std::string &Upstream) {
+    const auto *View = view();
+    return View && View->Primary == upstream_id(Upstream);
+  }
+
+  void serve() {
+    found();
+    Upstreams["a"].Replica = false;
+    Upstreams["a"].Replayed.Offset = 120;
+    Upstreams["b"] = {};
+    Upstreams["c"].Replayed.Offset = 120;
+    nlohmann::json Row = {{"group", "fares"}};
+    auto Edit =
+        ask("PUT", "/v1/table",
+            {{"edit_id", "first"}, {"base_version", 0}, {"rows", {Row}}});
+    CHECK(Edit.first == 200);
+    CHECK(Edit.second["version"] == 1);
+    for (const char *Name : {"a", "b", "c"})
+      announce(Name);
+    REQUIRE(runUntil([&] { return primaryIs("a"); }));
+  }
+};
+
+} // namespace
+
+TEST_CASE("control: a row, announcements and renewals lead to leases, "
+          "gateways, a first primary and views") {
+  deployment Deployment;
+  Deployment.serve();
+  CHECK(Deployment.Third.Agent->leaseValid());
+  CHECK((Deployment.view()->Term == term(1)));
+  CHECK(Deployment.view()->Gateways.size() == 2);
+  CHECK(Deployment.view()->Upstreams.size() == 3);
+  REQUIRE(Deployment.runUntil([&] {
+    auto Status = Deployment.ask("GET", "/v1/table/status").second;
+    return Status["behind"].empty();
+  }));
+}
+
+TEST_CASE("control: a primary that dies is replaced by the highest replica, "
+          "and one that leaves is handed over") {
+  deployment Deployment;
+  Deployment.serve();
+  Deployment.Upstreams["a"].Up = false;
+  REQUIRE(Deployment.runUntil([&] { return Deployment.primaryIs("c"); }));
+  CHECK((Deployment.view()->Term == term(2)));
+  Deployment.Upstreams["a"].Up = true;
+  Deployment.Upstreams["a"].Replica = true;
+  Deployment.Upstreams["b"].Replayed = {term(2), 121};
+  Deployment.announce("c", true);
+  REQUIRE(Deployment.runUntil([&] { return Deployment.primaryIs("b"); }));
+  CHECK((Deployment.view()->Term == term(3)));
+}
+
+TEST_CASE("control: a VM that drains hands its groups over first") {
+  deployment Deployment;
+  Deployment.serve();
+  vm_id Leaving = Deployment.view()->Gateways.front().Vm;
+  test_vm *Vm = Leaving == vm_id("one")   ? &Deployment.First
+                : Leaving == vm_id("two") ? &Deployment.Second
+                                          : &Deployment.Third;
+  bool Released = false;
+  Vm->Agent->drain([&] { Released = true; });
+  REQUIRE(Deployment.runUntil([&] { return Released; }));
+  auto Group = Deployment.ask("GET", "/v1/groups/fares").second;
+  CHECK(Group["gateways"].size() == 2);
+  for (const auto &Gateway : Group["gateways"])
+    CHECK((Gateway["vm"] != Leaving.Value));
+}
+
+TEST_CASE("control: racing and resent edits, and answers to bad requests") {
+  deployment Deployment;
+  Deployment.serve();
+  nlohmann::json Rows = {{{"group", "fares"}, {"queue_limit", 7}}};
+  auto Edit = [&](const std::string &Id, int Base) {
+    return Deployment.ask(
+        "PUT", "/v1/table",
+        {{"edit_id", Id}, {"base_version", Base}, {"rows", Rows}});
+  };
+  CHECK(Edit("left", 1).first == 200);
+  auto Lost = Edit("right", 1);
+  CHECK(Lost.first == 409);
+  CHECK(Lost.second["winning_edit"] == "left");
+  CHECK(Lost.second["version"] == 2);
+  CHECK(Edit("left", 1).second["version"] == 2);
+  CHECK(Edit("right", 2).first == 409);
+  REQUIRE(Deployment.runUntil(
+      [&] { return Deployment.view()->Row.QueueLimit == 7; }));
+  CHECK(Deployment.ask("PUT", "/v1/table", {{"rows", 3}}).first == 400);
+  CHECK(Deployment.ask("GET", "/v1/groups/none").first == 404);
+  CHECK(Deployment.ask("POST", "/v1/groups/fares/promote").first == 400);
+  CHECK(Deployment.ask("POST", "/v1/nothing").first == 404);
+}
