--- a/modules/gateway/tests/gateway_bed.h
+++ b/modules/gateway/tests/gateway_bed.h
@@ -64,8 +64,7 @@
     Options.Name = upstream_id(Name);
     Options.Listen = {"127.0.0.1", 0};
     Options.Follow = Follow;
-    Servers[Name] =
-        std::make_unique<stand_in::server>(Loop, Timers, Options);
+    Servers[Name] = std::make_unique<stand_in::server>(Loop, Timers, Options);
     upstream_announcement Announcement;
     Announcement.Group = View.Group;
     Announcement.Upstream = upstream_id(Name);
--- a/modules/gateway/tests/test_group_gateway.cpp
+++ b/modules/gateway/tests/test_group_gateway.cpp
@@ -24,8 +24,8 @@
           "that floor sees it on a replica") {
   gateway_bed Bed;
   createTable(Bed);
-  auto Write = Bed.finish(
-      gateway_bed::write("INSERT INTO bookings VALUES (1, 'ana')"));
+  auto Write =
+      Bed.finish(gateway_bed::write("INSERT INTO bookings VALUES (1, 'ana')"));
   CHECK(Write.Last.outcome == Answered);
   CHECK(Write.Last.upstream == "a");
   CHECK(Write.Last.reached.offset > 0);
@@ -54,8 +54,8 @@
   gateway_bed Bed;
   createTable(Bed);
   Bed.LeaseValid = false;
-  auto Refused = Bed.finish(
-      gateway_bed::write("INSERT INTO bookings VALUES (1, 'ana')"));
+  auto Refused =
+      Bed.finish(gateway_bed::write("INSERT INTO bookings VALUES (1, 'ana')"));
   CHECK(Refused.Last.outcome == NotRun);
   Bed.LeaseValid = true;
   auto Request = gateway_bed::write("INSERT INTO bookings VALUES (2, 'eva')");
@@ -87,8 +87,8 @@
   REQUIRE(Bed.runUntil([&] { return Reply.has_value(); }));
   CHECK(Reply->upstreams.size() == 3);
   CHECK(Reply->acknowledged.offset > 0);
-  auto Refused = Bed.finish(
-      gateway_bed::write("INSERT INTO bookings VALUES (2, 'eva')"));
+  auto Refused =
+      Bed.finish(gateway_bed::write("INSERT INTO bookings VALUES (2, 'eva')"));
   CHECK(Refused.Last.outcome == NotRun);
 }
 
@@ -179,8 +179,8 @@
   Order.term = 2;
   for (int Round = 0; Round < 2; ++Round) {
     std::optional<wire::promote_reply> Reply;
-    Bed.Gateway->promote(
-        Order, [&](wire::promote_reply Answer) { Reply = Answer; });
+    Bed.Gateway->promote(Order,
+                         [&](wire::promote_reply Answer) { Reply = Answer; });
     REQUIRE(Bed.runUntil([&] { return Reply.has_value(); }));
     CHECK(Reply->problem == "");
     CHECK(Reply->done);
@@ -190,8 +190,8 @@
   Bed.View.Primary = upstream_id("b");
   Bed.Gateway->apply(Bed.View);
   CHECK(Bed.runUntil([&] { return Bed.Servers["a"]->isReplica(); }));
-  auto Write = Bed.finish(
-      gateway_bed::write("INSERT INTO bookings VALUES (1, 'ana')"));
+  auto Write =
+      Bed.finish(gateway_bed::write("INSERT INTO bookings VALUES (1, 'ana')"));
   CHECK(Write.Last.outcome == Answered);
   CHECK(Write.Last.reached.term == 2);
 }
