--- a/modules/link/link_hub.cpp
+++ b/modules/link/link_hub.cpp
@@ -487,6 +487,10 @@
 
 void link_hub::receive(message_kind First, message_kind Last,
                        std::function<void(link_id, link_message &&)> Receiver) {
+  for (const auto &Other : State->Receivers)
+    if (First.Value <= Other.Last && Other.First <= Last.Value)
+      throw error("link.receive", std::to_string(First.Value),
+                  "the kind has a receiver already");
   State->Receivers.push_back({First.Value, Last.Value, std::move(Receiver)});
 }
 
--- a/modules/link/link_hub.h
+++ b/modules/link/link_hub.h
@@ -86,8 +86,9 @@
   /// The peer of an open link.
   const link_peer *peerOf(link_id Link) const;
 
-  /// Delivers messages of kinds First to Last. One receiver for each kind. An
-  /// exception of the receiver closes the link that sent the message.
+  /// Delivers messages of kinds First to Last. Throws error when
+  /// a kind has a receiver already. An exception of the receiver closes the
+  /// link that sent the message.
   void receive(message_kind First, message_kind Last,
                std::function<void(link_id, link_message &&)> Receiver);
 
--- a/modules/link/tests/test_link_hub.cpp
+++ b/modules/link/tests/test_link_hub.cpp
@@ -74,6 +74,17 @@
   CHECK(From == "left");
 }
 
+TEST_CASE("link: a kind has one receiver") {
+  event_loop Loop;
+  timer_service Timers(Loop);
+  test_vm Vm(Loop, Timers, "vm");
+  auto Ignore = [](link_id, link_message &&) {};
+  Vm.Hub.receive(message_kind(300), message_kind(301), Ignore);
+  CHECK_THROWS_AS(Vm.Hub.receive(message_kind(301), message_kind(399), Ignore),
+                  error);
+  CHECK_NOTHROW(Vm.Hub.receive(message_kind(302), message_kind(302), Ignore));
+}
+
 TEST_CASE("link: a peer that stays connected but silent is given up") {
   event_loop Loop;
   timer_service Timers(Loop);
