--- a/modules/gateway/gateway_service.cpp
+++ b/modules/gateway/gateway_service.cpp
@@ -60,11 +60,12 @@
     Member.onViewChanged([this](const group_view &View) { apply(View); });
     for (const auto &[Group, View] : Member.views())
       apply(View);
-    // Replies (301) go to the routing task of the entry.
-    for (message_kind Kind : {StatementKind, CancelKind, ReleaseKind})
-      Hub.receive(Kind, Kind, [this](link_id Link, link_message &&Message) {
-        onMessage(Link, std::move(Message));
-      });
+    // Replies go to the entry's router, which receives that kind itself.
+    auto Receiver = [this](link_id Link, link_message &&Message) {
+      onMessage(Link, std::move(Message));
+    };
+    Hub.receive(StatementKind, StatementKind, Receiver);
+    Hub.receive(CancelKind, ReleaseKind, Receiver);
     link_events Events;
     Events.Opened = [](link_id, const link_peer &) {};
     Events.Closed = [this](link_id Link, const error &) {
