--- a/modules/gateway/group_gateway.cpp
+++ b/modules/gateway/group_gateway.cpp
@@ -329,6 +329,7 @@
   Refusal.problem = Problem;
   Refusal.transaction_status = 'I';
   Refusal.not_assigned = NotAssigned;
+  Refusal.resolved = Statement.KeyOutcome == key_outcome::Tombstone;
   Statement.Span.set("outcome", "not_run");
   reply(Statement, std::move(Refusal));
   forget(Statement);
--- a/modules/routing/tests/test_routing_state.cpp
+++ b/modules/routing/tests/test_routing_state.cpp
@@ -62,8 +62,9 @@
   std::map<int, std::deque<arrived>> AtGateway;
   std::map<int, int> Connection;
   std::map<int, bool> Up;
-  /// Idempotency keys that a statement has used up, by statement.
-  std::map<request_id, bool> KeyUsed;
+  /// What the upstream has recorded under each statement's idempotency key.
+  enum class key_record { None, Ran, Tombstone };
+  std::map<request_id, key_record> Keys;
   std::deque<std::pair<int, std::pair<request_id, reply_facts>>> Repeats;
   int LateDropped = 0;
   /// Transactions that callers may go on with.
@@ -201,7 +202,8 @@
     if (!Lasts || !Entry.Facts.Write)
       return;
     if (Entry.Facts.HasIdempotencyKey &&
-        std::exchange(KeyUsed[Request.Statement], true))
+        std::exchange(Keys[Request.Statement], key_record::Ran) !=
+            key_record::None)
       return;
     ++Entry.Executed;
   }
@@ -242,9 +244,18 @@
       return reply(I, Request, Reply);
     }
     AtGateway[I].pop_front();
-    if (How == 1 && !Request.Executed) {
+    bool Tombstone = Facts.HasIdempotencyKey && !Request.Executed &&
+                     Keys[Request.Statement] == key_record::Tombstone;
+    if (Tombstone || (How == 1 && !Request.Executed)) {
       Reply.Outcome = reply_facts::outcome::NotRun;
-      Reply.Code = "57P03";
+      Reply.Code = Request.Attempt.Value % 2 == 0 ? "57P03" : "57014";
+      Reply.Resolved = Tombstone;
+    } else if (How == 6 && Facts.HasIdempotencyKey && !Request.Executed &&
+               Keys[Request.Statement] == key_record::None) {
+      Keys[Request.Statement] = key_record::Tombstone;
+      Reply.Outcome = reply_facts::outcome::NotRun;
+      Reply.Resolved = true;
+      Reply.Code = "57014";
     } else if (How == 2) {
       execute(Request);
       Reply.Outcome = reply_facts::outcome::Unknown;
