--- a/modules/routing/tests/test_routing_state.cpp
+++ b/modules/routing/tests/test_routing_state.cpp
@@ -75,6 +75,7 @@
   fake_world() {
     Routing.Self.Vm = vm_id("entry");
     Routing.Budget.Updated = Now;
+    Routing.Budget.Tokens = *rc::gen::elementOf(std::vector<double>{0, 50});
     routing_effects Effects;
     setView(Routing, viewOf(Term, true), Now, Effects);
     carryOut(std::move(Effects), nullptr);
@@ -328,7 +329,7 @@
 
 void act(fake_world &World) {
   int I = *rc::gen::inRange(0, Gateways);
-  switch (*rc::gen::inRange(0, 14)) {
+  switch (*rc::gen::inRange(0, 18)) {
   case 0:
     return World.open(I);
   case 1:
@@ -354,7 +355,8 @@
   case 8:
     return World.submitPinned(*rc::gen::arbitrary<bool>());
   default:
-    return World.serve(I, *rc::gen::inRange(0, 7));
+    return World.serve(
+        I, *rc::gen::elementOf(std::vector<int>{0, 1, 1, 2, 2, 3, 4, 5, 6}));
   }
 }
 
@@ -365,7 +367,7 @@
     fake_world World;
     for (int I = 0; I < Gateways; ++I)
       World.open(I);
-    int Steps = *rc::gen::inRange(1, 120);
+    int Steps = *rc::gen::inRange(1, 400);
     for (int Step = 0; Step < Steps; ++Step) {
       act(World);
       World.check();
