--- a/modules/gateway/gateway_service.cpp
+++ b/modules/gateway/gateway_service.cpp
@@ -12,8 +12,6 @@
 const message_kind ReplyKind(301);
 const message_kind CancelKind(302);
 const message_kind ReleaseKind(303);
-const message_kind FirstKind(300);
-const message_kind LastKind(399);
 /// Stands for this VM's own entry.
 const link_id LocalLink(0);
 constexpr const char *CannotConnectNow = "57P03";
@@ -62,10 +60,11 @@
     Member.onViewChanged([this](const group_view &View) { apply(View); });
     for (const auto &[Group, View] : Member.views())
       apply(View);
-    Hub.receive(FirstKind, LastKind,
-                [this](link_id Link, link_message &&Message) {
-                  onMessage(Link, std::move(Message));
-                });
+    // Replies (301) go to the routing task of the entry.
+    for (message_kind Kind : {StatementKind, CancelKind, ReleaseKind})
+      Hub.receive(Kind, Kind, [this](link_id Link, link_message &&Message) {
+        onMessage(Link, std::move(Message));
+      });
     link_events Events;
     Events.Opened = [](link_id, const link_peer &) {};
     Events.Closed = [this](link_id Link, const error &) {
