--- a/tests/cluster/cluster.sh
+++ b/tests/cluster/cluster.sh
@@ -6,7 +6,7 @@
 : "${BUILD:=build}"
 CLUSTER_DIR=${CLUSTER_DIR:-$(mktemp -d)}
 # Each run has a network of its own, so that several can run side by side.
-CLUSTER_NET=127.$((1 + ($$ / 250) % 250)).$((1 + $$ % 250))
+CLUSTER_NET=127.$((1 + (BASHPID / 250) % 250)).$((1 + BASHPID % 250))
 ZONES=(zocalo mercado malecon)
 REGIONS=(centro-historico centro-historico costera)
 VM_COUNT=${VM_COUNT:-9}
@@ -52,7 +52,7 @@
   for n in $(seq "$VM_COUNT"); do announce+=(--announce-to "$(vm_address "$n"):9001"); done
   start_recorded "upstream-$g-$u" "$BUILD/stand_in_upstream" --group "despacho-$g" --name "u$u" \
     --listen "$(upstream_address "$g" "$u"):5432" --availability-zone "${ZONES[$z]}" --region "${REGIONS[$z]}" \
-    --slots 3 --connections 25 --lag-ms "${LAG_MS:-5}" "${announce[@]}" ${UPSTREAM_FLAGS:-} "$@"
+    --slots "${UPSTREAM_SLOTS:-3}" --connections "${UPSTREAM_CONNECTIONS:-25}" --lag-ms "${LAG_MS:-5}" "${announce[@]}" ${UPSTREAM_FLAGS:-} "$@"
 }
 
 end_process() { # name, signal
@@ -101,7 +101,7 @@
 cluster_stop() {
   local pids=()
   for f in "$CLUSTER_DIR"/pids/*; do [ -e "$f" ] && pids+=("$(cat "$f")"); done
-  [ ${#pids[@]} -eq 0 ] || { kill -CONT "${pids[@]}"; kill -KILL "${pids[@]}"; } 2>/dev/null
-  wait 2>/dev/null
+  [ ${#pids[@]} -gt 0 ] || return
+  { kill -CONT "${pids[@]}"; kill -KILL "${pids[@]}"; wait "${pids[@]}"; } 2>/dev/null
 }
 trap cluster_stop EXIT
