Caller: portals fetched in parts, result columns of different formats

Cause: JDBC fetches portals in parts and asks for text and binary columns at once. The answer reader has a file of its own.

--- a/modules/caller/caller_batch.cpp
+++ b/modules/caller/caller_batch.cpp
@@ -193,6 +193,7 @@
                     "portal \"" + PortalName + "\" already exists");
   dropValidation(State.Batch, Name);
   Portal->Statement = Statement->second;
+  State.Suspended.erase(PortalName);
   State.Portals[PortalName] = Portal;
   addBytes(State, emptyMessage('2'));
 }
@@ -281,13 +282,6 @@
   const auto &Statement = *Portal.Statement;
   if (Statement.Info->Statements.empty())
     return addBytes(State, emptyMessage('I'));
-  auto Format = commonFormat(Portal.ResultFormats);
-  if (!Format)
-    return addError(State, sql_state::FeatureNotSupported,
-                    "result columns of different formats are not supported");
-  if (MostRows > 0)
-    return addError(State, sql_state::FeatureNotSupported,
-                    "fetching a portal in parts is not supported");
   auto &Items = State.Batch.Items;
   batch_item Item;
   Item.Kind = item_kind::Statement;
@@ -296,16 +290,30 @@
   Item.Step = stepOf(wire::step_kind::execute, Statement.Text);
   Item.Step.parameter_types = Statement.ParameterTypes;
   Item.Step.parameters = Portal.Parameters;
-  Item.Step.result_format = *Format;
+  Item.MostRows = std::max(MostRows, 0);
+  Item.Portal = Name;
+  auto Format = commonFormat(Portal.ResultFormats);
+  Item.Step.result_format = Format.value_or(1);
   if (!Items.empty() && Items.back().Kind == item_kind::DescribePortal &&
       Items.back().Name == Name) {
     Item.Before = std::move(Items.back().Before);
     Item.Step.describe_rows = true;
     Items.pop_back();
   }
+  if (!Format) {
+    // All columns come in binary; the entry converts the others.
+    Item.ResultFormats = Portal.ResultFormats;
+    Item.TellsRows = Item.Step.describe_rows;
+    Item.Step.describe_rows = true;
+  }
   Items.push_back(std::move(Item));
 }
 
+void closePortal(caller_state &State, const std::string &Name) {
+  State.Portals.erase(Name);
+  State.Suspended.erase(Name);
+}
+
 void takeClose(caller_state &State, std::string_view Body) {
   pg::field_reader Fields(Body);
   auto Kind = Fields.byte();
@@ -314,7 +322,7 @@
   if (Kind == 'S')
     State.Prepared.erase(Name);
   else if (Kind == 'P')
-    State.Portals.erase(Name);
+    closePortal(State, Name);
   else
     throw pg::malformed{"invalid CLOSE message subtype"};
   addBytes(State, emptyMessage('3'));
--- a/modules/caller/caller_decisions.h
+++ b/modules/caller/caller_decisions.h
@@ -51,6 +51,27 @@
 void tellToken(caller_state &State, const caller_environment &Environment,
                std::string &Out);
 
+// caller_answer.cpp
+
+/// Sends an error; the rest of the batch is skipped.
+void failBatch(caller_state &State, const std::string &Code,
+               const std::string &Problem, std::string &Out);
+
+/// The statements of an item that runs now.
+std::vector<const statement_info *> statementsOf(const batch_item &Item);
+
+/// Passes on the messages of an answer. Throws pg::malformed when they are not
+/// what the request asked for, and error when the caller can't have them.
+void readAnswer(caller_state &State, const caller_environment &Environment,
+                std::string_view Messages, std::string &Out);
+
+/// Whether an answer without an error has answered every step.
+bool answerIsWhole(const caller_state &State);
+
+/// Passes on the next rows of a portal whose rows were held back.
+void resumePortal(caller_state &State, const batch_item &Item,
+                  std::string &Out);
+
 // session_settings.cpp
 
 /// How the entry treats one statement.
--- a/modules/caller/caller_request.cpp
+++ b/modules/caller/caller_request.cpp
@@ -12,32 +12,18 @@
 using item_kind = batch_item::kind;
 using phase = caller_state::phase;
 
-void failBatch(caller_state &State, const std::string &Code,
-               const std::string &Problem, std::string &Out) {
-  pg::appendError(Out, "ERROR", Code, Problem);
-  State.Batch.Failed = true;
-}
-
 void finishBatch(caller_state &State, const caller_environment &Environment,
                  std::string &Out) {
   State.Batch = {};
-  if (State.Status == 'I')
+  if (State.Status == 'I') {
     State.Portals.clear();
+    State.Suspended.clear();
+  }
   tellToken(State, Environment, Out);
   pg::appendReady(Out, State.Status);
   State.Phase = phase::Ready;
 }
 
-/// The statements of an item that runs now.
-std::vector<const statement_info *> statementsOf(const batch_item &Item) {
-  std::vector<const statement_info *> Statements;
-  if (Item.Index)
-    return {&Item.Info->Statements[*Item.Index]};
-  for (const auto &Statement : Item.Info->Statements)
-    Statements.push_back(&Statement);
-  return Statements;
-}
-
 bool has(const batch_item &Item, statement_class Class) {
   if (Item.Kind != item_kind::Statement)
     return false;
@@ -77,6 +63,12 @@
   }
 }
 
+bool resumes(const caller_state &State, const batch_item &Item) {
+  return Item.Kind == item_kind::Statement &&
+         Item.Step.kind == wire::step_kind::execute &&
+         State.Suspended.contains(Item.Portal);
+}
+
 /// After a transaction was lost only its end is accepted.
 void runInLostTransaction(caller_state &State, const batch_item &Item,
                           std::string &Out) {
@@ -128,7 +120,9 @@
   std::size_t Count = 0;
   for (auto &Item : Items) {
     bool Bytes = Item.Kind == item_kind::Bytes;
-    if (Item.Kind == item_kind::Error || runsHere(Item, InTransaction))
+    bool AfterPart = !Taken.empty() && Taken.back().MostRows > 0;
+    if (Item.Kind == item_kind::Error || runsHere(Item, InTransaction) ||
+        (!Bytes && (AfterPart || resumes(State, Item))))
       break;
     ++Count;
     Before += Item.Before;
@@ -251,127 +245,6 @@
   State.Phase = phase::Busy;
 }
 
-/// Passes on what an answer's next message gives the caller.
-class answer_reader {
-public:
-  answer_reader(caller_state &State, const caller_environment &Environment,
-                std::string &Out)
-      : State(State), Environment(Environment), Request(*State.Request),
-        Out(Out) {}
-
-  void take(std::string_view Messages) {
-    while (!Messages.empty()) {
-      auto Frame = pg::nextFrame(Messages, false);
-      if (!Frame)
-        throw pg::malformed{"the answer of the gateway is incomplete"};
-      takeOne(*Frame, Messages.substr(0, Frame->Size));
-      Messages.remove_prefix(Frame->Size);
-    }
-  }
-
-private:
-  void takeOne(const pg::frame &Frame, std::string_view Bytes) {
-    if (Frame.Type == 'N' || Frame.Type == 'S' || Frame.Type == 'A') {
-      Out += Bytes;
-      return;
-    }
-    if (Frame.Type == 'E') {
-      Out += Bytes;
-      State.Batch.Failed = true;
-      return;
-    }
-    if (State.Batch.Failed)
-      return;
-    if (Request.Step >= Request.Items.size())
-      throw pg::malformed{"the answer of the gateway has too many messages"};
-    auto &Item = Request.Items[Request.Step];
-    if (!Request.Started)
-      Out += Item.Before;
-    Request.Started = true;
-    if (Frame.Type == 'C')
-      State.LastTag = pg::field_reader(Frame.Body).cString();
-    pass(Item, Frame, Bytes);
-    if (endsStep(Item, Frame.Type)) {
-      ++Request.Step;
-      Request.Started = false;
-    }
-  }
-
-  void pass(batch_item &Item, const pg::frame &Frame, std::string_view Bytes) {
-    switch (Item.Kind) {
-    case item_kind::Validate:
-      return;
-    case item_kind::ChangeSetting:
-      if (Frame.Type == 'C')
-        finishSetting(Item);
-      return;
-    case item_kind::DescribePortal:
-      if (Frame.Type == 'T')
-        Out += withFormats(Bytes, Item.ResultFormats);
-      else if (Frame.Type != 't')
-        Out += Bytes;
-      return;
-    default:
-      Out += Bytes;
-    }
-  }
-
-  static bool endsStep(const batch_item &Item, char Type) {
-    if (Item.Kind == item_kind::Validate || Item.Kind == item_kind::Describe ||
-        Item.Kind == item_kind::DescribePortal)
-      return Type == 'T' || Type == 'n';
-    if (Type != 'C' && Type != 'I')
-      return false;
-    // A simple query has an answer for each of its statements.
-    return Item.Kind == item_kind::ChangeSetting ||
-           Item.Step.kind != wire::step_kind::simple;
-  }
-
-  void finishSetting(const batch_item &Item) {
-    for (const auto &Change : statementsOf(Item).front()->Settings)
-      applySetting(State, Environment, Change, Out);
-    pg::appendCommandComplete(Out, "SET");
-  }
-
-  /// Puts a portal's formats into a RowDescription.
-  static std::string withFormats(std::string_view Bytes,
-                                 const std::vector<std::int16_t> &Formats) {
-    pg::field_reader Fields(Bytes.substr(5));
-    pg::message_writer Message('T');
-    auto Count = Fields.count16();
-    Message.int16(static_cast<std::int16_t>(Count));
-    constexpr std::size_t BytesBeforeFormat = 16;
-    for (int I = 0; I < Count; ++I) {
-      Message.cString(Fields.cString());
-      Message.bytes(Fields.bytes(BytesBeforeFormat));
-      Fields.int16();
-      auto Known = static_cast<std::size_t>(I) < Formats.size();
-      Message.int16(Formats.empty() ? std::int16_t(0)
-                    : Known         ? Formats[static_cast<std::size_t>(I)]
-                                    : Formats[0]);
-    }
-    std::string Described;
-    Message.append(Described);
-    return Described;
-  }
-
-  caller_state &State;
-  const caller_environment &Environment;
-  caller_request &Request;
-  std::string &Out;
-};
-
-/// Whether an answer without an error has answered every step.
-bool isWhole(const caller_state &State) {
-  const auto &Request = *State.Request;
-  if (State.Batch.Failed || Request.Step >= Request.Items.size())
-    return true;
-  const auto &Last = Request.Items.back();
-  return Request.Step + 1 == Request.Items.size() && Request.Started &&
-         Last.Kind == item_kind::Statement &&
-         Last.Step.kind == wire::step_kind::simple;
-}
-
 void endTransaction(caller_state &State, bool RolledBack) {
   if (RolledBack && State.SettingsAtBegin)
     State.Settings = std::move(*State.SettingsAtBegin);
@@ -435,7 +308,7 @@
 void takeLast(caller_state &State, const caller_environment &Environment,
               const wire::statement_reply &Reply, caller_effects &Effects) {
   if (Reply.outcome == wire::statement_outcome::answered) {
-    if (!isWhole(State))
+    if (!answerIsWhole(State))
       failBatch(State, sql_state::InternalError,
                 "the answer of the gateway ended early", Effects.Out);
     return afterAnswer(State, Environment, Reply, Effects.Out);
@@ -470,8 +343,9 @@
     bool Lost = State.TransactionLost && Front.Kind != item_kind::Bytes;
     bool Answered = Here && treatmentOf(*statementsOf(Front).front(),
                                         InTransaction) == treatment::Here;
+    bool Resumes = resumes(State, Front);
     if (Front.Kind != item_kind::Bytes && Front.Kind != item_kind::Error &&
-        !Lost && !Answered) {
+        !Lost && !Answered && !Resumes) {
       std::vector<batch_item> Items;
       if (Here) {
         startSettingChange(Front);
@@ -490,6 +364,8 @@
       failBatch(State, Item.Code, Item.Problem, Effects.Out);
     else if (Lost)
       runInLostTransaction(State, Item, Effects.Out);
+    else if (Resumes)
+      resumePortal(State, Item, Effects.Out);
     else
       runLocally(State, Environment, Item, Effects.Out);
   }
@@ -503,12 +379,15 @@
   if (State.Phase != phase::Busy)
     return;
   try {
-    answer_reader(State, Environment, Effects.Out).take(Reply.messages);
+    readAnswer(State, Environment, Reply.messages, Effects.Out);
   } catch (const pg::malformed &Problem) {
     // The caller must not take half an answer for a whole one.
     return closeFatally(State, sql_state::InternalError, Problem.Problem,
                         Effects);
   } catch (const error &Problem) {
+    if (State.Request->Write)
+      return closeFatally(State, sql_state::ResolutionUnknown, Problem.reason(),
+                          Effects);
     failBatch(State, Problem.step(), Problem.reason(), Effects.Out);
   }
   if (!Reply.last)
--- a/modules/caller/caller_state.h
+++ b/modules/caller/caller_state.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "core/time.h"
+#include "modules/caller/row_format.h"
 #include "modules/caller/session_state.h"
 #include "modules/caller/statement_class.h"
 #include "modules/gateway/gen/gateway_messages_types.h"
@@ -78,8 +79,14 @@
   std::optional<std::size_t> Index;
   /// Validate: the statement's name. DescribePortal: the portal's.
   std::string Name;
-  /// DescribePortal.
+  /// DescribePortal: its formats. Statement: formats that differ by column.
   std::vector<std::int16_t> ResultFormats;
+  /// Statement with ResultFormats: the caller asked for the description.
+  bool TellsRows = true;
+  /// Statement: rows to pass on at most, 0 for all, and the portal that keeps
+  /// the rest.
+  std::int32_t MostRows = 0;
+  std::string Portal;
   /// Error.
   std::string Code;
   std::string Problem;
@@ -100,12 +107,25 @@
   std::size_t Step = 0;
   /// The current step's Before has been sent.
   bool Started = false;
+  /// Rows of the current step that were passed on, and those held back.
+  std::int32_t Rows = 0;
+  std::string HeldRows;
+  bool TooManyHeld = false;
+  std::optional<pg::row_converter> Converter;
   bool Write = false;
   bool InTransaction = false;
   bool OpensTransaction = false;
   bool MayCommit = false;
 };
 
+/// What is left of a portal whose rows the caller fetches in parts.
+struct suspended_portal {
+  /// DataRows and the CommandComplete.
+  std::string Messages;
+  /// There was more than the entry keeps.
+  bool TooMany = false;
+};
+
 /// Settings that change how the entry itself serves the caller.
 struct local_settings {
   std::string ApplicationName;
@@ -130,6 +150,7 @@
   std::optional<std::map<std::string, std::string>> SettingsAtBegin;
   std::map<std::string, std::shared_ptr<const prepared_statement>> Prepared;
   std::map<std::string, std::shared_ptr<const caller_portal>> Portals;
+  std::map<std::string, suspended_portal> Suspended;
   caller_batch Batch;
   std::unique_ptr<caller_request> Request;
   /// 'I', 'T' or 'E', as ReadyForQuery says.
--- a/modules/caller/tests/test_caller_state.cpp
+++ b/modules/caller/tests/test_caller_state.cpp
@@ -149,6 +149,51 @@
   CHECK(Held);
 }
 
+TEST_CASE("caller: a portal's rows come in the parts that were asked for") {
+  auto Environment = environment();
+  caller_state State;
+  caller_effects Startup;
+  takeBytes(State, Environment, startupPacket(), Startup);
+  auto Execute = [](char Rows) {
+    return messageOf('E', std::string("\0\0\0\0", 4) + Rows);
+  };
+  std::string Sql("\0SELECT 1\0\0\0", 12);
+  // A binary column and one of text.
+  std::string Bind("\0\0\0\0\0\0\0\2\0\1\0\0", 12);
+  caller_effects Effects;
+  takeBytes(State, Environment,
+            messageOf('P', Sql) + messageOf('B', Bind) + Execute(2) +
+                Execute(2) + messageOf('S', ""),
+            Effects);
+  REQUIRE(Effects.Submit.has_value());
+  CHECK(Effects.Submit->Request.steps.size() == 1);
+  CHECK(Effects.Submit->Request.steps[0].result_format == 1);
+  wire::statement_reply Reply;
+  pg::message_writer Columns('T');
+  Columns.int16(2);
+  for (int I = 0; I < 2; ++I)
+    Columns.cString("c").int32(0).int16(0).int32(23).int16(4).int32(-1).int16(
+        1);
+  Columns.append(Reply.messages);
+  for (int I = 0; I < 3; ++I)
+    pg::message_writer('D')
+        .int16(2)
+        .int32(4)
+        .int32(I)
+        .int32(4)
+        .int32(70 + I)
+        .append(Reply.messages);
+  pg::appendCommandComplete(Reply.messages, "SELECT 3");
+  Reply.last = true;
+  Reply.transaction_status = 'I';
+  caller_effects Answer;
+  takeReply(State, Environment, Reply, Answer);
+  CHECK(typesOf(Effects.Out + Answer.Out) == "12DDsDCZ");
+  CHECK(Answer.Out.find(std::string("\0\0\0\2"
+                                    "72",
+                                    6)) != std::string::npos);
+}
+
 TEST_CASE("caller: statements are classified by what they may do") {
   CHECK(classesOf("SELECT lower(a), count(*) FROM t WHERE b > now()") ==
         "read");
@@ -178,6 +223,17 @@
   CHECK(classesOf("BEGIN;" + Long + ";COMMIT") == "begin write commit");
 }
 
+TEST_CASE("caller: binary values are shown as PostgreSQL shows them") {
+  CHECK(pg::binaryToText(23, std::string("\xff\xff\xff\xfe", 4)) == "-2");
+  CHECK(pg::binaryToText(16, std::string("\1", 1)) == "t");
+  CHECK(pg::binaryToText(1082, std::string("\0\0\x26\x94", 4)) == "2027-01-15");
+  CHECK(pg::binaryToText(
+            701, std::string("\x3f\xb9\x99\x99\x99\x99\x99\x9a", 8)) == "0.1");
+  CHECK(pg::binaryToText(3802, "\1{}") == "{}");
+  CHECK_THROWS_AS(pg::binaryToText(1700, "x"), error);
+  CHECK_THROWS_AS(pg::binaryToText(23, "x"), pg::malformed);
+}
+
 TEST_CASE("caller: settings of lists keep their elements apart") {
   auto ValueOf = [](const std::string &Text) {
     return classify(Text).Statements[0].Settings[0].Value.value_or("-");
