--- a/modules/gateway/gateway_service.cpp
+++ b/modules/gateway/gateway_service.cpp
@@ -60,8 +60,8 @@
     Member.onViewChanged([this](const group_view &View) { apply(View); });
     for (const auto &[Group, View] : Member.views())
       apply(View);
-    // Replies, kind 301, are for the entry of this VM.
-    for (auto Kind : {StatementKind, CancelKind, ReleaseKind})
+    // Replies (301) go to the routing task of the entry.
+    for (message_kind Kind : {StatementKind, CancelKind, ReleaseKind})
       Hub.receive(Kind, Kind, [this](link_id Link, link_message &&Message) {
         onMessage(Link, std::move(Message));
       });
