Caller: bound on the messages before a Sync; stand-in knows set_config

Cause: a caller could pile up messages without a Sync; SET through an entry asks the upstream by set_config(), which the stand-in did not have.

--- a/modules/caller/caller_batch.cpp
+++ b/modules/caller/caller_batch.cpp
@@ -9,6 +9,8 @@
 using item_kind = batch_item::kind;
 
 constexpr std::size_t MostPrepared = 10000;
+/// The largest batch held until its Sync, in bytes.
+constexpr std::size_t MostBatchBytes = 2 * pg::LargestMessage;
 
 wire::statement_step stepOf(wire::step_kind::type Kind, std::string Text) {
   wire::statement_step Step;
--- a/modules/caller/caller_request.cpp
+++ b/modules/caller/caller_request.cpp
@@ -370,6 +370,7 @@
       runLocally(State, Environment, Item, Effects.Out);
   }
   Batch.Items.clear();
+  Batch.Bytes = 0;
   if (Batch.Complete)
     finishBatch(State, Environment, Effects.Out);
 }
--- a/modules/caller/caller_state.h
+++ b/modules/caller/caller_state.h
@@ -99,6 +99,8 @@
   bool Complete = false;
   /// An error was sent: the rest is skipped.
   bool Failed = false;
+  /// Bytes of messages that wait for Sync.
+  std::size_t Bytes = 0;
 };
 
 /// A request at the router and how far its answer has come.
--- a/tests/stand_in/session_execution.cpp
+++ b/tests/stand_in/session_execution.cpp
@@ -227,6 +227,9 @@
     auto Found = Settings.find(toText(Arguments[0]));
     return Found == Settings.end() ? value{} : value{Found->second};
   }
+  // Only with is_local: the setting ends with the statement.
+  if (Name == "set_config" && Arguments.size() == 3)
+    return Arguments[1];
   return Server.callFunction(Name, Arguments);
 }
 
