Shared: settings that are lists of names reach the upstream as lists

Cause: SET search_path = 'a, b' names one schema called "a, b". Change: the dialect sets search_path and temp_tablespaces by set_config(). Not run against PostgreSQL itself.

--- a/modules/upstream/dialect.cpp
+++ b/modules/upstream/dialect.cpp
@@ -129,6 +129,10 @@
 std::string reset() { return "DISCARD ALL"; }
 
 std::string set(const std::string &Name, const std::string &Value) {
+  // SET would take a quoted list for a single name.
+  if (Name == "search_path" || Name == "temp_tablespaces")
+    return "SELECT set_config(" + quoteLiteral(Name) + ", " +
+           quoteLiteral(Value) + ", false)";
   return "SET " + quoteName(Name) + " = " + quoteLiteral(Value);
 }
 
