Gateway: a statement never leaves its transaction; shed tombstones stay unknown

Cause: work queued for a pinned connection could start after the connection was lost and would have run on another one; a tombstone that was shed answered not run. Change: such work ends with 25P01; leaving upstreams hand queued work on; gauge of connections.

--- a/modules/gateway/group_gateway.cpp
+++ b/modules/gateway/group_gateway.cpp
@@ -128,6 +128,9 @@
   upstream_slot &Slot = Upstreams[Announcement.Upstream];
   auto Weak = weak_from_this();
   upstream_id Id = Announcement.Upstream;
+  Slot.ConnectionGauge = &Context.Metrics.gaugeOf(
+      "teasellock_upstream_connections",
+      {{"group", View.Group.Value}, {"upstream", Id.Value}});
   Slot.Pool = std::make_unique<connection_pool>(
       Context, targetOf(Announcement), Settings.ProbeTimeout / 2, [Weak, Id] {
         auto Self = Weak.lock();
@@ -151,6 +154,8 @@
       Open = true;
     std::uint32_t Slots =
         Assigned ? Share.Slots : Admission.Upstreams[Id].SlotLimit;
+    if (!Open)
+      moveQueuedFrom(Id);
     admission_effects Effects;
     setLimits(Admission, Id, Open ? statementConnections(Share.Connections) : 0,
               Slots, Effects);
@@ -168,6 +173,30 @@
   }
 }
 
+// Work that waits for an upstream that takes no more goes elsewhere. Open
+// transactions stay.
+void group_gateway::state::moveQueuedFrom(const upstream_id &Upstream) {
+  if (!Assigned)
+    return;
+  std::vector<std::uint64_t> Ids;
+  for (const queued_work &Work : Admission.Upstreams[Upstream].Queue)
+    if (Work.Class != work_class::Pinned)
+      Ids.push_back(Work.Id);
+  for (std::uint64_t Id : Ids) {
+    withdraw(Admission, Upstream, Id);
+    gateway_statement *Statement = find(Id);
+    if (!Statement)
+      continue;
+    Statement->Excluded.insert(Upstream);
+    if (Statement->Purpose == run_purpose::Tombstone)
+      resolveKey(*Statement, "the upstream is leaving");
+    else if (Statement->isRead())
+      beginRead(*Statement);
+    else
+      refuse(*Statement, CannotConnectNow, "the primary is leaving");
+  }
+}
+
 void group_gateway::state::refuseQueued() {
   std::vector<std::uint64_t> Ids;
   for (const auto &[Id, Statement] : Statements)
@@ -252,6 +281,9 @@
       return applyLimits();
   if (withinShare())
     ConfirmedEpoch = Share.BudgetEpoch;
+  for (auto &[Id, Slot] : Upstreams)
+    if (Slot.ConnectionGauge)
+      Slot.ConnectionGauge->set(connections(Admission.Upstreams[Id]));
   stopWhenUnused();
 }
 
@@ -324,6 +356,9 @@
                                   const std::string &Code,
                                   const std::string &Problem,
                                   bool NotAssigned) {
+  // It was sent once; only its key's row could tell that it did not run.
+  if (Statement.Purpose == run_purpose::Tombstone && !Statement.KeyOutcome)
+    return giveUpUnknown(Statement, Problem);
   wire::statement_reply Refusal;
   Refusal.outcome = wire::statement_outcome::not_run;
   Refusal.last = true;
--- a/modules/gateway/group_state.h
+++ b/modules/gateway/group_state.h
@@ -99,6 +99,7 @@
   std::unique_ptr<connection_pool> Pool;
   std::optional<time_point> LeavingSince;
   time_point LastRepointed;
+  gauge *ConnectionGauge = nullptr;
 };
 
 /// A fence that waits for fresh probes.
@@ -147,6 +148,7 @@
   void applyUpstreams();
   void addUpstream(const upstream_announcement &Announcement);
   void applyLimits();
+  void moveQueuedFrom(const upstream_id &Upstream);
   void refuseQueued();
   void stopWhenUnused();
   bool withinShare() const;
--- a/modules/gateway/group_statements.cpp
+++ b/modules/gateway/group_statements.cpp
@@ -11,6 +11,8 @@
 constexpr const char *CannotConnectNow = "57P03";
 constexpr const char *TooManyConnections = "53300";
 constexpr const char *NoActiveTransaction = "25P01";
+constexpr const char *TransactionEnded =
+    "the transaction has ended and was rolled back";
 
 bool asksForReadOnly(const gateway_statement &Statement) {
   for (const auto &[Name, Value] : Statement.Request.settings)
@@ -162,8 +164,7 @@
 void group_gateway::state::continueTransaction(gateway_statement &Statement) {
   auto Found = Transactions.find(Statement.transactionKey());
   if (Found == Transactions.end())
-    return refuse(Statement, NoActiveTransaction,
-                  "the transaction has ended and was rolled back");
+    return refuse(Statement, NoActiveTransaction, TransactionEnded);
   pinned_transaction &Transaction = Found->second;
   if (Transaction.Statement != 0)
     return refuse(Statement, CannotConnectNow,
@@ -213,7 +214,10 @@
     if (Transaction != Transactions.end() &&
         Transaction->second.Statement == Id)
       Transaction->second.Statement = 0;
-    refuse(*Statement, TooManyConnections, "too many statements are waiting");
+    if (Statement->Purpose == run_purpose::Tombstone)
+      resolveKey(*Statement, "too many statements are waiting");
+    else
+      refuse(*Statement, TooManyConnections, "too many statements are waiting");
   }
 }
 
@@ -236,6 +240,11 @@
   QueueSeconds.observe(now() - Statement.QueuedAt);
   if (pooled_connection *Pinned = connectionOf(Statement))
     return run(Statement, *Pinned);
+  // Its transaction ended while it waited: it must not run outside of it.
+  if (Work.Class == work_class::Pinned) {
+    freeConnection(Statement, connection_fate::Keep);
+    return refuse(Statement, NoActiveTransaction, TransactionEnded);
+  }
   session_settings Wanted(Statement.Request.settings.begin(),
                           Statement.Request.settings.end());
   Slot->Pool->acquire(
@@ -323,7 +332,7 @@
   bool Good = Statement->ByReplica || Statement->inTransaction() ||
               (mayWrite() && Statement->Term == View.Term);
   // What is held back is passed on or dropped when the answer is whole.
-  if (!Statement->isRead() || !Good) {
+  if (!Statement->isRead() || !Good || !Statement->Held.empty()) {
     Statement->Held.push_back(std::move(Part));
     return;
   }
@@ -367,7 +376,9 @@
     Slot->Prober->want();
   freeConnection(Statement, connection_fate::Close);
   if (WasPinned)
-    return giveUpUnknown(Statement, Problem);
+    return Result.Sent
+               ? giveUpUnknown(Statement, Problem)
+               : refuse(Statement, NoActiveTransaction, TransactionEnded);
   if (Statement.isRead())
     return retryRead(Statement, Problem);
   if (!Result.Sent)
--- a/modules/gateway/tests/gateway_bed.h
+++ b/modules/gateway/tests/gateway_bed.h
@@ -52,6 +52,15 @@
     REQUIRE(runUntil([&] { return replicasStream(); }));
   }
 
+  // Tasks still queued hold sockets: they run before the loop goes.
+  ~gateway_bed() {
+    Gateway.reset();
+    Servers.clear();
+    auto Tick = Timers.every(fromMilliseconds(1), [] {});
+    for (int Turn = 0; Turn < 10; ++Turn)
+      Loop.runOnce();
+  }
+
   static vm_identity identity() {
     return {vm_id("vm1"), incarnation(7), availability_zone_id("mercado"),
             region_id("centro"), endpoint{"127.0.0.1", 0}};
--- a/modules/gateway/tests/test_group_failures.cpp
+++ b/modules/gateway/tests/test_group_failures.cpp
@@ -157,3 +157,61 @@
   }));
   CHECK(Bed.Hurries > Before);
 }
+
+TEST_CASE("gateway: a statement never runs outside its lost transaction") {
+  gateway_bed Bed(12, 1);
+  auto Begin = gateway_bed::write("BEGIN; INSERT INTO stock VALUES ('x', 1)");
+  Begin.transaction = 1;
+  Begin.opens_transaction = true;
+  REQUIRE(Bed.finish(Begin).Last.transaction_status == 'T');
+  // Waits for the transaction's lock and takes the only slot.
+  auto Blocked = Bed.start(insert("x"));
+  turn(Bed, 30);
+  auto Next = gateway_bed::write("SELECT item FROM stock");
+  Next.transaction = 1;
+  auto Waiting = Bed.start(Next);
+  turn(Bed, 30);
+  REQUIRE_FALSE(Blocked->Done);
+  REQUIRE_FALSE(Waiting->Done);
+  // The upstream moves to another address, where connections can be opened.
+  Bed.View.Upstreams[0].Address = Bed.Servers["b"]->listening();
+  Bed.Gateway->apply(Bed.View);
+  REQUIRE(Bed.runUntil([&] { return Waiting->Done && Blocked->Done; }));
+  CHECK(Waiting->Last.outcome == NotRun);
+  CHECK(Waiting->Last.code == "25P01");
+  CHECK(Blocked->Last.outcome == Unknown);
+}
+
+TEST_CASE("gateway: a transaction whose idle connection was lost did not "
+          "commit") {
+  gateway_bed Bed;
+  auto Begin = gateway_bed::write("BEGIN; INSERT INTO stock VALUES ('x', 1)");
+  Begin.transaction = 1;
+  Begin.opens_transaction = true;
+  REQUIRE(Bed.finish(Begin).Last.transaction_status == 'T');
+  Bed.Servers["a"]->runSwitch("terminate_sessions");
+  turn(Bed, 30);
+  auto Commit = gateway_bed::write("COMMIT");
+  Commit.transaction = 1;
+  CHECK(Bed.finish(Commit).Last.outcome == NotRun);
+}
+
+TEST_CASE("gateway: without a primary a keyed write's lost outcome stays "
+          "unknown") {
+  gateway_bed Bed;
+  auto Holder = gateway_bed::write("BEGIN");
+  Holder.transaction = 1;
+  Holder.opens_transaction = true;
+  Holder.idempotency_key = "k1";
+  REQUIRE(Bed.finish(Holder).Last.transaction_status == 'T');
+  auto Request = insert("towel");
+  Request.idempotency_key = "k1";
+  Request.timeout_ms = 300;
+  auto Write = Bed.start(Request);
+  turn(Bed, 30);
+  REQUIRE_FALSE(Write->Done);
+  Bed.LeaseValid = false;
+  Bed.Servers["a"]->runSwitch("terminate_sessions");
+  REQUIRE(Bed.runUntil([&] { return Write->Done; }));
+  CHECK(Write->Last.outcome == Unknown);
+}
