--- a/modules/consensus/consensus_replication.cpp
+++ b/modules/consensus/consensus_replication.cpp
@@ -111,11 +111,14 @@
   return Hint;
 }
 
-void storeEntries(consensus_state &State,
+void storeEntries(consensus_state &State, std::uint64_t Previous,
                   const std::vector<wire::log_entry> &Entries,
                   consensus_effects &Effects) {
   for (const wire::log_entry &Entry : Entries) {
     std::uint64_t Index = fromWire(Entry.index);
+    if (Index != ++Previous)
+      throw error("consensus.append", std::to_string(Index),
+                  "entries are not consecutive");
     if (Index <= State.Log.baseIndex())
       continue;
     if (Index <= State.Log.lastIndex()) {
@@ -126,9 +129,6 @@
                     "a committed entry would be replaced");
       truncateLog(State, Index);
     }
-    if (Index != State.Log.lastIndex() + 1)
-      throw error("consensus.append", std::to_string(Index),
-                  "entries are not consecutive");
     appendEntry(State, Entry, Effects);
   }
 }
@@ -187,7 +187,8 @@
   State.HeartbeatDue = Input.Now + State.Timing.HeartbeatPeriod;
   trackFollowers(State);
   for (auto &[Store, Follower] : State.Followers) {
-    bool Lacks = Follower.Next <= State.Log.lastIndex() || Follower.Snapshot;
+    // A newcomer may need entries although the leader has no new ones.
+    bool Lacks = Follower.Match < State.Log.lastIndex() || Follower.Snapshot;
     if (Lacks && mayResend(State, Follower, Input.Now))
       sendEntries(State, Store, Follower, Input, Effects);
     else
@@ -258,7 +259,7 @@
     std::uint64_t Previous = fromWire(Message.previous_index);
     Reply.success = matchesPrevious(State, Message);
     if (Reply.success) {
-      storeEntries(State, Message.entries, Effects);
+      storeEntries(State, Previous, Message.entries, Effects);
       std::uint64_t Match = Previous + Message.entries.size();
       Reply.match_index = toWire(Match);
       State.CommitIndex = std::max(State.CommitIndex,
--- a/modules/consensus/consensus_service.cpp
+++ b/modules/consensus/consensus_service.cpp
@@ -106,6 +106,8 @@
   void resolveProposals();
   void resolveConfirmations();
   void maybeCompact();
+  void dialMembers();
+  void showMetrics();
   void fail(const std::exception &Problem);
 
   daemon_context &Context;
@@ -120,6 +122,11 @@
   std::map<std::uint64_t, pending_proposal> Proposals;
   std::deque<pending_confirmation> Confirmations;
   latency_histogram &SyncSeconds;
+  gauge &TermGauge;
+  gauge &CommitGauge;
+  gauge &LeaderGauge;
+  /// The entry of the membership whose members have been dialled.
+  std::uint64_t DialledMembership = 0;
   /// Guards posted callbacks against outliving this object.
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
   bool FlushScheduled = false;
@@ -135,7 +142,10 @@
     : Context(Context), Hub(Hub), Settings(std::move(Given)),
       Hooks(std::move(Hooks)),
       Store(posixFileSystem(), Settings.DataFolder, store_id(randomId())),
-      SyncSeconds(Context.Metrics.histogramOf("teasellock_log_sync_seconds")) {
+      SyncSeconds(Context.Metrics.histogramOf("teasellock_log_sync_seconds")),
+      TermGauge(Context.Metrics.gaugeOf("teasellock_log_term")),
+      CommitGauge(Context.Metrics.gaugeOf("teasellock_log_committed")),
+      LeaderGauge(Context.Metrics.gaugeOf("teasellock_log_leads")) {
   recovered_log Recovered = Store.takeRecovered();
   event("log.recovered")
       .with("store", Recovered.Store.Value)
@@ -193,6 +203,8 @@
     resolveProposals();
     resolveConfirmations();
     maybeCompact();
+    dialMembers();
+    showMetrics();
   } catch (const std::exception &Problem) {
     fail(Problem);
   }
@@ -230,6 +242,25 @@
   return Member != nullptr ? Hub.linkTo(Member->Address) : link_id();
 }
 
+// Before the links are needed: the first request of an election must not be
+// lost to a link that is only being opened. A removed member's link stays, as
+// other tasks share it.
+void consensus_service::state::dialMembers() {
+  const membership_record &Record = Decisions.Memberships.back();
+  if (Record.Index == DialledMembership)
+    return;
+  DialledMembership = Record.Index;
+  for (const control_member &Member : Record.Members)
+    if (Member.Store != Decisions.Self)
+      Hub.linkTo(Member.Address);
+}
+
+void consensus_service::state::showMetrics() {
+  TermGauge.set(static_cast<double>(Decisions.Promises.Term));
+  CommitGauge.set(static_cast<double>(Decisions.CommitIndex));
+  LeaderGauge.set(Decisions.Role == consensus_role::Leader ? 1 : 0);
+}
+
 void consensus_service::state::sendAll(std::vector<outgoing_message> Messages) {
   for (const outgoing_message &Outgoing : Messages) {
     link_message Message;
@@ -390,8 +421,8 @@
 }
 
 std::string consensus_service::forceMembers() {
-  std::string Risk =
-      forceMembership(State->Decisions, State->input(), State->Effects);
+  std::string Risk = forceMembership(State->Decisions, randomId(),
+                                     State->input(), State->Effects);
   event("members.forced", severity::Warning).with("risk", Risk);
   State->flush();
   return Risk;
--- a/modules/consensus/consensus_service.h
+++ b/modules/consensus/consensus_service.h
@@ -75,6 +75,7 @@
                std::function<void(proposal_outcome, revision)> Callback);
 
   /// Proposes a membership in which one member differs from the present one.
+  /// Throws error when it may not be proposed now.
   void changeMembers(const std::vector<control_member> &Members,
                      std::function<void(proposal_outcome, revision)> Callback);
 
@@ -83,8 +84,9 @@
   /// Throws error when it is refused.
   replacement_progress replaceMember(store_id Old, const control_member &New);
 
-  /// The majority is gone for good: makes this store the only voter. Returns
-  /// the risk in words. Throws error while a leader is heard.
+  /// The majority is gone for good: makes this store the only member; the
+  /// others join again after a wipe. Returns the risk in words. Throws error
+  /// while a leader is heard.
   std::string forceMembers();
 
   /// The latest instant at which a quorum is known to have still followed this
--- a/modules/consensus/control_member.cpp
+++ b/modules/consensus/control_member.cpp
@@ -1,11 +1,30 @@
 #include "modules/consensus/control_member.h"
 
+#include "core/error.h"
 #include "modules/consensus/wire_members.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace teasellock {
 
+control_member parseMember(const std::string &Text) {
+  std::size_t StoreEnd = Text.find(':');
+  std::size_t VmEnd = Text.find(':', StoreEnd + 1);
+  if (StoreEnd == std::string::npos || VmEnd == std::string::npos)
+    throw error("consensus.member", Text, "store:vm:address:port expected");
+  std::uint64_t Store = 0;
+  const char *End = Text.data() + StoreEnd;
+  auto Result = std::from_chars(Text.data(), End, Store);
+  if (Result.ec != std::errc() || Result.ptr != End || Store == 0)
+    throw error("consensus.member", Text, "the store id is not a number");
+  control_member Member;
+  Member.Store = store_id(Store);
+  Member.Vm = vm_id(Text.substr(StoreEnd + 1, VmEnd - StoreEnd - 1));
+  Member.Address = parseEndpoint(Text.substr(VmEnd + 1));
+  return Member;
+}
+
 const control_member *findMember(const member_list &Members, store_id Store) {
   for (const control_member &Member : Members)
     if (Member.Store == Store)
--- a/modules/consensus/control_member.h
+++ b/modules/consensus/control_member.h
@@ -22,6 +22,10 @@
   bool operator==(const control_member &) const = default;
 };
 
+/// Reads "store:vm:address:port", as operators write it. Throws error with
+/// step "consensus.member" on bad input.
+control_member parseMember(const std::string &Text);
+
 /// The members of the control group, voting or not.
 using member_list = std::vector<control_member>;
 
--- a/modules/consensus/membership_change.cpp
+++ b/modules/consensus/membership_change.cpp
@@ -119,8 +119,12 @@
 
 bool hasCaughtUp(const consensus_state &State, store_id Store) {
   auto Found = State.Followers.find(Store);
-  return Found != State.Followers.end() && Found->second.Match > 0 &&
-         Found->second.Match + CaughtUpEntries >= State.Log.lastIndex();
+  if (Found == State.Followers.end())
+    return false;
+  std::uint64_t Match = Found->second.Match;
+  // A voter that has not learnt that it is a member would refuse its vote.
+  return Match > 0 && Match >= State.Memberships.back().Index &&
+         Match + CaughtUpEntries >= State.Log.lastIndex();
 }
 
 void promoteCaughtUp(consensus_state &State, const decision_input &Input,
@@ -163,7 +167,8 @@
           "make the new store a voter"};
 }
 
-std::string forceMembership(consensus_state &State, const decision_input &Input,
+std::string forceMembership(consensus_state &State, std::uint64_t NewCluster,
+                            const decision_input &Input,
                             consensus_effects &Effects) {
   const std::string Peer = toString(State.Self);
   if (findMember(currentMembers(State), State.Self) == nullptr)
@@ -174,6 +179,8 @@
   std::uint64_t Known = State.Log.lastIndex();
   std::uint64_t Committed = State.CommitIndex;
   stepDown(State, State.Promises.Term + 1, Input, Effects);
+  State.Promises.Cluster = NewCluster;
+  Effects.Disk.push_back(State.Promises);
   wire::log_entry Entry = nextEntry(State, wire::entry_kind::membership);
   control_member Own = *findMember(currentMembers(State), State.Self);
   Own.Voter = true;
@@ -184,8 +191,8 @@
   return "Entries after " + std::to_string(Known) +
          " that the lost members acknowledged are lost. Entries " +
          std::to_string(Committed + 1) + " to " + std::to_string(Known) +
-         " become committed, also if their proposers never heard so. A lost "
-         "member that comes back must be wiped before it is started.";
+         " become committed, also if their proposers never heard so. Every "
+         "other member must be wiped before it joins again.";
 }
 
 } // namespace teasellock
--- a/modules/consensus/membership_change.h
+++ b/modules/consensus/membership_change.h
@@ -42,10 +42,12 @@
 replacement_step nextReplacementStep(const consensus_state &State, store_id Old,
                                      const control_member &New);
 
-/// The majority is gone for good: makes this store the only voter by hand and
-/// everyone in Lost leave. Returns the risk in words. Throws error when this
-/// store leads or follows a live leader, or holds no log.
-std::string forceMembership(consensus_state &State, const decision_input &Input,
+/// The majority is gone for good: makes this store by hand the only member of
+/// a group of its own, which the others can only join after a wipe. Returns the
+/// risk in words. Throws error when this store leads or follows a live leader,
+/// or is no member.
+std::string forceMembership(consensus_state &State, std::uint64_t NewCluster,
+                            const decision_input &Input,
                             consensus_effects &Effects);
 
 } // namespace teasellock
--- a/modules/link/link_hub.cpp
+++ b/modules/link/link_hub.cpp
@@ -74,6 +74,8 @@
     std::function<void(link_id, link_message &&)> Deliver;
   };
 
+  /// Guards posted callbacks against outliving this object.
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
   daemon_context &Context;
   link_settings Settings;
   std::map<link_id, std::unique_ptr<link>> Links;
@@ -302,8 +304,10 @@
 void link_hub::state::queue(link &Link, const wire::envelope &Envelope) {
   Link.Out += frameOf(Envelope);
   if (Link.Out.size() - Link.OutStart > Settings.LargestBacklog) {
-    Context.Loop.post([this, Id = Link.Id, Peer = Link.PeerName] {
-      breakLink(Id, error("link.write", Peer, "takes no data"));
+    Context.Loop.post([this, Guard = std::weak_ptr<bool>(Alive), Id = Link.Id,
+                       Peer = Link.PeerName] {
+      if (!Guard.expired())
+        breakLink(Id, error("link.write", Peer, "takes no data"));
     });
     return;
   }
@@ -311,7 +315,9 @@
   if (Link.FlushPosted)
     return;
   Link.FlushPosted = true;
-  Context.Loop.post([this, Id = Link.Id] {
+  Context.Loop.post([this, Guard = std::weak_ptr<bool>(Alive), Id = Link.Id] {
+    if (Guard.expired())
+      return;
     auto *Found = find(Id);
     if (!Found || Found->Socket < 0)
       return;
