--- a/modules/gateway/group_gateway.cpp
+++ b/modules/gateway/group_gateway.cpp
@@ -67,6 +67,8 @@
 }
 
 void group_gateway::state::apply(const group_view &NewView) {
+  if (withinShare())
+    ConfirmedEpoch = Share.BudgetEpoch;
   std::vector<gateway_share> GatewaysBefore = std::move(View.Gateways);
   bool TermChanged = NewView.Term != View.Term;
   View = NewView;
@@ -329,6 +331,7 @@
   Refusal.problem = Problem;
   Refusal.transaction_status = 'I';
   Refusal.not_assigned = NotAssigned;
+  Refusal.resolved = Statement.KeyOutcome == key_outcome::Tombstone;
   Statement.Span.set("outcome", "not_run");
   reply(Statement, std::move(Refusal));
   forget(Statement);
