--- a/modules/consensus/tests/test_consensus_fuzz.cpp
+++ b/modules/consensus/tests/test_consensus_fuzz.cpp
@@ -207,6 +207,15 @@
   CHECK_MESSAGE(!Found.has_value(), Found.value_or(""));
 }
 
+TEST_CASE("consensus: fuzz of lost disks finds no broken promise") {
+  fuzz_figures Figures;
+  std::optional<std::string> Found = fuzz({}, 300, lossStep(), true, Figures);
+  MESSAGE(Figures.Runs << " runs, " << Figures.Steps << " steps, "
+                       << Figures.Committed << " entries committed, "
+                       << Figures.Stuck << " without a quorum at the end");
+  CHECK_MESSAGE(!Found.has_value(), Found.value_or(""));
+}
+
 TEST_CASE("consensus: fuzz finds votes that are not synced") {
   simulation_rules Rules;
   Rules.SyncVotes = false;
