--- a/modules/consensus/consensus_service.cpp
+++ b/modules/consensus/consensus_service.cpp
@@ -1,13 +1,12 @@
 #include "modules/consensus/consensus_service.h"
 
 #include "core/event_log.h"
-#include "modules/consensus/consensus_state.h"
+#include "modules/consensus/consensus_status.h"
 #include "modules/consensus/membership_change.h"
 #include "modules/link/codec.h"
 
 #include <deque>
 #include <map>
-#include <nlohmann/json.hpp>
 #include <random>
 
 namespace teasellock {
@@ -59,20 +58,6 @@
   return {};
 }
 
-const char *roleName(consensus_role Role) {
-  switch (Role) {
-  case consensus_role::Follower:
-    return "follower";
-  case consensus_role::PreCandidate:
-    return "pre-candidate";
-  case consensus_role::Candidate:
-    return "candidate";
-  case consensus_role::Leader:
-    return "leader";
-  }
-  return "unknown";
-}
-
 struct pending_proposal {
   std::uint64_t Term = 0;
   std::function<void(proposal_outcome, revision)> Callback;
@@ -471,33 +456,8 @@
 }
 
 std::string consensus_service::statusJson() const {
-  const consensus_state &S = State->Decisions;
-  nlohmann::json Status = {
-      {"store", toString(S.Self)},
-      {"cluster", std::to_string(S.Promises.Cluster)},
-      {"role", State->Failed ? "failed" : roleName(S.Role)},
-      {"term", S.Promises.Term},
-      {"leader", toString(S.Leader)},
-      {"last", S.Log.lastIndex()},
-      {"committed", S.CommitIndex},
-      {"applied", S.AppliedIndex},
-      {"members", nlohmann::json::array()}};
-  for (const control_member &Member : currentMembers(S)) {
-    nlohmann::json Line = {{"store", toString(Member.Store)},
-                           {"vm", toString(Member.Vm)},
-                           {"address", toString(Member.Address)},
-                           {"voter", Member.Voter}};
-    if (auto Found = S.Followers.find(Member.Store);
-        Found != S.Followers.end()) {
-      const follower_progress &Follower = Found->second;
-      Line["match"] = Follower.Match;
-      if (Follower.LastHeard != time_point())
-        Line["last_heard_ms"] =
-            toMilliseconds(State->Context.Timers.now() - Follower.LastHeard);
-    }
-    Status["members"].push_back(std::move(Line));
-  }
-  return Status.dump();
+  return statusText(State->Decisions, State->Failed,
+                    State->Context.Timers.now());
 }
 
 } // namespace teasellock
--- /dev/null
+++ b/modules/consensus/consensus_status.cpp
@@ -0,0 +1,59 @@
+#include "modules/consensus/consensus_status.h"
+
+#include <nlohmann/json.hpp>
+
+namespace teasellock {
+
+namespace {
+
+using nlohmann::json;
+
+const char *roleName(consensus_role Role) {
+  switch (Role) {
+  case consensus_role::Follower:
+    return "follower";
+  case consensus_role::PreCandidate:
+    return "pre-candidate";
+  case consensus_role::Candidate:
+    return "candidate";
+  case consensus_role::Leader:
+    return "leader";
+  }
+  return "unknown";
+}
+
+json memberStatus(const consensus_state &State, const control_member &Member,
+                  time_point Now) {
+  json Line = {{"store", toString(Member.Store)},
+               {"vm", toString(Member.Vm)},
+               {"address", toString(Member.Address)},
+               {"voter", Member.Voter}};
+  auto Found = State.Followers.find(Member.Store);
+  if (Found == State.Followers.end())
+    return Line;
+  const follower_progress &Follower = Found->second;
+  Line["match"] = Follower.Match;
+  if (Follower.LastHeard != time_point())
+    Line["last_heard_ms"] = toMilliseconds(Now - Follower.LastHeard);
+  return Line;
+}
+
+} // namespace
+
+std::string statusText(const consensus_state &State, bool Failed,
+                       time_point Now) {
+  json Status = {{"store", toString(State.Self)},
+                 {"cluster", std::to_string(State.Promises.Cluster)},
+                 {"role", Failed ? "failed" : roleName(State.Role)},
+                 {"term", State.Promises.Term},
+                 {"leader", toString(State.Leader)},
+                 {"last", State.Log.lastIndex()},
+                 {"committed", State.CommitIndex},
+                 {"applied", State.AppliedIndex},
+                 {"members", json::array()}};
+  for (const control_member &Member : currentMembers(State))
+    Status["members"].push_back(memberStatus(State, Member, Now));
+  return Status.dump();
+}
+
+} // namespace teasellock
