--- a/modules/consensus/consensus_service.cpp
+++ b/modules/consensus/consensus_service.cpp
@@ -1,13 +1,12 @@
 #include "modules/consensus/consensus_service.h"
 
 #include "core/event_log.h"
-#include "modules/consensus/consensus_state.h"
+#include "modules/consensus/consensus_status.h"
 #include "modules/consensus/membership_change.h"
 #include "modules/link/codec.h"
 
 #include <deque>
 #include <map>
-#include <nlohmann/json.hpp>
 #include <random>
 
 namespace teasellock {
@@ -59,20 +58,6 @@
   return {};
 }
 
-const char *roleName(consensus_role Role) {
-  switch (Role) {
-  case consensus_role::Follower:
-    return "follower";
-  case consensus_role::PreCandidate:
-    return "pre-candidate";
-  case consensus_role::Candidate:
-    return "candidate";
-  case consensus_role::Leader:
-    return "leader";
-  }
-  return "unknown";
-}
-
 struct pending_proposal {
   std::uint64_t Term = 0;
   std::function<void(proposal_outcome, revision)> Callback;
@@ -106,6 +91,8 @@
   void resolveProposals();
   void resolveConfirmations();
   void maybeCompact();
+  void dialMembers();
+  void showMetrics();
   void fail(const std::exception &Problem);
 
   daemon_context &Context;
@@ -120,6 +107,11 @@
   std::map<std::uint64_t, pending_proposal> Proposals;
   std::deque<pending_confirmation> Confirmations;
   latency_histogram &SyncSeconds;
+  gauge &TermGauge;
+  gauge &CommitGauge;
+  gauge &LeaderGauge;
+  /// The entry of the membership whose members have been dialled.
+  std::uint64_t DialledMembership = 0;
   /// Guards posted callbacks against outliving this object.
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
   bool FlushScheduled = false;
@@ -135,7 +127,10 @@
     : Context(Context), Hub(Hub), Settings(std::move(Given)),
       Hooks(std::move(Hooks)),
       Store(posixFileSystem(), Settings.DataFolder, store_id(randomId())),
-      SyncSeconds(Context.Metrics.histogramOf("teasellock_log_sync_seconds")) {
+      SyncSeconds(Context.Metrics.histogramOf("teasellock_log_sync_seconds")),
+      TermGauge(Context.Metrics.gaugeOf("teasellock_log_term")),
+      CommitGauge(Context.Metrics.gaugeOf("teasellock_log_committed")),
+      LeaderGauge(Context.Metrics.gaugeOf("teasellock_log_leads")) {
   recovered_log Recovered = Store.takeRecovered();
   event("log.recovered")
       .with("store", Recovered.Store.Value)
@@ -193,6 +188,8 @@
     resolveProposals();
     resolveConfirmations();
     maybeCompact();
+    dialMembers();
+    showMetrics();
   } catch (const std::exception &Problem) {
     fail(Problem);
   }
@@ -230,6 +227,25 @@
   return Member != nullptr ? Hub.linkTo(Member->Address) : link_id();
 }
 
+// Before the links are needed: the first request of an election must not be
+// lost to a link that is only being opened. A removed member's link stays, as
+// other tasks share it.
+void consensus_service::state::dialMembers() {
+  const membership_record &Record = Decisions.Memberships.back();
+  if (Record.Index == DialledMembership)
+    return;
+  DialledMembership = Record.Index;
+  for (const control_member &Member : Record.Members)
+    if (Member.Store != Decisions.Self)
+      Hub.linkTo(Member.Address);
+}
+
+void consensus_service::state::showMetrics() {
+  TermGauge.set(static_cast<double>(Decisions.Promises.Term));
+  CommitGauge.set(static_cast<double>(Decisions.CommitIndex));
+  LeaderGauge.set(Decisions.Role == consensus_role::Leader ? 1 : 0);
+}
+
 void consensus_service::state::sendAll(std::vector<outgoing_message> Messages) {
   for (const outgoing_message &Outgoing : Messages) {
     link_message Message;
@@ -390,8 +406,8 @@
 }
 
 std::string consensus_service::forceMembers() {
-  std::string Risk =
-      forceMembership(State->Decisions, State->input(), State->Effects);
+  std::string Risk = forceMembership(State->Decisions, randomId(),
+                                     State->input(), State->Effects);
   event("members.forced", severity::Warning).with("risk", Risk);
   State->flush();
   return Risk;
@@ -440,33 +456,8 @@
 }
 
 std::string consensus_service::statusJson() const {
-  const consensus_state &S = State->Decisions;
-  nlohmann::json Status = {
-      {"store", toString(S.Self)},
-      {"cluster", std::to_string(S.Promises.Cluster)},
-      {"role", State->Failed ? "failed" : roleName(S.Role)},
-      {"term", S.Promises.Term},
-      {"leader", toString(S.Leader)},
-      {"last", S.Log.lastIndex()},
-      {"committed", S.CommitIndex},
-      {"applied", S.AppliedIndex},
-      {"members", nlohmann::json::array()}};
-  for (const control_member &Member : currentMembers(S)) {
-    nlohmann::json Line = {{"store", toString(Member.Store)},
-                           {"vm", toString(Member.Vm)},
-                           {"address", toString(Member.Address)},
-                           {"voter", Member.Voter}};
-    if (auto Found = S.Followers.find(Member.Store);
-        Found != S.Followers.end()) {
-      const follower_progress &Follower = Found->second;
-      Line["match"] = Follower.Match;
-      if (Follower.LastHeard != time_point())
-        Line["last_heard_ms"] =
-            toMilliseconds(State->Context.Timers.now() - Follower.LastHeard);
-    }
-    Status["members"].push_back(std::move(Line));
-  }
-  return Status.dump();
+  return statusText(State->Decisions, State->Failed,
+                    State->Context.Timers.now());
 }
 
 } // namespace teasellock
