--- a/modules/control/control_messages.thrift
+++ b/modules/control/control_messages.thrift
@@ -105,6 +105,9 @@
   8: bool draining;
   9: list<group_report> groups;
   10: list<announcement> announcements;
+  /// The last group of the last answer, while more follow beyond it.
+  11: i64 after_revision;
+  12: string after_group;
 }
 
 /// Answer to a renewal. Kind 101.
@@ -117,7 +120,7 @@
   4: string leader_address;
   /// Groups changed since the renewal's applied revision, oldest first.
   5: list<group_view> groups;
-  /// The revision reached once these are applied.
+  /// The revision up to which all changes are known once these are applied.
   6: i64 revision;
   /// Whether more changes follow beyond this answer.
   7: bool more;
--- a/modules/control/control_service.cpp
+++ b/modules/control/control_service.cpp
@@ -318,7 +318,8 @@
                                           const wire::renewal &Renewal) {
   wire::renewal_reply Reply = changesSince(
       Replicated,
-      revision(static_cast<std::uint64_t>(Renewal.applied_revision)));
+      revision(static_cast<std::uint64_t>(Renewal.applied_revision)),
+      cursorOf(Renewal));
   Reply.granted = true;
   Reply.sent_at_us = Renewal.sent_at_us;
   // A lease never comes without the views it is to be used with.
--- a/modules/control/gen/control_messages_types.cpp
+++ b/modules/control/gen/control_messages_types.cpp
@@ -1884,6 +1884,14 @@
 void renewal::__set_announcements(const std::vector<announcement> & val) {
   this->announcements = val;
 }
+
+void renewal::__set_after_revision(const int64_t val) {
+  this->after_revision = val;
+}
+
+void renewal::__set_after_group(const std::string& val) {
+  this->after_group = val;
+}
 std::ostream& operator<<(std::ostream& out, const renewal& obj)
 {
   obj.printTo(out);
@@ -2016,6 +2024,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->after_revision);
+          this->__isset.after_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->after_group);
+          this->__isset.after_group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2089,6 +2113,14 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("after_revision", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->after_revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("after_group", ::apache::thrift::protocol::T_STRING, 12);
+  xfer += oprot->writeString(this->after_group);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2106,6 +2138,8 @@
   swap(a.draining, b.draining);
   swap(a.groups, b.groups);
   swap(a.announcements, b.announcements);
+  swap(a.after_revision, b.after_revision);
+  swap(a.after_group, b.after_group);
   swap(a.__isset, b.__isset);
 }
 
@@ -2120,6 +2154,8 @@
   draining = other74.draining;
   groups = other74.groups;
   announcements = other74.announcements;
+  after_revision = other74.after_revision;
+  after_group = other74.after_group;
   __isset = other74.__isset;
 }
 renewal::renewal(renewal&& other75) noexcept {
@@ -2133,6 +2169,8 @@
   draining = other75.draining;
   groups = std::move(other75.groups);
   announcements = std::move(other75.announcements);
+  after_revision = other75.after_revision;
+  after_group = std::move(other75.after_group);
   __isset = other75.__isset;
 }
 renewal& renewal::operator=(const renewal& other76) {
@@ -2146,6 +2184,8 @@
   draining = other76.draining;
   groups = other76.groups;
   announcements = other76.announcements;
+  after_revision = other76.after_revision;
+  after_group = other76.after_group;
   __isset = other76.__isset;
   return *this;
 }
@@ -2160,6 +2200,8 @@
   draining = other77.draining;
   groups = std::move(other77.groups);
   announcements = std::move(other77.announcements);
+  after_revision = other77.after_revision;
+  after_group = std::move(other77.after_group);
   __isset = other77.__isset;
   return *this;
 }
@@ -2176,6 +2218,8 @@
   out << ", " << "draining=" << to_string(draining);
   out << ", " << "groups=" << to_string(groups);
   out << ", " << "announcements=" << to_string(announcements);
+  out << ", " << "after_revision=" << to_string(after_revision);
+  out << ", " << "after_group=" << to_string(after_group);
   out << ")";
 }
 
--- a/modules/control/gen/control_messages_types.h
+++ b/modules/control/gen/control_messages_types.h
@@ -682,7 +682,7 @@
 std::ostream& operator<<(std::ostream& out, const group_report& obj);
 
 typedef struct _renewal__isset {
-  _renewal__isset() : vm(false), incarnation(false), address(false), availability_zone(false), region(false), applied_revision(false), sent_at_us(false), draining(false), groups(false), announcements(false) {}
+  _renewal__isset() : vm(false), incarnation(false), address(false), availability_zone(false), region(false), applied_revision(false), sent_at_us(false), draining(false), groups(false), announcements(false), after_revision(false), after_group(false) {}
   bool vm :1;
   bool incarnation :1;
   bool address :1;
@@ -693,6 +693,8 @@
   bool draining :1;
   bool groups :1;
   bool announcements :1;
+  bool after_revision :1;
+  bool after_group :1;
 } _renewal__isset;
 
 class renewal : public virtual ::apache::thrift::TBase {
@@ -710,7 +712,9 @@
             region(),
             applied_revision(0),
             sent_at_us(0),
-            draining(0) {
+            draining(0),
+            after_revision(0),
+            after_group() {
   }
 
   virtual ~renewal() noexcept;
@@ -724,6 +728,8 @@
   bool draining;
   std::vector<group_report>  groups;
   std::vector<announcement>  announcements;
+  int64_t after_revision;
+  std::string after_group;
 
   _renewal__isset __isset;
 
@@ -747,6 +753,10 @@
 
   void __set_announcements(const std::vector<announcement> & val);
 
+  void __set_after_revision(const int64_t val);
+
+  void __set_after_group(const std::string& val);
+
   bool operator == (const renewal & rhs) const
   {
     if (!(vm == rhs.vm))
@@ -769,6 +779,10 @@
       return false;
     if (!(announcements == rhs.announcements))
       return false;
+    if (!(after_revision == rhs.after_revision))
+      return false;
+    if (!(after_group == rhs.after_group))
+      return false;
     return true;
   }
   bool operator != (const renewal &rhs) const {
--- a/modules/control/renewal_reply.cpp
+++ b/modules/control/renewal_reply.cpp
@@ -6,14 +6,28 @@
 
 namespace teasellock {
 
-wire::renewal_reply changesSince(const control_state &State, revision Applied) {
+namespace {
+
+change_cursor cursorAt(const group_state &Group) {
+  return {Group.Revision, Group.Group};
+}
+
+} // namespace
+
+change_cursor cursorOf(const wire::renewal &Renewal) {
+  return {revision(static_cast<std::uint64_t>(Renewal.after_revision)),
+          group_id(Renewal.after_group)};
+}
+
+wire::renewal_reply changesSince(const control_state &State, revision Applied,
+                                 const change_cursor &After) {
   std::vector<const group_state *> Changed;
   for (const auto &[Name, Group] : State.Groups)
-    if (Group.Revision > Applied)
+    if (Group.Revision > Applied && cursorAt(Group) > After)
       Changed.push_back(&Group);
   std::sort(Changed.begin(), Changed.end(),
             [](const group_state *Left, const group_state *Right) {
-              return Left->Revision < Right->Revision;
+              return cursorAt(*Left) < cursorAt(*Right);
             });
   wire::renewal_reply Reply;
   Reply.revision = static_cast<std::int64_t>(State.Applied.Value);
@@ -21,12 +35,10 @@
   for (const auto *Group : Changed) {
     auto View = toWire(viewOf(*Group));
     Bytes += encode(View).size();
-    bool SameRevision =
-        !Reply.groups.empty() && Reply.groups.back().revision == View.revision;
-    // Groups changed by one entry stay together, or the rest would be missed.
-    if (!Reply.groups.empty() && !SameRevision && Bytes > LargestRenewalReply) {
+    if (!Reply.groups.empty() && Bytes > LargestRenewalReply) {
+      // The entry of the last group may have changed more than fitted in.
       Reply.more = true;
-      Reply.revision = Reply.groups.back().revision;
+      Reply.revision = Reply.groups.back().revision - 1;
       break;
     }
     Reply.groups.push_back(std::move(View));
--- a/modules/control/tests/test_control_service.cpp
+++ b/modules/control/tests/test_control_service.cpp
@@ -275,3 +275,59 @@
   CHECK(Deployment.ask("POST", "/v1/groups/fares/promote").first == 400);
   CHECK(Deployment.ask("POST", "/v1/nothing").first == 404);
 }
+
+TEST_CASE("control: in hand mode nothing is promoted before an operator "
+          "approves it") {
+  deployment Deployment;
+  Deployment.found();
+  Deployment.Upstreams["a"].Replica = false;
+  Deployment.Upstreams["b"] = {};
+  nlohmann::json Row = {{"group", "fares"}, {"mode", "hand"}};
+  Deployment.ask("PUT", "/v1/table",
+                 {{"edit_id", "e"}, {"base_version", 0}, {"rows", {Row}}});
+  Deployment.announce("a");
+  Deployment.announce("b");
+  auto Approve = [&](const std::string &Kind) {
+    std::string Id;
+    REQUIRE(Deployment.runUntil([&] {
+      auto Proposals = Deployment.ask("GET", "/v1/proposals").second;
+      for (const auto &Proposal : Proposals["proposals"])
+        if (Proposal["kind"] == Kind)
+          Id = Proposal["id"].get<std::string>();
+      return !Id.empty();
+    }));
+    auto Group = Deployment.ask("GET", "/v1/groups/fares").second;
+    CHECK_FALSE(Group["waiting"].get<std::string>().empty());
+    CHECK(Deployment.ask("POST", "/v1/proposals/" + Id + "/approve").first ==
+          200);
+  };
+  Approve("adopt");
+  REQUIRE(Deployment.runUntil([&] { return Deployment.primaryIs("a"); }));
+  Deployment.Upstreams["a"].Up = false;
+  Approve("failover");
+  REQUIRE(Deployment.runUntil([&] { return Deployment.primaryIs("b"); }));
+}
+
+TEST_CASE("control: a promotion by hand goes to the upstream asked for and "
+          "names what may be lost") {
+  deployment Deployment;
+  Deployment.serve();
+  auto Promote = [&](const char *Upstream, bool Force) {
+    return Deployment.ask("POST", "/v1/groups/fares/promote",
+                          {{"upstream", Upstream}, {"force", Force}});
+  };
+  CHECK(Promote("none", true).first == 400);
+  CHECK(Promote("a", false).first == 400);
+  // The replica b is behind: refused until forced.
+  CHECK(Promote("b", false).first == 202);
+  REQUIRE(Deployment.runUntil([&] {
+    auto Group = Deployment.ask("GET", "/v1/groups/fares").second;
+    return Group["waiting"].get<std::string>().find("below") !=
+           std::string::npos;
+  }));
+  auto Forced = Promote("b", true);
+  CHECK(Forced.first == 202);
+  CHECK(Forced.second["may_lose"].get<std::string>().find("1/120") !=
+        std::string::npos);
+  REQUIRE(Deployment.runUntil([&] { return Deployment.primaryIs("b"); }));
+}
--- a/modules/membership/member_agent.cpp
+++ b/modules/membership/member_agent.cpp
@@ -149,6 +149,9 @@
   Renewal.availability_zone = Context.Self.AvailabilityZone.Value;
   Renewal.region = Context.Self.Region.Value;
   Renewal.applied_revision = static_cast<std::int64_t>(Member.Applied.Value);
+  Renewal.after_revision =
+      static_cast<std::int64_t>(Member.AfterRevision.Value);
+  Renewal.after_group = Member.AfterGroup.Value;
   Renewal.draining = Draining;
   if (Gateway.Reports)
     Renewal.groups = Gateway.Reports();
--- a/modules/membership/member_state.cpp
+++ b/modules/membership/member_state.cpp
@@ -37,6 +37,10 @@
     State.Views[View.Group] = std::move(View);
   }
   State.Applied = Reached;
+  bool Partial = Reply.more && !Reply.groups.empty();
+  State.AfterRevision = revision(
+      Partial ? static_cast<std::uint64_t>(Reply.groups.back().revision) : 0);
+  State.AfterGroup = group_id(Partial ? Reply.groups.back().group : "");
   return Changed;
 }
 
--- a/modules/membership/member_state.h
+++ b/modules/membership/member_state.h
@@ -17,6 +17,9 @@
   /// Highest revision whose changes are all in Views.
   revision Applied;
   std::map<group_id, group_view> Views;
+  /// The last view of an answer beyond which more follow.
+  revision AfterRevision;
+  group_id AfterGroup;
 };
 
 /// Takes a reply to the renewal that was sent at SentAt. Views only move to
