--- a/modules/gateway/tests/test_replica_choice.cpp
+++ b/modules/gateway/tests/test_replica_choice.cpp
@@ -14,6 +14,8 @@
           *rc::gen::inRange<std::uint64_t>(0, 6)};
 }
 
+constexpr int RoundsPerCase = 20;
+
 replica_candidate arbitraryCandidate(int Number) {
   replica_candidate Candidate;
   Candidate.Upstream = upstream_id(std::to_string(Number));
@@ -58,34 +60,38 @@
   return SeesOwnWrites && FreshEnough && Candidate.Weight > 0;
 }
 
+void checkChoice() {
+  std::vector<replica_candidate> Candidates;
+  int Count = *rc::gen::inRange(0, 5);
+  for (int Number = 0; Number < Count; ++Number)
+    Candidates.push_back(arbitraryCandidate(Number));
+  read_demand Demand;
+  Demand.Floor = arbitraryPosition();
+  if (*rc::gen::arbitrary<bool>())
+    Demand.MostAge = duration(*rc::gen::inRange(0, 6));
+  Demand.AvailabilityZone = availability_zone_id("x");
+  Demand.Region = region_id("r");
+  auto Chosen = chooseReplica(Candidates, Demand);
+  bool Any = std::any_of(
+      Candidates.begin(), Candidates.end(),
+      [&](const replica_candidate &Each) { return fits(Each, Demand); });
+  RC_ASSERT(Chosen.has_value() == Any);
+  if (!Chosen)
+    return;
+  RC_ASSERT(fits(Candidates[*Chosen], Demand));
+  for (const replica_candidate &Other : Candidates)
+    RC_ASSERT_FALSE(fits(Other, Demand) &&
+                    better(Other, Candidates[*Chosen], Demand));
+}
+
 } // namespace
 
 TEST_CASE("gateway: the replica chosen is one that no eligible one beats") {
   CHECK(rc::check([] {
-    std::vector<replica_candidate> Candidates;
-    int Count = *rc::gen::inRange(0, 5);
-    for (int Number = 0; Number < Count; ++Number)
-      Candidates.push_back(arbitraryCandidate(Number));
-    read_demand Demand;
-    Demand.Floor = arbitraryPosition();
-    if (*rc::gen::arbitrary<bool>())
-      Demand.MostAge = duration(*rc::gen::inRange(0, 6));
-    Demand.AvailabilityZone = availability_zone_id("x");
-    Demand.Region = region_id("r");
-    auto Chosen = chooseReplica(Candidates, Demand);
-    bool Any = std::any_of(
-        Candidates.begin(), Candidates.end(),
-        [&](const replica_candidate &Each) { return fits(Each, Demand); });
-    RC_ASSERT(Chosen.has_value() == Any);
-    if (!Chosen)
-      return;
-    RC_ASSERT(fits(Candidates[*Chosen], Demand));
-    for (const replica_candidate &Other : Candidates)
-      RC_ASSERT_FALSE(fits(Other, Demand) &&
-                      better(Other, Candidates[*Chosen], Demand));
+    for (int Round = 0; Round < RoundsPerCase; ++Round)
+      checkChoice();
   }));
 }
-
 TEST_CASE("gateway: the age of a replica is never understated") {
   CHECK(rc::check([] {
     // The primary's true position at each tick; it only grows.
