Shared: a gateway reports a group until its last transaction ended; control keeps it a holder until then

Cause: a gateway that lost its assignment stopped reporting the group while a pinned transaction could still commit; control would release the holder and no longer fence it. Change: reports list a group while it is assigned or has statements or transactions; ages of probes count from before the renewal is made. Conclusion: a holder is released only when it can acknowledge nothing more.

--- a/modules/control/promotion.cpp
+++ b/modules/control/promotion.cpp
@@ -15,6 +15,8 @@
 /// A gateway whose report leaves the primary's state open is asked again after
 /// this.
 const duration FreshReportDelay = fromMilliseconds(50);
+/// Ages are reported in whole milliseconds, rounded down.
+const duration AgeResolution = fromMilliseconds(1);
 const duration FailedOrderDelay = fromMilliseconds(50);
 
 std::string millisecondsText(duration Span) {
@@ -720,7 +722,8 @@
         gateway_run(Share.Vm, Share.Incarnation));
     if (!Probe || Seen == Orders->second.DirtySeenAtUs.end())
       continue;
-    std::int64_t ProbedAtUs = Report->SentAtUs - Probe->Age.count();
+    std::int64_t ProbedAtUs =
+        Report->SentAtUs - (Probe->Age + AgeResolution).count();
     if (!Probe->Reachable || Probe->Replica || ProbedAtUs <= Seen->second ||
         Probe->Replayed.Term != Group.Term)
       continue;
--- a/modules/control/tests/test_promotion.cpp
+++ b/modules/control/tests/test_promotion.cpp
@@ -190,3 +190,35 @@
   World.answer(10, 12, Later);
   CHECK((World.chosen(Later) == upstream_id("right")));
 }
+
+TEST_CASE("control: a gateway that lost its group stays a holder until it no "
+          "longer reports it") {
+  control_state State;
+  leader_state Leader;
+  decision_settings Settings;
+  time_point Now{fromMilliseconds(100000)};
+  Leader.LeadingSince = Now;
+  group_state Group;
+  Group.Group = group_id("g");
+  Group.Removed = false;
+  share_holder Holder;
+  Holder.Vm = vm_id("former");
+  Holder.Incarnation = incarnation(1);
+  Holder.RemovedAt = revision(5);
+  Group.Holders.push_back(Holder);
+  auto &Vm = Leader.Vms[Holder.Vm];
+  Vm.Incarnation = Holder.Incarnation;
+  Vm.Applied = revision(4);
+  auto Decide = [&] {
+    return decideAssignment(State, Group, Leader, Settings, Now).Next;
+  };
+  CHECK_FALSE(Decide().has_value());
+  Vm.Applied = revision(5);
+  Vm.Groups[Group.Group] = {};
+  CHECK_FALSE(Decide().has_value());
+  Vm.Groups.clear();
+  auto Next = Decide();
+  REQUIRE(Next.has_value());
+  CHECK(Next->Holders.empty());
+  CHECK(Next->Dirty);
+}
--- a/modules/gateway/gateway_service.cpp
+++ b/modules/gateway/gateway_service.cpp
@@ -79,7 +79,7 @@
   std::vector<wire::group_report> reports() const {
     std::vector<wire::group_report> Reports;
     for (const auto &[Group, Gateway] : Groups)
-      if (Gateway->assigned())
+      if (Gateway->holdsGroup())
         Reports.push_back(Gateway->report());
     return Reports;
   }
--- a/modules/gateway/group_gateway.cpp
+++ b/modules/gateway/group_gateway.cpp
@@ -388,6 +388,11 @@
 
 bool group_gateway::assigned() const { return State->Assigned; }
 
+bool group_gateway::holdsGroup() const {
+  return State->Assigned || !State->Statements.empty() ||
+         !State->Transactions.empty();
+}
+
 wire::group_report group_gateway::report() const { return State->report(); }
 
 void group_gateway::fence(term Term,
--- a/modules/gateway/group_gateway.h
+++ b/modules/gateway/group_gateway.h
@@ -52,6 +52,11 @@
 
   /// Whether the view lists this VM as a gateway of the group.
   bool assigned() const;
+
+  /// Whether it may still acknowledge a write of the group: it is assigned, or
+  /// statements and transactions of an earlier assignment have not ended.
+  /// Control must hear of the group until then.
+  bool holdsGroup() const;
   wire::group_report report() const;
   void fence(term Term, std::function<void(wire::fence_reply)> Answer);
   void promote(const wire::promote &Order,
--- a/modules/membership/member_agent.cpp
+++ b/modules/membership/member_agent.cpp
@@ -167,9 +167,9 @@
     LastSent = now();
     return;
   }
-  auto Renewal = makeRenewal();
-  // The lease counts from before the renewal is sent.
+  // The lease and the ages of reports count from before the renewal is made.
   time_point SentAt = now();
+  auto Renewal = makeRenewal();
   Renewal.sent_at_us = SentAt.time_since_epoch().count();
   auto Request = Hub.nextRequest();
   LastSent = SentAt;
