--- a/modules/membership/member_agent.cpp
+++ b/modules/membership/member_agent.cpp
@@ -149,6 +149,9 @@
   Renewal.availability_zone = Context.Self.AvailabilityZone.Value;
   Renewal.region = Context.Self.Region.Value;
   Renewal.applied_revision = static_cast<std::int64_t>(Member.Applied.Value);
+  Renewal.after_revision =
+      static_cast<std::int64_t>(Member.AfterRevision.Value);
+  Renewal.after_group = Member.AfterGroup.Value;
   Renewal.draining = Draining;
   if (Gateway.Reports)
     Renewal.groups = Gateway.Reports();
@@ -164,9 +167,9 @@
     LastSent = now();
     return;
   }
-  auto Renewal = makeRenewal();
-  // The lease counts from before the renewal is sent.
+  // The lease and the ages of reports count from before the renewal is made.
   time_point SentAt = now();
+  auto Renewal = makeRenewal();
   Renewal.sent_at_us = SentAt.time_since_epoch().count();
   auto Request = Hub.nextRequest();
   LastSent = SentAt;
