Bench: end the transaction that reads a session back

Cause: each session kept the transaction in which its writes were read back open until the end of the run; beyond the upstreams' connections the later sessions waited for ever. Change: COMMIT and close after the comparison.

--- a/bench/load_session.cpp
+++ b/bench/load_session.cpp
@@ -238,7 +238,11 @@
   }
   for (const auto &[Violation, Count] : checkLedger(Ledger, Ids, Counter))
     Context.Total.Violations[Violation] += Count;
-  Finished();
+  // An open transaction would hold one of the upstream's few connections.
+  Client.query("COMMIT", ReadBackTimeout, [this](const answer &) {
+    Client.close();
+    Finished();
+  });
 }
 
 } // namespace teasellock::bench
--- a/bench/sql_client.cpp
+++ b/bench/sql_client.cpp
@@ -196,6 +196,8 @@
   State->watchQuery();
 }
 
+void sql_client::close() { State->drop(); }
+
 bool sql_client::usable() const {
   return State->Handle && PQstatus(State->Handle) == CONNECTION_OK;
 }
--- a/bench/sql_client.h
+++ b/bench/sql_client.h
@@ -48,6 +48,9 @@
   void query(const std::string &Sql, duration Timeout,
              std::function<void(const answer &)> Done);
 
+  /// Ends the connection.
+  void close();
+
   /// Whether a statement can be sent.
   bool usable() const;
 
