Routing: the oracle's gateway honours a tombstone before a partial answer

The fault was the test's. Change: a tombstoned statement is always refused; executing one fails the test.

--- a/modules/routing/tests/test_routing_state.cpp
+++ b/modules/routing/tests/test_routing_state.cpp
@@ -202,6 +202,7 @@
     bool Lasts = !Entry.Facts.InTransaction || Entry.Facts.MayCommit;
     if (!Lasts || !Entry.Facts.Write)
       return;
+    RC_ASSERT(Keys[Request.Statement] != key_record::Tombstone);
     if (Entry.Facts.HasIdempotencyKey &&
         std::exchange(Keys[Request.Statement], key_record::Ran) !=
             key_record::None)
@@ -238,15 +239,15 @@
     Reply.Term = term(Term);
     const auto &Facts = Truth.at(Request.Statement).Facts;
     Reply.TransactionOpen = Facts.InTransaction && !Facts.MayCommit;
-    if (How == 0) {
+    bool Tombstone = Facts.HasIdempotencyKey && !Request.Executed &&
+                     Keys[Request.Statement] == key_record::Tombstone;
+    if (How == 0 && !Tombstone) {
       // A part of the answer first.
       execute(AtGateway[I].front());
       Reply.Last = false;
       return reply(I, Request, Reply);
     }
     AtGateway[I].pop_front();
-    bool Tombstone = Facts.HasIdempotencyKey && !Request.Executed &&
-                     Keys[Request.Statement] == key_record::Tombstone;
     if (Tombstone || (How == 1 && !Request.Executed)) {
       Reply.Outcome = reply_facts::outcome::NotRun;
       Reply.Code = Request.Attempt.Value % 2 == 0 ? "57P03" : "57014";
