Caller: signs a session's token only when the session has changed

Cause: profile of the entry at 16 callers: libcrypto, hex and the strings around them took over a tenth, the metric look-ups by label text more again; every answer signed the token to find it unchanged. Ruled out: the gateway's queue (0.2 us mean wait) and the upstream (0.17 ms mean of 0.66): the rest was the entry and its link. Change: the session last told is compared instead of its token; metrics of answers are looked up once for each class and outcome.

--- a/modules/caller/caller_listener.cpp
+++ b/modules/caller/caller_listener.cpp
@@ -3,6 +3,7 @@
 #include "core/error.h"
 #include "core/event_log.h"
 #include "modules/caller/caller_state.h"
+#include "modules/caller/reply_metrics.h"
 #include "modules/caller/wire_format.h"
 
 #include <cerrno>
@@ -49,17 +50,6 @@
                sizeof(KeepaliveIdleSeconds));
 }
 
-const char *outcomeName(wire::statement_outcome::type Outcome) {
-  switch (Outcome) {
-  case wire::statement_outcome::answered:
-    return "answered";
-  case wire::statement_outcome::not_run:
-    return "not_run";
-  default:
-    return "unknown";
-  }
-}
-
 } // namespace
 
 struct caller_listener::state {
@@ -99,13 +89,15 @@
   bool Draining = false;
   std::function<void()> Drained;
   gauge &Callers;
+  reply_metrics Replies;
   /// Callbacks into this object hold it weakly.
   std::shared_ptr<state *> Self = std::make_shared<state *>(this);
 
   state(daemon_context &Context, caller_upstream TheUpstream,
         const caller_settings &Settings)
       : Context(Context), Upstream(std::move(TheUpstream)), Settings(Settings),
-        Callers(Context.Metrics.gaugeOf("teasellock_callers")) {
+        Callers(Context.Metrics.gaugeOf("teasellock_callers")),
+        Replies(Context.Metrics) {
     Environment.TokenSecret = Settings.TokenSecret;
     Environment.StatementTimeout = Settings.StatementTimeout;
     Environment.GroupKnown = Upstream.GroupKnown;
@@ -293,20 +285,8 @@
 
 void caller_listener::state::countReply(in_flight &InFlight,
                                         const wire::statement_reply &Reply) {
-  auto &Metrics = Context.Metrics;
-  std::string Class = toString(InFlight.Class);
-  Metrics
-      .counterOf("teasellock_statements_total",
-                 {{"class", Class}, {"outcome", outcomeName(Reply.outcome)}})
-      .add();
-  Metrics.histogramOf("teasellock_statement_seconds", {{"class", Class}})
-      .observe(Context.Timers.now() - InFlight.Started);
-  if (InFlight.Class == statement_class::Read &&
-      Reply.outcome == wire::statement_outcome::answered)
-    Metrics
-        .counterOf("teasellock_reads_total",
-                   {{"by", Reply.by_replica ? "replica" : "primary"}})
-        .add();
+  Replies.countReply(InFlight.Class, Reply,
+                     Context.Timers.now() - InFlight.Started);
   InFlight.Span.set("outcome", outcomeName(Reply.outcome));
   InFlight.Span.set("upstream", Reply.upstream);
   InFlight.Span.end();
--- a/modules/caller/caller_request.cpp
+++ b/modules/caller/caller_request.cpp
@@ -321,11 +321,12 @@
 
 void tellToken(caller_state &State, const caller_environment &Environment,
                std::string &Out) {
-  auto Token = toToken(State.Session, Environment.TokenSecret);
-  if (Token == State.ToldToken)
+  // Signing costs more than all else here; most answers change nothing.
+  if (State.ToldSession == State.Session)
     return;
-  pg::appendParameterStatus(Out, "teasellock.session", Token);
-  State.ToldToken = std::move(Token);
+  pg::appendParameterStatus(Out, "teasellock.session",
+                            toToken(State.Session, Environment.TokenSecret));
+  State.ToldSession = State.Session;
 }
 
 void runBatch(caller_state &State, caller_environment &Environment,
--- a/modules/caller/caller_state.h
+++ b/modules/caller/caller_state.h
@@ -165,8 +165,8 @@
   std::string LastTag;
   /// The number that the next transaction gets.
   transaction_id SpareTransaction;
-  /// The token last told to the caller.
-  std::string ToldToken;
+  /// The session whose token was last told to the caller.
+  std::optional<session_state> ToldSession;
   bool Draining = false;
 };
 
--- /dev/null
+++ b/modules/caller/reply_metrics.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "core/metrics.h"
+#include "modules/caller/statement_class.h"
+#include "modules/gateway/gen/gateway_messages_types.h"
+
+#include <map>
+#include <utility>
+
+namespace teasellock {
+
+/// "answered", "not_run" or "unknown".
+const char *outcomeName(wire::statement_outcome::type Outcome);
+
+/// The metrics of answers, looked up once for each class and outcome.
+class reply_metrics {
+public:
+  explicit reply_metrics(metrics &Metrics);
+
+  /// Counts the last part of an answer.
+  void countReply(statement_class Class, const wire::statement_reply &Reply,
+                  duration Took);
+
+private:
+  metrics &Metrics;
+  counter &ByReplica;
+  counter &ByPrimary;
+  std::map<std::pair<statement_class, wire::statement_outcome::type>, counter *>
+      Statements;
+  std::map<statement_class, latency_histogram *> Seconds;
+};
+
+} // namespace teasellock
--- a/tests/cluster/bench.sh
+++ b/tests/cluster/bench.sh
@@ -19,10 +19,10 @@
 
 echo "== direct against one entry, reads only, $CONNECTIONS connections"
 "$BUILD/teasellock_bench" --direct "$(upstream_address 1 1):5432" --target "$(vm_address 9):5432" --group despacho-1 \
-  --connections "$CONNECTIONS" --seconds "$SECONDS_EACH" --write-share 0 --seed "${SEED:-1}" || exit 1
+  --connections "$CONNECTIONS" --direct-connections "$CONNECTIONS" --seconds "$SECONDS_EACH" --write-share 0 --seed "${SEED:-1}" || exit 1
 echo "== direct against one entry, one connection"
 "$BUILD/teasellock_bench" --direct "$(upstream_address 1 1):5432" --target "$(vm_address 9):5432" --group despacho-1 \
-  --connections 1 --seconds "$SECONDS_EACH" --write-share 0 --seed "${SEED:-1}" || exit 1
+  --connections 1 --direct-connections 1 --seconds "$SECONDS_EACH" --write-share 0 --seed "${SEED:-1}" || exit 1
 echo "== mixed load over six entries and three groups, sessions roam"
 "$BUILD/teasellock_bench" "${targets[@]}" "${groups[@]}" "${metrics[@]}" --connections "$CONNECTIONS" --seconds "$SECONDS_EACH" \
   --write-share 0.2 --read-kinds stock=0.3 --read-kinds invoice=0.1 --roam-share 0.3 --seed "${SEED:-1}" --csv out/bench.csv || exit 1
