--- a/modules/control/control_decisions.cpp
+++ b/modules/control/control_decisions.cpp
@@ -5,6 +5,7 @@
 #include "modules/control/leases.h"
 #include "modules/control/operator_json.h"
 #include "modules/control/promotion.h"
+#include "modules/control/promotion_orders.h"
 #include "modules/control/renewal_reply.h"
 #include "modules/control/table_edit.h"
 #include "modules/link/codec.h"
--- a/modules/control/promotion.cpp
+++ b/modules/control/promotion.cpp
@@ -1,7 +1,11 @@
 #include "modules/control/promotion.h"
 
 #include "core/error.h"
+#include "modules/control/candidate_search.h"
+#include "modules/control/group_reports.h"
 #include "modules/control/leases.h"
+#include "modules/control/primary_health.h"
+#include "modules/control/promotion_orders.h"
 
 #include <algorithm>
 
@@ -9,61 +13,10 @@
 
 namespace {
 
-/// A refused primary is down after so many reports in a row, or so long.
-constexpr std::uint32_t RefusedReports = 2;
-const duration RefusedTime = fromMilliseconds(100);
-/// A gateway whose report leaves the primary's state open is asked again after
-/// this.
-const duration FreshReportDelay = fromMilliseconds(50);
 /// Ages are reported in whole milliseconds, rounded down.
 const duration AgeResolution = fromMilliseconds(1);
 const duration FailedOrderDelay = fromMilliseconds(50);
 
-std::string millisecondsText(duration Span) {
-  return std::to_string(toMilliseconds(Span)) + " ms";
-}
-
-const group_orders *ordersOf(const group_state &Group,
-                             const leader_state &Leader) {
-  auto Found = Leader.Orders.find(Group.Group);
-  if (Found == Leader.Orders.end() || Found->second.Term != Group.Term)
-    return nullptr;
-  return &Found->second;
-}
-
-group_orders &beginOrders(const group_state &Group, leader_state &Leader,
-                          time_point Now) {
-  auto &Orders = Leader.Orders[Group.Group];
-  if (Orders.Term != Group.Term) {
-    Orders.Term = Group.Term;
-    Orders.FencingSince = Now;
-    Orders.AskedAt.clear();
-    Orders.Answers.clear();
-    Orders.OrdersSent = 0;
-    Orders.Reply.reset();
-  }
-  return Orders;
-}
-
-/// A gateway's latest report on the group, if it is from the assigned run.
-const group_observation *reportOf(const group_state &Group,
-                                  const leader_state &Leader,
-                                  const gateway_share &Share) {
-  auto Vm = Leader.Vms.find(Share.Vm);
-  if (Vm == Leader.Vms.end() || Vm->second.Incarnation != Share.Incarnation)
-    return nullptr;
-  auto Report = Vm->second.Groups.find(Group.Group);
-  return Report == Vm->second.Groups.end() ? nullptr : &Report->second;
-}
-
-const upstream_observation *probeOf(const group_observation *Report,
-                                    const upstream_id &Upstream) {
-  if (!Report)
-    return nullptr;
-  auto Found = Report->Upstreams.find(Upstream);
-  return Found == Report->Upstreams.end() ? nullptr : &Found->second;
-}
-
 group_decision waiting(std::string Why) {
   group_decision Decision;
   Decision.Waiting = std::move(Why);
@@ -98,38 +51,6 @@
 // First primary
 //===----------------------------------------------------------------------===//
 
-/// The latest probe of each upstream over all gateways that are alive.
-std::map<upstream_id, upstream_observation>
-latestProbes(const group_state &Group, const leader_state &Leader,
-             const decision_settings &Settings, time_point Now) {
-  std::map<upstream_id, upstream_observation> Result;
-  std::map<upstream_id, time_point> Times;
-  for (const auto &Share : Group.Gateways) {
-    const auto *Report = reportOf(Group, Leader, Share);
-    if (!Report || !heardWithin(Leader, Share.Vm, Settings.AliveTimeout, Now))
-      continue;
-    for (const auto &[Name, Probe] : Report->Upstreams) {
-      time_point At = Report->ReceivedAt - Probe.Age;
-      if (!Probe.Reachable || (Times.contains(Name) && Times[Name] >= At))
-        continue;
-      Times[Name] = At;
-      Result[Name] = Probe;
-    }
-  }
-  return Result;
-}
-
-std::string
-positionsText(const std::map<upstream_id, upstream_observation> &Probes) {
-  std::string Text;
-  for (const auto &[Name, Probe] : Probes) {
-    Text += Text.empty() ? "" : ", ";
-    Text += Name.Value + " at " + toString(Probe.Replayed) +
-            (Probe.Replica ? " (replica)" : " (primary)");
-  }
-  return Text.empty() ? "none heard" : Text;
-}
-
 /// The only non-replica with the highest position, unless a replica has
 /// replayed a higher term.
 const upstream_observation *
@@ -195,75 +116,6 @@
 // Failure detection
 //===----------------------------------------------------------------------===//
 
-/// What the gateways that are alive say of the primary.
-struct primary_health {
-  std::uint32_t Alive = 0;
-  std::uint32_t Reaching = 0;
-  /// Unreachable for the failure timeout.
-  std::uint32_t Lost = 0;
-  /// Known to be down.
-  std::uint32_t Refused = 0;
-  std::vector<vm_id> ToAsk;
-  std::string Text;
-};
-
-/// Whether a probe that failed has failed long enough; asks for a newer report
-/// when only the time since it was sent is missing.
-void countFailed(const group_state &Group, const vm_id &Vm,
-                 const group_observation &Report,
-                 const upstream_observation &Probe, time_point Now,
-                 primary_health &Health) {
-  Health.Text += Vm.Value + ": " +
-                 (Probe.Problem.empty() ? "unreachable" : Probe.Problem) +
-                 " for " + millisecondsText(Probe.Unreachable) + "; ";
-  if (Probe.Refused && (Report.RefusedInRow >= RefusedReports ||
-                        Probe.Unreachable >= RefusedTime))
-    ++Health.Refused;
-  if (Probe.Unreachable >= Group.Row.FailureTimeout) {
-    ++Health.Lost;
-    return;
-  }
-  duration Since = Now - Report.ReceivedAt;
-  bool Due = Probe.Unreachable + Since >= Group.Row.FailureTimeout ||
-             (Probe.Refused && Since >= FreshReportDelay);
-  if (Due)
-    Health.ToAsk.push_back(Vm);
-}
-
-primary_health healthOf(const group_state &Group, const leader_state &Leader,
-                        const decision_settings &Settings, time_point Now) {
-  primary_health Health;
-  for (const auto &Share : Group.Gateways) {
-    if (!heardWithin(Leader, Share.Vm, Settings.AliveTimeout, Now))
-      continue;
-    ++Health.Alive;
-    const auto *Report = reportOf(Group, Leader, Share);
-    const auto *Probe = probeOf(Report, *Group.Primary);
-    if (!Probe)
-      continue;
-    if (!Probe->Reachable) {
-      countFailed(Group, Share.Vm, *Report, *Probe, Now, Health);
-      continue;
-    }
-    ++Health.Reaching;
-    if (Now - Report->ReceivedAt >= FreshReportDelay)
-      Health.ToAsk.push_back(Share.Vm);
-  }
-  bool AnyFailed = !Health.Text.empty();
-  if (!AnyFailed)
-    Health.ToAsk.clear();
-  return Health;
-}
-
-bool isSuspect(const group_state &Group, const primary_health &Health) {
-  if (Health.Reaching > 0 || Health.Alive == 0)
-    return false;
-  if (Health.Refused == Health.Alive)
-    return true;
-  std::size_t Majority = Group.Gateways.size() / 2 + 1;
-  return Health.Lost >= Majority || Health.Lost == Health.Alive;
-}
-
 group_state beginFencing(const group_state &Group, const std::string &Reason) {
   group_state Next = Group;
   Next.Promotion = promotion_state();
@@ -369,143 +221,6 @@
   return Result;
 }
 
-/// Replicas that must be heard so that every acknowledged write is on one.
-std::size_t neededReplicas(const group_state &Group) {
-  const auto &Deposed = Group.Promotion->Deposed;
-  std::size_t Replicas = Group.Upstreams.size();
-  if (Deposed && Group.Upstreams.contains(*Deposed))
-    --Replicas;
-  if (Group.LeastAckReplicas > Replicas)
-    return 1;
-  return Replicas - Group.LeastAckReplicas + 1;
-}
-
-/// What a candidate must fulfil, and who was heard.
-struct candidate_search {
-  const group_state &Group;
-  const promotion_rules &Rules;
-  std::map<upstream_id, upstream_observation> Heard;
-  position Watermark;
-  bool NeedsQuorum = false;
-
-  bool reaches(const position &Candidate, const position &Least) const {
-    if (!Rules.TermOrder)
-      return Candidate.Offset >= Least.Offset;
-    return Candidate >= Least;
-  }
-
-  bool below(const upstream_observation &Left,
-             const upstream_observation &Right) const {
-    if (!Rules.TermOrder)
-      return Left.Replayed.Offset < Right.Replayed.Offset;
-    return Left.Replayed < Right.Replayed;
-  }
-};
-
-/// The highest of the replicas heard; leaving ones only when Leaving is set.
-const upstream_observation *highest(const candidate_search &Search,
-                                    bool Leaving) {
-  const upstream_observation *Best = nullptr;
-  for (const auto &[Name, Probe] : Search.Heard) {
-    if (Name == Search.Group.Promotion->Deposed)
-      continue;
-    if (!Leaving && Search.Group.Upstreams.at(Name).Leaving)
-      continue;
-    if (!Best || Search.below(*Best, Probe))
-      Best = &Probe;
-  }
-  return Best;
-}
-
-std::size_t heardReplicas(const candidate_search &Search) {
-  const auto &Deposed = Search.Group.Promotion->Deposed;
-  std::size_t Count = Search.Heard.size();
-  return Deposed && Search.Heard.contains(*Deposed) ? Count - 1 : Count;
-}
-
-const upstream_observation *findReplica(const candidate_search &Search,
-                                        std::string &Why) {
-  const auto *Best = highest(Search, true);
-  if (!Best) {
-    Why = "no replica was heard";
-    return nullptr;
-  }
-  if (Search.NeedsQuorum &&
-      heardReplicas(Search) < neededReplicas(Search.Group)) {
-    Why = "a gateway went unheard, so " +
-          std::to_string(neededReplicas(Search.Group)) +
-          " replicas must be heard; " + std::to_string(heardReplicas(Search)) +
-          " were";
-    return nullptr;
-  }
-  position Least = Search.Watermark;
-  if (Search.NeedsQuorum)
-    Least = std::max(Least, Best->Replayed);
-  const auto *Staying = highest(Search, false);
-  if (Staying && Search.reaches(Staying->Replayed, Least))
-    return Staying;
-  if (!Search.Rules.Watermark || Search.reaches(Best->Replayed, Least))
-    return Best;
-  Why = "the highest replica heard, " + Best->Upstream.Value + " at " +
-        toString(Best->Replayed) + ", is below the acknowledged position " +
-        toString(Search.Watermark);
-  return nullptr;
-}
-
-/// The former primary, if it is back with all it had.
-const upstream_observation *findFormer(const candidate_search &Search) {
-  const auto &Promotion = *Search.Group.Promotion;
-  if (!Promotion.Deposed || !Search.Heard.contains(*Promotion.Deposed))
-    return nullptr;
-  const auto &Former = Search.Heard.at(*Promotion.Deposed);
-  bool Whole = !Former.Replica &&
-               Former.Replayed.Term == Promotion.FencedTerm &&
-               Former.Replayed >= Search.Watermark;
-  return Whole ? &Former : nullptr;
-}
-
-const upstream_observation *findWanted(const candidate_search &Search,
-                                       std::string &Why) {
-  const auto &Promotion = *Search.Group.Promotion;
-  auto Found = Search.Heard.find(*Promotion.Wanted);
-  if (Found == Search.Heard.end()) {
-    Why = "the wanted upstream " + Promotion.Wanted->Value + " was not heard";
-    return nullptr;
-  }
-  if (Promotion.Forced)
-    return &Found->second;
-  const auto *Former = findFormer(Search);
-  if (Former == &Found->second)
-    return Former;
-  const auto *Replica = findReplica(Search, Why);
-  if (!Replica)
-    return nullptr;
-  position Least = Search.Watermark;
-  if (Search.NeedsQuorum)
-    Least = std::max(Least, highest(Search, true)->Replayed);
-  if (Search.reaches(Found->second.Replayed, Least))
-    return &Found->second;
-  Why = "the wanted upstream " + Promotion.Wanted->Value + " at " +
-        toString(Found->second.Replayed) + " is below " + toString(Least);
-  return nullptr;
-}
-
-const upstream_observation *chooseCandidate(const candidate_search &Search,
-                                            const group_orders &Orders,
-                                            const decision_settings &Settings,
-                                            time_point Now, std::string &Why) {
-  if (Search.Group.Promotion->Wanted)
-    return findWanted(Search, Why);
-  const auto *Replica = findReplica(Search, Why);
-  if (Replica)
-    return Replica;
-  bool Alone =
-      neededReplicas(Search.Group) == 1 && Search.Group.Upstreams.size() == 1;
-  if (Alone || Now - Orders.FencingSince >= Settings.FormerPrimaryDelay)
-    return findFormer(Search);
-  return nullptr;
-}
-
 bool isAssigned(const group_state &Group, const share_holder &Holder) {
   const auto *Share = findShare(Group, Holder.Vm);
   return Share && Share->Incarnation == Holder.Incarnation;
@@ -737,48 +452,6 @@
   return {};
 }
 
-void noteFencesSent(const group_state &Group, leader_state &Leader,
-                    const std::vector<gateway_run> &Runs, time_point Now) {
-  auto &Orders = beginOrders(Group, Leader, Now);
-  for (const auto &Run : Runs)
-    Orders.AskedAt[Run] = Now;
-}
-
-void takeFenceReply(const group_state &Group, leader_state &Leader,
-                    const gateway_run &Run, const wire::fence_reply &Reply,
-                    time_point AskedAt) {
-  if (static_cast<std::uint64_t>(Reply.term) != Group.Term.Value)
-    return;
-  auto &Orders = beginOrders(Group, Leader, AskedAt);
-  auto &Answer = Orders.Answers[Run];
-  position Highest =
-      std::max(Answer.Acknowledged, fromWire(Reply.acknowledged));
-  if (AskedAt >= Answer.AskedAt) {
-    Answer.AskedAt = AskedAt;
-    Answer.Upstreams = readReports(Reply.upstreams);
-  }
-  Answer.Acknowledged = Highest;
-}
-
-void noteOrderSent(const group_state &Group, leader_state &Leader,
-                   time_point Now) {
-  auto &Orders = beginOrders(Group, Leader, Now);
-  Orders.OrderedAt = Now;
-  ++Orders.OrdersSent;
-  Orders.Reply.reset();
-}
-
-void takePromoteReply(const group_state &Group, leader_state &Leader,
-                      const wire::promote_reply &Reply) {
-  if (!Group.Promotion || !Group.Promotion->Chosen ||
-      static_cast<std::uint64_t>(Reply.term) != Group.Term.Value ||
-      Reply.upstream != Group.Promotion->Chosen->Value)
-    return;
-  auto &Orders = Leader.Orders[Group.Group];
-  if (Orders.Term == Group.Term)
-    Orders.Reply = Reply;
-}
-
 group_state promoteByHand(const group_state &Group, const upstream_id &Upstream,
                           bool Force) {
   if (!Group.Upstreams.contains(Upstream))
--- a/modules/control/promotion.h
+++ b/modules/control/promotion.h
@@ -22,23 +22,6 @@
                               const leader_state &Leader,
                               const decision_settings &Settings);
 
-/// Notes that fences were sent. Starts anew when the group's term has changed.
-void noteFencesSent(const group_state &Group, leader_state &Leader,
-                    const std::vector<gateway_run> &Runs, time_point Now);
-
-/// Takes a gateway's answer to the fence that was sent at AskedAt.
-void takeFenceReply(const group_state &Group, leader_state &Leader,
-                    const gateway_run &Run, const wire::fence_reply &Reply,
-                    time_point AskedAt);
-
-/// Notes that an order to promote was sent.
-void noteOrderSent(const group_state &Group, leader_state &Leader,
-                   time_point Now);
-
-/// Takes a gateway's answer to an order to promote.
-void takePromoteReply(const group_state &Group, leader_state &Leader,
-                      const wire::promote_reply &Reply);
-
 /// The highest position known to be acknowledged, committed or reported.
 position knownWatermark(const group_state &Group, const leader_state &Leader);
 
--- a/modules/control/tests/promotion_world.cpp
+++ b/modules/control/tests/promotion_world.cpp
@@ -1,4 +1,5 @@
 #include "modules/control/tests/promotion_world.h"
+#include "modules/control/promotion_orders.h"
 
 #include <algorithm>
 
--- a/modules/control/tests/test_promotion.cpp
+++ b/modules/control/tests/test_promotion.cpp
@@ -1,3 +1,4 @@
+#include "modules/control/promotion_orders.h"
 #include "modules/control/tests/promotion_world.h"
 
 #include <doctest/doctest.h>
--- a/modules/gateway/gateway_service.cpp
+++ b/modules/gateway/gateway_service.cpp
@@ -2,6 +2,7 @@
 
 #include "core/event_log.h"
 #include "modules/gateway/group_gateway.h"
+#include "modules/gateway/refusals.h"
 #include "modules/link/codec.h"
 
 namespace teasellock {
@@ -14,7 +15,6 @@
 const message_kind ReleaseKind(303);
 /// Stands for this VM's own entry.
 const link_id LocalLink(0);
-constexpr const char *CannotConnectNow = "57P03";
 
 } // namespace
 
--- a/modules/gateway/group_gateway.cpp
+++ b/modules/gateway/group_gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "core/event_log.h"
 #include "modules/gateway/group_state.h"
+#include "modules/gateway/refusals.h"
 #include "modules/upstream/message_encoder.h"
 
 #include <algorithm>
@@ -18,7 +19,6 @@
 /// Of a gateway's connections to an upstream, those kept for probes and
 /// checks.
 constexpr std::uint32_t ReservedConnections = 2;
-constexpr const char *CannotConnectNow = "57P03";
 constexpr const char *OutcomeUnknown = "08007";
 
 std::uint32_t statementConnections(std::uint32_t Share) {
--- /dev/null
+++ b/modules/gateway/refusals.h
@@ -0,0 +1,12 @@
+/// SQLSTATE codes and texts of statements that were not run.
+#pragma once
+
+namespace teasellock {
+
+constexpr const char *CannotConnectNow = "57P03";
+constexpr const char *TooManyConnections = "53300";
+constexpr const char *NoActiveTransaction = "25P01";
+constexpr const char *TransactionEnded =
+    "the transaction has ended and was rolled back";
+
+} // namespace teasellock
--- a/modules/routing/routing_state.cpp
+++ b/modules/routing/routing_state.cpp
@@ -1,4 +1,5 @@
 #include "modules/routing/routing_state.h"
+#include "modules/gateway/refusals.h"
 
 #include <algorithm>
 #include <array>
@@ -8,8 +9,6 @@
 
 namespace {
 
-constexpr const char *CannotConnectNow = "57P03";
-constexpr const char *TooManyConnections = "53300";
 constexpr const char *QueryCanceled = "57014";
 constexpr const char *ResolutionUnknown = "08007";
 constexpr const char *SerializationFailure = "40001";
