--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 # One seed for every property test, so that a verdict repeats.
 export RC_PARAMS ?= seed=20261204
 
-.PHONY: install build demo test unit failures bench soak fuzz format lint
+.PHONY: install build demo up test unit failures bench soak fuzz format lint
 
 install:
 	@.ci/install
@@ -17,6 +17,10 @@
 demo: build
 	timeout 120 tests/cluster/demo.sh
 
+# The same deployment, kept until Ctrl-C.
+up: build
+	tests/cluster/up.sh
+
 # All tests: decisions and tasks in one process, then failures of processes.
 test: unit failures
 
