--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 # One seed for every property test, so that a verdict repeats.
 export RC_PARAMS ?= seed=20261204
 
-.PHONY: install build demo up test unit failures bench soak fuzz format lint
+.PHONY: install build demo up clients test unit failures bench soak fuzz format lint
 
 install:
 	@.ci/install
@@ -30,6 +30,10 @@
 failures: build
 	timeout 1500 tests/cluster/failures.sh
 
+# JDBC and psycopg2 against the deployment; installs them.
+clients: build
+	timeout 300 tests/cluster/clients.sh
+
 # Both measures of the product, as CSV and plot under out/.
 bench: build
 	timeout 900 tests/cluster/bench.sh
