--- /dev/null
+++ b/core/tests/test_core.cpp
@@ -0,0 +1,92 @@
+#include "core/endpoint.h"
+#include "core/error.h"
+#include "core/metrics.h"
+#include "core/position.h"
+#include "core/timer_service.h"
+#include "core/trace.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace teasellock;
+
+TEST_CASE("core: an endpoint is an address of numbers and a port") {
+  CHECK(toString(parseEndpoint("10.0.0.7:5432")) == "10.0.0.7:5432");
+  for (const char *Bad : {"", "10.0.0.7", "10.0.0.7:", "10.0.0.7:x",
+                          "10.0.0.7:70000", "db.example:5432", "10.0.0:1"}) {
+    CAPTURE(Bad);
+    CHECK_THROWS_AS(parseEndpoint(Bad), error);
+  }
+}
+
+TEST_CASE("core: a long log of an old term is below a short one of a newer") {
+  position Old{term(1), 1000};
+  position New{term(2), 10};
+  CHECK((Old < New));
+  CHECK((position{term(2), 9} < New));
+}
+
+TEST_CASE("core: a trace context survives its text, and no text does harm") {
+  trace_context Context;
+  Context.TraceId[0] = 0x4b;
+  Context.TraceId[15] = 0x36;
+  Context.SpanId = 0xf067aa0ba902b7;
+  Context.Sampled = true;
+  CHECK(parseTraceParent(toTraceParent(Context)) == Context);
+  CHECK(toTraceParent(trace_context()).empty());
+  CHECK(rc::check("any text is read or refused", [](std::string Text) {
+    parseTraceParent(Text);
+    Text.resize(55, '0');
+    parseTraceParent("00-" + Text.substr(3));
+  }));
+}
+
+TEST_CASE("core: a quantile is the upper edge of its bin") {
+  latency_histogram Histogram;
+  CHECK(Histogram.quantile(0.5) == duration::zero());
+  for (int I = 0; I < 99; ++I)
+    Histogram.observe(fromMilliseconds(1));
+  Histogram.observe(fromMilliseconds(100));
+  CHECK(Histogram.quantile(0.5) >= fromMilliseconds(1));
+  CHECK(Histogram.quantile(0.5) < fromMilliseconds(2));
+  CHECK(Histogram.quantile(1) >= fromMilliseconds(100));
+  CHECK(Histogram.count() == 100);
+}
+
+TEST_CASE("core: label values are escaped in the text of metrics") {
+  metrics Metrics;
+  Metrics.counterOf("teasellock_test_total", {{"peer", "a\"b\\c\nd"}}).add(3);
+  CHECK(Metrics.prometheusText().find(
+            "teasellock_test_total{peer=\"a\\\"b\\\\c d\"} 3") !=
+        std::string::npos);
+}
+
+TEST_CASE("core: a subscription may end itself in its own callback") {
+  event_loop Loop;
+  timer_service Timers(Loop);
+  int Calls = 0;
+  timer_subscription Subscription;
+  Subscription = Timers.every(fromMilliseconds(1), [&] {
+    if (++Calls == 3)
+      Subscription.cancel();
+  });
+  bool Ended = false;
+  auto End = Timers.after(fromMilliseconds(50), [&] { Ended = true; });
+  while (!Ended)
+    Loop.runOnce();
+  CHECK(Calls == 3);
+  CHECK_FALSE(Subscription.active());
+}
+
+TEST_CASE("core: tasks posted by a task run in the next turn, in order") {
+  event_loop Loop;
+  std::string Order;
+  Loop.post([&] {
+    Order += 'a';
+    Loop.post([&] { Order += 'c'; });
+  });
+  Loop.post([&] { Order += 'b'; });
+  while (Order.size() < 3)
+    Loop.runOnce();
+  CHECK(Order == "abc");
+}
