Core: a test no longer sleeps for a minute

Cause: runOnce sleeps once nothing is queued, up to libev's longest wait of 59.7 s; the test of posted tasks had no timer to wake it. Ruled out: a fault of post(): the task had run, the loop slept after it. Change: the test keeps a timer. Its checks are the same.

--- a/core/tests/test_core.cpp
+++ b/core/tests/test_core.cpp
@@ -80,6 +80,9 @@
 
 TEST_CASE("core: tasks posted by a task run in the next turn, in order") {
   event_loop Loop;
+  timer_service Timers(Loop);
+  // Wakes the loop, which otherwise sleeps once nothing is queued.
+  auto Tick = Timers.every(fromMilliseconds(1), [] {});
   std::string Order;
   Loop.post([&] {
     Order += 'a';
