Consensus, Control: message kinds and the check of a reply stand once

Cause: the numbers 100 to 108 stood in control and in membership, where a drift would break the protocol without an error; the check whether a follower's reply counts stood in two handlers. Change: message_kinds.h; answeringFollower(). No behaviour changes.

--- a/modules/consensus/consensus_internal.h
+++ b/modules/consensus/consensus_internal.h
@@ -103,4 +103,12 @@
                          const decision_input &Input,
                          consensus_effects &Effects);
 
+/// The follower whose reply of a term counts for this leader. Null when the
+/// store is no member, this is no leader of that term, or the term is higher;
+/// then this member steps down.
+follower_progress *answeringFollower(consensus_state &State, store_id Store,
+                                     std::uint64_t Term,
+                                     const decision_input &Input,
+                                     consensus_effects &Effects);
+
 } // namespace teasellock
--- a/modules/consensus/consensus_replication.cpp
+++ b/modules/consensus/consensus_replication.cpp
@@ -272,22 +272,33 @@
   Effects.Send.push_back({Leader, Reply});
 }
 
-void handleAppendReply(consensus_state &State,
-                       const wire::append_reply &Message,
-                       const decision_input &Input,
-                       consensus_effects &Effects) {
-  store_id Store = storeFromWire(Message.follower);
+follower_progress *answeringFollower(consensus_state &State, store_id Store,
+                                     std::uint64_t Term,
+                                     const decision_input &Input,
+                                     consensus_effects &Effects) {
   if (findMember(currentMembers(State), Store) == nullptr)
-    return;
-  if (fromWire(Message.term) > State.Promises.Term) {
-    stepDown(State, fromWire(Message.term), Input, Effects);
-    return;
+    return nullptr;
+  if (Term > State.Promises.Term) {
+    stepDown(State, Term, Input, Effects);
+    return nullptr;
   }
   auto Found = State.Followers.find(Store);
   if (State.Role != consensus_role::Leader || Found == State.Followers.end() ||
-      fromWire(Message.term) != State.Promises.Term)
+      Term != State.Promises.Term)
+    return nullptr;
+  return &Found->second;
+}
+
+void handleAppendReply(consensus_state &State,
+                       const wire::append_reply &Message,
+                       const decision_input &Input,
+                       consensus_effects &Effects) {
+  follower_progress *Answering =
+      answeringFollower(State, storeFromWire(Message.follower),
+                        fromWire(Message.term), Input, Effects);
+  if (Answering == nullptr)
     return;
-  follower_progress &Follower = Found->second;
+  follower_progress &Follower = *Answering;
   bool AnswersPending = fromWire(Message.round) == Follower.PendingRound;
   confirmRound(Follower, fromWire(Message.round), Input.Now);
   std::uint64_t Index = fromWire(Message.match_index);
--- a/modules/consensus/consensus_snapshot.cpp
+++ b/modules/consensus/consensus_snapshot.cpp
@@ -91,17 +91,11 @@
                          const decision_input &Input,
                          consensus_effects &Effects) {
   store_id Store = storeFromWire(Message.follower);
-  if (findMember(currentMembers(State), Store) == nullptr)
+  follower_progress *Answering =
+      answeringFollower(State, Store, fromWire(Message.term), Input, Effects);
+  if (Answering == nullptr)
     return;
-  if (fromWire(Message.term) > State.Promises.Term) {
-    stepDown(State, fromWire(Message.term), Input, Effects);
-    return;
-  }
-  auto Found = State.Followers.find(Store);
-  if (State.Role != consensus_role::Leader || Found == State.Followers.end() ||
-      fromWire(Message.term) != State.Promises.Term)
-    return;
-  follower_progress &Follower = Found->second;
+  follower_progress &Follower = *Answering;
   Follower.LastHeard = Input.Now;
   if (!Follower.Snapshot ||
       Follower.Snapshot->Index != fromWire(Message.last_index))
--- a/modules/control/control_service_state.h
+++ b/modules/control/control_service_state.h
@@ -5,6 +5,7 @@
 #include "modules/control/control_service.h"
 #include "modules/control/decision_agenda.h"
 #include "modules/control/leader_state.h"
+#include "modules/control/message_kinds.h"
 
 #include <set>
 #include <string>
@@ -12,17 +13,6 @@
 
 namespace teasellock {
 
-/// Kinds of control's messages.
-constexpr std::int16_t RenewalKind = 100;
-constexpr std::int16_t RenewalReplyKind = 101;
-constexpr std::int16_t FenceKind = 102;
-constexpr std::int16_t FenceReplyKind = 103;
-constexpr std::int16_t PromoteKind = 104;
-constexpr std::int16_t PromoteReplyKind = 105;
-constexpr std::int16_t OperatorRequestKind = 106;
-constexpr std::int16_t OperatorReplyKind = 107;
-constexpr std::int16_t NudgeKind = 108;
-
 struct control_service::state {
   /// A fence whose answer is awaited.
   struct sent_fence {
--- a/modules/membership/member_agent.cpp
+++ b/modules/membership/member_agent.cpp
@@ -1,6 +1,7 @@
 #include "modules/membership/member_agent.h"
 
 #include "core/event_log.h"
+#include "modules/control/message_kinds.h"
 #include "modules/link/codec.h"
 #include "modules/membership/member_state.h"
 
@@ -12,16 +13,6 @@
 
 namespace {
 
-constexpr std::int16_t RenewalKind = 100;
-constexpr std::int16_t RenewalReplyKind = 101;
-constexpr std::int16_t FenceKind = 102;
-constexpr std::int16_t FenceReplyKind = 103;
-constexpr std::int16_t PromoteKind = 104;
-constexpr std::int16_t PromoteReplyKind = 105;
-constexpr std::int16_t OperatorRequestKind = 106;
-constexpr std::int16_t OperatorReplyKind = 107;
-constexpr std::int16_t NudgeKind = 108;
-
 /// Hurried renewals are at least this far apart.
 const duration HurryPeriod = fromMilliseconds(5);
 /// An announcement is passed on again and again until the views show it, but
