--- a/modules/control/control_commands.thrift
+++ b/modules/control/control_commands.thrift
@@ -10,6 +10,7 @@
   4: string availability_zone;
   5: string region;
   6: bool draining;
+  7: bool gateway = true;
 }
 
 /// A gateway incarnation that may still acknowledge writes or hold
@@ -37,6 +38,14 @@
   6: bool forced;
   7: string chosen;
   8: control_messages.position chosen_position;
+  /// Counts the orders that were written for this promotion.
+  9: i32 attempt;
+}
+
+/// An upstream incarnation that left for good.
+struct departed_upstream {
+  1: string upstream;
+  2: i64 incarnation;
 }
 
 struct group_record {
@@ -55,6 +64,8 @@
   13: i64 budget_epoch;
   14: optional promotion_record promotion;
   15: bool removed;
+  /// Upstream incarnations that left for good, latest last.
+  16: list<departed_upstream> departed;
 }
 
 /// Replaces the whole table if it still has the base version.
@@ -72,6 +83,14 @@
   4: string winning_edit;
 }
 
+/// Takes effect if its version is the highest.
+struct deployment_change {
+  1: control_messages.deployment deployment;
+  2: list<control_messages.table_row> rows;
+  /// The text it was read from, as it is shown to operators.
+  3: binary document;
+}
+
 /// An entry of the replicated log. One field is set.
 struct control_command {
   1: optional table_edit edit;
@@ -79,6 +98,7 @@
   3: optional control_messages.announcement announcement;
   /// Takes effect if the group still has the record's revision.
   4: optional group_record group;
+  5: optional deployment_change deployment;
 }
 
 /// The whole replicated state.
@@ -89,4 +109,6 @@
   4: list<vm_record> vms;
   5: list<group_record> groups;
   6: list<edit_record> edits;
+  7: optional deployment_change deployment;
+  8: i64 deployment_revision;
 }
--- a/modules/control/control_messages.thrift
+++ b/modules/control/control_messages.thrift
@@ -32,6 +32,42 @@
   6: i32 slots;
   7: i32 connections;
   8: bool leaving;
+  /// Tells two runs of the upstream's process apart; grows. 0: not told.
+  9: i64 incarnation;
+  /// It takes itself for the primary.
+  10: bool primary;
+  /// It has left for good.
+  11: bool gone;
+}
+
+/// What the reads of a database may see.
+enum consistency {
+  /// Every acknowledged write.
+  primary = 0,
+  /// Every write acknowledged longer ago than a bound.
+  bounded_staleness = 1,
+  /// Besides, the session's own writes.
+  read_your_writes = 2,
+}
+
+/// A database name that callers connect to and how its statements are served.
+struct route {
+  1: string name;
+  2: string database;
+  3: string group;
+  4: consistency consistency;
+  5: i64 max_staleness_ms;
+  6: i64 statement_ms;
+  7: i64 target_ms;
+  /// 0 is the most important.
+  8: i32 priority;
+}
+
+/// The routes and limits that are in force. The highest version wins.
+struct deployment {
+  1: i64 version;
+  2: list<route> routes;
+  3: i64 idle_transaction_ms;
 }
 
 /// One gateway's share of a group.
@@ -79,6 +115,13 @@
   /// Whether the primary has refused or reset connections, so that it is
   /// known to be down rather than silent.
   8: bool refused;
+  /// The replica receives nothing until it is promoted or resumed, and
+  /// `received` was taken after that.
+  9: bool paused;
+  /// Highest position in its log, applied or not.
+  10: position received;
+  /// Age of the connection that this was heard on.
+  11: i64 connection_age_ms;
 }
 
 /// A gateway's report on a group that is assigned to it.
@@ -108,6 +151,12 @@
   /// The last group of the last answer, while more follow beyond it.
   11: i64 after_revision;
   12: string after_group;
+  /// Version of the deployment that the VM applies.
+  13: i64 deployment_version;
+  /// Identity of its control store, 0 without the control role.
+  14: i64 control_store;
+  /// Whether groups may be assigned to it.
+  15: bool gateway = true;
 }
 
 /// Answer to a renewal. Kind 101.
@@ -126,12 +175,18 @@
   7: bool more;
   /// Drain: all groups of this VM have been handed to others.
   8: bool released;
+  /// Set when the VM has an older version.
+  9: optional deployment deployment;
+  /// Internal addresses of the control VMs.
+  10: list<string> control;
 }
 
 /// Asks a gateway to stop acknowledging in a term. Kind 102.
 struct fence {
   1: string group;
   2: i64 term;
+  /// Not 0: replicas are to be paused under this term before they are read.
+  3: i64 pause_term;
 }
 
 /// The gateway acknowledges nothing of that term any more. Kind 103.
@@ -179,3 +234,8 @@
 struct nudge {
   1: i64 revision;
 }
+
+/// Asks a gateway to let paused replicas receive again. Kind 109.
+struct resume {
+  1: string group;
+}
--- a/modules/control/gen/control_commands_types.cpp
+++ b/modules/control/gen/control_commands_types.cpp
@@ -41,6 +41,10 @@
 void vm_record::__set_draining(const bool val) {
   this->draining = val;
 }
+
+void vm_record::__set_gateway(const bool val) {
+  this->gateway = val;
+}
 std::ostream& operator<<(std::ostream& out, const vm_record& obj)
 {
   obj.printTo(out);
@@ -117,6 +121,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->gateway);
+          this->__isset.gateway = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -158,6 +170,10 @@
   xfer += oprot->writeBool(this->draining);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("gateway", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->gateway);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -171,6 +187,7 @@
   swap(a.availability_zone, b.availability_zone);
   swap(a.region, b.region);
   swap(a.draining, b.draining);
+  swap(a.gateway, b.gateway);
   swap(a.__isset, b.__isset);
 }
 
@@ -181,6 +198,7 @@
   availability_zone = other0.availability_zone;
   region = other0.region;
   draining = other0.draining;
+  gateway = other0.gateway;
   __isset = other0.__isset;
 }
 vm_record::vm_record(vm_record&& other1) noexcept {
@@ -190,6 +208,7 @@
   availability_zone = std::move(other1.availability_zone);
   region = std::move(other1.region);
   draining = other1.draining;
+  gateway = other1.gateway;
   __isset = other1.__isset;
 }
 vm_record& vm_record::operator=(const vm_record& other2) {
@@ -199,6 +218,7 @@
   availability_zone = other2.availability_zone;
   region = other2.region;
   draining = other2.draining;
+  gateway = other2.gateway;
   __isset = other2.__isset;
   return *this;
 }
@@ -209,6 +229,7 @@
   availability_zone = std::move(other3.availability_zone);
   region = std::move(other3.region);
   draining = other3.draining;
+  gateway = other3.gateway;
   __isset = other3.__isset;
   return *this;
 }
@@ -221,6 +242,7 @@
   out << ", " << "availability_zone=" << to_string(availability_zone);
   out << ", " << "region=" << to_string(region);
   out << ", " << "draining=" << to_string(draining);
+  out << ", " << "gateway=" << to_string(gateway);
   out << ")";
 }
 
@@ -493,6 +515,10 @@
 void promotion_record::__set_chosen_position(const  ::teasellock::wire::position& val) {
   this->chosen_position = val;
 }
+
+void promotion_record::__set_attempt(const int32_t val) {
+  this->attempt = val;
+}
 std::ostream& operator<<(std::ostream& out, const promotion_record& obj)
 {
   obj.printTo(out);
@@ -585,6 +611,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->attempt);
+          this->__isset.attempt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -634,6 +668,10 @@
   xfer += this->chosen_position.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("attempt", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->attempt);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -649,6 +687,7 @@
   swap(a.forced, b.forced);
   swap(a.chosen, b.chosen);
   swap(a.chosen_position, b.chosen_position);
+  swap(a.attempt, b.attempt);
   swap(a.__isset, b.__isset);
 }
 
@@ -661,6 +700,7 @@
   forced = other8.forced;
   chosen = other8.chosen;
   chosen_position = other8.chosen_position;
+  attempt = other8.attempt;
   __isset = other8.__isset;
 }
 promotion_record::promotion_record(promotion_record&& other9) noexcept {
@@ -672,6 +712,7 @@
   forced = other9.forced;
   chosen = std::move(other9.chosen);
   chosen_position = std::move(other9.chosen_position);
+  attempt = other9.attempt;
   __isset = other9.__isset;
 }
 promotion_record& promotion_record::operator=(const promotion_record& other10) {
@@ -683,6 +724,7 @@
   forced = other10.forced;
   chosen = other10.chosen;
   chosen_position = other10.chosen_position;
+  attempt = other10.attempt;
   __isset = other10.__isset;
   return *this;
 }
@@ -695,6 +737,7 @@
   forced = other11.forced;
   chosen = std::move(other11.chosen);
   chosen_position = std::move(other11.chosen_position);
+  attempt = other11.attempt;
   __isset = other11.__isset;
   return *this;
 }
@@ -709,6 +752,130 @@
   out << ", " << "forced=" << to_string(forced);
   out << ", " << "chosen=" << to_string(chosen);
   out << ", " << "chosen_position=" << to_string(chosen_position);
+  out << ", " << "attempt=" << to_string(attempt);
+  out << ")";
+}
+
+
+departed_upstream::~departed_upstream() noexcept {
+}
+
+
+void departed_upstream::__set_upstream(const std::string& val) {
+  this->upstream = val;
+}
+
+void departed_upstream::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+std::ostream& operator<<(std::ostream& out, const departed_upstream& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t departed_upstream::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->upstream);
+          this->__isset.upstream = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t departed_upstream::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("departed_upstream");
+
+  xfer += oprot->writeFieldBegin("upstream", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->upstream);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(departed_upstream &a, departed_upstream &b) {
+  using ::std::swap;
+  swap(a.upstream, b.upstream);
+  swap(a.incarnation, b.incarnation);
+  swap(a.__isset, b.__isset);
+}
+
+departed_upstream::departed_upstream(const departed_upstream& other12) {
+  upstream = other12.upstream;
+  incarnation = other12.incarnation;
+  __isset = other12.__isset;
+}
+departed_upstream::departed_upstream(departed_upstream&& other13) noexcept {
+  upstream = std::move(other13.upstream);
+  incarnation = other13.incarnation;
+  __isset = other13.__isset;
+}
+departed_upstream& departed_upstream::operator=(const departed_upstream& other14) {
+  upstream = other14.upstream;
+  incarnation = other14.incarnation;
+  __isset = other14.__isset;
+  return *this;
+}
+departed_upstream& departed_upstream::operator=(departed_upstream&& other15) noexcept {
+  upstream = std::move(other15.upstream);
+  incarnation = other15.incarnation;
+  __isset = other15.__isset;
+  return *this;
+}
+void departed_upstream::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "departed_upstream(";
+  out << "upstream=" << to_string(upstream);
+  out << ", " << "incarnation=" << to_string(incarnation);
   out << ")";
 }
 
@@ -777,6 +944,10 @@
 void group_record::__set_removed(const bool val) {
   this->removed = val;
 }
+
+void group_record::__set_departed(const std::vector<departed_upstream> & val) {
+  this->departed = val;
+}
 std::ostream& operator<<(std::ostream& out, const group_record& obj)
 {
   obj.printTo(out);
@@ -849,14 +1020,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->upstreams.clear();
-            uint32_t _size12;
-            ::apache::thrift::protocol::TType _etype15;
-            xfer += iprot->readListBegin(_etype15, _size12);
-            this->upstreams.resize(_size12);
-            uint32_t _i16;
-            for (_i16 = 0; _i16 < _size12; ++_i16)
+            uint32_t _size16;
+            ::apache::thrift::protocol::TType _etype19;
+            xfer += iprot->readListBegin(_etype19, _size16);
+            this->upstreams.resize(_size16);
+            uint32_t _i20;
+            for (_i20 = 0; _i20 < _size16; ++_i20)
             {
-              xfer += this->upstreams[_i16].read(iprot);
+              xfer += this->upstreams[_i20].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -869,14 +1040,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->gateways.clear();
-            uint32_t _size17;
-            ::apache::thrift::protocol::TType _etype20;
-            xfer += iprot->readListBegin(_etype20, _size17);
-            this->gateways.resize(_size17);
-            uint32_t _i21;
-            for (_i21 = 0; _i21 < _size17; ++_i21)
+            uint32_t _size21;
+            ::apache::thrift::protocol::TType _etype24;
+            xfer += iprot->readListBegin(_etype24, _size21);
+            this->gateways.resize(_size21);
+            uint32_t _i25;
+            for (_i25 = 0; _i25 < _size21; ++_i25)
             {
-              xfer += this->gateways[_i21].read(iprot);
+              xfer += this->gateways[_i25].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -889,14 +1060,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->holders.clear();
-            uint32_t _size22;
-            ::apache::thrift::protocol::TType _etype25;
-            xfer += iprot->readListBegin(_etype25, _size22);
-            this->holders.resize(_size22);
-            uint32_t _i26;
-            for (_i26 = 0; _i26 < _size22; ++_i26)
+            uint32_t _size26;
+            ::apache::thrift::protocol::TType _etype29;
+            xfer += iprot->readListBegin(_etype29, _size26);
+            this->holders.resize(_size26);
+            uint32_t _i30;
+            for (_i30 = 0; _i30 < _size26; ++_i30)
             {
-              xfer += this->holders[_i26].read(iprot);
+              xfer += this->holders[_i30].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -961,6 +1132,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->departed.clear();
+            uint32_t _size31;
+            ::apache::thrift::protocol::TType _etype34;
+            xfer += iprot->readListBegin(_etype34, _size31);
+            this->departed.resize(_size31);
+            uint32_t _i35;
+            for (_i35 = 0; _i35 < _size31; ++_i35)
+            {
+              xfer += this->departed[_i35].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.departed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1001,10 +1192,10 @@
   xfer += oprot->writeFieldBegin("upstreams", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upstreams.size()));
-    std::vector< ::teasellock::wire::announcement> ::const_iterator _iter27;
-    for (_iter27 = this->upstreams.begin(); _iter27 != this->upstreams.end(); ++_iter27)
+    std::vector< ::teasellock::wire::announcement> ::const_iterator _iter36;
+    for (_iter36 = this->upstreams.begin(); _iter36 != this->upstreams.end(); ++_iter36)
     {
-      xfer += (*_iter27).write(oprot);
+      xfer += (*_iter36).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1013,10 +1204,10 @@
   xfer += oprot->writeFieldBegin("gateways", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->gateways.size()));
-    std::vector< ::teasellock::wire::gateway_share> ::const_iterator _iter28;
-    for (_iter28 = this->gateways.begin(); _iter28 != this->gateways.end(); ++_iter28)
+    std::vector< ::teasellock::wire::gateway_share> ::const_iterator _iter37;
+    for (_iter37 = this->gateways.begin(); _iter37 != this->gateways.end(); ++_iter37)
     {
-      xfer += (*_iter28).write(oprot);
+      xfer += (*_iter37).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1025,10 +1216,10 @@
   xfer += oprot->writeFieldBegin("holders", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holders.size()));
-    std::vector<share_holder> ::const_iterator _iter29;
-    for (_iter29 = this->holders.begin(); _iter29 != this->holders.end(); ++_iter29)
+    std::vector<share_holder> ::const_iterator _iter38;
+    for (_iter38 = this->holders.begin(); _iter38 != this->holders.end(); ++_iter38)
     {
-      xfer += (*_iter29).write(oprot);
+      xfer += (*_iter38).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1063,6 +1254,18 @@
   xfer += oprot->writeBool(this->removed);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("departed", ::apache::thrift::protocol::T_LIST, 16);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->departed.size()));
+    std::vector<departed_upstream> ::const_iterator _iter39;
+    for (_iter39 = this->departed.begin(); _iter39 != this->departed.end(); ++_iter39)
+    {
+      xfer += (*_iter39).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1085,81 +1288,86 @@
   swap(a.budget_epoch, b.budget_epoch);
   swap(a.promotion, b.promotion);
   swap(a.removed, b.removed);
+  swap(a.departed, b.departed);
   swap(a.__isset, b.__isset);
 }
 
-group_record::group_record(const group_record& other30) {
-  group = other30.group;
-  revision = other30.revision;
-  row = other30.row;
-  term = other30.term;
-  primary = other30.primary;
-  upstreams = other30.upstreams;
-  gateways = other30.gateways;
-  holders = other30.holders;
-  watermark = other30.watermark;
-  dirty = other30.dirty;
-  dirty_since = other30.dirty_since;
-  least_ack_replicas = other30.least_ack_replicas;
-  budget_epoch = other30.budget_epoch;
-  promotion = other30.promotion;
-  removed = other30.removed;
-  __isset = other30.__isset;
-}
-group_record::group_record(group_record&& other31) noexcept {
-  group = std::move(other31.group);
-  revision = other31.revision;
-  row = std::move(other31.row);
-  term = other31.term;
-  primary = std::move(other31.primary);
-  upstreams = std::move(other31.upstreams);
-  gateways = std::move(other31.gateways);
-  holders = std::move(other31.holders);
-  watermark = std::move(other31.watermark);
-  dirty = other31.dirty;
-  dirty_since = other31.dirty_since;
-  least_ack_replicas = other31.least_ack_replicas;
-  budget_epoch = other31.budget_epoch;
-  promotion = std::move(other31.promotion);
-  removed = other31.removed;
-  __isset = other31.__isset;
-}
-group_record& group_record::operator=(const group_record& other32) {
-  group = other32.group;
-  revision = other32.revision;
-  row = other32.row;
-  term = other32.term;
-  primary = other32.primary;
-  upstreams = other32.upstreams;
-  gateways = other32.gateways;
-  holders = other32.holders;
-  watermark = other32.watermark;
-  dirty = other32.dirty;
-  dirty_since = other32.dirty_since;
-  least_ack_replicas = other32.least_ack_replicas;
-  budget_epoch = other32.budget_epoch;
-  promotion = other32.promotion;
-  removed = other32.removed;
-  __isset = other32.__isset;
+group_record::group_record(const group_record& other40) {
+  group = other40.group;
+  revision = other40.revision;
+  row = other40.row;
+  term = other40.term;
+  primary = other40.primary;
+  upstreams = other40.upstreams;
+  gateways = other40.gateways;
+  holders = other40.holders;
+  watermark = other40.watermark;
+  dirty = other40.dirty;
+  dirty_since = other40.dirty_since;
+  least_ack_replicas = other40.least_ack_replicas;
+  budget_epoch = other40.budget_epoch;
+  promotion = other40.promotion;
+  removed = other40.removed;
+  departed = other40.departed;
+  __isset = other40.__isset;
+}
+group_record::group_record(group_record&& other41) noexcept {
+  group = std::move(other41.group);
+  revision = other41.revision;
+  row = std::move(other41.row);
+  term = other41.term;
+  primary = std::move(other41.primary);
+  upstreams = std::move(other41.upstreams);
+  gateways = std::move(other41.gateways);
+  holders = std::move(other41.holders);
+  watermark = std::move(other41.watermark);
+  dirty = other41.dirty;
+  dirty_since = other41.dirty_since;
+  least_ack_replicas = other41.least_ack_replicas;
+  budget_epoch = other41.budget_epoch;
+  promotion = std::move(other41.promotion);
+  removed = other41.removed;
+  departed = std::move(other41.departed);
+  __isset = other41.__isset;
+}
+group_record& group_record::operator=(const group_record& other42) {
+  group = other42.group;
+  revision = other42.revision;
+  row = other42.row;
+  term = other42.term;
+  primary = other42.primary;
+  upstreams = other42.upstreams;
+  gateways = other42.gateways;
+  holders = other42.holders;
+  watermark = other42.watermark;
+  dirty = other42.dirty;
+  dirty_since = other42.dirty_since;
+  least_ack_replicas = other42.least_ack_replicas;
+  budget_epoch = other42.budget_epoch;
+  promotion = other42.promotion;
+  removed = other42.removed;
+  departed = other42.departed;
+  __isset = other42.__isset;
   return *this;
 }
-group_record& group_record::operator=(group_record&& other33) noexcept {
-  group = std::move(other33.group);
-  revision = other33.revision;
-  row = std::move(other33.row);
-  term = other33.term;
-  primary = std::move(other33.primary);
-  upstreams = std::move(other33.upstreams);
-  gateways = std::move(other33.gateways);
-  holders = std::move(other33.holders);
-  watermark = std::move(other33.watermark);
-  dirty = other33.dirty;
-  dirty_since = other33.dirty_since;
-  least_ack_replicas = other33.least_ack_replicas;
-  budget_epoch = other33.budget_epoch;
-  promotion = std::move(other33.promotion);
-  removed = other33.removed;
-  __isset = other33.__isset;
+group_record& group_record::operator=(group_record&& other43) noexcept {
+  group = std::move(other43.group);
+  revision = other43.revision;
+  row = std::move(other43.row);
+  term = other43.term;
+  primary = std::move(other43.primary);
+  upstreams = std::move(other43.upstreams);
+  gateways = std::move(other43.gateways);
+  holders = std::move(other43.holders);
+  watermark = std::move(other43.watermark);
+  dirty = other43.dirty;
+  dirty_since = other43.dirty_since;
+  least_ack_replicas = other43.least_ack_replicas;
+  budget_epoch = other43.budget_epoch;
+  promotion = std::move(other43.promotion);
+  removed = other43.removed;
+  departed = std::move(other43.departed);
+  __isset = other43.__isset;
   return *this;
 }
 void group_record::printTo(std::ostream& out) const {
@@ -1180,6 +1388,7 @@
   out << ", " << "budget_epoch=" << to_string(budget_epoch);
   out << ", " << "promotion="; (__isset.promotion ? (out << to_string(promotion)) : (out << "<null>"));
   out << ", " << "removed=" << to_string(removed);
+  out << ", " << "departed=" << to_string(departed);
   out << ")";
 }
 
@@ -1247,14 +1456,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size34;
-            ::apache::thrift::protocol::TType _etype37;
-            xfer += iprot->readListBegin(_etype37, _size34);
-            this->rows.resize(_size34);
-            uint32_t _i38;
-            for (_i38 = 0; _i38 < _size34; ++_i38)
+            uint32_t _size44;
+            ::apache::thrift::protocol::TType _etype47;
+            xfer += iprot->readListBegin(_etype47, _size44);
+            this->rows.resize(_size44);
+            uint32_t _i48;
+            for (_i48 = 0; _i48 < _size44; ++_i48)
             {
-              xfer += this->rows[_i38].read(iprot);
+              xfer += this->rows[_i48].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1291,10 +1500,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector< ::teasellock::wire::table_row> ::const_iterator _iter39;
-    for (_iter39 = this->rows.begin(); _iter39 != this->rows.end(); ++_iter39)
+    std::vector< ::teasellock::wire::table_row> ::const_iterator _iter49;
+    for (_iter49 = this->rows.begin(); _iter49 != this->rows.end(); ++_iter49)
     {
-      xfer += (*_iter39).write(oprot);
+      xfer += (*_iter49).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1313,30 +1522,30 @@
   swap(a.__isset, b.__isset);
 }
 
-table_edit::table_edit(const table_edit& other40) {
-  edit_id = other40.edit_id;
-  base_version = other40.base_version;
-  rows = other40.rows;
-  __isset = other40.__isset;
+table_edit::table_edit(const table_edit& other50) {
+  edit_id = other50.edit_id;
+  base_version = other50.base_version;
+  rows = other50.rows;
+  __isset = other50.__isset;
 }
-table_edit::table_edit(table_edit&& other41) noexcept {
-  edit_id = std::move(other41.edit_id);
-  base_version = other41.base_version;
-  rows = std::move(other41.rows);
-  __isset = other41.__isset;
+table_edit::table_edit(table_edit&& other51) noexcept {
+  edit_id = std::move(other51.edit_id);
+  base_version = other51.base_version;
+  rows = std::move(other51.rows);
+  __isset = other51.__isset;
 }
-table_edit& table_edit::operator=(const table_edit& other42) {
-  edit_id = other42.edit_id;
-  base_version = other42.base_version;
-  rows = other42.rows;
-  __isset = other42.__isset;
+table_edit& table_edit::operator=(const table_edit& other52) {
+  edit_id = other52.edit_id;
+  base_version = other52.base_version;
+  rows = other52.rows;
+  __isset = other52.__isset;
   return *this;
 }
-table_edit& table_edit::operator=(table_edit&& other43) noexcept {
-  edit_id = std::move(other43.edit_id);
-  base_version = other43.base_version;
-  rows = std::move(other43.rows);
-  __isset = other43.__isset;
+table_edit& table_edit::operator=(table_edit&& other53) noexcept {
+  edit_id = std::move(other53.edit_id);
+  base_version = other53.base_version;
+  rows = std::move(other53.rows);
+  __isset = other53.__isset;
   return *this;
 }
 void table_edit::printTo(std::ostream& out) const {
@@ -1475,34 +1684,34 @@
   swap(a.__isset, b.__isset);
 }
 
-edit_record::edit_record(const edit_record& other44) {
-  edit_id = other44.edit_id;
-  accepted = other44.accepted;
-  version = other44.version;
-  winning_edit = other44.winning_edit;
-  __isset = other44.__isset;
-}
-edit_record::edit_record(edit_record&& other45) noexcept {
-  edit_id = std::move(other45.edit_id);
-  accepted = other45.accepted;
-  version = other45.version;
-  winning_edit = std::move(other45.winning_edit);
-  __isset = other45.__isset;
-}
-edit_record& edit_record::operator=(const edit_record& other46) {
-  edit_id = other46.edit_id;
-  accepted = other46.accepted;
-  version = other46.version;
-  winning_edit = other46.winning_edit;
-  __isset = other46.__isset;
+edit_record::edit_record(const edit_record& other54) {
+  edit_id = other54.edit_id;
+  accepted = other54.accepted;
+  version = other54.version;
+  winning_edit = other54.winning_edit;
+  __isset = other54.__isset;
+}
+edit_record::edit_record(edit_record&& other55) noexcept {
+  edit_id = std::move(other55.edit_id);
+  accepted = other55.accepted;
+  version = other55.version;
+  winning_edit = std::move(other55.winning_edit);
+  __isset = other55.__isset;
+}
+edit_record& edit_record::operator=(const edit_record& other56) {
+  edit_id = other56.edit_id;
+  accepted = other56.accepted;
+  version = other56.version;
+  winning_edit = other56.winning_edit;
+  __isset = other56.__isset;
   return *this;
 }
-edit_record& edit_record::operator=(edit_record&& other47) noexcept {
-  edit_id = std::move(other47.edit_id);
-  accepted = other47.accepted;
-  version = other47.version;
-  winning_edit = std::move(other47.winning_edit);
-  __isset = other47.__isset;
+edit_record& edit_record::operator=(edit_record&& other57) noexcept {
+  edit_id = std::move(other57.edit_id);
+  accepted = other57.accepted;
+  version = other57.version;
+  winning_edit = std::move(other57.winning_edit);
+  __isset = other57.__isset;
   return *this;
 }
 void edit_record::printTo(std::ostream& out) const {
@@ -1516,6 +1725,171 @@
 }
 
 
+deployment_change::~deployment_change() noexcept {
+}
+
+
+void deployment_change::__set_deployment(const  ::teasellock::wire::deployment& val) {
+  this->deployment = val;
+}
+
+void deployment_change::__set_rows(const std::vector< ::teasellock::wire::table_row> & val) {
+  this->rows = val;
+}
+
+void deployment_change::__set_document(const std::string& val) {
+  this->document = val;
+}
+std::ostream& operator<<(std::ostream& out, const deployment_change& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t deployment_change::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->deployment.read(iprot);
+          this->__isset.deployment = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->rows.clear();
+            uint32_t _size58;
+            ::apache::thrift::protocol::TType _etype61;
+            xfer += iprot->readListBegin(_etype61, _size58);
+            this->rows.resize(_size58);
+            uint32_t _i62;
+            for (_i62 = 0; _i62 < _size58; ++_i62)
+            {
+              xfer += this->rows[_i62].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.rows = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->document);
+          this->__isset.document = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t deployment_change::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("deployment_change");
+
+  xfer += oprot->writeFieldBegin("deployment", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->deployment.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
+    std::vector< ::teasellock::wire::table_row> ::const_iterator _iter63;
+    for (_iter63 = this->rows.begin(); _iter63 != this->rows.end(); ++_iter63)
+    {
+      xfer += (*_iter63).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->document);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(deployment_change &a, deployment_change &b) {
+  using ::std::swap;
+  swap(a.deployment, b.deployment);
+  swap(a.rows, b.rows);
+  swap(a.document, b.document);
+  swap(a.__isset, b.__isset);
+}
+
+deployment_change::deployment_change(const deployment_change& other64) {
+  deployment = other64.deployment;
+  rows = other64.rows;
+  document = other64.document;
+  __isset = other64.__isset;
+}
+deployment_change::deployment_change(deployment_change&& other65) noexcept {
+  deployment = std::move(other65.deployment);
+  rows = std::move(other65.rows);
+  document = std::move(other65.document);
+  __isset = other65.__isset;
+}
+deployment_change& deployment_change::operator=(const deployment_change& other66) {
+  deployment = other66.deployment;
+  rows = other66.rows;
+  document = other66.document;
+  __isset = other66.__isset;
+  return *this;
+}
+deployment_change& deployment_change::operator=(deployment_change&& other67) noexcept {
+  deployment = std::move(other67.deployment);
+  rows = std::move(other67.rows);
+  document = std::move(other67.document);
+  __isset = other67.__isset;
+  return *this;
+}
+void deployment_change::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "deployment_change(";
+  out << "deployment=" << to_string(deployment);
+  out << ", " << "rows=" << to_string(rows);
+  out << ", " << "document=" << to_string(document);
+  out << ")";
+}
+
+
 control_command::~control_command() noexcept {
 }
 
@@ -1539,6 +1913,11 @@
   this->group = val;
 __isset.group = true;
 }
+
+void control_command::__set_deployment(const deployment_change& val) {
+  this->deployment = val;
+__isset.deployment = true;
+}
 std::ostream& operator<<(std::ostream& out, const control_command& obj)
 {
   obj.printTo(out);
@@ -1599,6 +1978,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->deployment.read(iprot);
+          this->__isset.deployment = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1636,6 +2023,11 @@
     xfer += this->group.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.deployment) {
+    xfer += oprot->writeFieldBegin("deployment", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->deployment.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1647,37 +2039,42 @@
   swap(a.vm, b.vm);
   swap(a.announcement, b.announcement);
   swap(a.group, b.group);
+  swap(a.deployment, b.deployment);
   swap(a.__isset, b.__isset);
 }
 
-control_command::control_command(const control_command& other48) {
-  edit = other48.edit;
-  vm = other48.vm;
-  announcement = other48.announcement;
-  group = other48.group;
-  __isset = other48.__isset;
-}
-control_command::control_command(control_command&& other49) noexcept {
-  edit = std::move(other49.edit);
-  vm = std::move(other49.vm);
-  announcement = std::move(other49.announcement);
-  group = std::move(other49.group);
-  __isset = other49.__isset;
-}
-control_command& control_command::operator=(const control_command& other50) {
-  edit = other50.edit;
-  vm = other50.vm;
-  announcement = other50.announcement;
-  group = other50.group;
-  __isset = other50.__isset;
+control_command::control_command(const control_command& other68) {
+  edit = other68.edit;
+  vm = other68.vm;
+  announcement = other68.announcement;
+  group = other68.group;
+  deployment = other68.deployment;
+  __isset = other68.__isset;
+}
+control_command::control_command(control_command&& other69) noexcept {
+  edit = std::move(other69.edit);
+  vm = std::move(other69.vm);
+  announcement = std::move(other69.announcement);
+  group = std::move(other69.group);
+  deployment = std::move(other69.deployment);
+  __isset = other69.__isset;
+}
+control_command& control_command::operator=(const control_command& other70) {
+  edit = other70.edit;
+  vm = other70.vm;
+  announcement = other70.announcement;
+  group = other70.group;
+  deployment = other70.deployment;
+  __isset = other70.__isset;
   return *this;
 }
-control_command& control_command::operator=(control_command&& other51) noexcept {
-  edit = std::move(other51.edit);
-  vm = std::move(other51.vm);
-  announcement = std::move(other51.announcement);
-  group = std::move(other51.group);
-  __isset = other51.__isset;
+control_command& control_command::operator=(control_command&& other71) noexcept {
+  edit = std::move(other71.edit);
+  vm = std::move(other71.vm);
+  announcement = std::move(other71.announcement);
+  group = std::move(other71.group);
+  deployment = std::move(other71.deployment);
+  __isset = other71.__isset;
   return *this;
 }
 void control_command::printTo(std::ostream& out) const {
@@ -1687,6 +2084,7 @@
   out << ", " << "vm="; (__isset.vm ? (out << to_string(vm)) : (out << "<null>"));
   out << ", " << "announcement="; (__isset.announcement ? (out << to_string(announcement)) : (out << "<null>"));
   out << ", " << "group="; (__isset.group ? (out << to_string(group)) : (out << "<null>"));
+  out << ", " << "deployment="; (__isset.deployment ? (out << to_string(deployment)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1718,6 +2116,15 @@
 void control_snapshot::__set_edits(const std::vector<edit_record> & val) {
   this->edits = val;
 }
+
+void control_snapshot::__set_deployment(const deployment_change& val) {
+  this->deployment = val;
+__isset.deployment = true;
+}
+
+void control_snapshot::__set_deployment_revision(const int64_t val) {
+  this->deployment_revision = val;
+}
 std::ostream& operator<<(std::ostream& out, const control_snapshot& obj)
 {
   obj.printTo(out);
@@ -1774,14 +2181,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->vms.clear();
-            uint32_t _size52;
-            ::apache::thrift::protocol::TType _etype55;
-            xfer += iprot->readListBegin(_etype55, _size52);
-            this->vms.resize(_size52);
-            uint32_t _i56;
-            for (_i56 = 0; _i56 < _size52; ++_i56)
+            uint32_t _size72;
+            ::apache::thrift::protocol::TType _etype75;
+            xfer += iprot->readListBegin(_etype75, _size72);
+            this->vms.resize(_size72);
+            uint32_t _i76;
+            for (_i76 = 0; _i76 < _size72; ++_i76)
             {
-              xfer += this->vms[_i56].read(iprot);
+              xfer += this->vms[_i76].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1794,14 +2201,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->groups.clear();
-            uint32_t _size57;
-            ::apache::thrift::protocol::TType _etype60;
-            xfer += iprot->readListBegin(_etype60, _size57);
-            this->groups.resize(_size57);
-            uint32_t _i61;
-            for (_i61 = 0; _i61 < _size57; ++_i61)
+            uint32_t _size77;
+            ::apache::thrift::protocol::TType _etype80;
+            xfer += iprot->readListBegin(_etype80, _size77);
+            this->groups.resize(_size77);
+            uint32_t _i81;
+            for (_i81 = 0; _i81 < _size77; ++_i81)
             {
-              xfer += this->groups[_i61].read(iprot);
+              xfer += this->groups[_i81].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1814,14 +2221,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->edits.clear();
-            uint32_t _size62;
-            ::apache::thrift::protocol::TType _etype65;
-            xfer += iprot->readListBegin(_etype65, _size62);
-            this->edits.resize(_size62);
-            uint32_t _i66;
-            for (_i66 = 0; _i66 < _size62; ++_i66)
+            uint32_t _size82;
+            ::apache::thrift::protocol::TType _etype85;
+            xfer += iprot->readListBegin(_etype85, _size82);
+            this->edits.resize(_size82);
+            uint32_t _i86;
+            for (_i86 = 0; _i86 < _size82; ++_i86)
             {
-              xfer += this->edits[_i66].read(iprot);
+              xfer += this->edits[_i86].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1830,6 +2237,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->deployment.read(iprot);
+          this->__isset.deployment = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->deployment_revision);
+          this->__isset.deployment_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1862,10 +2285,10 @@
   xfer += oprot->writeFieldBegin("vms", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->vms.size()));
-    std::vector<vm_record> ::const_iterator _iter67;
-    for (_iter67 = this->vms.begin(); _iter67 != this->vms.end(); ++_iter67)
+    std::vector<vm_record> ::const_iterator _iter87;
+    for (_iter87 = this->vms.begin(); _iter87 != this->vms.end(); ++_iter87)
     {
-      xfer += (*_iter67).write(oprot);
+      xfer += (*_iter87).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1874,10 +2297,10 @@
   xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
-    std::vector<group_record> ::const_iterator _iter68;
-    for (_iter68 = this->groups.begin(); _iter68 != this->groups.end(); ++_iter68)
+    std::vector<group_record> ::const_iterator _iter88;
+    for (_iter88 = this->groups.begin(); _iter88 != this->groups.end(); ++_iter88)
     {
-      xfer += (*_iter68).write(oprot);
+      xfer += (*_iter88).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1886,15 +2309,24 @@
   xfer += oprot->writeFieldBegin("edits", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->edits.size()));
-    std::vector<edit_record> ::const_iterator _iter69;
-    for (_iter69 = this->edits.begin(); _iter69 != this->edits.end(); ++_iter69)
+    std::vector<edit_record> ::const_iterator _iter89;
+    for (_iter89 = this->edits.begin(); _iter89 != this->edits.end(); ++_iter89)
     {
-      xfer += (*_iter69).write(oprot);
+      xfer += (*_iter89).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.deployment) {
+    xfer += oprot->writeFieldBegin("deployment", ::apache::thrift::protocol::T_STRUCT, 7);
+    xfer += this->deployment.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("deployment_revision", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->deployment_revision);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1908,45 +2340,55 @@
   swap(a.vms, b.vms);
   swap(a.groups, b.groups);
   swap(a.edits, b.edits);
+  swap(a.deployment, b.deployment);
+  swap(a.deployment_revision, b.deployment_revision);
   swap(a.__isset, b.__isset);
 }
 
-control_snapshot::control_snapshot(const control_snapshot& other70) {
-  applied = other70.applied;
-  table_version = other70.table_version;
-  last_edit = other70.last_edit;
-  vms = other70.vms;
-  groups = other70.groups;
-  edits = other70.edits;
-  __isset = other70.__isset;
-}
-control_snapshot::control_snapshot(control_snapshot&& other71) noexcept {
-  applied = other71.applied;
-  table_version = other71.table_version;
-  last_edit = std::move(other71.last_edit);
-  vms = std::move(other71.vms);
-  groups = std::move(other71.groups);
-  edits = std::move(other71.edits);
-  __isset = other71.__isset;
-}
-control_snapshot& control_snapshot::operator=(const control_snapshot& other72) {
-  applied = other72.applied;
-  table_version = other72.table_version;
-  last_edit = other72.last_edit;
-  vms = other72.vms;
-  groups = other72.groups;
-  edits = other72.edits;
-  __isset = other72.__isset;
+control_snapshot::control_snapshot(const control_snapshot& other90) {
+  applied = other90.applied;
+  table_version = other90.table_version;
+  last_edit = other90.last_edit;
+  vms = other90.vms;
+  groups = other90.groups;
+  edits = other90.edits;
+  deployment = other90.deployment;
+  deployment_revision = other90.deployment_revision;
+  __isset = other90.__isset;
+}
+control_snapshot::control_snapshot(control_snapshot&& other91) noexcept {
+  applied = other91.applied;
+  table_version = other91.table_version;
+  last_edit = std::move(other91.last_edit);
+  vms = std::move(other91.vms);
+  groups = std::move(other91.groups);
+  edits = std::move(other91.edits);
+  deployment = std::move(other91.deployment);
+  deployment_revision = other91.deployment_revision;
+  __isset = other91.__isset;
+}
+control_snapshot& control_snapshot::operator=(const control_snapshot& other92) {
+  applied = other92.applied;
+  table_version = other92.table_version;
+  last_edit = other92.last_edit;
+  vms = other92.vms;
+  groups = other92.groups;
+  edits = other92.edits;
+  deployment = other92.deployment;
+  deployment_revision = other92.deployment_revision;
+  __isset = other92.__isset;
   return *this;
 }
-control_snapshot& control_snapshot::operator=(control_snapshot&& other73) noexcept {
-  applied = other73.applied;
-  table_version = other73.table_version;
-  last_edit = std::move(other73.last_edit);
-  vms = std::move(other73.vms);
-  groups = std::move(other73.groups);
-  edits = std::move(other73.edits);
-  __isset = other73.__isset;
+control_snapshot& control_snapshot::operator=(control_snapshot&& other93) noexcept {
+  applied = other93.applied;
+  table_version = other93.table_version;
+  last_edit = std::move(other93.last_edit);
+  vms = std::move(other93.vms);
+  groups = std::move(other93.groups);
+  edits = std::move(other93.edits);
+  deployment = std::move(other93.deployment);
+  deployment_revision = other93.deployment_revision;
+  __isset = other93.__isset;
   return *this;
 }
 void control_snapshot::printTo(std::ostream& out) const {
@@ -1958,6 +2400,8 @@
   out << ", " << "vms=" << to_string(vms);
   out << ", " << "groups=" << to_string(groups);
   out << ", " << "edits=" << to_string(edits);
+  out << ", " << "deployment="; (__isset.deployment ? (out << to_string(deployment)) : (out << "<null>"));
+  out << ", " << "deployment_revision=" << to_string(deployment_revision);
   out << ")";
 }
 
--- a/modules/control/gen/control_commands_types.h
+++ b/modules/control/gen/control_commands_types.h
@@ -28,24 +28,29 @@
 
 class promotion_record;
 
+class departed_upstream;
+
 class group_record;
 
 class table_edit;
 
 class edit_record;
 
+class deployment_change;
+
 class control_command;
 
 class control_snapshot;
 
 typedef struct _vm_record__isset {
-  _vm_record__isset() : vm(false), incarnation(false), address(false), availability_zone(false), region(false), draining(false) {}
+  _vm_record__isset() : vm(false), incarnation(false), address(false), availability_zone(false), region(false), draining(false), gateway(true) {}
   bool vm :1;
   bool incarnation :1;
   bool address :1;
   bool availability_zone :1;
   bool region :1;
   bool draining :1;
+  bool gateway :1;
 } _vm_record__isset;
 
 class vm_record : public virtual ::apache::thrift::TBase {
@@ -61,7 +66,8 @@
               address(),
               availability_zone(),
               region(),
-              draining(0) {
+              draining(0),
+              gateway(true) {
   }
 
   virtual ~vm_record() noexcept;
@@ -71,6 +77,7 @@
   std::string availability_zone;
   std::string region;
   bool draining;
+  bool gateway;
 
   _vm_record__isset __isset;
 
@@ -86,6 +93,8 @@
 
   void __set_draining(const bool val);
 
+  void __set_gateway(const bool val);
+
   bool operator == (const vm_record & rhs) const
   {
     if (!(vm == rhs.vm))
@@ -100,6 +109,8 @@
       return false;
     if (!(draining == rhs.draining))
       return false;
+    if (!(gateway == rhs.gateway))
+      return false;
     return true;
   }
   bool operator != (const vm_record &rhs) const {
@@ -206,7 +217,7 @@
 std::ostream& operator<<(std::ostream& out, const share_holder& obj);
 
 typedef struct _promotion_record__isset {
-  _promotion_record__isset() : ordering(false), reason(false), fenced_term(false), deposed(false), wanted(false), forced(false), chosen(false), chosen_position(false) {}
+  _promotion_record__isset() : ordering(false), reason(false), fenced_term(false), deposed(false), wanted(false), forced(false), chosen(false), chosen_position(false), attempt(false) {}
   bool ordering :1;
   bool reason :1;
   bool fenced_term :1;
@@ -215,6 +226,7 @@
   bool forced :1;
   bool chosen :1;
   bool chosen_position :1;
+  bool attempt :1;
 } _promotion_record__isset;
 
 class promotion_record : public virtual ::apache::thrift::TBase {
@@ -231,7 +243,8 @@
                      deposed(),
                      wanted(),
                      forced(0),
-                     chosen() {
+                     chosen(),
+                     attempt(0) {
   }
 
   virtual ~promotion_record() noexcept;
@@ -243,6 +256,7 @@
   bool forced;
   std::string chosen;
    ::teasellock::wire::position chosen_position;
+  int32_t attempt;
 
   _promotion_record__isset __isset;
 
@@ -262,6 +276,8 @@
 
   void __set_chosen_position(const  ::teasellock::wire::position& val);
 
+  void __set_attempt(const int32_t val);
+
   bool operator == (const promotion_record & rhs) const
   {
     if (!(ordering == rhs.ordering))
@@ -280,6 +296,8 @@
       return false;
     if (!(chosen_position == rhs.chosen_position))
       return false;
+    if (!(attempt == rhs.attempt))
+      return false;
     return true;
   }
   bool operator != (const promotion_record &rhs) const {
@@ -298,8 +316,60 @@
 
 std::ostream& operator<<(std::ostream& out, const promotion_record& obj);
 
+typedef struct _departed_upstream__isset {
+  _departed_upstream__isset() : upstream(false), incarnation(false) {}
+  bool upstream :1;
+  bool incarnation :1;
+} _departed_upstream__isset;
+
+class departed_upstream : public virtual ::apache::thrift::TBase {
+ public:
+
+  departed_upstream(const departed_upstream&);
+  departed_upstream(departed_upstream&&) noexcept;
+  departed_upstream& operator=(const departed_upstream&);
+  departed_upstream& operator=(departed_upstream&&) noexcept;
+  departed_upstream() noexcept
+                    : upstream(),
+                      incarnation(0) {
+  }
+
+  virtual ~departed_upstream() noexcept;
+  std::string upstream;
+  int64_t incarnation;
+
+  _departed_upstream__isset __isset;
+
+  void __set_upstream(const std::string& val);
+
+  void __set_incarnation(const int64_t val);
+
+  bool operator == (const departed_upstream & rhs) const
+  {
+    if (!(upstream == rhs.upstream))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    return true;
+  }
+  bool operator != (const departed_upstream &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const departed_upstream & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(departed_upstream &a, departed_upstream &b);
+
+std::ostream& operator<<(std::ostream& out, const departed_upstream& obj);
+
 typedef struct _group_record__isset {
-  _group_record__isset() : group(false), revision(false), row(false), term(false), primary(false), upstreams(false), gateways(false), holders(false), watermark(false), dirty(false), dirty_since(false), least_ack_replicas(false), budget_epoch(false), promotion(false), removed(false) {}
+  _group_record__isset() : group(false), revision(false), row(false), term(false), primary(false), upstreams(false), gateways(false), holders(false), watermark(false), dirty(false), dirty_since(false), least_ack_replicas(false), budget_epoch(false), promotion(false), removed(false), departed(false) {}
   bool group :1;
   bool revision :1;
   bool row :1;
@@ -315,6 +385,7 @@
   bool budget_epoch :1;
   bool promotion :1;
   bool removed :1;
+  bool departed :1;
 } _group_record__isset;
 
 class group_record : public virtual ::apache::thrift::TBase {
@@ -352,6 +423,7 @@
   int64_t budget_epoch;
   promotion_record promotion;
   bool removed;
+  std::vector<departed_upstream>  departed;
 
   _group_record__isset __isset;
 
@@ -385,6 +457,8 @@
 
   void __set_removed(const bool val);
 
+  void __set_departed(const std::vector<departed_upstream> & val);
+
   bool operator == (const group_record & rhs) const
   {
     if (!(group == rhs.group))
@@ -419,6 +493,8 @@
       return false;
     if (!(removed == rhs.removed))
       return false;
+    if (!(departed == rhs.departed))
+      return false;
     return true;
   }
   bool operator != (const group_record &rhs) const {
@@ -561,12 +637,70 @@
 
 std::ostream& operator<<(std::ostream& out, const edit_record& obj);
 
+typedef struct _deployment_change__isset {
+  _deployment_change__isset() : deployment(false), rows(false), document(false) {}
+  bool deployment :1;
+  bool rows :1;
+  bool document :1;
+} _deployment_change__isset;
+
+class deployment_change : public virtual ::apache::thrift::TBase {
+ public:
+
+  deployment_change(const deployment_change&);
+  deployment_change(deployment_change&&) noexcept;
+  deployment_change& operator=(const deployment_change&);
+  deployment_change& operator=(deployment_change&&) noexcept;
+  deployment_change() noexcept
+                    : document() {
+  }
+
+  virtual ~deployment_change() noexcept;
+   ::teasellock::wire::deployment deployment;
+  std::vector< ::teasellock::wire::table_row>  rows;
+  std::string document;
+
+  _deployment_change__isset __isset;
+
+  void __set_deployment(const  ::teasellock::wire::deployment& val);
+
+  void __set_rows(const std::vector< ::teasellock::wire::table_row> & val);
+
+  void __set_document(const std::string& val);
+
+  bool operator == (const deployment_change & rhs) const
+  {
+    if (!(deployment == rhs.deployment))
+      return false;
+    if (!(rows == rhs.rows))
+      return false;
+    if (!(document == rhs.document))
+      return false;
+    return true;
+  }
+  bool operator != (const deployment_change &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const deployment_change & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(deployment_change &a, deployment_change &b);
+
+std::ostream& operator<<(std::ostream& out, const deployment_change& obj);
+
 typedef struct _control_command__isset {
-  _control_command__isset() : edit(false), vm(false), announcement(false), group(false) {}
+  _control_command__isset() : edit(false), vm(false), announcement(false), group(false), deployment(false) {}
   bool edit :1;
   bool vm :1;
   bool announcement :1;
   bool group :1;
+  bool deployment :1;
 } _control_command__isset;
 
 class control_command : public virtual ::apache::thrift::TBase {
@@ -584,6 +718,7 @@
   vm_record vm;
    ::teasellock::wire::announcement announcement;
   group_record group;
+  deployment_change deployment;
 
   _control_command__isset __isset;
 
@@ -595,6 +730,8 @@
 
   void __set_group(const group_record& val);
 
+  void __set_deployment(const deployment_change& val);
+
   bool operator == (const control_command & rhs) const
   {
     if (__isset.edit != rhs.__isset.edit)
@@ -613,6 +750,10 @@
       return false;
     else if (__isset.group && !(group == rhs.group))
       return false;
+    if (__isset.deployment != rhs.__isset.deployment)
+      return false;
+    else if (__isset.deployment && !(deployment == rhs.deployment))
+      return false;
     return true;
   }
   bool operator != (const control_command &rhs) const {
@@ -632,13 +773,15 @@
 std::ostream& operator<<(std::ostream& out, const control_command& obj);
 
 typedef struct _control_snapshot__isset {
-  _control_snapshot__isset() : applied(false), table_version(false), last_edit(false), vms(false), groups(false), edits(false) {}
+  _control_snapshot__isset() : applied(false), table_version(false), last_edit(false), vms(false), groups(false), edits(false), deployment(false), deployment_revision(false) {}
   bool applied :1;
   bool table_version :1;
   bool last_edit :1;
   bool vms :1;
   bool groups :1;
   bool edits :1;
+  bool deployment :1;
+  bool deployment_revision :1;
 } _control_snapshot__isset;
 
 class control_snapshot : public virtual ::apache::thrift::TBase {
@@ -651,7 +794,8 @@
   control_snapshot() noexcept
                    : applied(0),
                      table_version(0),
-                     last_edit() {
+                     last_edit(),
+                     deployment_revision(0) {
   }
 
   virtual ~control_snapshot() noexcept;
@@ -661,6 +805,8 @@
   std::vector<vm_record>  vms;
   std::vector<group_record>  groups;
   std::vector<edit_record>  edits;
+  deployment_change deployment;
+  int64_t deployment_revision;
 
   _control_snapshot__isset __isset;
 
@@ -676,6 +822,10 @@
 
   void __set_edits(const std::vector<edit_record> & val);
 
+  void __set_deployment(const deployment_change& val);
+
+  void __set_deployment_revision(const int64_t val);
+
   bool operator == (const control_snapshot & rhs) const
   {
     if (!(applied == rhs.applied))
@@ -690,6 +840,12 @@
       return false;
     if (!(edits == rhs.edits))
       return false;
+    if (__isset.deployment != rhs.__isset.deployment)
+      return false;
+    else if (__isset.deployment && !(deployment == rhs.deployment))
+      return false;
+    if (!(deployment_revision == rhs.deployment_revision))
+      return false;
     return true;
   }
   bool operator != (const control_snapshot &rhs) const {
--- a/modules/control/gen/control_messages_types.cpp
+++ b/modules/control/gen/control_messages_types.cpp
@@ -13,6 +13,37 @@
 
 namespace teasellock { namespace wire {
 
+int _kconsistencyValues[] = {
+  consistency::primary,
+  consistency::bounded_staleness,
+  consistency::read_your_writes
+};
+const char* _kconsistencyNames[] = {
+  "primary",
+  "bounded_staleness",
+  "read_your_writes"
+};
+const std::map<int, const char*> _consistency_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(3, _kconsistencyValues, _kconsistencyNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const consistency::type& val) {
+  std::map<int, const char*>::const_iterator it = _consistency_VALUES_TO_NAMES.find(val);
+  if (it != _consistency_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const consistency::type& val) {
+  std::map<int, const char*>::const_iterator it = _consistency_VALUES_TO_NAMES.find(val);
+  if (it != _consistency_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
 
 position::~position() noexcept {
 }
@@ -585,6 +616,18 @@
 void announcement::__set_leaving(const bool val) {
   this->leaving = val;
 }
+
+void announcement::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void announcement::__set_primary(const bool val) {
+  this->primary = val;
+}
+
+void announcement::__set_gone(const bool val) {
+  this->gone = val;
+}
 std::ostream& operator<<(std::ostream& out, const announcement& obj)
 {
   obj.printTo(out);
@@ -677,6 +720,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->primary);
+          this->__isset.primary = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->gone);
+          this->__isset.gone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -726,6 +793,18 @@
   xfer += oprot->writeBool(this->leaving);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("primary", ::apache::thrift::protocol::T_BOOL, 10);
+  xfer += oprot->writeBool(this->primary);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("gone", ::apache::thrift::protocol::T_BOOL, 11);
+  xfer += oprot->writeBool(this->gone);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -741,6 +820,9 @@
   swap(a.slots, b.slots);
   swap(a.connections, b.connections);
   swap(a.leaving, b.leaving);
+  swap(a.incarnation, b.incarnation);
+  swap(a.primary, b.primary);
+  swap(a.gone, b.gone);
   swap(a.__isset, b.__isset);
 }
 
@@ -753,6 +835,9 @@
   slots = other24.slots;
   connections = other24.connections;
   leaving = other24.leaving;
+  incarnation = other24.incarnation;
+  primary = other24.primary;
+  gone = other24.gone;
   __isset = other24.__isset;
 }
 announcement::announcement(announcement&& other25) noexcept {
@@ -764,6 +849,9 @@
   slots = other25.slots;
   connections = other25.connections;
   leaving = other25.leaving;
+  incarnation = other25.incarnation;
+  primary = other25.primary;
+  gone = other25.gone;
   __isset = other25.__isset;
 }
 announcement& announcement::operator=(const announcement& other26) {
@@ -775,6 +863,9 @@
   slots = other26.slots;
   connections = other26.connections;
   leaving = other26.leaving;
+  incarnation = other26.incarnation;
+  primary = other26.primary;
+  gone = other26.gone;
   __isset = other26.__isset;
   return *this;
 }
@@ -787,6 +878,9 @@
   slots = other27.slots;
   connections = other27.connections;
   leaving = other27.leaving;
+  incarnation = other27.incarnation;
+  primary = other27.primary;
+  gone = other27.gone;
   __isset = other27.__isset;
   return *this;
 }
@@ -801,6 +895,431 @@
   out << ", " << "slots=" << to_string(slots);
   out << ", " << "connections=" << to_string(connections);
   out << ", " << "leaving=" << to_string(leaving);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "primary=" << to_string(primary);
+  out << ", " << "gone=" << to_string(gone);
+  out << ")";
+}
+
+
+route::~route() noexcept {
+}
+
+
+void route::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void route::__set_database(const std::string& val) {
+  this->database = val;
+}
+
+void route::__set_group(const std::string& val) {
+  this->group = val;
+}
+
+void route::__set_consistency(const consistency::type val) {
+  this->consistency = val;
+}
+
+void route::__set_max_staleness_ms(const int64_t val) {
+  this->max_staleness_ms = val;
+}
+
+void route::__set_statement_ms(const int64_t val) {
+  this->statement_ms = val;
+}
+
+void route::__set_target_ms(const int64_t val) {
+  this->target_ms = val;
+}
+
+void route::__set_priority(const int32_t val) {
+  this->priority = val;
+}
+std::ostream& operator<<(std::ostream& out, const route& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t route::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->database);
+          this->__isset.database = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast28;
+          xfer += iprot->readI32(ecast28);
+          this->consistency = static_cast<consistency::type>(ecast28);
+          this->__isset.consistency = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->max_staleness_ms);
+          this->__isset.max_staleness_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->statement_ms);
+          this->__isset.statement_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->target_ms);
+          this->__isset.target_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->priority);
+          this->__isset.priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t route::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("route");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("database", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->database);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->group);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("consistency", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->consistency));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("max_staleness_ms", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->max_staleness_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("statement_ms", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->statement_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("target_ms", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->target_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->priority);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(route &a, route &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.database, b.database);
+  swap(a.group, b.group);
+  swap(a.consistency, b.consistency);
+  swap(a.max_staleness_ms, b.max_staleness_ms);
+  swap(a.statement_ms, b.statement_ms);
+  swap(a.target_ms, b.target_ms);
+  swap(a.priority, b.priority);
+  swap(a.__isset, b.__isset);
+}
+
+route::route(const route& other29) {
+  name = other29.name;
+  database = other29.database;
+  group = other29.group;
+  consistency = other29.consistency;
+  max_staleness_ms = other29.max_staleness_ms;
+  statement_ms = other29.statement_ms;
+  target_ms = other29.target_ms;
+  priority = other29.priority;
+  __isset = other29.__isset;
+}
+route::route(route&& other30) noexcept {
+  name = std::move(other30.name);
+  database = std::move(other30.database);
+  group = std::move(other30.group);
+  consistency = other30.consistency;
+  max_staleness_ms = other30.max_staleness_ms;
+  statement_ms = other30.statement_ms;
+  target_ms = other30.target_ms;
+  priority = other30.priority;
+  __isset = other30.__isset;
+}
+route& route::operator=(const route& other31) {
+  name = other31.name;
+  database = other31.database;
+  group = other31.group;
+  consistency = other31.consistency;
+  max_staleness_ms = other31.max_staleness_ms;
+  statement_ms = other31.statement_ms;
+  target_ms = other31.target_ms;
+  priority = other31.priority;
+  __isset = other31.__isset;
+  return *this;
+}
+route& route::operator=(route&& other32) noexcept {
+  name = std::move(other32.name);
+  database = std::move(other32.database);
+  group = std::move(other32.group);
+  consistency = other32.consistency;
+  max_staleness_ms = other32.max_staleness_ms;
+  statement_ms = other32.statement_ms;
+  target_ms = other32.target_ms;
+  priority = other32.priority;
+  __isset = other32.__isset;
+  return *this;
+}
+void route::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "route(";
+  out << "name=" << to_string(name);
+  out << ", " << "database=" << to_string(database);
+  out << ", " << "group=" << to_string(group);
+  out << ", " << "consistency=" << to_string(consistency);
+  out << ", " << "max_staleness_ms=" << to_string(max_staleness_ms);
+  out << ", " << "statement_ms=" << to_string(statement_ms);
+  out << ", " << "target_ms=" << to_string(target_ms);
+  out << ", " << "priority=" << to_string(priority);
+  out << ")";
+}
+
+
+deployment::~deployment() noexcept {
+}
+
+
+void deployment::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void deployment::__set_routes(const std::vector<route> & val) {
+  this->routes = val;
+}
+
+void deployment::__set_idle_transaction_ms(const int64_t val) {
+  this->idle_transaction_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const deployment& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t deployment::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->routes.clear();
+            uint32_t _size33;
+            ::apache::thrift::protocol::TType _etype36;
+            xfer += iprot->readListBegin(_etype36, _size33);
+            this->routes.resize(_size33);
+            uint32_t _i37;
+            for (_i37 = 0; _i37 < _size33; ++_i37)
+            {
+              xfer += this->routes[_i37].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.routes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->idle_transaction_ms);
+          this->__isset.idle_transaction_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t deployment::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("deployment");
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("routes", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->routes.size()));
+    std::vector<route> ::const_iterator _iter38;
+    for (_iter38 = this->routes.begin(); _iter38 != this->routes.end(); ++_iter38)
+    {
+      xfer += (*_iter38).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("idle_transaction_ms", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->idle_transaction_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(deployment &a, deployment &b) {
+  using ::std::swap;
+  swap(a.version, b.version);
+  swap(a.routes, b.routes);
+  swap(a.idle_transaction_ms, b.idle_transaction_ms);
+  swap(a.__isset, b.__isset);
+}
+
+deployment::deployment(const deployment& other39) {
+  version = other39.version;
+  routes = other39.routes;
+  idle_transaction_ms = other39.idle_transaction_ms;
+  __isset = other39.__isset;
+}
+deployment::deployment(deployment&& other40) noexcept {
+  version = other40.version;
+  routes = std::move(other40.routes);
+  idle_transaction_ms = other40.idle_transaction_ms;
+  __isset = other40.__isset;
+}
+deployment& deployment::operator=(const deployment& other41) {
+  version = other41.version;
+  routes = other41.routes;
+  idle_transaction_ms = other41.idle_transaction_ms;
+  __isset = other41.__isset;
+  return *this;
+}
+deployment& deployment::operator=(deployment&& other42) noexcept {
+  version = other42.version;
+  routes = std::move(other42.routes);
+  idle_transaction_ms = other42.idle_transaction_ms;
+  __isset = other42.__isset;
+  return *this;
+}
+void deployment::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "deployment(";
+  out << "version=" << to_string(version);
+  out << ", " << "routes=" << to_string(routes);
+  out << ", " << "idle_transaction_ms=" << to_string(idle_transaction_ms);
   out << ")";
 }
 
@@ -999,50 +1518,50 @@
   swap(a.__isset, b.__isset);
 }
 
-gateway_share::gateway_share(const gateway_share& other28) {
-  vm = other28.vm;
-  incarnation = other28.incarnation;
-  address = other28.address;
-  availability_zone = other28.availability_zone;
-  region = other28.region;
-  connections = other28.connections;
-  slots = other28.slots;
-  budget_epoch = other28.budget_epoch;
-  __isset = other28.__isset;
-}
-gateway_share::gateway_share(gateway_share&& other29) noexcept {
-  vm = std::move(other29.vm);
-  incarnation = other29.incarnation;
-  address = std::move(other29.address);
-  availability_zone = std::move(other29.availability_zone);
-  region = std::move(other29.region);
-  connections = other29.connections;
-  slots = other29.slots;
-  budget_epoch = other29.budget_epoch;
-  __isset = other29.__isset;
+gateway_share::gateway_share(const gateway_share& other43) {
+  vm = other43.vm;
+  incarnation = other43.incarnation;
+  address = other43.address;
+  availability_zone = other43.availability_zone;
+  region = other43.region;
+  connections = other43.connections;
+  slots = other43.slots;
+  budget_epoch = other43.budget_epoch;
+  __isset = other43.__isset;
+}
+gateway_share::gateway_share(gateway_share&& other44) noexcept {
+  vm = std::move(other44.vm);
+  incarnation = other44.incarnation;
+  address = std::move(other44.address);
+  availability_zone = std::move(other44.availability_zone);
+  region = std::move(other44.region);
+  connections = other44.connections;
+  slots = other44.slots;
+  budget_epoch = other44.budget_epoch;
+  __isset = other44.__isset;
 }
-gateway_share& gateway_share::operator=(const gateway_share& other30) {
-  vm = other30.vm;
-  incarnation = other30.incarnation;
-  address = other30.address;
-  availability_zone = other30.availability_zone;
-  region = other30.region;
-  connections = other30.connections;
-  slots = other30.slots;
-  budget_epoch = other30.budget_epoch;
-  __isset = other30.__isset;
+gateway_share& gateway_share::operator=(const gateway_share& other45) {
+  vm = other45.vm;
+  incarnation = other45.incarnation;
+  address = other45.address;
+  availability_zone = other45.availability_zone;
+  region = other45.region;
+  connections = other45.connections;
+  slots = other45.slots;
+  budget_epoch = other45.budget_epoch;
+  __isset = other45.__isset;
   return *this;
 }
-gateway_share& gateway_share::operator=(gateway_share&& other31) noexcept {
-  vm = std::move(other31.vm);
-  incarnation = other31.incarnation;
-  address = std::move(other31.address);
-  availability_zone = std::move(other31.availability_zone);
-  region = std::move(other31.region);
-  connections = other31.connections;
-  slots = other31.slots;
-  budget_epoch = other31.budget_epoch;
-  __isset = other31.__isset;
+gateway_share& gateway_share::operator=(gateway_share&& other46) noexcept {
+  vm = std::move(other46.vm);
+  incarnation = other46.incarnation;
+  address = std::move(other46.address);
+  availability_zone = std::move(other46.availability_zone);
+  region = std::move(other46.region);
+  connections = other46.connections;
+  slots = other46.slots;
+  budget_epoch = other46.budget_epoch;
+  __isset = other46.__isset;
   return *this;
 }
 void gateway_share::printTo(std::ostream& out) const {
@@ -1171,14 +1690,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->upstreams.clear();
-            uint32_t _size32;
-            ::apache::thrift::protocol::TType _etype35;
-            xfer += iprot->readListBegin(_etype35, _size32);
-            this->upstreams.resize(_size32);
-            uint32_t _i36;
-            for (_i36 = 0; _i36 < _size32; ++_i36)
+            uint32_t _size47;
+            ::apache::thrift::protocol::TType _etype50;
+            xfer += iprot->readListBegin(_etype50, _size47);
+            this->upstreams.resize(_size47);
+            uint32_t _i51;
+            for (_i51 = 0; _i51 < _size47; ++_i51)
             {
-              xfer += this->upstreams[_i36].read(iprot);
+              xfer += this->upstreams[_i51].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1191,14 +1710,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->gateways.clear();
-            uint32_t _size37;
-            ::apache::thrift::protocol::TType _etype40;
-            xfer += iprot->readListBegin(_etype40, _size37);
-            this->gateways.resize(_size37);
-            uint32_t _i41;
-            for (_i41 = 0; _i41 < _size37; ++_i41)
+            uint32_t _size52;
+            ::apache::thrift::protocol::TType _etype55;
+            xfer += iprot->readListBegin(_etype55, _size52);
+            this->gateways.resize(_size52);
+            uint32_t _i56;
+            for (_i56 = 0; _i56 < _size52; ++_i56)
             {
-              xfer += this->gateways[_i41].read(iprot);
+              xfer += this->gateways[_i56].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1263,10 +1782,10 @@
   xfer += oprot->writeFieldBegin("upstreams", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upstreams.size()));
-    std::vector<announcement> ::const_iterator _iter42;
-    for (_iter42 = this->upstreams.begin(); _iter42 != this->upstreams.end(); ++_iter42)
+    std::vector<announcement> ::const_iterator _iter57;
+    for (_iter57 = this->upstreams.begin(); _iter57 != this->upstreams.end(); ++_iter57)
     {
-      xfer += (*_iter42).write(oprot);
+      xfer += (*_iter57).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1275,10 +1794,10 @@
   xfer += oprot->writeFieldBegin("gateways", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->gateways.size()));
-    std::vector<gateway_share> ::const_iterator _iter43;
-    for (_iter43 = this->gateways.begin(); _iter43 != this->gateways.end(); ++_iter43)
+    std::vector<gateway_share> ::const_iterator _iter58;
+    for (_iter58 = this->gateways.begin(); _iter58 != this->gateways.end(); ++_iter58)
     {
-      xfer += (*_iter43).write(oprot);
+      xfer += (*_iter58).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1311,54 +1830,54 @@
   swap(a.__isset, b.__isset);
 }
 
-group_view::group_view(const group_view& other44) {
-  group = other44.group;
-  revision = other44.revision;
-  row = other44.row;
-  term = other44.term;
-  primary = other44.primary;
-  upstreams = other44.upstreams;
-  gateways = other44.gateways;
-  watermark = other44.watermark;
-  removed = other44.removed;
-  __isset = other44.__isset;
+group_view::group_view(const group_view& other59) {
+  group = other59.group;
+  revision = other59.revision;
+  row = other59.row;
+  term = other59.term;
+  primary = other59.primary;
+  upstreams = other59.upstreams;
+  gateways = other59.gateways;
+  watermark = other59.watermark;
+  removed = other59.removed;
+  __isset = other59.__isset;
 }
-group_view::group_view(group_view&& other45) noexcept {
-  group = std::move(other45.group);
-  revision = other45.revision;
-  row = std::move(other45.row);
-  term = other45.term;
-  primary = std::move(other45.primary);
-  upstreams = std::move(other45.upstreams);
-  gateways = std::move(other45.gateways);
-  watermark = std::move(other45.watermark);
-  removed = other45.removed;
-  __isset = other45.__isset;
+group_view::group_view(group_view&& other60) noexcept {
+  group = std::move(other60.group);
+  revision = other60.revision;
+  row = std::move(other60.row);
+  term = other60.term;
+  primary = std::move(other60.primary);
+  upstreams = std::move(other60.upstreams);
+  gateways = std::move(other60.gateways);
+  watermark = std::move(other60.watermark);
+  removed = other60.removed;
+  __isset = other60.__isset;
 }
-group_view& group_view::operator=(const group_view& other46) {
-  group = other46.group;
-  revision = other46.revision;
-  row = other46.row;
-  term = other46.term;
-  primary = other46.primary;
-  upstreams = other46.upstreams;
-  gateways = other46.gateways;
-  watermark = other46.watermark;
-  removed = other46.removed;
-  __isset = other46.__isset;
+group_view& group_view::operator=(const group_view& other61) {
+  group = other61.group;
+  revision = other61.revision;
+  row = other61.row;
+  term = other61.term;
+  primary = other61.primary;
+  upstreams = other61.upstreams;
+  gateways = other61.gateways;
+  watermark = other61.watermark;
+  removed = other61.removed;
+  __isset = other61.__isset;
   return *this;
 }
-group_view& group_view::operator=(group_view&& other47) noexcept {
-  group = std::move(other47.group);
-  revision = other47.revision;
-  row = std::move(other47.row);
-  term = other47.term;
-  primary = std::move(other47.primary);
-  upstreams = std::move(other47.upstreams);
-  gateways = std::move(other47.gateways);
-  watermark = std::move(other47.watermark);
-  removed = other47.removed;
-  __isset = other47.__isset;
+group_view& group_view::operator=(group_view&& other62) noexcept {
+  group = std::move(other62.group);
+  revision = other62.revision;
+  row = std::move(other62.row);
+  term = other62.term;
+  primary = std::move(other62.primary);
+  upstreams = std::move(other62.upstreams);
+  gateways = std::move(other62.gateways);
+  watermark = std::move(other62.watermark);
+  removed = other62.removed;
+  __isset = other62.__isset;
   return *this;
 }
 void group_view::printTo(std::ostream& out) const {
@@ -1412,6 +1931,18 @@
 void upstream_report::__set_refused(const bool val) {
   this->refused = val;
 }
+
+void upstream_report::__set_paused(const bool val) {
+  this->paused = val;
+}
+
+void upstream_report::__set_received(const position& val) {
+  this->received = val;
+}
+
+void upstream_report::__set_connection_age_ms(const int64_t val) {
+  this->connection_age_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const upstream_report& obj)
 {
   obj.printTo(out);
@@ -1504,6 +2035,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->paused);
+          this->__isset.paused = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->received.read(iprot);
+          this->__isset.received = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->connection_age_ms);
+          this->__isset.connection_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1553,6 +2108,18 @@
   xfer += oprot->writeBool(this->refused);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("paused", ::apache::thrift::protocol::T_BOOL, 9);
+  xfer += oprot->writeBool(this->paused);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("received", ::apache::thrift::protocol::T_STRUCT, 10);
+  xfer += this->received.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("connection_age_ms", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->connection_age_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1568,53 +2135,68 @@
   swap(a.unreachable_ms, b.unreachable_ms);
   swap(a.problem, b.problem);
   swap(a.refused, b.refused);
+  swap(a.paused, b.paused);
+  swap(a.received, b.received);
+  swap(a.connection_age_ms, b.connection_age_ms);
   swap(a.__isset, b.__isset);
 }
 
-upstream_report::upstream_report(const upstream_report& other48) {
-  upstream = other48.upstream;
-  reachable = other48.reachable;
-  replica = other48.replica;
-  replayed = other48.replayed;
-  age_ms = other48.age_ms;
-  unreachable_ms = other48.unreachable_ms;
-  problem = other48.problem;
-  refused = other48.refused;
-  __isset = other48.__isset;
-}
-upstream_report::upstream_report(upstream_report&& other49) noexcept {
-  upstream = std::move(other49.upstream);
-  reachable = other49.reachable;
-  replica = other49.replica;
-  replayed = std::move(other49.replayed);
-  age_ms = other49.age_ms;
-  unreachable_ms = other49.unreachable_ms;
-  problem = std::move(other49.problem);
-  refused = other49.refused;
-  __isset = other49.__isset;
-}
-upstream_report& upstream_report::operator=(const upstream_report& other50) {
-  upstream = other50.upstream;
-  reachable = other50.reachable;
-  replica = other50.replica;
-  replayed = other50.replayed;
-  age_ms = other50.age_ms;
-  unreachable_ms = other50.unreachable_ms;
-  problem = other50.problem;
-  refused = other50.refused;
-  __isset = other50.__isset;
+upstream_report::upstream_report(const upstream_report& other63) {
+  upstream = other63.upstream;
+  reachable = other63.reachable;
+  replica = other63.replica;
+  replayed = other63.replayed;
+  age_ms = other63.age_ms;
+  unreachable_ms = other63.unreachable_ms;
+  problem = other63.problem;
+  refused = other63.refused;
+  paused = other63.paused;
+  received = other63.received;
+  connection_age_ms = other63.connection_age_ms;
+  __isset = other63.__isset;
+}
+upstream_report::upstream_report(upstream_report&& other64) noexcept {
+  upstream = std::move(other64.upstream);
+  reachable = other64.reachable;
+  replica = other64.replica;
+  replayed = std::move(other64.replayed);
+  age_ms = other64.age_ms;
+  unreachable_ms = other64.unreachable_ms;
+  problem = std::move(other64.problem);
+  refused = other64.refused;
+  paused = other64.paused;
+  received = std::move(other64.received);
+  connection_age_ms = other64.connection_age_ms;
+  __isset = other64.__isset;
+}
+upstream_report& upstream_report::operator=(const upstream_report& other65) {
+  upstream = other65.upstream;
+  reachable = other65.reachable;
+  replica = other65.replica;
+  replayed = other65.replayed;
+  age_ms = other65.age_ms;
+  unreachable_ms = other65.unreachable_ms;
+  problem = other65.problem;
+  refused = other65.refused;
+  paused = other65.paused;
+  received = other65.received;
+  connection_age_ms = other65.connection_age_ms;
+  __isset = other65.__isset;
   return *this;
 }
-upstream_report& upstream_report::operator=(upstream_report&& other51) noexcept {
-  upstream = std::move(other51.upstream);
-  reachable = other51.reachable;
-  replica = other51.replica;
-  replayed = std::move(other51.replayed);
-  age_ms = other51.age_ms;
-  unreachable_ms = other51.unreachable_ms;
-  problem = std::move(other51.problem);
-  refused = other51.refused;
-  __isset = other51.__isset;
+upstream_report& upstream_report::operator=(upstream_report&& other66) noexcept {
+  upstream = std::move(other66.upstream);
+  reachable = other66.reachable;
+  replica = other66.replica;
+  replayed = std::move(other66.replayed);
+  age_ms = other66.age_ms;
+  unreachable_ms = other66.unreachable_ms;
+  problem = std::move(other66.problem);
+  refused = other66.refused;
+  paused = other66.paused;
+  received = std::move(other66.received);
+  connection_age_ms = other66.connection_age_ms;
+  __isset = other66.__isset;
   return *this;
 }
 void upstream_report::printTo(std::ostream& out) const {
@@ -1628,6 +2210,9 @@
   out << ", " << "unreachable_ms=" << to_string(unreachable_ms);
   out << ", " << "problem=" << to_string(problem);
   out << ", " << "refused=" << to_string(refused);
+  out << ", " << "paused=" << to_string(paused);
+  out << ", " << "received=" << to_string(received);
+  out << ", " << "connection_age_ms=" << to_string(connection_age_ms);
   out << ")";
 }
 
@@ -1719,14 +2304,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->upstreams.clear();
-            uint32_t _size52;
-            ::apache::thrift::protocol::TType _etype55;
-            xfer += iprot->readListBegin(_etype55, _size52);
-            this->upstreams.resize(_size52);
-            uint32_t _i56;
-            for (_i56 = 0; _i56 < _size52; ++_i56)
+            uint32_t _size67;
+            ::apache::thrift::protocol::TType _etype70;
+            xfer += iprot->readListBegin(_etype70, _size67);
+            this->upstreams.resize(_size67);
+            uint32_t _i71;
+            for (_i71 = 0; _i71 < _size67; ++_i71)
             {
-              xfer += this->upstreams[_i56].read(iprot);
+              xfer += this->upstreams[_i71].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1771,10 +2356,10 @@
   xfer += oprot->writeFieldBegin("upstreams", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upstreams.size()));
-    std::vector<upstream_report> ::const_iterator _iter57;
-    for (_iter57 = this->upstreams.begin(); _iter57 != this->upstreams.end(); ++_iter57)
+    std::vector<upstream_report> ::const_iterator _iter72;
+    for (_iter72 = this->upstreams.begin(); _iter72 != this->upstreams.end(); ++_iter72)
     {
-      xfer += (*_iter57).write(oprot);
+      xfer += (*_iter72).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1795,38 +2380,38 @@
   swap(a.__isset, b.__isset);
 }
 
-group_report::group_report(const group_report& other58) {
-  group = other58.group;
-  term = other58.term;
-  acknowledged = other58.acknowledged;
-  budget_epoch = other58.budget_epoch;
-  upstreams = other58.upstreams;
-  __isset = other58.__isset;
-}
-group_report::group_report(group_report&& other59) noexcept {
-  group = std::move(other59.group);
-  term = other59.term;
-  acknowledged = std::move(other59.acknowledged);
-  budget_epoch = other59.budget_epoch;
-  upstreams = std::move(other59.upstreams);
-  __isset = other59.__isset;
+group_report::group_report(const group_report& other73) {
+  group = other73.group;
+  term = other73.term;
+  acknowledged = other73.acknowledged;
+  budget_epoch = other73.budget_epoch;
+  upstreams = other73.upstreams;
+  __isset = other73.__isset;
+}
+group_report::group_report(group_report&& other74) noexcept {
+  group = std::move(other74.group);
+  term = other74.term;
+  acknowledged = std::move(other74.acknowledged);
+  budget_epoch = other74.budget_epoch;
+  upstreams = std::move(other74.upstreams);
+  __isset = other74.__isset;
 }
-group_report& group_report::operator=(const group_report& other60) {
-  group = other60.group;
-  term = other60.term;
-  acknowledged = other60.acknowledged;
-  budget_epoch = other60.budget_epoch;
-  upstreams = other60.upstreams;
-  __isset = other60.__isset;
+group_report& group_report::operator=(const group_report& other75) {
+  group = other75.group;
+  term = other75.term;
+  acknowledged = other75.acknowledged;
+  budget_epoch = other75.budget_epoch;
+  upstreams = other75.upstreams;
+  __isset = other75.__isset;
   return *this;
 }
-group_report& group_report::operator=(group_report&& other61) noexcept {
-  group = std::move(other61.group);
-  term = other61.term;
-  acknowledged = std::move(other61.acknowledged);
-  budget_epoch = other61.budget_epoch;
-  upstreams = std::move(other61.upstreams);
-  __isset = other61.__isset;
+group_report& group_report::operator=(group_report&& other76) noexcept {
+  group = std::move(other76.group);
+  term = other76.term;
+  acknowledged = std::move(other76.acknowledged);
+  budget_epoch = other76.budget_epoch;
+  upstreams = std::move(other76.upstreams);
+  __isset = other76.__isset;
   return *this;
 }
 void group_report::printTo(std::ostream& out) const {
@@ -1892,6 +2477,18 @@
 void renewal::__set_after_group(const std::string& val) {
   this->after_group = val;
 }
+
+void renewal::__set_deployment_version(const int64_t val) {
+  this->deployment_version = val;
+}
+
+void renewal::__set_control_store(const int64_t val) {
+  this->control_store = val;
+}
+
+void renewal::__set_gateway(const bool val) {
+  this->gateway = val;
+}
 std::ostream& operator<<(std::ostream& out, const renewal& obj)
 {
   obj.printTo(out);
@@ -1988,14 +2585,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->groups.clear();
-            uint32_t _size62;
-            ::apache::thrift::protocol::TType _etype65;
-            xfer += iprot->readListBegin(_etype65, _size62);
-            this->groups.resize(_size62);
-            uint32_t _i66;
-            for (_i66 = 0; _i66 < _size62; ++_i66)
+            uint32_t _size77;
+            ::apache::thrift::protocol::TType _etype80;
+            xfer += iprot->readListBegin(_etype80, _size77);
+            this->groups.resize(_size77);
+            uint32_t _i81;
+            for (_i81 = 0; _i81 < _size77; ++_i81)
             {
-              xfer += this->groups[_i66].read(iprot);
+              xfer += this->groups[_i81].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2008,14 +2605,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->announcements.clear();
-            uint32_t _size67;
-            ::apache::thrift::protocol::TType _etype70;
-            xfer += iprot->readListBegin(_etype70, _size67);
-            this->announcements.resize(_size67);
-            uint32_t _i71;
-            for (_i71 = 0; _i71 < _size67; ++_i71)
+            uint32_t _size82;
+            ::apache::thrift::protocol::TType _etype85;
+            xfer += iprot->readListBegin(_etype85, _size82);
+            this->announcements.resize(_size82);
+            uint32_t _i86;
+            for (_i86 = 0; _i86 < _size82; ++_i86)
             {
-              xfer += this->announcements[_i71].read(iprot);
+              xfer += this->announcements[_i86].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2040,6 +2637,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->deployment_version);
+          this->__isset.deployment_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->control_store);
+          this->__isset.control_store = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->gateway);
+          this->__isset.gateway = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2092,10 +2713,10 @@
   xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
-    std::vector<group_report> ::const_iterator _iter72;
-    for (_iter72 = this->groups.begin(); _iter72 != this->groups.end(); ++_iter72)
+    std::vector<group_report> ::const_iterator _iter87;
+    for (_iter87 = this->groups.begin(); _iter87 != this->groups.end(); ++_iter87)
     {
-      xfer += (*_iter72).write(oprot);
+      xfer += (*_iter87).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2104,10 +2725,10 @@
   xfer += oprot->writeFieldBegin("announcements", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->announcements.size()));
-    std::vector<announcement> ::const_iterator _iter73;
-    for (_iter73 = this->announcements.begin(); _iter73 != this->announcements.end(); ++_iter73)
+    std::vector<announcement> ::const_iterator _iter88;
+    for (_iter88 = this->announcements.begin(); _iter88 != this->announcements.end(); ++_iter88)
     {
-      xfer += (*_iter73).write(oprot);
+      xfer += (*_iter88).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2121,6 +2742,18 @@
   xfer += oprot->writeString(this->after_group);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("deployment_version", ::apache::thrift::protocol::T_I64, 13);
+  xfer += oprot->writeI64(this->deployment_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("control_store", ::apache::thrift::protocol::T_I64, 14);
+  xfer += oprot->writeI64(this->control_store);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("gateway", ::apache::thrift::protocol::T_BOOL, 15);
+  xfer += oprot->writeBool(this->gateway);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2140,69 +2773,84 @@
   swap(a.announcements, b.announcements);
   swap(a.after_revision, b.after_revision);
   swap(a.after_group, b.after_group);
+  swap(a.deployment_version, b.deployment_version);
+  swap(a.control_store, b.control_store);
+  swap(a.gateway, b.gateway);
   swap(a.__isset, b.__isset);
 }
 
-renewal::renewal(const renewal& other74) {
-  vm = other74.vm;
-  incarnation = other74.incarnation;
-  address = other74.address;
-  availability_zone = other74.availability_zone;
-  region = other74.region;
-  applied_revision = other74.applied_revision;
-  sent_at_us = other74.sent_at_us;
-  draining = other74.draining;
-  groups = other74.groups;
-  announcements = other74.announcements;
-  after_revision = other74.after_revision;
-  after_group = other74.after_group;
-  __isset = other74.__isset;
+renewal::renewal(const renewal& other89) {
+  vm = other89.vm;
+  incarnation = other89.incarnation;
+  address = other89.address;
+  availability_zone = other89.availability_zone;
+  region = other89.region;
+  applied_revision = other89.applied_revision;
+  sent_at_us = other89.sent_at_us;
+  draining = other89.draining;
+  groups = other89.groups;
+  announcements = other89.announcements;
+  after_revision = other89.after_revision;
+  after_group = other89.after_group;
+  deployment_version = other89.deployment_version;
+  control_store = other89.control_store;
+  gateway = other89.gateway;
+  __isset = other89.__isset;
 }
-renewal::renewal(renewal&& other75) noexcept {
-  vm = std::move(other75.vm);
-  incarnation = other75.incarnation;
-  address = std::move(other75.address);
-  availability_zone = std::move(other75.availability_zone);
-  region = std::move(other75.region);
-  applied_revision = other75.applied_revision;
-  sent_at_us = other75.sent_at_us;
-  draining = other75.draining;
-  groups = std::move(other75.groups);
-  announcements = std::move(other75.announcements);
-  after_revision = other75.after_revision;
-  after_group = std::move(other75.after_group);
-  __isset = other75.__isset;
+renewal::renewal(renewal&& other90) noexcept {
+  vm = std::move(other90.vm);
+  incarnation = other90.incarnation;
+  address = std::move(other90.address);
+  availability_zone = std::move(other90.availability_zone);
+  region = std::move(other90.region);
+  applied_revision = other90.applied_revision;
+  sent_at_us = other90.sent_at_us;
+  draining = other90.draining;
+  groups = std::move(other90.groups);
+  announcements = std::move(other90.announcements);
+  after_revision = other90.after_revision;
+  after_group = std::move(other90.after_group);
+  deployment_version = other90.deployment_version;
+  control_store = other90.control_store;
+  gateway = other90.gateway;
+  __isset = other90.__isset;
 }
-renewal& renewal::operator=(const renewal& other76) {
-  vm = other76.vm;
-  incarnation = other76.incarnation;
-  address = other76.address;
-  availability_zone = other76.availability_zone;
-  region = other76.region;
-  applied_revision = other76.applied_revision;
-  sent_at_us = other76.sent_at_us;
-  draining = other76.draining;
-  groups = other76.groups;
-  announcements = other76.announcements;
-  after_revision = other76.after_revision;
-  after_group = other76.after_group;
-  __isset = other76.__isset;
+renewal& renewal::operator=(const renewal& other91) {
+  vm = other91.vm;
+  incarnation = other91.incarnation;
+  address = other91.address;
+  availability_zone = other91.availability_zone;
+  region = other91.region;
+  applied_revision = other91.applied_revision;
+  sent_at_us = other91.sent_at_us;
+  draining = other91.draining;
+  groups = other91.groups;
+  announcements = other91.announcements;
+  after_revision = other91.after_revision;
+  after_group = other91.after_group;
+  deployment_version = other91.deployment_version;
+  control_store = other91.control_store;
+  gateway = other91.gateway;
+  __isset = other91.__isset;
   return *this;
 }
-renewal& renewal::operator=(renewal&& other77) noexcept {
-  vm = std::move(other77.vm);
-  incarnation = other77.incarnation;
-  address = std::move(other77.address);
-  availability_zone = std::move(other77.availability_zone);
-  region = std::move(other77.region);
-  applied_revision = other77.applied_revision;
-  sent_at_us = other77.sent_at_us;
-  draining = other77.draining;
-  groups = std::move(other77.groups);
-  announcements = std::move(other77.announcements);
-  after_revision = other77.after_revision;
-  after_group = std::move(other77.after_group);
-  __isset = other77.__isset;
+renewal& renewal::operator=(renewal&& other92) noexcept {
+  vm = std::move(other92.vm);
+  incarnation = other92.incarnation;
+  address = std::move(other92.address);
+  availability_zone = std::move(other92.availability_zone);
+  region = std::move(other92.region);
+  applied_revision = other92.applied_revision;
+  sent_at_us = other92.sent_at_us;
+  draining = other92.draining;
+  groups = std::move(other92.groups);
+  announcements = std::move(other92.announcements);
+  after_revision = other92.after_revision;
+  after_group = std::move(other92.after_group);
+  deployment_version = other92.deployment_version;
+  control_store = other92.control_store;
+  gateway = other92.gateway;
+  __isset = other92.__isset;
   return *this;
 }
 void renewal::printTo(std::ostream& out) const {
@@ -2220,6 +2868,9 @@
   out << ", " << "announcements=" << to_string(announcements);
   out << ", " << "after_revision=" << to_string(after_revision);
   out << ", " << "after_group=" << to_string(after_group);
+  out << ", " << "deployment_version=" << to_string(deployment_version);
+  out << ", " << "control_store=" << to_string(control_store);
+  out << ", " << "gateway=" << to_string(gateway);
   out << ")";
 }
 
@@ -2259,6 +2910,15 @@
 void renewal_reply::__set_released(const bool val) {
   this->released = val;
 }
+
+void renewal_reply::__set_deployment(const deployment& val) {
+  this->deployment = val;
+__isset.deployment = true;
+}
+
+void renewal_reply::__set_control(const std::vector<std::string> & val) {
+  this->control = val;
+}
 std::ostream& operator<<(std::ostream& out, const renewal_reply& obj)
 {
   obj.printTo(out);
@@ -2323,14 +2983,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->groups.clear();
-            uint32_t _size78;
-            ::apache::thrift::protocol::TType _etype81;
-            xfer += iprot->readListBegin(_etype81, _size78);
-            this->groups.resize(_size78);
-            uint32_t _i82;
-            for (_i82 = 0; _i82 < _size78; ++_i82)
+            uint32_t _size93;
+            ::apache::thrift::protocol::TType _etype96;
+            xfer += iprot->readListBegin(_etype96, _size93);
+            this->groups.resize(_size93);
+            uint32_t _i97;
+            for (_i97 = 0; _i97 < _size93; ++_i97)
             {
-              xfer += this->groups[_i82].read(iprot);
+              xfer += this->groups[_i97].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2363,6 +3023,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->deployment.read(iprot);
+          this->__isset.deployment = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->control.clear();
+            uint32_t _size98;
+            ::apache::thrift::protocol::TType _etype101;
+            xfer += iprot->readListBegin(_etype101, _size98);
+            this->control.resize(_size98);
+            uint32_t _i102;
+            for (_i102 = 0; _i102 < _size98; ++_i102)
+            {
+              xfer += iprot->readString(this->control[_i102]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.control = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2399,10 +3087,10 @@
   xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
-    std::vector<group_view> ::const_iterator _iter83;
-    for (_iter83 = this->groups.begin(); _iter83 != this->groups.end(); ++_iter83)
+    std::vector<group_view> ::const_iterator _iter103;
+    for (_iter103 = this->groups.begin(); _iter103 != this->groups.end(); ++_iter103)
     {
-      xfer += (*_iter83).write(oprot);
+      xfer += (*_iter103).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2420,6 +3108,23 @@
   xfer += oprot->writeBool(this->released);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.deployment) {
+    xfer += oprot->writeFieldBegin("deployment", ::apache::thrift::protocol::T_STRUCT, 9);
+    xfer += this->deployment.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("control", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->control.size()));
+    std::vector<std::string> ::const_iterator _iter104;
+    for (_iter104 = this->control.begin(); _iter104 != this->control.end(); ++_iter104)
+    {
+      xfer += oprot->writeString((*_iter104));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2435,53 +3140,63 @@
   swap(a.revision, b.revision);
   swap(a.more, b.more);
   swap(a.released, b.released);
+  swap(a.deployment, b.deployment);
+  swap(a.control, b.control);
   swap(a.__isset, b.__isset);
 }
 
-renewal_reply::renewal_reply(const renewal_reply& other84) {
-  granted = other84.granted;
-  sent_at_us = other84.sent_at_us;
-  lease_ms = other84.lease_ms;
-  leader_address = other84.leader_address;
-  groups = other84.groups;
-  revision = other84.revision;
-  more = other84.more;
-  released = other84.released;
-  __isset = other84.__isset;
-}
-renewal_reply::renewal_reply(renewal_reply&& other85) noexcept {
-  granted = other85.granted;
-  sent_at_us = other85.sent_at_us;
-  lease_ms = other85.lease_ms;
-  leader_address = std::move(other85.leader_address);
-  groups = std::move(other85.groups);
-  revision = other85.revision;
-  more = other85.more;
-  released = other85.released;
-  __isset = other85.__isset;
-}
-renewal_reply& renewal_reply::operator=(const renewal_reply& other86) {
-  granted = other86.granted;
-  sent_at_us = other86.sent_at_us;
-  lease_ms = other86.lease_ms;
-  leader_address = other86.leader_address;
-  groups = other86.groups;
-  revision = other86.revision;
-  more = other86.more;
-  released = other86.released;
-  __isset = other86.__isset;
+renewal_reply::renewal_reply(const renewal_reply& other105) {
+  granted = other105.granted;
+  sent_at_us = other105.sent_at_us;
+  lease_ms = other105.lease_ms;
+  leader_address = other105.leader_address;
+  groups = other105.groups;
+  revision = other105.revision;
+  more = other105.more;
+  released = other105.released;
+  deployment = other105.deployment;
+  control = other105.control;
+  __isset = other105.__isset;
+}
+renewal_reply::renewal_reply(renewal_reply&& other106) noexcept {
+  granted = other106.granted;
+  sent_at_us = other106.sent_at_us;
+  lease_ms = other106.lease_ms;
+  leader_address = std::move(other106.leader_address);
+  groups = std::move(other106.groups);
+  revision = other106.revision;
+  more = other106.more;
+  released = other106.released;
+  deployment = std::move(other106.deployment);
+  control = std::move(other106.control);
+  __isset = other106.__isset;
+}
+renewal_reply& renewal_reply::operator=(const renewal_reply& other107) {
+  granted = other107.granted;
+  sent_at_us = other107.sent_at_us;
+  lease_ms = other107.lease_ms;
+  leader_address = other107.leader_address;
+  groups = other107.groups;
+  revision = other107.revision;
+  more = other107.more;
+  released = other107.released;
+  deployment = other107.deployment;
+  control = other107.control;
+  __isset = other107.__isset;
   return *this;
 }
-renewal_reply& renewal_reply::operator=(renewal_reply&& other87) noexcept {
-  granted = other87.granted;
-  sent_at_us = other87.sent_at_us;
-  lease_ms = other87.lease_ms;
-  leader_address = std::move(other87.leader_address);
-  groups = std::move(other87.groups);
-  revision = other87.revision;
-  more = other87.more;
-  released = other87.released;
-  __isset = other87.__isset;
+renewal_reply& renewal_reply::operator=(renewal_reply&& other108) noexcept {
+  granted = other108.granted;
+  sent_at_us = other108.sent_at_us;
+  lease_ms = other108.lease_ms;
+  leader_address = std::move(other108.leader_address);
+  groups = std::move(other108.groups);
+  revision = other108.revision;
+  more = other108.more;
+  released = other108.released;
+  deployment = std::move(other108.deployment);
+  control = std::move(other108.control);
+  __isset = other108.__isset;
   return *this;
 }
 void renewal_reply::printTo(std::ostream& out) const {
@@ -2495,6 +3210,8 @@
   out << ", " << "revision=" << to_string(revision);
   out << ", " << "more=" << to_string(more);
   out << ", " << "released=" << to_string(released);
+  out << ", " << "deployment="; (__isset.deployment ? (out << to_string(deployment)) : (out << "<null>"));
+  out << ", " << "control=" << to_string(control);
   out << ")";
 }
 
@@ -2510,6 +3227,10 @@
 void fence::__set_term(const int64_t val) {
   this->term = val;
 }
+
+void fence::__set_pause_term(const int64_t val) {
+  this->pause_term = val;
+}
 std::ostream& operator<<(std::ostream& out, const fence& obj)
 {
   obj.printTo(out);
@@ -2554,6 +3275,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->pause_term);
+          this->__isset.pause_term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2579,6 +3308,10 @@
   xfer += oprot->writeI64(this->term);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("pause_term", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->pause_term);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2588,29 +3321,34 @@
   using ::std::swap;
   swap(a.group, b.group);
   swap(a.term, b.term);
+  swap(a.pause_term, b.pause_term);
   swap(a.__isset, b.__isset);
 }
 
-fence::fence(const fence& other88) {
-  group = other88.group;
-  term = other88.term;
-  __isset = other88.__isset;
+fence::fence(const fence& other109) {
+  group = other109.group;
+  term = other109.term;
+  pause_term = other109.pause_term;
+  __isset = other109.__isset;
 }
-fence::fence(fence&& other89) noexcept {
-  group = std::move(other89.group);
-  term = other89.term;
-  __isset = other89.__isset;
+fence::fence(fence&& other110) noexcept {
+  group = std::move(other110.group);
+  term = other110.term;
+  pause_term = other110.pause_term;
+  __isset = other110.__isset;
 }
-fence& fence::operator=(const fence& other90) {
-  group = other90.group;
-  term = other90.term;
-  __isset = other90.__isset;
+fence& fence::operator=(const fence& other111) {
+  group = other111.group;
+  term = other111.term;
+  pause_term = other111.pause_term;
+  __isset = other111.__isset;
   return *this;
 }
-fence& fence::operator=(fence&& other91) noexcept {
-  group = std::move(other91.group);
-  term = other91.term;
-  __isset = other91.__isset;
+fence& fence::operator=(fence&& other112) noexcept {
+  group = std::move(other112.group);
+  term = other112.term;
+  pause_term = other112.pause_term;
+  __isset = other112.__isset;
   return *this;
 }
 void fence::printTo(std::ostream& out) const {
@@ -2618,6 +3356,7 @@
   out << "fence(";
   out << "group=" << to_string(group);
   out << ", " << "term=" << to_string(term);
+  out << ", " << "pause_term=" << to_string(pause_term);
   out << ")";
 }
 
@@ -2697,14 +3436,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->upstreams.clear();
-            uint32_t _size92;
-            ::apache::thrift::protocol::TType _etype95;
-            xfer += iprot->readListBegin(_etype95, _size92);
-            this->upstreams.resize(_size92);
-            uint32_t _i96;
-            for (_i96 = 0; _i96 < _size92; ++_i96)
+            uint32_t _size113;
+            ::apache::thrift::protocol::TType _etype116;
+            xfer += iprot->readListBegin(_etype116, _size113);
+            this->upstreams.resize(_size113);
+            uint32_t _i117;
+            for (_i117 = 0; _i117 < _size113; ++_i117)
             {
-              xfer += this->upstreams[_i96].read(iprot);
+              xfer += this->upstreams[_i117].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2745,10 +3484,10 @@
   xfer += oprot->writeFieldBegin("upstreams", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upstreams.size()));
-    std::vector<upstream_report> ::const_iterator _iter97;
-    for (_iter97 = this->upstreams.begin(); _iter97 != this->upstreams.end(); ++_iter97)
+    std::vector<upstream_report> ::const_iterator _iter118;
+    for (_iter118 = this->upstreams.begin(); _iter118 != this->upstreams.end(); ++_iter118)
     {
-      xfer += (*_iter97).write(oprot);
+      xfer += (*_iter118).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2768,34 +3507,34 @@
   swap(a.__isset, b.__isset);
 }
 
-fence_reply::fence_reply(const fence_reply& other98) {
-  group = other98.group;
-  term = other98.term;
-  acknowledged = other98.acknowledged;
-  upstreams = other98.upstreams;
-  __isset = other98.__isset;
-}
-fence_reply::fence_reply(fence_reply&& other99) noexcept {
-  group = std::move(other99.group);
-  term = other99.term;
-  acknowledged = std::move(other99.acknowledged);
-  upstreams = std::move(other99.upstreams);
-  __isset = other99.__isset;
-}
-fence_reply& fence_reply::operator=(const fence_reply& other100) {
-  group = other100.group;
-  term = other100.term;
-  acknowledged = other100.acknowledged;
-  upstreams = other100.upstreams;
-  __isset = other100.__isset;
+fence_reply::fence_reply(const fence_reply& other119) {
+  group = other119.group;
+  term = other119.term;
+  acknowledged = other119.acknowledged;
+  upstreams = other119.upstreams;
+  __isset = other119.__isset;
+}
+fence_reply::fence_reply(fence_reply&& other120) noexcept {
+  group = std::move(other120.group);
+  term = other120.term;
+  acknowledged = std::move(other120.acknowledged);
+  upstreams = std::move(other120.upstreams);
+  __isset = other120.__isset;
+}
+fence_reply& fence_reply::operator=(const fence_reply& other121) {
+  group = other121.group;
+  term = other121.term;
+  acknowledged = other121.acknowledged;
+  upstreams = other121.upstreams;
+  __isset = other121.__isset;
   return *this;
 }
-fence_reply& fence_reply::operator=(fence_reply&& other101) noexcept {
-  group = std::move(other101.group);
-  term = other101.term;
-  acknowledged = std::move(other101.acknowledged);
-  upstreams = std::move(other101.upstreams);
-  __isset = other101.__isset;
+fence_reply& fence_reply::operator=(fence_reply&& other122) noexcept {
+  group = std::move(other122.group);
+  term = other122.term;
+  acknowledged = std::move(other122.acknowledged);
+  upstreams = std::move(other122.upstreams);
+  __isset = other122.__isset;
   return *this;
 }
 void fence_reply::printTo(std::ostream& out) const {
@@ -2918,30 +3657,30 @@
   swap(a.__isset, b.__isset);
 }
 
-promote::promote(const promote& other102) {
-  group = other102.group;
-  upstream = other102.upstream;
-  term = other102.term;
-  __isset = other102.__isset;
+promote::promote(const promote& other123) {
+  group = other123.group;
+  upstream = other123.upstream;
+  term = other123.term;
+  __isset = other123.__isset;
 }
-promote::promote(promote&& other103) noexcept {
-  group = std::move(other103.group);
-  upstream = std::move(other103.upstream);
-  term = other103.term;
-  __isset = other103.__isset;
+promote::promote(promote&& other124) noexcept {
+  group = std::move(other124.group);
+  upstream = std::move(other124.upstream);
+  term = other124.term;
+  __isset = other124.__isset;
 }
-promote& promote::operator=(const promote& other104) {
-  group = other104.group;
-  upstream = other104.upstream;
-  term = other104.term;
-  __isset = other104.__isset;
+promote& promote::operator=(const promote& other125) {
+  group = other125.group;
+  upstream = other125.upstream;
+  term = other125.term;
+  __isset = other125.__isset;
   return *this;
 }
-promote& promote::operator=(promote&& other105) noexcept {
-  group = std::move(other105.group);
-  upstream = std::move(other105.upstream);
-  term = other105.term;
-  __isset = other105.__isset;
+promote& promote::operator=(promote&& other126) noexcept {
+  group = std::move(other126.group);
+  upstream = std::move(other126.upstream);
+  term = other126.term;
+  __isset = other126.__isset;
   return *this;
 }
 void promote::printTo(std::ostream& out) const {
@@ -3114,42 +3853,42 @@
   swap(a.__isset, b.__isset);
 }
 
-promote_reply::promote_reply(const promote_reply& other106) {
-  group = other106.group;
-  upstream = other106.upstream;
-  term = other106.term;
-  done = other106.done;
-  problem = other106.problem;
-  reached = other106.reached;
-  __isset = other106.__isset;
-}
-promote_reply::promote_reply(promote_reply&& other107) noexcept {
-  group = std::move(other107.group);
-  upstream = std::move(other107.upstream);
-  term = other107.term;
-  done = other107.done;
-  problem = std::move(other107.problem);
-  reached = std::move(other107.reached);
-  __isset = other107.__isset;
-}
-promote_reply& promote_reply::operator=(const promote_reply& other108) {
-  group = other108.group;
-  upstream = other108.upstream;
-  term = other108.term;
-  done = other108.done;
-  problem = other108.problem;
-  reached = other108.reached;
-  __isset = other108.__isset;
+promote_reply::promote_reply(const promote_reply& other127) {
+  group = other127.group;
+  upstream = other127.upstream;
+  term = other127.term;
+  done = other127.done;
+  problem = other127.problem;
+  reached = other127.reached;
+  __isset = other127.__isset;
+}
+promote_reply::promote_reply(promote_reply&& other128) noexcept {
+  group = std::move(other128.group);
+  upstream = std::move(other128.upstream);
+  term = other128.term;
+  done = other128.done;
+  problem = std::move(other128.problem);
+  reached = std::move(other128.reached);
+  __isset = other128.__isset;
+}
+promote_reply& promote_reply::operator=(const promote_reply& other129) {
+  group = other129.group;
+  upstream = other129.upstream;
+  term = other129.term;
+  done = other129.done;
+  problem = other129.problem;
+  reached = other129.reached;
+  __isset = other129.__isset;
   return *this;
 }
-promote_reply& promote_reply::operator=(promote_reply&& other109) noexcept {
-  group = std::move(other109.group);
-  upstream = std::move(other109.upstream);
-  term = other109.term;
-  done = other109.done;
-  problem = std::move(other109.problem);
-  reached = std::move(other109.reached);
-  __isset = other109.__isset;
+promote_reply& promote_reply::operator=(promote_reply&& other130) noexcept {
+  group = std::move(other130.group);
+  upstream = std::move(other130.upstream);
+  term = other130.term;
+  done = other130.done;
+  problem = std::move(other130.problem);
+  reached = std::move(other130.reached);
+  __isset = other130.__isset;
   return *this;
 }
 void promote_reply::printTo(std::ostream& out) const {
@@ -3274,30 +4013,30 @@
   swap(a.__isset, b.__isset);
 }
 
-operator_request::operator_request(const operator_request& other110) {
-  method = other110.method;
-  path = other110.path;
-  body = other110.body;
-  __isset = other110.__isset;
+operator_request::operator_request(const operator_request& other131) {
+  method = other131.method;
+  path = other131.path;
+  body = other131.body;
+  __isset = other131.__isset;
 }
-operator_request::operator_request(operator_request&& other111) noexcept {
-  method = std::move(other111.method);
-  path = std::move(other111.path);
-  body = std::move(other111.body);
-  __isset = other111.__isset;
+operator_request::operator_request(operator_request&& other132) noexcept {
+  method = std::move(other132.method);
+  path = std::move(other132.path);
+  body = std::move(other132.body);
+  __isset = other132.__isset;
 }
-operator_request& operator_request::operator=(const operator_request& other112) {
-  method = other112.method;
-  path = other112.path;
-  body = other112.body;
-  __isset = other112.__isset;
+operator_request& operator_request::operator=(const operator_request& other133) {
+  method = other133.method;
+  path = other133.path;
+  body = other133.body;
+  __isset = other133.__isset;
   return *this;
 }
-operator_request& operator_request::operator=(operator_request&& other113) noexcept {
-  method = std::move(other113.method);
-  path = std::move(other113.path);
-  body = std::move(other113.body);
-  __isset = other113.__isset;
+operator_request& operator_request::operator=(operator_request&& other134) noexcept {
+  method = std::move(other134.method);
+  path = std::move(other134.path);
+  body = std::move(other134.body);
+  __isset = other134.__isset;
   return *this;
 }
 void operator_request::printTo(std::ostream& out) const {
@@ -3402,26 +4141,26 @@
   swap(a.__isset, b.__isset);
 }
 
-operator_reply::operator_reply(const operator_reply& other114) {
-  status = other114.status;
-  body = other114.body;
-  __isset = other114.__isset;
+operator_reply::operator_reply(const operator_reply& other135) {
+  status = other135.status;
+  body = other135.body;
+  __isset = other135.__isset;
 }
-operator_reply::operator_reply(operator_reply&& other115) noexcept {
-  status = other115.status;
-  body = std::move(other115.body);
-  __isset = other115.__isset;
+operator_reply::operator_reply(operator_reply&& other136) noexcept {
+  status = other136.status;
+  body = std::move(other136.body);
+  __isset = other136.__isset;
 }
-operator_reply& operator_reply::operator=(const operator_reply& other116) {
-  status = other116.status;
-  body = other116.body;
-  __isset = other116.__isset;
+operator_reply& operator_reply::operator=(const operator_reply& other137) {
+  status = other137.status;
+  body = other137.body;
+  __isset = other137.__isset;
   return *this;
 }
-operator_reply& operator_reply::operator=(operator_reply&& other117) noexcept {
-  status = other117.status;
-  body = std::move(other117.body);
-  __isset = other117.__isset;
+operator_reply& operator_reply::operator=(operator_reply&& other138) noexcept {
+  status = other138.status;
+  body = std::move(other138.body);
+  __isset = other138.__isset;
   return *this;
 }
 void operator_reply::printTo(std::ostream& out) const {
@@ -3508,22 +4247,22 @@
   swap(a.__isset, b.__isset);
 }
 
-nudge::nudge(const nudge& other118) noexcept {
-  revision = other118.revision;
-  __isset = other118.__isset;
+nudge::nudge(const nudge& other139) noexcept {
+  revision = other139.revision;
+  __isset = other139.__isset;
 }
-nudge::nudge(nudge&& other119) noexcept {
-  revision = other119.revision;
-  __isset = other119.__isset;
+nudge::nudge(nudge&& other140) noexcept {
+  revision = other140.revision;
+  __isset = other140.__isset;
 }
-nudge& nudge::operator=(const nudge& other120) noexcept {
-  revision = other120.revision;
-  __isset = other120.__isset;
+nudge& nudge::operator=(const nudge& other141) noexcept {
+  revision = other141.revision;
+  __isset = other141.__isset;
   return *this;
 }
-nudge& nudge::operator=(nudge&& other121) noexcept {
-  revision = other121.revision;
-  __isset = other121.__isset;
+nudge& nudge::operator=(nudge&& other142) noexcept {
+  revision = other142.revision;
+  __isset = other142.__isset;
   return *this;
 }
 void nudge::printTo(std::ostream& out) const {
@@ -3533,4 +4272,105 @@
   out << ")";
 }
 
+
+resume::~resume() noexcept {
+}
+
+
+void resume::__set_group(const std::string& val) {
+  this->group = val;
+}
+std::ostream& operator<<(std::ostream& out, const resume& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t resume::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t resume::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("resume");
+
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->group);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(resume &a, resume &b) {
+  using ::std::swap;
+  swap(a.group, b.group);
+  swap(a.__isset, b.__isset);
+}
+
+resume::resume(const resume& other143) {
+  group = other143.group;
+  __isset = other143.__isset;
+}
+resume::resume(resume&& other144) noexcept {
+  group = std::move(other144.group);
+  __isset = other144.__isset;
+}
+resume& resume::operator=(const resume& other145) {
+  group = other145.group;
+  __isset = other145.__isset;
+  return *this;
+}
+resume& resume::operator=(resume&& other146) noexcept {
+  group = std::move(other146.group);
+  __isset = other146.__isset;
+  return *this;
+}
+void resume::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "resume(";
+  out << "group=" << to_string(group);
+  out << ")";
+}
+
 }} // namespace
--- a/modules/control/gen/control_messages_types.h
+++ b/modules/control/gen/control_messages_types.h
@@ -21,12 +21,30 @@
 
 namespace teasellock { namespace wire {
 
+struct consistency {
+  enum type {
+    primary = 0,
+    bounded_staleness = 1,
+    read_your_writes = 2
+  };
+};
+
+extern const std::map<int, const char*> _consistency_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const consistency::type& val);
+
+std::string to_string(const consistency::type& val);
+
 class position;
 
 class table_row;
 
 class announcement;
 
+class route;
+
+class deployment;
+
 class gateway_share;
 
 class group_view;
@@ -53,6 +71,8 @@
 
 class nudge;
 
+class resume;
+
 typedef struct _position__isset {
   _position__isset() : term(false), offset(false) {}
   bool term :1;
@@ -233,7 +253,7 @@
 std::ostream& operator<<(std::ostream& out, const table_row& obj);
 
 typedef struct _announcement__isset {
-  _announcement__isset() : group(false), upstream(false), address(false), availability_zone(false), region(false), slots(false), connections(false), leaving(false) {}
+  _announcement__isset() : group(false), upstream(false), address(false), availability_zone(false), region(false), slots(false), connections(false), leaving(false), incarnation(false), primary(false), gone(false) {}
   bool group :1;
   bool upstream :1;
   bool address :1;
@@ -242,6 +262,9 @@
   bool slots :1;
   bool connections :1;
   bool leaving :1;
+  bool incarnation :1;
+  bool primary :1;
+  bool gone :1;
 } _announcement__isset;
 
 class announcement : public virtual ::apache::thrift::TBase {
@@ -259,7 +282,10 @@
                  region(),
                  slots(0),
                  connections(0),
-                 leaving(0) {
+                 leaving(0),
+                 incarnation(0),
+                 primary(0),
+                 gone(0) {
   }
 
   virtual ~announcement() noexcept;
@@ -271,6 +297,9 @@
   int32_t slots;
   int32_t connections;
   bool leaving;
+  int64_t incarnation;
+  bool primary;
+  bool gone;
 
   _announcement__isset __isset;
 
@@ -290,6 +319,12 @@
 
   void __set_leaving(const bool val);
 
+  void __set_incarnation(const int64_t val);
+
+  void __set_primary(const bool val);
+
+  void __set_gone(const bool val);
+
   bool operator == (const announcement & rhs) const
   {
     if (!(group == rhs.group))
@@ -308,6 +343,12 @@
       return false;
     if (!(leaving == rhs.leaving))
       return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(primary == rhs.primary))
+      return false;
+    if (!(gone == rhs.gone))
+      return false;
     return true;
   }
   bool operator != (const announcement &rhs) const {
@@ -326,6 +367,162 @@
 
 std::ostream& operator<<(std::ostream& out, const announcement& obj);
 
+typedef struct _route__isset {
+  _route__isset() : name(false), database(false), group(false), consistency(false), max_staleness_ms(false), statement_ms(false), target_ms(false), priority(false) {}
+  bool name :1;
+  bool database :1;
+  bool group :1;
+  bool consistency :1;
+  bool max_staleness_ms :1;
+  bool statement_ms :1;
+  bool target_ms :1;
+  bool priority :1;
+} _route__isset;
+
+class route : public virtual ::apache::thrift::TBase {
+ public:
+
+  route(const route&);
+  route(route&&) noexcept;
+  route& operator=(const route&);
+  route& operator=(route&&) noexcept;
+  route() noexcept
+        : name(),
+          database(),
+          group(),
+          consistency(static_cast<consistency::type>(0)),
+          max_staleness_ms(0),
+          statement_ms(0),
+          target_ms(0),
+          priority(0) {
+  }
+
+  virtual ~route() noexcept;
+  std::string name;
+  std::string database;
+  std::string group;
+  /**
+   * 
+   * @see consistency
+   */
+  consistency::type consistency;
+  int64_t max_staleness_ms;
+  int64_t statement_ms;
+  int64_t target_ms;
+  int32_t priority;
+
+  _route__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_database(const std::string& val);
+
+  void __set_group(const std::string& val);
+
+  void __set_consistency(const consistency::type val);
+
+  void __set_max_staleness_ms(const int64_t val);
+
+  void __set_statement_ms(const int64_t val);
+
+  void __set_target_ms(const int64_t val);
+
+  void __set_priority(const int32_t val);
+
+  bool operator == (const route & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(database == rhs.database))
+      return false;
+    if (!(group == rhs.group))
+      return false;
+    if (!(consistency == rhs.consistency))
+      return false;
+    if (!(max_staleness_ms == rhs.max_staleness_ms))
+      return false;
+    if (!(statement_ms == rhs.statement_ms))
+      return false;
+    if (!(target_ms == rhs.target_ms))
+      return false;
+    if (!(priority == rhs.priority))
+      return false;
+    return true;
+  }
+  bool operator != (const route &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const route & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(route &a, route &b);
+
+std::ostream& operator<<(std::ostream& out, const route& obj);
+
+typedef struct _deployment__isset {
+  _deployment__isset() : version(false), routes(false), idle_transaction_ms(false) {}
+  bool version :1;
+  bool routes :1;
+  bool idle_transaction_ms :1;
+} _deployment__isset;
+
+class deployment : public virtual ::apache::thrift::TBase {
+ public:
+
+  deployment(const deployment&);
+  deployment(deployment&&) noexcept;
+  deployment& operator=(const deployment&);
+  deployment& operator=(deployment&&) noexcept;
+  deployment() noexcept
+             : version(0),
+               idle_transaction_ms(0) {
+  }
+
+  virtual ~deployment() noexcept;
+  int64_t version;
+  std::vector<route>  routes;
+  int64_t idle_transaction_ms;
+
+  _deployment__isset __isset;
+
+  void __set_version(const int64_t val);
+
+  void __set_routes(const std::vector<route> & val);
+
+  void __set_idle_transaction_ms(const int64_t val);
+
+  bool operator == (const deployment & rhs) const
+  {
+    if (!(version == rhs.version))
+      return false;
+    if (!(routes == rhs.routes))
+      return false;
+    if (!(idle_transaction_ms == rhs.idle_transaction_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const deployment &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const deployment & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(deployment &a, deployment &b);
+
+std::ostream& operator<<(std::ostream& out, const deployment& obj);
+
 typedef struct _gateway_share__isset {
   _gateway_share__isset() : vm(false), incarnation(false), address(false), availability_zone(false), region(false), connections(false), slots(false), budget_epoch(false) {}
   bool vm :1;
@@ -518,7 +715,7 @@
 std::ostream& operator<<(std::ostream& out, const group_view& obj);
 
 typedef struct _upstream_report__isset {
-  _upstream_report__isset() : upstream(false), reachable(false), replica(false), replayed(false), age_ms(false), unreachable_ms(false), problem(false), refused(false) {}
+  _upstream_report__isset() : upstream(false), reachable(false), replica(false), replayed(false), age_ms(false), unreachable_ms(false), problem(false), refused(false), paused(false), received(false), connection_age_ms(false) {}
   bool upstream :1;
   bool reachable :1;
   bool replica :1;
@@ -527,6 +724,9 @@
   bool unreachable_ms :1;
   bool problem :1;
   bool refused :1;
+  bool paused :1;
+  bool received :1;
+  bool connection_age_ms :1;
 } _upstream_report__isset;
 
 class upstream_report : public virtual ::apache::thrift::TBase {
@@ -543,7 +743,9 @@
                     age_ms(0),
                     unreachable_ms(0),
                     problem(),
-                    refused(0) {
+                    refused(0),
+                    paused(0),
+                    connection_age_ms(0) {
   }
 
   virtual ~upstream_report() noexcept;
@@ -555,6 +757,9 @@
   int64_t unreachable_ms;
   std::string problem;
   bool refused;
+  bool paused;
+  position received;
+  int64_t connection_age_ms;
 
   _upstream_report__isset __isset;
 
@@ -574,6 +779,12 @@
 
   void __set_refused(const bool val);
 
+  void __set_paused(const bool val);
+
+  void __set_received(const position& val);
+
+  void __set_connection_age_ms(const int64_t val);
+
   bool operator == (const upstream_report & rhs) const
   {
     if (!(upstream == rhs.upstream))
@@ -592,6 +803,12 @@
       return false;
     if (!(refused == rhs.refused))
       return false;
+    if (!(paused == rhs.paused))
+      return false;
+    if (!(received == rhs.received))
+      return false;
+    if (!(connection_age_ms == rhs.connection_age_ms))
+      return false;
     return true;
   }
   bool operator != (const upstream_report &rhs) const {
@@ -682,7 +899,7 @@
 std::ostream& operator<<(std::ostream& out, const group_report& obj);
 
 typedef struct _renewal__isset {
-  _renewal__isset() : vm(false), incarnation(false), address(false), availability_zone(false), region(false), applied_revision(false), sent_at_us(false), draining(false), groups(false), announcements(false), after_revision(false), after_group(false) {}
+  _renewal__isset() : vm(false), incarnation(false), address(false), availability_zone(false), region(false), applied_revision(false), sent_at_us(false), draining(false), groups(false), announcements(false), after_revision(false), after_group(false), deployment_version(false), control_store(false), gateway(true) {}
   bool vm :1;
   bool incarnation :1;
   bool address :1;
@@ -695,6 +912,9 @@
   bool announcements :1;
   bool after_revision :1;
   bool after_group :1;
+  bool deployment_version :1;
+  bool control_store :1;
+  bool gateway :1;
 } _renewal__isset;
 
 class renewal : public virtual ::apache::thrift::TBase {
@@ -714,7 +934,10 @@
             sent_at_us(0),
             draining(0),
             after_revision(0),
-            after_group() {
+            after_group(),
+            deployment_version(0),
+            control_store(0),
+            gateway(true) {
   }
 
   virtual ~renewal() noexcept;
@@ -730,6 +953,9 @@
   std::vector<announcement>  announcements;
   int64_t after_revision;
   std::string after_group;
+  int64_t deployment_version;
+  int64_t control_store;
+  bool gateway;
 
   _renewal__isset __isset;
 
@@ -757,6 +983,12 @@
 
   void __set_after_group(const std::string& val);
 
+  void __set_deployment_version(const int64_t val);
+
+  void __set_control_store(const int64_t val);
+
+  void __set_gateway(const bool val);
+
   bool operator == (const renewal & rhs) const
   {
     if (!(vm == rhs.vm))
@@ -783,6 +1015,12 @@
       return false;
     if (!(after_group == rhs.after_group))
       return false;
+    if (!(deployment_version == rhs.deployment_version))
+      return false;
+    if (!(control_store == rhs.control_store))
+      return false;
+    if (!(gateway == rhs.gateway))
+      return false;
     return true;
   }
   bool operator != (const renewal &rhs) const {
@@ -802,7 +1040,7 @@
 std::ostream& operator<<(std::ostream& out, const renewal& obj);
 
 typedef struct _renewal_reply__isset {
-  _renewal_reply__isset() : granted(false), sent_at_us(false), lease_ms(false), leader_address(false), groups(false), revision(false), more(false), released(false) {}
+  _renewal_reply__isset() : granted(false), sent_at_us(false), lease_ms(false), leader_address(false), groups(false), revision(false), more(false), released(false), deployment(false), control(false) {}
   bool granted :1;
   bool sent_at_us :1;
   bool lease_ms :1;
@@ -811,6 +1049,8 @@
   bool revision :1;
   bool more :1;
   bool released :1;
+  bool deployment :1;
+  bool control :1;
 } _renewal_reply__isset;
 
 class renewal_reply : public virtual ::apache::thrift::TBase {
@@ -839,6 +1079,8 @@
   int64_t revision;
   bool more;
   bool released;
+  deployment deployment;
+  std::vector<std::string>  control;
 
   _renewal_reply__isset __isset;
 
@@ -858,6 +1100,10 @@
 
   void __set_released(const bool val);
 
+  void __set_deployment(const deployment& val);
+
+  void __set_control(const std::vector<std::string> & val);
+
   bool operator == (const renewal_reply & rhs) const
   {
     if (!(granted == rhs.granted))
@@ -876,6 +1122,12 @@
       return false;
     if (!(released == rhs.released))
       return false;
+    if (__isset.deployment != rhs.__isset.deployment)
+      return false;
+    else if (__isset.deployment && !(deployment == rhs.deployment))
+      return false;
+    if (!(control == rhs.control))
+      return false;
     return true;
   }
   bool operator != (const renewal_reply &rhs) const {
@@ -895,9 +1147,10 @@
 std::ostream& operator<<(std::ostream& out, const renewal_reply& obj);
 
 typedef struct _fence__isset {
-  _fence__isset() : group(false), term(false) {}
+  _fence__isset() : group(false), term(false), pause_term(false) {}
   bool group :1;
   bool term :1;
+  bool pause_term :1;
 } _fence__isset;
 
 class fence : public virtual ::apache::thrift::TBase {
@@ -909,12 +1162,14 @@
   fence& operator=(fence&&) noexcept;
   fence() noexcept
         : group(),
-          term(0) {
+          term(0),
+          pause_term(0) {
   }
 
   virtual ~fence() noexcept;
   std::string group;
   int64_t term;
+  int64_t pause_term;
 
   _fence__isset __isset;
 
@@ -922,12 +1177,16 @@
 
   void __set_term(const int64_t val);
 
+  void __set_pause_term(const int64_t val);
+
   bool operator == (const fence & rhs) const
   {
     if (!(group == rhs.group))
       return false;
     if (!(term == rhs.term))
       return false;
+    if (!(pause_term == rhs.pause_term))
+      return false;
     return true;
   }
   bool operator != (const fence &rhs) const {
@@ -1304,6 +1563,51 @@
 
 std::ostream& operator<<(std::ostream& out, const nudge& obj);
 
+typedef struct _resume__isset {
+  _resume__isset() : group(false) {}
+  bool group :1;
+} _resume__isset;
+
+class resume : public virtual ::apache::thrift::TBase {
+ public:
+
+  resume(const resume&);
+  resume(resume&&) noexcept;
+  resume& operator=(const resume&);
+  resume& operator=(resume&&) noexcept;
+  resume() noexcept
+         : group() {
+  }
+
+  virtual ~resume() noexcept;
+  std::string group;
+
+  _resume__isset __isset;
+
+  void __set_group(const std::string& val);
+
+  bool operator == (const resume & rhs) const
+  {
+    if (!(group == rhs.group))
+      return false;
+    return true;
+  }
+  bool operator != (const resume &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const resume & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(resume &a, resume &b);
+
+std::ostream& operator<<(std::ostream& out, const resume& obj);
+
 }} // namespace
 
 #endif
--- a/modules/gateway/gateway_messages.thrift
+++ b/modules/gateway/gateway_messages.thrift
@@ -46,6 +46,28 @@
   6: bool describe_rows;
 }
 
+/// What a statement of the line protocol does.
+enum line_verb {
+  read = 0,
+  write = 1,
+  execute = 2,
+  commit = 3,
+}
+
+/// A statement of the line protocol.
+struct line_step {
+  1: line_verb verb;
+  /// The caller's id of it.
+  2: string id;
+  /// Its text, but for execute.
+  3: string text;
+  /// Execute: the prepared statement's shape, whether it writes, and the
+  /// arguments.
+  4: string shape;
+  5: bool writes;
+  6: string arguments;
+}
+
 /// A caller's statement on its way to a gateway. Kind 300.
 struct statement_request {
   1: string group;
@@ -72,6 +94,14 @@
   /// The steps may end a transaction that wrote: losing their answer leaves
   /// its outcome unknown.
   13: bool may_commit;
+  /// In place of steps, where callers speak the line protocol.
+  14: optional line_step line;
+  /// Reads see every write acknowledged longer ago than this; negative: all.
+  15: i64 max_staleness_ms;
+  /// The transaction was opened for reading only.
+  16: bool read_only;
+  /// 0 is the most important.
+  17: i32 priority;
 }
 
 /// A part of the answer. Kind 301.
--- a/modules/gateway/gen/gateway_messages_types.cpp
+++ b/modules/gateway/gen/gateway_messages_types.cpp
@@ -104,6 +104,39 @@
   }
 }
 
+int _kline_verbValues[] = {
+  line_verb::read,
+  line_verb::write,
+  line_verb::execute,
+  line_verb::commit
+};
+const char* _kline_verbNames[] = {
+  "read",
+  "write",
+  "execute",
+  "commit"
+};
+const std::map<int, const char*> _line_verb_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(4, _kline_verbValues, _kline_verbNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const line_verb::type& val) {
+  std::map<int, const char*>::const_iterator it = _line_verb_VALUES_TO_NAMES.find(val);
+  if (it != _line_verb_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const line_verb::type& val) {
+  std::map<int, const char*>::const_iterator it = _line_verb_VALUES_TO_NAMES.find(val);
+  if (it != _line_verb_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
 
 parameter::~parameter() noexcept {
 }
@@ -503,6 +536,219 @@
 }
 
 
+line_step::~line_step() noexcept {
+}
+
+
+void line_step::__set_verb(const line_verb::type val) {
+  this->verb = val;
+}
+
+void line_step::__set_id(const std::string& val) {
+  this->id = val;
+}
+
+void line_step::__set_text(const std::string& val) {
+  this->text = val;
+}
+
+void line_step::__set_shape(const std::string& val) {
+  this->shape = val;
+}
+
+void line_step::__set_writes(const bool val) {
+  this->writes = val;
+}
+
+void line_step::__set_arguments(const std::string& val) {
+  this->arguments = val;
+}
+std::ostream& operator<<(std::ostream& out, const line_step& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t line_step::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast21;
+          xfer += iprot->readI32(ecast21);
+          this->verb = static_cast<line_verb::type>(ecast21);
+          this->__isset.verb = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->text);
+          this->__isset.text = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->shape);
+          this->__isset.shape = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->writes);
+          this->__isset.writes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->arguments);
+          this->__isset.arguments = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t line_step::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("line_step");
+
+  xfer += oprot->writeFieldBegin("verb", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->verb));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("text", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->text);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("shape", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->shape);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("writes", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->writes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("arguments", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->arguments);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(line_step &a, line_step &b) {
+  using ::std::swap;
+  swap(a.verb, b.verb);
+  swap(a.id, b.id);
+  swap(a.text, b.text);
+  swap(a.shape, b.shape);
+  swap(a.writes, b.writes);
+  swap(a.arguments, b.arguments);
+  swap(a.__isset, b.__isset);
+}
+
+line_step::line_step(const line_step& other22) {
+  verb = other22.verb;
+  id = other22.id;
+  text = other22.text;
+  shape = other22.shape;
+  writes = other22.writes;
+  arguments = other22.arguments;
+  __isset = other22.__isset;
+}
+line_step::line_step(line_step&& other23) noexcept {
+  verb = other23.verb;
+  id = std::move(other23.id);
+  text = std::move(other23.text);
+  shape = std::move(other23.shape);
+  writes = other23.writes;
+  arguments = std::move(other23.arguments);
+  __isset = other23.__isset;
+}
+line_step& line_step::operator=(const line_step& other24) {
+  verb = other24.verb;
+  id = other24.id;
+  text = other24.text;
+  shape = other24.shape;
+  writes = other24.writes;
+  arguments = other24.arguments;
+  __isset = other24.__isset;
+  return *this;
+}
+line_step& line_step::operator=(line_step&& other25) noexcept {
+  verb = other25.verb;
+  id = std::move(other25.id);
+  text = std::move(other25.text);
+  shape = std::move(other25.shape);
+  writes = other25.writes;
+  arguments = std::move(other25.arguments);
+  __isset = other25.__isset;
+  return *this;
+}
+void line_step::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "line_step(";
+  out << "verb=" << to_string(verb);
+  out << ", " << "id=" << to_string(id);
+  out << ", " << "text=" << to_string(text);
+  out << ", " << "shape=" << to_string(shape);
+  out << ", " << "writes=" << to_string(writes);
+  out << ", " << "arguments=" << to_string(arguments);
+  out << ")";
+}
+
+
 statement_request::~statement_request() noexcept {
 }
 
@@ -558,6 +804,23 @@
 void statement_request::__set_may_commit(const bool val) {
   this->may_commit = val;
 }
+
+void statement_request::__set_line(const line_step& val) {
+  this->line = val;
+__isset.line = true;
+}
+
+void statement_request::__set_max_staleness_ms(const int64_t val) {
+  this->max_staleness_ms = val;
+}
+
+void statement_request::__set_read_only(const bool val) {
+  this->read_only = val;
+}
+
+void statement_request::__set_priority(const int32_t val) {
+  this->priority = val;
+}
 std::ostream& operator<<(std::ostream& out, const statement_request& obj)
 {
   obj.printTo(out);
@@ -628,9 +891,9 @@
         break;
       case 6:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast21;
-          xfer += iprot->readI32(ecast21);
-          this->access = static_cast<statement_access::type>(ecast21);
+          int32_t ecast26;
+          xfer += iprot->readI32(ecast26);
+          this->access = static_cast<statement_access::type>(ecast26);
           this->__isset.access = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -656,14 +919,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->steps.clear();
-            uint32_t _size22;
-            ::apache::thrift::protocol::TType _etype25;
-            xfer += iprot->readListBegin(_etype25, _size22);
-            this->steps.resize(_size22);
-            uint32_t _i26;
-            for (_i26 = 0; _i26 < _size22; ++_i26)
+            uint32_t _size27;
+            ::apache::thrift::protocol::TType _etype30;
+            xfer += iprot->readListBegin(_etype30, _size27);
+            this->steps.resize(_size27);
+            uint32_t _i31;
+            for (_i31 = 0; _i31 < _size27; ++_i31)
             {
-              xfer += this->steps[_i26].read(iprot);
+              xfer += this->steps[_i31].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -692,17 +955,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->settings.clear();
-            uint32_t _size27;
-            ::apache::thrift::protocol::TType _ktype28;
-            ::apache::thrift::protocol::TType _vtype29;
-            xfer += iprot->readMapBegin(_ktype28, _vtype29, _size27);
-            uint32_t _i31;
-            for (_i31 = 0; _i31 < _size27; ++_i31)
+            uint32_t _size32;
+            ::apache::thrift::protocol::TType _ktype33;
+            ::apache::thrift::protocol::TType _vtype34;
+            xfer += iprot->readMapBegin(_ktype33, _vtype34, _size32);
+            uint32_t _i36;
+            for (_i36 = 0; _i36 < _size32; ++_i36)
             {
-              std::string _key32;
-              xfer += iprot->readString(_key32);
-              std::string& _val33 = this->settings[_key32];
-              xfer += iprot->readString(_val33);
+              std::string _key37;
+              xfer += iprot->readString(_key37);
+              std::string& _val38 = this->settings[_key37];
+              xfer += iprot->readString(_val38);
             }
             xfer += iprot->readMapEnd();
           }
@@ -719,6 +982,38 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->line.read(iprot);
+          this->__isset.line = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->max_staleness_ms);
+          this->__isset.max_staleness_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->read_only);
+          this->__isset.read_only = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->priority);
+          this->__isset.priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -771,10 +1066,10 @@
   xfer += oprot->writeFieldBegin("steps", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->steps.size()));
-    std::vector<statement_step> ::const_iterator _iter34;
-    for (_iter34 = this->steps.begin(); _iter34 != this->steps.end(); ++_iter34)
+    std::vector<statement_step> ::const_iterator _iter39;
+    for (_iter39 = this->steps.begin(); _iter39 != this->steps.end(); ++_iter39)
     {
-      xfer += (*_iter34).write(oprot);
+      xfer += (*_iter39).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -791,11 +1086,11 @@
   xfer += oprot->writeFieldBegin("settings", ::apache::thrift::protocol::T_MAP, 12);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->settings.size()));
-    std::map<std::string, std::string> ::const_iterator _iter35;
-    for (_iter35 = this->settings.begin(); _iter35 != this->settings.end(); ++_iter35)
+    std::map<std::string, std::string> ::const_iterator _iter40;
+    for (_iter40 = this->settings.begin(); _iter40 != this->settings.end(); ++_iter40)
     {
-      xfer += oprot->writeString(_iter35->first);
-      xfer += oprot->writeString(_iter35->second);
+      xfer += oprot->writeString(_iter40->first);
+      xfer += oprot->writeString(_iter40->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -805,6 +1100,23 @@
   xfer += oprot->writeBool(this->may_commit);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.line) {
+    xfer += oprot->writeFieldBegin("line", ::apache::thrift::protocol::T_STRUCT, 14);
+    xfer += this->line.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("max_staleness_ms", ::apache::thrift::protocol::T_I64, 15);
+  xfer += oprot->writeI64(this->max_staleness_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("read_only", ::apache::thrift::protocol::T_BOOL, 16);
+  xfer += oprot->writeBool(this->read_only);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 17);
+  xfer += oprot->writeI32(this->priority);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -825,73 +1137,93 @@
   swap(a.idempotency_key, b.idempotency_key);
   swap(a.settings, b.settings);
   swap(a.may_commit, b.may_commit);
+  swap(a.line, b.line);
+  swap(a.max_staleness_ms, b.max_staleness_ms);
+  swap(a.read_only, b.read_only);
+  swap(a.priority, b.priority);
   swap(a.__isset, b.__isset);
 }
 
-statement_request::statement_request(const statement_request& other36) {
-  group = other36.group;
-  term = other36.term;
-  floor = other36.floor;
-  floor_known = other36.floor_known;
-  read_kind = other36.read_kind;
-  access = other36.access;
-  transaction = other36.transaction;
-  opens_transaction = other36.opens_transaction;
-  steps = other36.steps;
-  timeout_ms = other36.timeout_ms;
-  idempotency_key = other36.idempotency_key;
-  settings = other36.settings;
-  may_commit = other36.may_commit;
-  __isset = other36.__isset;
-}
-statement_request::statement_request(statement_request&& other37) noexcept {
-  group = std::move(other37.group);
-  term = other37.term;
-  floor = std::move(other37.floor);
-  floor_known = other37.floor_known;
-  read_kind = std::move(other37.read_kind);
-  access = other37.access;
-  transaction = other37.transaction;
-  opens_transaction = other37.opens_transaction;
-  steps = std::move(other37.steps);
-  timeout_ms = other37.timeout_ms;
-  idempotency_key = std::move(other37.idempotency_key);
-  settings = std::move(other37.settings);
-  may_commit = other37.may_commit;
-  __isset = other37.__isset;
-}
-statement_request& statement_request::operator=(const statement_request& other38) {
-  group = other38.group;
-  term = other38.term;
-  floor = other38.floor;
-  floor_known = other38.floor_known;
-  read_kind = other38.read_kind;
-  access = other38.access;
-  transaction = other38.transaction;
-  opens_transaction = other38.opens_transaction;
-  steps = other38.steps;
-  timeout_ms = other38.timeout_ms;
-  idempotency_key = other38.idempotency_key;
-  settings = other38.settings;
-  may_commit = other38.may_commit;
-  __isset = other38.__isset;
+statement_request::statement_request(const statement_request& other41) {
+  group = other41.group;
+  term = other41.term;
+  floor = other41.floor;
+  floor_known = other41.floor_known;
+  read_kind = other41.read_kind;
+  access = other41.access;
+  transaction = other41.transaction;
+  opens_transaction = other41.opens_transaction;
+  steps = other41.steps;
+  timeout_ms = other41.timeout_ms;
+  idempotency_key = other41.idempotency_key;
+  settings = other41.settings;
+  may_commit = other41.may_commit;
+  line = other41.line;
+  max_staleness_ms = other41.max_staleness_ms;
+  read_only = other41.read_only;
+  priority = other41.priority;
+  __isset = other41.__isset;
+}
+statement_request::statement_request(statement_request&& other42) noexcept {
+  group = std::move(other42.group);
+  term = other42.term;
+  floor = std::move(other42.floor);
+  floor_known = other42.floor_known;
+  read_kind = std::move(other42.read_kind);
+  access = other42.access;
+  transaction = other42.transaction;
+  opens_transaction = other42.opens_transaction;
+  steps = std::move(other42.steps);
+  timeout_ms = other42.timeout_ms;
+  idempotency_key = std::move(other42.idempotency_key);
+  settings = std::move(other42.settings);
+  may_commit = other42.may_commit;
+  line = std::move(other42.line);
+  max_staleness_ms = other42.max_staleness_ms;
+  read_only = other42.read_only;
+  priority = other42.priority;
+  __isset = other42.__isset;
+}
+statement_request& statement_request::operator=(const statement_request& other43) {
+  group = other43.group;
+  term = other43.term;
+  floor = other43.floor;
+  floor_known = other43.floor_known;
+  read_kind = other43.read_kind;
+  access = other43.access;
+  transaction = other43.transaction;
+  opens_transaction = other43.opens_transaction;
+  steps = other43.steps;
+  timeout_ms = other43.timeout_ms;
+  idempotency_key = other43.idempotency_key;
+  settings = other43.settings;
+  may_commit = other43.may_commit;
+  line = other43.line;
+  max_staleness_ms = other43.max_staleness_ms;
+  read_only = other43.read_only;
+  priority = other43.priority;
+  __isset = other43.__isset;
   return *this;
 }
-statement_request& statement_request::operator=(statement_request&& other39) noexcept {
-  group = std::move(other39.group);
-  term = other39.term;
-  floor = std::move(other39.floor);
-  floor_known = other39.floor_known;
-  read_kind = std::move(other39.read_kind);
-  access = other39.access;
-  transaction = other39.transaction;
-  opens_transaction = other39.opens_transaction;
-  steps = std::move(other39.steps);
-  timeout_ms = other39.timeout_ms;
-  idempotency_key = std::move(other39.idempotency_key);
-  settings = std::move(other39.settings);
-  may_commit = other39.may_commit;
-  __isset = other39.__isset;
+statement_request& statement_request::operator=(statement_request&& other44) noexcept {
+  group = std::move(other44.group);
+  term = other44.term;
+  floor = std::move(other44.floor);
+  floor_known = other44.floor_known;
+  read_kind = std::move(other44.read_kind);
+  access = other44.access;
+  transaction = other44.transaction;
+  opens_transaction = other44.opens_transaction;
+  steps = std::move(other44.steps);
+  timeout_ms = other44.timeout_ms;
+  idempotency_key = std::move(other44.idempotency_key);
+  settings = std::move(other44.settings);
+  may_commit = other44.may_commit;
+  line = std::move(other44.line);
+  max_staleness_ms = other44.max_staleness_ms;
+  read_only = other44.read_only;
+  priority = other44.priority;
+  __isset = other44.__isset;
   return *this;
 }
 void statement_request::printTo(std::ostream& out) const {
@@ -910,6 +1242,10 @@
   out << ", " << "idempotency_key=" << to_string(idempotency_key);
   out << ", " << "settings=" << to_string(settings);
   out << ", " << "may_commit=" << to_string(may_commit);
+  out << ", " << "line="; (__isset.line ? (out << to_string(line)) : (out << "<null>"));
+  out << ", " << "max_staleness_ms=" << to_string(max_staleness_ms);
+  out << ", " << "read_only=" << to_string(read_only);
+  out << ", " << "priority=" << to_string(priority);
   out << ")";
 }
 
@@ -995,9 +1331,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast40;
-          xfer += iprot->readI32(ecast40);
-          this->outcome = static_cast<statement_outcome::type>(ecast40);
+          int32_t ecast45;
+          xfer += iprot->readI32(ecast45);
+          this->outcome = static_cast<statement_outcome::type>(ecast45);
           this->__isset.outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -1178,66 +1514,66 @@
   swap(a.__isset, b.__isset);
 }
 
-statement_reply::statement_reply(const statement_reply& other41) {
-  outcome = other41.outcome;
-  messages = other41.messages;
-  last = other41.last;
-  reached = other41.reached;
-  term = other41.term;
-  transaction_status = other41.transaction_status;
-  code = other41.code;
-  problem = other41.problem;
-  upstream = other41.upstream;
-  by_replica = other41.by_replica;
-  not_assigned = other41.not_assigned;
-  resolved = other41.resolved;
-  __isset = other41.__isset;
+statement_reply::statement_reply(const statement_reply& other46) {
+  outcome = other46.outcome;
+  messages = other46.messages;
+  last = other46.last;
+  reached = other46.reached;
+  term = other46.term;
+  transaction_status = other46.transaction_status;
+  code = other46.code;
+  problem = other46.problem;
+  upstream = other46.upstream;
+  by_replica = other46.by_replica;
+  not_assigned = other46.not_assigned;
+  resolved = other46.resolved;
+  __isset = other46.__isset;
 }
-statement_reply::statement_reply(statement_reply&& other42) noexcept {
-  outcome = other42.outcome;
-  messages = std::move(other42.messages);
-  last = other42.last;
-  reached = std::move(other42.reached);
-  term = other42.term;
-  transaction_status = other42.transaction_status;
-  code = std::move(other42.code);
-  problem = std::move(other42.problem);
-  upstream = std::move(other42.upstream);
-  by_replica = other42.by_replica;
-  not_assigned = other42.not_assigned;
-  resolved = other42.resolved;
-  __isset = other42.__isset;
+statement_reply::statement_reply(statement_reply&& other47) noexcept {
+  outcome = other47.outcome;
+  messages = std::move(other47.messages);
+  last = other47.last;
+  reached = std::move(other47.reached);
+  term = other47.term;
+  transaction_status = other47.transaction_status;
+  code = std::move(other47.code);
+  problem = std::move(other47.problem);
+  upstream = std::move(other47.upstream);
+  by_replica = other47.by_replica;
+  not_assigned = other47.not_assigned;
+  resolved = other47.resolved;
+  __isset = other47.__isset;
 }
-statement_reply& statement_reply::operator=(const statement_reply& other43) {
-  outcome = other43.outcome;
-  messages = other43.messages;
-  last = other43.last;
-  reached = other43.reached;
-  term = other43.term;
-  transaction_status = other43.transaction_status;
-  code = other43.code;
-  problem = other43.problem;
-  upstream = other43.upstream;
-  by_replica = other43.by_replica;
-  not_assigned = other43.not_assigned;
-  resolved = other43.resolved;
-  __isset = other43.__isset;
+statement_reply& statement_reply::operator=(const statement_reply& other48) {
+  outcome = other48.outcome;
+  messages = other48.messages;
+  last = other48.last;
+  reached = other48.reached;
+  term = other48.term;
+  transaction_status = other48.transaction_status;
+  code = other48.code;
+  problem = other48.problem;
+  upstream = other48.upstream;
+  by_replica = other48.by_replica;
+  not_assigned = other48.not_assigned;
+  resolved = other48.resolved;
+  __isset = other48.__isset;
   return *this;
 }
-statement_reply& statement_reply::operator=(statement_reply&& other44) noexcept {
-  outcome = other44.outcome;
-  messages = std::move(other44.messages);
-  last = other44.last;
-  reached = std::move(other44.reached);
-  term = other44.term;
-  transaction_status = other44.transaction_status;
-  code = std::move(other44.code);
-  problem = std::move(other44.problem);
-  upstream = std::move(other44.upstream);
-  by_replica = other44.by_replica;
-  not_assigned = other44.not_assigned;
-  resolved = other44.resolved;
-  __isset = other44.__isset;
+statement_reply& statement_reply::operator=(statement_reply&& other49) noexcept {
+  outcome = other49.outcome;
+  messages = std::move(other49.messages);
+  last = other49.last;
+  reached = std::move(other49.reached);
+  term = other49.term;
+  transaction_status = other49.transaction_status;
+  code = std::move(other49.code);
+  problem = std::move(other49.problem);
+  upstream = std::move(other49.upstream);
+  by_replica = other49.by_replica;
+  not_assigned = other49.not_assigned;
+  resolved = other49.resolved;
+  __isset = other49.__isset;
   return *this;
 }
 void statement_reply::printTo(std::ostream& out) const {
@@ -1334,22 +1670,22 @@
   swap(a.__isset, b.__isset);
 }
 
-statement_cancel::statement_cancel(const statement_cancel& other45) noexcept {
-  request = other45.request;
-  __isset = other45.__isset;
+statement_cancel::statement_cancel(const statement_cancel& other50) noexcept {
+  request = other50.request;
+  __isset = other50.__isset;
 }
-statement_cancel::statement_cancel(statement_cancel&& other46) noexcept {
-  request = other46.request;
-  __isset = other46.__isset;
+statement_cancel::statement_cancel(statement_cancel&& other51) noexcept {
+  request = other51.request;
+  __isset = other51.__isset;
 }
-statement_cancel& statement_cancel::operator=(const statement_cancel& other47) noexcept {
-  request = other47.request;
-  __isset = other47.__isset;
+statement_cancel& statement_cancel::operator=(const statement_cancel& other52) noexcept {
+  request = other52.request;
+  __isset = other52.__isset;
   return *this;
 }
-statement_cancel& statement_cancel::operator=(statement_cancel&& other48) noexcept {
-  request = other48.request;
-  __isset = other48.__isset;
+statement_cancel& statement_cancel::operator=(statement_cancel&& other53) noexcept {
+  request = other53.request;
+  __isset = other53.__isset;
   return *this;
 }
 void statement_cancel::printTo(std::ostream& out) const {
@@ -1435,22 +1771,22 @@
   swap(a.__isset, b.__isset);
 }
 
-transaction_release::transaction_release(const transaction_release& other49) noexcept {
-  transaction = other49.transaction;
-  __isset = other49.__isset;
+transaction_release::transaction_release(const transaction_release& other54) noexcept {
+  transaction = other54.transaction;
+  __isset = other54.__isset;
 }
-transaction_release::transaction_release(transaction_release&& other50) noexcept {
-  transaction = other50.transaction;
-  __isset = other50.__isset;
+transaction_release::transaction_release(transaction_release&& other55) noexcept {
+  transaction = other55.transaction;
+  __isset = other55.__isset;
 }
-transaction_release& transaction_release::operator=(const transaction_release& other51) noexcept {
-  transaction = other51.transaction;
-  __isset = other51.__isset;
+transaction_release& transaction_release::operator=(const transaction_release& other56) noexcept {
+  transaction = other56.transaction;
+  __isset = other56.__isset;
   return *this;
 }
-transaction_release& transaction_release::operator=(transaction_release&& other52) noexcept {
-  transaction = other52.transaction;
-  __isset = other52.__isset;
+transaction_release& transaction_release::operator=(transaction_release&& other57) noexcept {
+  transaction = other57.transaction;
+  __isset = other57.__isset;
   return *this;
 }
 void transaction_release::printTo(std::ostream& out) const {
--- a/modules/gateway/gen/gateway_messages_types.h
+++ b/modules/gateway/gen/gateway_messages_types.h
@@ -63,10 +63,27 @@
 
 std::string to_string(const step_kind::type& val);
 
+struct line_verb {
+  enum type {
+    read = 0,
+    write = 1,
+    execute = 2,
+    commit = 3
+  };
+};
+
+extern const std::map<int, const char*> _line_verb_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const line_verb::type& val);
+
+std::string to_string(const line_verb::type& val);
+
 class parameter;
 
 class statement_step;
 
+class line_step;
+
 class statement_request;
 
 class statement_reply;
@@ -216,8 +233,92 @@
 
 std::ostream& operator<<(std::ostream& out, const statement_step& obj);
 
+typedef struct _line_step__isset {
+  _line_step__isset() : verb(false), id(false), text(false), shape(false), writes(false), arguments(false) {}
+  bool verb :1;
+  bool id :1;
+  bool text :1;
+  bool shape :1;
+  bool writes :1;
+  bool arguments :1;
+} _line_step__isset;
+
+class line_step : public virtual ::apache::thrift::TBase {
+ public:
+
+  line_step(const line_step&);
+  line_step(line_step&&) noexcept;
+  line_step& operator=(const line_step&);
+  line_step& operator=(line_step&&) noexcept;
+  line_step() noexcept
+            : verb(static_cast<line_verb::type>(0)),
+              id(),
+              text(),
+              shape(),
+              writes(0),
+              arguments() {
+  }
+
+  virtual ~line_step() noexcept;
+  /**
+   * 
+   * @see line_verb
+   */
+  line_verb::type verb;
+  std::string id;
+  std::string text;
+  std::string shape;
+  bool writes;
+  std::string arguments;
+
+  _line_step__isset __isset;
+
+  void __set_verb(const line_verb::type val);
+
+  void __set_id(const std::string& val);
+
+  void __set_text(const std::string& val);
+
+  void __set_shape(const std::string& val);
+
+  void __set_writes(const bool val);
+
+  void __set_arguments(const std::string& val);
+
+  bool operator == (const line_step & rhs) const
+  {
+    if (!(verb == rhs.verb))
+      return false;
+    if (!(id == rhs.id))
+      return false;
+    if (!(text == rhs.text))
+      return false;
+    if (!(shape == rhs.shape))
+      return false;
+    if (!(writes == rhs.writes))
+      return false;
+    if (!(arguments == rhs.arguments))
+      return false;
+    return true;
+  }
+  bool operator != (const line_step &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const line_step & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(line_step &a, line_step &b);
+
+std::ostream& operator<<(std::ostream& out, const line_step& obj);
+
 typedef struct _statement_request__isset {
-  _statement_request__isset() : group(false), term(false), floor(false), floor_known(false), read_kind(false), access(false), transaction(false), opens_transaction(false), steps(false), timeout_ms(false), idempotency_key(false), settings(false), may_commit(false) {}
+  _statement_request__isset() : group(false), term(false), floor(false), floor_known(false), read_kind(false), access(false), transaction(false), opens_transaction(false), steps(false), timeout_ms(false), idempotency_key(false), settings(false), may_commit(false), line(false), max_staleness_ms(false), read_only(false), priority(false) {}
   bool group :1;
   bool term :1;
   bool floor :1;
@@ -231,6 +332,10 @@
   bool idempotency_key :1;
   bool settings :1;
   bool may_commit :1;
+  bool line :1;
+  bool max_staleness_ms :1;
+  bool read_only :1;
+  bool priority :1;
 } _statement_request__isset;
 
 class statement_request : public virtual ::apache::thrift::TBase {
@@ -250,7 +355,10 @@
                       opens_transaction(0),
                       timeout_ms(0),
                       idempotency_key(),
-                      may_commit(0) {
+                      may_commit(0),
+                      max_staleness_ms(0),
+                      read_only(0),
+                      priority(0) {
   }
 
   virtual ~statement_request() noexcept;
@@ -271,6 +379,10 @@
   std::string idempotency_key;
   std::map<std::string, std::string>  settings;
   bool may_commit;
+  line_step line;
+  int64_t max_staleness_ms;
+  bool read_only;
+  int32_t priority;
 
   _statement_request__isset __isset;
 
@@ -300,6 +412,14 @@
 
   void __set_may_commit(const bool val);
 
+  void __set_line(const line_step& val);
+
+  void __set_max_staleness_ms(const int64_t val);
+
+  void __set_read_only(const bool val);
+
+  void __set_priority(const int32_t val);
+
   bool operator == (const statement_request & rhs) const
   {
     if (!(group == rhs.group))
@@ -328,6 +448,16 @@
       return false;
     if (!(may_commit == rhs.may_commit))
       return false;
+    if (__isset.line != rhs.__isset.line)
+      return false;
+    else if (__isset.line && !(line == rhs.line))
+      return false;
+    if (!(max_staleness_ms == rhs.max_staleness_ms))
+      return false;
+    if (!(read_only == rhs.read_only))
+      return false;
+    if (!(priority == rhs.priority))
+      return false;
     return true;
   }
   bool operator != (const statement_request &rhs) const {
