--- a/bench/capacity/deployment.cpp
+++ b/bench/capacity/deployment.cpp
@@ -37,12 +37,12 @@
          std::to_string(Number % 256) + ":" + std::to_string(Port);
 }
 
-void apply(deployment &Deployment, const wire::control_command &Command) {
+void apply(simulated_deployment &Deployment, const wire::control_command &Command) {
   applyCommand(Deployment.State, revision(Deployment.State.Applied.Value + 1),
                Command);
 }
 
-void announce(deployment &Deployment, std::size_t Group, std::size_t Number) {
+void announce(simulated_deployment &Deployment, std::size_t Group, std::size_t Number) {
   upstream_announcement Announcement;
   Announcement.Group = group_id(groupName(Group));
   Announcement.Upstream = upstream_id("u" + std::to_string(Number));
@@ -56,7 +56,7 @@
   apply(Deployment, makeAnnouncementCommand(Announcement));
 }
 
-void giveGateways(deployment &Deployment, const group_id &Group) {
+void giveGateways(simulated_deployment &Deployment, const group_id &Group) {
   auto Decision =
       decideAssignment(Deployment.State, Deployment.State.Groups.at(Group),
                        Deployment.Leader, Deployment.Settings, Deployment.Now);
@@ -103,8 +103,8 @@
   return Rows;
 }
 
-deployment makeDeployment(std::size_t Vms) {
-  deployment Result;
+simulated_deployment makeDeployment(std::size_t Vms) {
+  simulated_deployment Result;
   Result.Now = time_point(fromMilliseconds(1000000));
   Result.Vms = Vms;
   Result.Groups = Vms * GroupsPerThousandVms / 1000;
@@ -129,7 +129,7 @@
   return Result;
 }
 
-wire::renewal makeRenewal(const deployment &Deployment, std::size_t Vm) {
+wire::renewal makeRenewal(const simulated_deployment &Deployment, std::size_t Vm) {
   wire::renewal Renewal;
   Renewal.vm = vmName(Vm);
   Renewal.incarnation = static_cast<std::int64_t>(Vm + 1);
--- a/bench/capacity/deployment.h
+++ b/bench/capacity/deployment.h
@@ -5,7 +5,7 @@
 namespace teasellock {
 
 /// A deployment in memory, built by the commands and decisions of control.
-struct deployment {
+struct simulated_deployment {
   control_state State;
   leader_state Leader;
   decision_settings Settings;
@@ -16,10 +16,10 @@
 
 /// So many VMs over 3 regions and 11 availability zones, with the groups that
 /// belong to that size, every group with a primary and its gateways.
-deployment makeDeployment(std::size_t Vms);
+simulated_deployment makeDeployment(std::size_t Vms);
 
 /// The renewal that a VM of the deployment sends when nothing is wrong.
-wire::renewal makeRenewal(const deployment &Deployment, std::size_t Vm);
+wire::renewal makeRenewal(const simulated_deployment &Deployment, std::size_t Vm);
 
 /// The rows of the deployment's table.
 std::vector<table_row> makeRows(std::size_t Groups);
--- a/bench/capacity/teasellock_capacity.cpp
+++ b/bench/capacity/teasellock_capacity.cpp
@@ -44,7 +44,7 @@
   std::cout << "vms=" << Vms << " " << Name << "=" << Value << "\n";
 }
 
-void measureRenewal(deployment &Deployment) {
+void measureRenewal(simulated_deployment &Deployment) {
   std::size_t Vms = Deployment.Vms;
   std::vector<std::string> Encoded;
   double Bytes = 0;
@@ -68,7 +68,7 @@
   print(Vms, "renewal_reply_bytes", static_cast<double>(ReplyBytes));
 }
 
-void measureDecisions(deployment &Deployment) {
+void measureDecisions(simulated_deployment &Deployment) {
   std::size_t Vms = Deployment.Vms;
   auto Pass = [&] {
     for (const auto &[Name, Group] : Deployment.State.Groups) {
@@ -84,7 +84,7 @@
         microsecondsOf(Pass) / static_cast<double>(Deployment.Groups));
 }
 
-void measureChange(deployment &Deployment) {
+void measureChange(simulated_deployment &Deployment) {
   std::size_t Vms = Deployment.Vms;
   auto Rows = makeRows(Deployment.Groups);
   bool Flip = false;
@@ -109,7 +109,7 @@
 }
 
 /// A VM that joins: every view, page by page.
-void measureJoin(const deployment &Deployment) {
+void measureJoin(const simulated_deployment &Deployment) {
   std::size_t Vms = Deployment.Vms;
   double Bytes = 0;
   auto Begin = std::clock();
@@ -141,7 +141,7 @@
     Sizes = {std::stoul(Arguments[1])};
   for (std::size_t Vms : Sizes) {
     std::size_t Before = residentBytes();
-    deployment Deployment = makeDeployment(Vms);
+    simulated_deployment Deployment = makeDeployment(Vms);
     print(Vms, "leader_resident_bytes",
           static_cast<double>(residentBytes() - Before));
     measureJoin(Deployment);
--- a/core/time.h
+++ b/core/time.h
@@ -2,13 +2,16 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace teasellock {
 
 /// A span of time in microseconds.
 using duration = std::chrono::microseconds;
 
-/// The process's monotonic clock. Its points are never sent to another VM.
+/// The process's monotonic clock. It also counts the time in which the VM was
+/// suspended, so that leases and deadlines end while it sleeps. Its points are
+/// never sent to another VM.
 struct monotonic_clock {
   using duration = teasellock::duration;
   using rep = duration::rep;
@@ -16,10 +19,13 @@
   using time_point = std::chrono::time_point<monotonic_clock>;
   static constexpr bool is_steady = true;
 
-  /// Reads CLOCK_MONOTONIC.
+  /// Reads CLOCK_BOOTTIME.
   static time_point now() {
+    timespec Time = {};
+    ::clock_gettime(CLOCK_BOOTTIME, &Time);
     return time_point(std::chrono::duration_cast<duration>(
-        std::chrono::steady_clock::now().time_since_epoch()));
+        std::chrono::seconds(Time.tv_sec) +
+        std::chrono::nanoseconds(Time.tv_nsec)));
   }
 };
 
--- a/main/daemon_settings.cpp
+++ b/main/daemon_settings.cpp
@@ -2,6 +2,7 @@
 
 #include "core/error.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace teasellock {
@@ -10,6 +11,11 @@
 
 constexpr std::int64_t LongestMilliseconds = 3600 * 1000;
 constexpr std::size_t LeastSecretBytes = 16;
+constexpr std::size_t MostLosses = 3;
+constexpr std::size_t MostPort = 65535;
+constexpr std::size_t MostGraceSeconds = 3600;
+/// A shutdown ends this long before it would be ended.
+constexpr duration GraceMargin = fromMilliseconds(500);
 
 using apply_function =
     std::function<void(daemon_settings &, const std::string &)>;
@@ -143,7 +149,8 @@
   All.push_back(setting("control",
                         "internal addresses of the control VMs, by commas", "",
                         [](daemon_settings &S, const std::string &Text) {
-                          S.Membership.Control = parseAddresses(Text);
+                          if (!Text.empty())
+                            S.Membership.Control = parseAddresses(Text);
                         }));
   All.push_back(setting("data-folder",
                         "folder of the control role; empty: no such role", "",
@@ -152,6 +159,94 @@
                         }));
 }
 
+/// "name=value" pairs by commas.
+std::map<availability_zone_id, region_id> parseRegions(const std::string &Text) {
+  std::map<availability_zone_id, region_id> Result;
+  std::size_t Start = 0;
+  while (Start < Text.size()) {
+    std::size_t End = std::min(Text.find(',', Start), Text.size());
+    std::string Pair = Text.substr(Start, End - Start);
+    std::size_t Middle = Pair.find('=');
+    if (Middle == std::string::npos)
+      throw badValue("must be zone=region pairs by commas");
+    Result[availability_zone_id(parseName(Pair.substr(0, Middle)))] =
+        region_id(parseName(Pair.substr(Middle + 1)));
+    Start = End + 1;
+  }
+  return Result;
+}
+
+std::size_t parseCount(const std::string &Text, std::size_t Most) {
+  std::size_t Number = 0;
+  const char *Last = Text.data() + Text.size();
+  auto [End, Status] = std::from_chars(Text.data(), Last, Number);
+  if (Status != std::errc() || End != Last || Number > Most)
+    throw badValue("must be a whole number up to " + std::to_string(Most));
+  return Number;
+}
+
+/// What it takes to be run by a platform instead of by operators.
+void appendPlatform(std::vector<daemon_setting> &All) {
+  All.push_back(setting("protocol",
+                        "postgresql or line: spoken by callers and upstreams",
+                        "postgresql",
+                        [](daemon_settings &S, const std::string &Text) {
+                          if (Text != "postgresql" && Text != "line")
+                            throw badValue("must be postgresql or line");
+                          S.Lines = Text == "line";
+                        }));
+  All.push_back(setting("platform",
+                        "address:port that takes orders to promote; empty: "
+                        "gateways promote by SQL",
+                        "", [](daemon_settings &S, const std::string &Text) {
+                          if (!Text.empty())
+                            S.Platform = parseAddress(Text);
+                        }));
+  All.push_back(setting("holder", "name under which orders are given", "",
+                        [](daemon_settings &S, const std::string &Text) {
+                          S.Holder = Text;
+                        }));
+  All.push_back(setting("tolerated-losses",
+                        "control disks that may be lost at once; the group "
+                        "then keeps itself complete. 0: operators do",
+                        "0", [](daemon_settings &S, const std::string &Text) {
+                          S.ToleratedLosses = parseCount(Text, MostLosses);
+                        }));
+  All.push_back(setting("bootstrap",
+                        "on: the deployment starts for the first time", "off",
+                        [](daemon_settings &S, const std::string &Text) {
+                          S.Bootstrap = parseSwitch(Text);
+                        }));
+  All.push_back(setting("seeds",
+                        "HTTP addresses of control VMs, by commas; replaces "
+                        "--control, with --control-port",
+                        "", [](daemon_settings &S, const std::string &Text) {
+                          if (!Text.empty())
+                            S.Seeds = parseAddresses(Text);
+                        }));
+  All.push_back(setting("control-port",
+                        "internal port of the control VMs that --seeds names",
+                        "0", [](daemon_settings &S, const std::string &Text) {
+                          std::size_t Port = parseCount(Text, MostPort);
+                          for (const auto &Seed : S.Seeds)
+                            S.Membership.Control.push_back(
+                                {Seed.Address,
+                                 static_cast<std::uint16_t>(Port)});
+                        }));
+  All.push_back(setting("zone-regions",
+                        "zone=region pairs by commas, for upstreams that tell "
+                        "no region",
+                        "", [](daemon_settings &S, const std::string &Text) {
+                          S.Regions = parseRegions(Text);
+                        }));
+  All.push_back(setting("grace-s",
+                        "seconds from SIGTERM to SIGKILL; 0: --drain-ms alone",
+                        "0", [](daemon_settings &S, const std::string &Text) {
+                          S.Grace = std::chrono::seconds(
+                              parseCount(Text, MostGraceSeconds));
+                        }));
+}
+
 void appendUpstreams(std::vector<daemon_setting> &All) {
   All.push_back(setting("upstream-user", "user towards upstreams", "teasellock",
                         [](daemon_settings &S, const std::string &Text) {
@@ -218,7 +313,7 @@
   All.push_back(secret("token-secret",
                        "signs session tokens; the same on all entries", "",
                        [](daemon_settings &S, const std::string &Text) {
-                         if (Text.size() < LeastSecretBytes)
+                         if (!Text.empty() && Text.size() < LeastSecretBytes)
                            throw badValue("must have at least 16 bytes");
                          S.Caller.TokenSecret = Text;
                        }));
@@ -249,6 +344,7 @@
 std::vector<daemon_setting> makeSettings() {
   std::vector<daemon_setting> All;
   appendIdentity(All);
+  appendPlatform(All);
   appendUpstreams(All);
   appendTimes(All);
   appendRest(All);
@@ -260,12 +356,40 @@
                    std::vector<std::string> &Problems) {
   if (Settings.Membership.RenewalPeriod * 2 > Settings.Control.LeaseTime)
     Problems.push_back("--renewal-ms must be at most half of --lease-ms");
+  if (Settings.Membership.Control.empty() && Settings.Seeds.empty())
+    Problems.push_back("--control or --seeds must name a control VM");
+  if (!Settings.Lines && Settings.Caller.TokenSecret.empty())
+    Problems.push_back("--token-secret must have at least 16 bytes where "
+                       "callers speak PostgreSQL's protocol");
+  if (!Settings.Seeds.empty() && !Settings.Membership.Control.empty() &&
+      Settings.Membership.Control.front().Port == 0)
+    Problems.push_back("--control-port must be given with --seeds");
   if (Settings.GatewaySettings.SslMode == "verify-ca" &&
       Settings.GatewaySettings.SslRootCertificate.empty())
     Problems.push_back("--upstream-root-certificate must be given with "
                        "--upstream-sslmode verify-ca");
 }
 
+/// Settings that follow from others.
+void deriveSettings(daemon_settings &Settings) {
+  if (Settings.Grace > GraceMargin) {
+    Settings.DrainTimeout = Settings.Grace - GraceMargin;
+    Settings.LineCallers.DrainTransactions = Settings.Grace / 2;
+  }
+  Settings.Membership.Gateway = Settings.Gateway;
+  if (Settings.Callers)
+    Settings.LineCallers.Listen = *Settings.Callers;
+  if (Settings.ToleratedLosses > 0)
+    Settings.Control.Voters = 2 * Settings.ToleratedLosses + 1;
+  if (Settings.Platform)
+    Settings.Control.Method = promotion_method::Pause;
+  // All control VMs are started with the same seeds: exactly one founds.
+  auto First = std::min_element(Settings.Seeds.begin(), Settings.Seeds.end());
+  Settings.Control.Founder = Settings.Bootstrap &&
+                             First != Settings.Seeds.end() &&
+                             *First == Settings.Admin.Listen;
+}
+
 std::string textOf(const setting_texts &Texts, const daemon_setting &Setting) {
   auto Found = Texts.find(Setting.Flag);
   return Found == Texts.end() ? Setting.Default : Found->second;
@@ -292,6 +416,7 @@
     }
   }
   checkTogether(Settings, Problems);
+  deriveSettings(Settings);
   return Settings;
 }
 
--- a/main/daemon_settings.h
+++ b/main/daemon_settings.h
@@ -5,6 +5,8 @@
 #include "modules/caller/caller_server.h"
 #include "modules/control/control_service.h"
 #include "modules/gateway/gateway_service.h"
+#include "modules/line/line_group.h"
+#include "modules/line/line_listener.h"
 #include "modules/membership/member_agent.h"
 #include "modules/routing/statement_router.h"
 
@@ -24,11 +26,26 @@
   endpoint Internal;
   /// Nothing: no entry role.
   std::optional<endpoint> Callers;
+  /// Callers and upstreams speak the line protocol in place of PostgreSQL's.
+  bool Lines = false;
+  /// Where the platform takes orders to promote. Nothing: gateways promote.
+  std::optional<endpoint> Platform;
+  /// Name under which this machine gives orders to the platform.
+  std::string Holder;
+  /// Disks that may be lost at once; 0: operators keep the control group.
+  std::size_t ToleratedLosses = 0;
+  bool Bootstrap = false;
+  /// HTTP addresses of control VMs, one of which may be this one.
+  std::vector<endpoint> Seeds;
+  /// Regions by availability zone, for upstreams that tell no region.
+  std::map<availability_zone_id, region_id> Regions;
   bool Gateway = true;
   severity LogLevel = severity::Info;
   std::string TraceFile;
   double TraceShare = 0.01;
   duration DrainTimeout = fromMilliseconds(30000);
+  /// From SIGTERM to SIGKILL; zero when nobody tells.
+  duration Grace{};
   admin_settings Admin;
   caller_settings Caller;
   control_settings Control;
@@ -36,6 +53,8 @@
   consensus_settings Consensus;
   gateway_settings GatewaySettings;
   membership_settings Membership;
+  line_group_settings LineGroup;
+  line_listener_settings LineCallers;
   routing_settings Routing;
 };
 
--- a/modules/admin/admin_service.cpp
+++ b/modules/admin/admin_service.cpp
@@ -42,6 +42,8 @@
 
 void admin_service::state::handle(http_request Request,
                                   const http_reply &Reply) {
+  if (Settings.Adapter && Settings.Adapter(Request, Reply))
+    return;
   if (Request.Path == "/healthz")
     return Reply({Draining ? 503 : 200, TextType,
                   Draining ? "draining\n" : "serving\n"});
--- a/modules/admin/admin_service.h
+++ b/modules/admin/admin_service.h
@@ -17,6 +17,8 @@
   std::string OperatorToken;
   /// Empty: the platform's calls need no token.
   std::string PlatformToken;
+  /// Handles a platform's own calls first. False: the path is not one of them.
+  std::function<bool(const http_request &, const http_reply &)> Adapter;
 };
 
 /// Serves the HTTP API. Calls that need the control leader are forwarded.
--- a/modules/control/assignment.cpp
+++ b/modules/control/assignment.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/// The loss of one gateway must leave two.
+constexpr std::size_t LeastAutomaticGateways = 3;
+
 /// What one assignment decision looks at.
 struct assignment_input {
   const control_state &State;
@@ -30,9 +33,24 @@
   return Found != Input.State.Vms.end() && Found->second.Draining;
 }
 
-std::size_t wantedGateways(const group_state &Group) {
+/// Gateways of a group whose row leaves the number open: every VM has about
+/// one group, and each group has enough to lose one.
+std::size_t automaticGateways(const control_state &State) {
+  std::size_t Vms = 0;
+  for (const auto &[Name, Vm] : State.Vms)
+    Vms += Vm.Gateway && !Vm.Draining;
+  std::size_t Groups = 0;
+  for (const auto &[Name, Group] : State.Groups)
+    Groups += !Group.Removed;
+  return std::max(LeastAutomaticGateways,
+                  Vms / std::max<std::size_t>(Groups, 1));
+}
+
+std::size_t wantedGateways(const control_state &State,
+                           const group_state &Group) {
   auto Limits = limitsOf(Group);
-  std::size_t Wanted = std::max<std::uint32_t>(Group.Row.Gateways, 1);
+  std::size_t Wanted =
+      Group.Row.Gateways > 0 ? Group.Row.Gateways : automaticGateways(State);
   // Every gateway needs a connection and a slot of its own.
   std::size_t Useful = std::min(Limits.Connections, Limits.Slots);
   return std::max<std::size_t>(std::min(Wanted, Useful), 1);
@@ -67,7 +85,7 @@
   auto Loads = loads(Input.State);
   const vm_record *Best = nullptr;
   for (const auto &[Name, Vm] : Input.State.Vms) {
-    if (Vm.Draining || findShare(Group, Name) ||
+    if (Vm.Draining || !Vm.Gateway || findShare(Group, Name) ||
         !heardWithin(Input.Leader, Name, Input.Settings.VmTimeout, Input.Now))
       continue;
     if (!Best ||
@@ -171,7 +189,7 @@
 
 void assignGateways(const assignment_input &Input, group_state &Group) {
   replaceRestarted(Input, Group);
-  std::size_t Wanted = wantedGateways(Group);
+  std::size_t Wanted = wantedGateways(Input.State, Group);
   auto Census = countGateways(Input, Group);
   std::size_t Staying = Census.Staying.size();
   std::size_t Added = 0;
--- a/modules/control/control_codec.cpp
+++ b/modules/control/control_codec.cpp
@@ -62,6 +62,7 @@
   Result.forced = Promotion.Forced;
   Result.chosen = nameOf(Promotion.Chosen);
   Result.chosen_position = toWire(Promotion.ChosenPosition);
+  Result.attempt = static_cast<std::int32_t>(Promotion.Attempt);
   return Result;
 }
 
@@ -76,6 +77,7 @@
   Result.Forced = Record.forced;
   Result.Chosen = upstreamOf(Record.chosen);
   Result.ChosenPosition = teasellock::fromWire(Record.chosen_position);
+  Result.Attempt = toCount(Record.attempt);
   return Result;
 }
 
@@ -89,6 +91,7 @@
   Result.availability_zone = Vm.AvailabilityZone.Value;
   Result.region = Vm.Region.Value;
   Result.draining = Vm.Draining;
+  Result.gateway = Vm.Gateway;
   return Result;
 }
 
@@ -100,6 +103,7 @@
   Result.AvailabilityZone = availability_zone_id(Vm.availability_zone);
   Result.Region = region_id(Vm.region);
   Result.Draining = Vm.draining;
+  Result.Gateway = Vm.gateway;
   return Result;
 }
 
@@ -124,6 +128,12 @@
   if (Group.Promotion)
     Result.__set_promotion(toWire(*Group.Promotion));
   Result.removed = Group.Removed;
+  for (const auto &Departed : Group.Departed) {
+    wire::departed_upstream Record;
+    Record.upstream = Departed.Upstream.Value;
+    Record.incarnation = toSigned(Departed.Incarnation.Value);
+    Result.departed.push_back(std::move(Record));
+  }
   return Result;
 }
 
@@ -148,6 +158,9 @@
   if (Record.__isset.promotion)
     Result.Promotion = fromWire(Record.promotion);
   Result.Removed = Record.removed;
+  for (const auto &Departed : Record.departed)
+    Result.Departed.push_back({upstream_id(Departed.upstream),
+                               incarnation(toUnsigned(Departed.incarnation))});
   return Result;
 }
 
@@ -168,6 +181,13 @@
     Record.winning_edit = Answer.WinningEdit.Value;
     Result.edits.push_back(Record);
   }
+  if (State.Deployment.Revision != revision()) {
+    wire::deployment_change Change;
+    Change.content = toWire(State.Deployment.Deployment);
+    Change.document = State.Deployment.Document;
+    Result.__set_in_force(std::move(Change));
+    Result.deployment_revision = toSigned(State.Deployment.Revision.Value);
+  }
   return encode(Result);
 }
 
@@ -181,6 +201,12 @@
     Result.Vms[vm_id(Vm.vm)] = fromWire(Vm);
   for (const auto &Group : Snapshot.groups)
     Result.Groups[group_id(Group.group)] = fromWire(Group);
+  if (Snapshot.__isset.in_force) {
+    Result.Deployment.Deployment = fromWire(Snapshot.in_force.content);
+    Result.Deployment.Document = std::move(Snapshot.in_force.document);
+    Result.Deployment.Revision =
+        revision(toUnsigned(Snapshot.deployment_revision));
+  }
   Result.Index = indexGroups(Result);
   for (const auto &Record : Snapshot.edits)
     Result.Edits.push_back({edit_id(Record.edit_id), Record.accepted,
--- a/modules/control/control_commands.thrift
+++ b/modules/control/control_commands.thrift
@@ -85,7 +85,7 @@
 
 /// Takes effect if its version is the highest.
 struct deployment_change {
-  1: control_messages.deployment deployment;
+  1: control_messages.deployment content;
   2: list<control_messages.table_row> rows;
   /// The text it was read from, as it is shown to operators.
   3: binary document;
@@ -98,7 +98,7 @@
   3: optional control_messages.announcement announcement;
   /// Takes effect if the group still has the record's revision.
   4: optional group_record group;
-  5: optional deployment_change deployment;
+  5: optional deployment_change change;
 }
 
 /// The whole replicated state.
@@ -109,6 +109,6 @@
   4: list<vm_record> vms;
   5: list<group_record> groups;
   6: list<edit_record> edits;
-  7: optional deployment_change deployment;
+  7: optional deployment_change in_force;
   8: i64 deployment_revision;
 }
--- a/modules/control/control_decisions.cpp
+++ b/modules/control/control_decisions.cpp
@@ -4,6 +4,7 @@
 #include "modules/control/assignment.h"
 #include "modules/control/leases.h"
 #include "modules/control/operator_json.h"
+#include "modules/control/pause_promotion.h"
 #include "modules/control/promotion.h"
 #include "modules/control/promotion_orders.h"
 #include "modules/control/renewal_reply.h"
@@ -28,6 +29,7 @@
   std::erase_if(Fences, [&](const auto &Entry) {
     return now() - Entry.second.AskedAt > OrderMemory;
   });
+  keepMembers();
   decideOn(takeDue(Agenda, Replicated));
 }
 
@@ -64,12 +66,16 @@
 void control_service::state::decide(const group_state &Group) {
   if (Committing.contains(Group.Group))
     return;
-  auto Decision = decidePromotion(Group, Leader, Settings, now());
+  bool Pauses = Settings.Method == promotion_method::Pause;
+  auto Decision = Pauses
+                      ? decidePausePromotion(Group, Leader, Settings, now())
+                      : decidePromotion(Group, Leader, Settings, now());
   Leader.Orders[Group.Group].Waiting = Decision.Waiting;
   carryOut(Group, Decision);
   if (Decision.Next)
     return;
-  auto Cleaning = decideCleaning(Group, Leader, Settings);
+  auto Cleaning = Pauses ? decidePauseCleaning(Group, Leader)
+                         : decideCleaning(Group, Leader, Settings);
   carryOut(Group, Cleaning);
   if (Cleaning.Next)
     return;
@@ -81,7 +87,11 @@
   if (Decision.Proposal)
     SeenProposals.push_back(*Decision.Proposal);
   if (!Decision.Fences.empty())
-    sendFences(Group, Decision.Fences);
+    sendFences(Group, Decision.Fences, Decision.PauseTerm);
+  if (Decision.Resume)
+    sendResume(Group);
+  if (Decision.Order)
+    callPlatform(Group, *Decision.Order);
   if (Decision.Promoter)
     sendOrder(Group, *Decision.Promoter);
   for (const auto &Vm : Decision.Nudges)
@@ -100,6 +110,8 @@
   if (Kind == "promoted")
     Promotions.add();
   Committing.insert(Next.Group);
+  if (Settings.Method == promotion_method::Pause && Kind != "assign")
+    noteAttempt(Next, Leader);
   propose(makeGroupCommand(Next),
           [this, Name = Next.Group, Term = Leadership](proposal_outcome) {
             if (Term != Leadership)
@@ -142,8 +154,10 @@
 }
 
 void control_service::state::sendFences(const group_state &Group,
-                                        const std::vector<gateway_run> &Runs) {
+                                        const std::vector<gateway_run> &Runs,
+                                        term PauseTerm) {
   wire::fence Fence;
+  Fence.pause_term = static_cast<std::int64_t>(PauseTerm.Value);
   Fence.group = Group.Group.Value;
   Fence.term = static_cast<std::int64_t>(Group.Term.Value);
   time_point At = now();
@@ -153,7 +167,43 @@
       continue;
     Fences[Request] = {Group.Group, Run, At};
   }
-  noteFencesSent(Group, Leader, Runs, At);
+  if (PauseTerm != term())
+    notePausesSent(Group, Leader, Runs, At);
+  else
+    noteFencesSent(Group, Leader, Runs, At);
+}
+
+void control_service::state::sendResume(const group_state &Group) {
+  wire::resume Resume;
+  Resume.group = Group.Group.Value;
+  for (const auto &Share : Group.Gateways)
+    sendTo({Share.Vm, Share.Incarnation}, message_kind(ResumeKind),
+           Hub.nextRequest(), encode(Resume));
+}
+
+void control_service::state::callPlatform(const group_state &Group,
+                                          const promotion_order &Order) {
+  noteOrderSentToPlatform(Group, Leader, now());
+  event("control.platform_asked")
+      .with("group", Order.Group.Value)
+      .with("upstream", Order.Upstream.Value)
+      .with("token", Order.FencingToken.Value)
+      .with("attempt", static_cast<std::uint64_t>(Group.Promotion->Attempt));
+  OrderPromotion(Order, [this, Order, Term = Leadership,
+                         Attempt = Group.Promotion->Attempt](
+                            promotion_answer Answer) {
+    constexpr const char *Names[] = {"accepted", "refused", "unknown"};
+    event("control.platform_answered")
+        .with("group", Order.Group.Value)
+        .with("upstream", Order.Upstream.Value)
+        .with("token", Order.FencingToken.Value)
+        .with("answer", Names[static_cast<int>(Answer)]);
+    auto Known = Replicated.Groups.find(Order.Group);
+    if (Term != Leadership || Known == Replicated.Groups.end())
+      return;
+    takePlatformAnswer(Known->second, Leader, Attempt, Answer);
+    decideSoon(Order.Group);
+  });
 }
 
 void control_service::state::sendOrder(const group_state &Group,
--- /dev/null
+++ b/modules/control/control_deployment.cpp
@@ -0,0 +1,150 @@
+#include "modules/control/control_service_state.h"
+
+#include "core/event_log.h"
+#include "modules/consensus/control_member.h"
+#include "modules/control/internal_calls.h"
+#include "modules/link/codec.h"
+
+namespace teasellock {
+
+namespace {
+
+constexpr int Done = 200;
+constexpr int BadRequest = 400;
+constexpr int TryElsewhere = 503;
+
+} // namespace
+
+bool control_service::state::handleInternal(
+    const std::string &Method, const std::vector<std::string> &Parts,
+    const std::string &Body, const operator_answer &Answer) {
+  if (Parts.size() != 2 || Parts[0] != "internal")
+    return false;
+  try {
+    if (Parts[1] == "deployment" && Method == "PUT")
+      putDeployment(Body, Answer);
+    else if (Parts[1] == "deployment" && Method == "GET")
+      readDeployment(Answer);
+    else if (Parts[1] == "announcement" && Method == "POST")
+      takeAnnouncement(Body, Answer);
+    else
+      return false;
+  } catch (const error &Problem) {
+    event("control.bad_internal_call", severity::Warning)
+        .with("call", Parts[1])
+        .with("problem", Problem.what());
+    Answer(BadRequest, Problem.reason());
+  }
+  return true;
+}
+
+void control_service::state::putDeployment(const std::string &Body,
+                                           const operator_answer &Answer) {
+  auto Change = decode<wire::deployment_change>(Body, "deployment");
+  deployment_version Version(
+      static_cast<std::uint64_t>(Change.content.version));
+  auto Known = Replicated.Deployment.Deployment.Version;
+  // What was acknowledged once is acknowledged again.
+  if (Version <= Known) {
+    event("control.deployment_overtaken")
+        .with("version", Version.Value)
+        .with("known", Known.Value);
+    Answer(Done, "");
+    return;
+  }
+  // The first one must survive the loss of as many disks as is tolerated.
+  if (Known == deployment_version() &&
+      voterCount(Consensus.members()) < Voters) {
+    Answer(TryElsewhere, "control stores are still joining");
+    return;
+  }
+  event("control.deployment")
+      .with("version", Version.Value)
+      .with("known", Known.Value)
+      .with("routes", static_cast<std::uint64_t>(Change.content.routes.size()));
+  wire::control_command Command;
+  Command.__set_change(std::move(Change));
+  propose(Command, [this, Version, Answer](proposal_outcome Outcome) {
+    bool Committed = Outcome == proposal_outcome::Committed;
+    event("control.deployment_decided")
+        .with("version", Version.Value)
+        .with("committed", Committed);
+    Answer(Committed ? Done : TryElsewhere, "");
+  });
+}
+
+void control_service::state::readDeployment(const operator_answer &Answer) {
+  Consensus.confirmLeadership([this, Answer](bool Leads) {
+    if (!Leads || !Leading)
+      return notLeader(Answer);
+    if (Replicated.Deployment.Revision == revision())
+      return Answer(TryElsewhere, "no deployment has been submitted yet");
+    Answer(Done, Replicated.Deployment.Document);
+  });
+}
+
+/// An upstream that leaves may give its name alone.
+bool control_service::state::completeDeparture(
+    wire::announcement &Announcement) const {
+  for (const auto &[Name, Group] : Replicated.Groups) {
+    auto Known = Group.Upstreams.find(upstream_id(Announcement.upstream));
+    if (Known == Group.Upstreams.end())
+      continue;
+    Announcement.group = Name.Value;
+    Announcement.address = toString(Known->second.Address);
+    if (Announcement.incarnation == 0)
+      Announcement.incarnation =
+          static_cast<std::int64_t>(Known->second.Incarnation.Value);
+    return true;
+  }
+  return false;
+}
+
+bool control_service::state::isKnown(upstream_announcement Announcement) {
+  auto Group = Replicated.Groups.find(Announcement.Group);
+  if (Group != Replicated.Groups.end() &&
+      isOutdated(Group->second, Announcement))
+    return true;
+  Leader.Announced[{Announcement.Group, Announcement.Upstream}] = {
+      Announcement.Incarnation, now()};
+  if (Group == Replicated.Groups.end())
+    return false;
+  auto Known = Group->second.Upstreams.find(Announcement.Upstream);
+  if (Known == Group->second.Upstreams.end())
+    return Announcement.Gone;
+  // Leaving is never taken back within a run.
+  if (Known->second.Incarnation == Announcement.Incarnation &&
+      Known->second.Leaving)
+    Announcement.Leaving = true;
+  return Known->second == Announcement;
+}
+
+void control_service::state::takeAnnouncement(const std::string &Body,
+                                              const operator_answer &Answer) {
+  auto Wire = decode<wire::announcement>(Body, "announcement");
+  // What is not known need not leave.
+  if (Wire.gone && !completeDeparture(Wire)) {
+    Answer(Done, "");
+    return;
+  }
+  auto Announcement = fromWire(Wire);
+  if (isKnown(Announcement)) {
+    Answer(Done, "");
+    return;
+  }
+  event("control.announced")
+      .with("group", Wire.group)
+      .with("upstream", Wire.upstream)
+      .with("address", Wire.address)
+      .with("incarnation", Wire.incarnation)
+      .with("primary", Wire.primary)
+      .with("leaving", Wire.leaving)
+      .with("gone", Wire.gone);
+  propose(makeAnnouncementCommand(Announcement),
+          [Answer](proposal_outcome Outcome) {
+            bool Committed = Outcome == proposal_outcome::Committed;
+            Answer(Committed ? Done : TryElsewhere, "");
+          });
+}
+
+} // namespace teasellock
--- /dev/null
+++ b/modules/control/control_members.cpp
@@ -0,0 +1,90 @@
+#include "modules/control/control_service_state.h"
+
+#include "core/event_log.h"
+#include "modules/control/member_upkeep.h"
+
+namespace teasellock {
+
+namespace {
+
+/// How often the membership is looked at.
+const duration MembersPeriod = fromMilliseconds(100);
+
+member_list changed(member_list Members, const member_change &Change) {
+  store_id Subject = Change.Kind == member_change::kind::Remove
+                         ? Change.Old
+                         : Change.New.Store;
+  std::erase_if(Members, [&](const control_member &Member) {
+    return Member.Store == Subject;
+  });
+  if (Change.Kind == member_change::kind::Remove)
+    return Members;
+  control_member New = Change.New;
+  New.Voter = false;
+  New.Promote = Change.Kind == member_change::kind::AddVoter;
+  Members.push_back(std::move(New));
+  return Members;
+}
+
+} // namespace
+
+void control_service::state::found() {
+  if (!Founder || Consensus.isInitialised())
+    return;
+  control_member Self;
+  Self.Store = Consensus.store();
+  Self.Vm = Context.Self.Vm;
+  Self.Address = Context.Self.Internal;
+  event("control.founded").with("store", Self.Store.Value);
+  Consensus.initialise({Self});
+}
+
+void control_service::state::noteControlStore(const wire::renewal &Renewal) {
+  if (Renewal.control_store == 0)
+    return;
+  control_member Member;
+  Member.Store = store_id(static_cast<std::uint64_t>(Renewal.control_store));
+  Member.Vm = vm_id(Renewal.vm);
+  Member.Address = parseEndpoint(Renewal.address);
+  ControlStores[Member.Store] = {Member, now()};
+}
+
+void control_service::state::keepMembers() {
+  if (Voters == 0 || now() - MembersCheckedAt < MembersPeriod)
+    return;
+  MembersCheckedAt = now();
+  member_upkeep Upkeep;
+  Upkeep.Members = Consensus.members();
+  Upkeep.WantedVoters = Voters;
+  Upkeep.LeadingSince = Leader.LeadingSince;
+  for (const auto &[Store, Heard] : ControlStores)
+    Upkeep.Heard[Store] = {Heard.Member, Heard.At};
+  // The leader need not tell itself that it is there.
+  Upkeep.Heard[Consensus.store()].HeardAt = now();
+  auto Change = decideMembers(Upkeep, now());
+  if (!Change)
+    return;
+  try {
+    if (Change->Kind == member_change::kind::Replace) {
+      auto Progress = Consensus.replaceMember(Change->Old, Change->New);
+      event("control.member_replaced")
+          .with("old", Change->Old.Value)
+          .with("new", Change->New.Store.Value)
+          .with("step", Progress.Text);
+      return;
+    }
+    event("control.member_changed")
+        .with("store", Change->Kind == member_change::kind::Remove
+                           ? Change->Old.Value
+                           : Change->New.Store.Value)
+        .with("voter", Change->Kind == member_change::kind::AddVoter);
+    Consensus.changeMembers(changed(Upkeep.Members, *Change),
+                            [](proposal_outcome, revision) {});
+  } catch (const error &Problem) {
+    // The change before is not committed yet, or no quorum is heard.
+    event("control.member_change_refused", severity::Debug)
+        .with("reason", Problem.reason());
+  }
+}
+
+} // namespace teasellock
--- a/modules/control/control_messages.thrift
+++ b/modules/control/control_messages.thrift
@@ -55,7 +55,7 @@
   1: string name;
   2: string database;
   3: string group;
-  4: consistency consistency;
+  4: consistency reads;
   5: i64 max_staleness_ms;
   6: i64 statement_ms;
   7: i64 target_ms;
@@ -176,7 +176,7 @@
   /// Drain: all groups of this VM have been handed to others.
   8: bool released;
   /// Set when the VM has an older version.
-  9: optional deployment deployment;
+  9: optional deployment newer_deployment;
   /// Internal addresses of the control VMs.
   10: list<string> control;
 }
--- a/modules/control/control_operators.cpp
+++ b/modules/control/control_operators.cpp
@@ -58,7 +58,8 @@
                                     const std::string &Body,
                                     const operator_answer &Answer) {
   auto Parts = splitPath(Path);
-  if (Parts.size() < 2 || Parts[0] != "v1") {
+  bool Known = !Parts.empty() && (Parts[0] == "v1" || Parts[0] == "internal");
+  if (Parts.size() < 2 || !Known) {
     Answer(404, errorResult(404, "no such path").Body);
     return;
   }
@@ -68,6 +69,8 @@
     notLeader(Answer);
     return;
   }
+  if (handleInternal(Method, Parts, Body, Answer))
+    return;
   if (Method == "GET" && handleRead(Parts, Answer))
     return;
   if (Method == "PUT" && Parts.size() == 2 && Parts[1] == "table") {
--- a/modules/control/control_service.cpp
+++ b/modules/control/control_service.cpp
@@ -4,6 +4,7 @@
 #include "modules/control/assignment.h"
 #include "modules/control/leases.h"
 #include "modules/control/operator_json.h"
+#include "modules/control/pause_promotion.h"
 #include "modules/control/promotion.h"
 #include "modules/control/promotion_orders.h"
 #include "modules/control/renewal_reply.h"
@@ -25,6 +26,7 @@
   Result.LeaseMargin = Settings.LeaseMargin;
   Result.OrderTimeout = Settings.OrderTimeout;
   Result.VmTimeout = Settings.VmTimeout;
+  Result.Method = Settings.Method;
   return Result;
 }
 
@@ -34,6 +36,8 @@
                               control_settings Settings,
                               consensus_settings ConsensusSettings)
     : Context(Context), Hub(Hub), Settings(decisionSettings(Settings)),
+      OrderPromotion(Settings.OrderPromotion), Voters(Settings.Voters),
+      Founder(Settings.Founder),
       ConfirmationLife(ConsensusSettings.ElectionTimeout / 2),
       Promotions(
           Context.Metrics.counterOf("teasellock_control_promotions_total")),
@@ -84,6 +88,7 @@
   Registering.clear();
   Announcing.clear();
   Fences.clear();
+  ControlStores.clear();
   Agenda = decision_agenda();
   event("control.leadership").with("leading", IsLeading);
   if (IsLeading)
@@ -141,6 +146,7 @@
   }
   if (Record)
     updateRecord(Renewal);
+  noteControlStore(Renewal);
   takeAnnouncements(Renewal);
   grantRenewal(Link, Message, Renewal);
   for (const auto &Report : Renewal.groups)
@@ -191,6 +197,11 @@
   Reply.sent_at_us = Renewal.sent_at_us;
   // A lease never comes without the views it is to be used with.
   Reply.lease_ms = Reply.more ? 0 : toMilliseconds(Settings.LeaseTime);
+  auto Version = static_cast<std::uint64_t>(Renewal.deployment_version);
+  if (Replicated.Deployment.Deployment.Version.Value > Version)
+    Reply.__set_newer_deployment(toWire(Replicated.Deployment.Deployment));
+  for (const auto &Member : Consensus.members())
+    Reply.control.push_back(toString(Member.Address));
   Reply.released =
       Renewal.draining && isReleased(Replicated, vm_id(Renewal.vm));
   Hub.send(Link, {message_kind(RenewalReplyKind), Message.Request,
@@ -246,8 +257,11 @@
   auto Group = Replicated.Groups.find(Sent.mapped().Group);
   if (Group == Replicated.Groups.end())
     return;
-  takeFenceReply(Group->second, Leader, Sent.mapped().Run, Reply,
-                 Sent.mapped().AskedAt);
+  if (Settings.Method == promotion_method::Pause)
+    takePauseReply(Group->second, Leader, Reply, now());
+  else
+    takeFenceReply(Group->second, Leader, Sent.mapped().Run, Reply,
+                   Sent.mapped().AskedAt);
   event("control.fence_answered")
       .with("group", Reply.group)
       .with("term", Reply.term)
@@ -284,6 +298,7 @@
   Receive(OperatorRequestKind, &state::onOperatorRequest);
   Tick = Context.Timers.every(TickPeriod, [this] { tick(); });
   Consensus.start();
+  found();
 }
 
 control_service::control_service(daemon_context &Context, link_hub &Hub,
@@ -305,4 +320,6 @@
 
 bool control_service::isLeader() const { return State->Leading; }
 
+store_id control_service::store() const { return State->Consensus.store(); }
+
 } // namespace teasellock
--- a/modules/control/control_service.h
+++ b/modules/control/control_service.h
@@ -4,7 +4,7 @@
 #pragma once
 
 #include "modules/consensus/consensus_service.h"
-#include "modules/control/group_view.h"
+#include "modules/control/leader_state.h"
 
 #include <functional>
 #include <memory>
@@ -22,6 +22,16 @@
   duration OrderTimeout = fromMilliseconds(300);
   /// A VM unheard for so long loses its gateway assignments.
   duration VmTimeout = fromMilliseconds(3000);
+  promotion_method Method = promotion_method::Fence;
+  /// With promotion_method::Pause: tells the platform to promote.
+  std::function<void(const promotion_order &,
+                     std::function<void(promotion_answer)>)>
+      OrderPromotion;
+  /// Control stores that vote once all have joined by themselves. 0: operators
+  /// found and change the group.
+  std::size_t Voters = 0;
+  /// This process founds the control group if its store is empty.
+  bool Founder = false;
 };
 
 /// Answers an operator's or the platform's HTTP request: status and JSON body.
@@ -45,6 +55,9 @@
 
   bool isLeader() const;
 
+  /// Identity of this VM's control store.
+  store_id store() const;
+
 private:
   struct state;
   std::unique_ptr<state> State;
--- a/modules/control/control_service_state.h
+++ b/modules/control/control_service_state.h
@@ -21,9 +21,22 @@
     time_point AskedAt;
   };
 
+  /// A control store that a VM has told of.
+  struct heard_store {
+    control_member Member;
+    time_point At;
+  };
+
   daemon_context &Context;
   link_hub &Hub;
   decision_settings Settings;
+  std::function<void(const promotion_order &,
+                     std::function<void(promotion_answer)>)>
+      OrderPromotion;
+  std::size_t Voters;
+  bool Founder;
+  std::map<store_id, heard_store> ControlStores;
+  time_point MembersCheckedAt;
   control_state Replicated;
   leader_state Leader;
   /// How long after a quorum followed this leader none other can be elected.
@@ -73,6 +86,23 @@
   void takeAnnouncements(const wire::renewal &Renewal);
   void updateRecord(const wire::renewal &Renewal);
 
+  // control_members.cpp: who belongs to the control group.
+  void found();
+  void noteControlStore(const wire::renewal &Renewal);
+  void keepMembers();
+
+  // control_deployment.cpp: deployments and upstreams, as they are submitted.
+  bool handleInternal(const std::string &Method,
+                      const std::vector<std::string> &Parts,
+                      const std::string &Body, const operator_answer &Answer);
+  void putDeployment(const std::string &Body, const operator_answer &Answer);
+  void readDeployment(const operator_answer &Answer);
+  /// Fills in what control knows of an upstream that leaves. False: nothing.
+  bool completeDeparture(wire::announcement &Announcement) const;
+  /// Whether an announcement brings nothing new; notes that it was heard.
+  bool isKnown(upstream_announcement Announcement);
+  void takeAnnouncement(const std::string &Body, const operator_answer &Answer);
+
   void onFenceReply(link_id Link, link_message &&Message);
   void onPromoteReply(link_id Link, link_message &&Message);
   void onOperatorRequest(link_id Link, link_message &&Message);
@@ -91,7 +121,9 @@
   bool sendTo(const gateway_run &Run, message_kind Kind, request_id Request,
               std::string Body);
   void sendFences(const group_state &Group,
-                  const std::vector<gateway_run> &Runs);
+                  const std::vector<gateway_run> &Runs, term PauseTerm);
+  void sendResume(const group_state &Group);
+  void callPlatform(const group_state &Group, const promotion_order &Order);
   void sendOrder(const group_state &Group, const gateway_run &Run);
   void nudge(const vm_id &Vm);
   void nudgeSoon();
--- a/modules/control/control_state.cpp
+++ b/modules/control/control_state.cpp
@@ -79,16 +79,57 @@
   State.Vms[Vm.Vm] = Vm;
 }
 
+/// What a departed replica had confirmed may be nowhere else: no promotion
+/// until another replica is known to hold it.
+void noteDeparture(group_state &Group, const upstream_announcement &Departed,
+                   revision Index) {
+  Group.Departed.push_back({Departed.Upstream, Departed.Incarnation});
+  if (Group.Departed.size() > RememberedDepartures)
+    Group.Departed.pop_front();
+  if (Group.Primary == Departed.Upstream)
+    return;
+  Group.Dirty = true;
+  Group.DirtySince = Index;
+}
+
 void applyAnnouncement(control_state &State, revision Index,
                        const upstream_announcement &Announcement) {
   auto &Group = groupOf(State, Announcement.Group);
-  auto &Known = Group.Upstreams[Announcement.Upstream];
-  if (Known == Announcement)
+  if (isOutdated(Group, Announcement))
+    return;
+  auto Known = Group.Upstreams.find(Announcement.Upstream);
+  bool WasKnown = Known != Group.Upstreams.end();
+  if (WasKnown &&
+      (Announcement.Gone ||
+       Known->second.Incarnation != Announcement.Incarnation))
+    noteDeparture(Group, Known->second, Index);
+  if (Announcement.Gone) {
+    Group.Upstreams.erase(Announcement.Upstream);
+    if (WasKnown)
+      Group.Revision = Index;
     return;
-  Known = Announcement;
+  }
+  auto &Record = Group.Upstreams[Announcement.Upstream];
+  if (Record == Announcement)
+    return;
+  bool Restarted = Record.Incarnation != Announcement.Incarnation;
+  bool Leaving = Record.Leaving && !Restarted &&
+                 Announcement.Incarnation != incarnation();
+  Record = Announcement;
+  // An incarnation that leaves never comes back from it.
+  Record.Leaving = Record.Leaving || Leaving;
   Group.Revision = Index;
 }
 
+void applyDeployment(control_state &State, revision Index,
+                     const wire::deployment_change &Change) {
+  auto Next = fromWire(Change.content);
+  if (Next.Version <= State.Deployment.Deployment.Version)
+    return;
+  applyRows(State, Change.rows, Index);
+  State.Deployment = {std::move(Next), Change.document, Index};
+}
+
 void resolveRevision(revision &Value, revision Index) {
   if (Value.Value == ThisRevision)
     Value = Index;
@@ -109,6 +150,7 @@
 
 group_index indexGroups(const control_state &State) {
   group_index Index;
+  Index.LatestChange = State.Deployment.Revision;
   for (const auto &[Name, Group] : State.Groups) {
     Index.LatestChange = std::max(Index.LatestChange, Group.Revision);
     if (Group.Dirty)
@@ -128,6 +170,8 @@
     applyAnnouncement(State, Index, fromWire(Command.announcement));
   if (Command.__isset.group)
     applyGroup(State, Index, fromWire(Command.group));
+  if (Command.__isset.change)
+    applyDeployment(State, Index, Command.change);
   State.Index = indexGroups(State);
 }
 
@@ -156,6 +200,34 @@
   return Result;
 }
 
+wire::control_command
+makeDeploymentCommand(const deployment_proposal &Proposal) {
+  wire::deployment_change Change;
+  Change.content = toWire(Proposal.Deployment);
+  for (const auto &Row : rowsOf(Proposal))
+    Change.rows.push_back(toWire(Row));
+  Change.document = Proposal.Document;
+  wire::control_command Result;
+  Result.__set_change(std::move(Change));
+  return Result;
+}
+
+bool isOutdated(const group_state &Group,
+                const upstream_announcement &Announcement) {
+  // Upstreams that tell no incarnation can't be told apart.
+  if (Announcement.Incarnation == incarnation())
+    return false;
+  auto Known = Group.Upstreams.find(Announcement.Upstream);
+  if (Known != Group.Upstreams.end() &&
+      Known->second.Incarnation > Announcement.Incarnation)
+    return true;
+  return std::any_of(Group.Departed.begin(), Group.Departed.end(),
+                     [&](const departed_upstream &Departed) {
+                       return Departed.Upstream == Announcement.Upstream &&
+                              Departed.Incarnation >= Announcement.Incarnation;
+                     });
+}
+
 wire::control_command makeGroupCommand(const group_state &Next) {
   wire::control_command Result;
   Result.__set_group(toWire(Next));
--- a/modules/control/control_state.h
+++ b/modules/control/control_state.h
@@ -4,6 +4,7 @@
 
 #include "modules/control/gen/control_commands_types.h"
 #include "modules/control/group_view.h"
+#include "modules/deployment/deployment.h"
 
 #include <deque>
 #include <map>
@@ -22,6 +23,8 @@
   region_id Region;
   /// It takes no new assignments and loses those it has.
   bool Draining = false;
+  /// Groups may be assigned to it.
+  bool Gateway = true;
 
   bool operator==(const vm_record &) const = default;
 };
@@ -69,10 +72,25 @@
   /// Set while ordering.
   std::optional<upstream_id> Chosen;
   position ChosenPosition;
+  /// Counts the orders written for this promotion. Each is a log entry of its
+  /// own, whose index is the order's fencing token.
+  std::uint32_t Attempt = 0;
 
   bool operator==(const promotion_state &) const = default;
 };
 
+/// An upstream incarnation that left for good.
+struct departed_upstream {
+  upstream_id Upstream;
+  incarnation Incarnation;
+
+  bool operator==(const departed_upstream &) const = default;
+};
+
+/// Departed incarnations remembered for each group, so that a late
+/// announcement does not bring one back.
+constexpr std::size_t RememberedDepartures = 32;
+
 /// Everything that is agreed on one group.
 struct group_state {
   group_id Group;
@@ -96,6 +114,7 @@
   std::optional<promotion_state> Promotion;
   /// The table has no row for it.
   bool Removed = true;
+  std::deque<departed_upstream> Departed;
 
   bool operator==(const group_state &) const = default;
 };
@@ -124,6 +143,17 @@
   bool operator==(const group_index &) const = default;
 };
 
+/// The deployment in force and the text it was read from.
+struct deployment_record {
+  deployment Deployment;
+  /// As it was submitted; shown to operators.
+  std::string Document;
+  /// Index of the entry that set it.
+  revision Revision;
+
+  bool operator==(const deployment_record &) const = default;
+};
+
 /// What the replicated log builds up.
 struct control_state {
   revision Applied;
@@ -133,6 +163,7 @@
   std::map<vm_id, vm_record> Vms;
   std::map<group_id, group_state> Groups;
   std::deque<edit_answer> Edits;
+  deployment_record Deployment;
 
   bool operator==(const control_state &) const = default;
 };
@@ -150,9 +181,17 @@
 wire::control_command makeVmCommand(const vm_record &Vm);
 wire::control_command
 makeAnnouncementCommand(const upstream_announcement &Announcement);
+/// Puts a deployment in force unless one of its version or a higher is.
+wire::control_command
+makeDeploymentCommand(const deployment_proposal &Proposal);
 /// Replaces a group's state if its revision is still that of Next.
 wire::control_command makeGroupCommand(const group_state &Next);
 
+/// Whether an announcement is of a run of the upstream that has been replaced
+/// by a later one or has left.
+bool isOutdated(const group_state &Group,
+                const upstream_announcement &Announcement);
+
 /// The group as VMs see it.
 group_view viewOf(const group_state &Group);
 
--- a/modules/control/gen/control_commands_types.cpp
+++ b/modules/control/gen/control_commands_types.cpp
@@ -1729,8 +1729,8 @@
 }
 
 
-void deployment_change::__set_deployment(const  ::teasellock::wire::deployment& val) {
-  this->deployment = val;
+void deployment_change::__set_content(const  ::teasellock::wire::deployment& val) {
+  this->content = val;
 }
 
 void deployment_change::__set_rows(const std::vector< ::teasellock::wire::table_row> & val) {
@@ -1770,8 +1770,8 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->deployment.read(iprot);
-          this->__isset.deployment = true;
+          xfer += this->content.read(iprot);
+          this->__isset.content = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1821,8 +1821,8 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("deployment_change");
 
-  xfer += oprot->writeFieldBegin("deployment", ::apache::thrift::protocol::T_STRUCT, 1);
-  xfer += this->deployment.write(oprot);
+  xfer += oprot->writeFieldBegin("content", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->content.write(oprot);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 2);
@@ -1848,33 +1848,33 @@
 
 void swap(deployment_change &a, deployment_change &b) {
   using ::std::swap;
-  swap(a.deployment, b.deployment);
+  swap(a.content, b.content);
   swap(a.rows, b.rows);
   swap(a.document, b.document);
   swap(a.__isset, b.__isset);
 }
 
 deployment_change::deployment_change(const deployment_change& other64) {
-  deployment = other64.deployment;
+  content = other64.content;
   rows = other64.rows;
   document = other64.document;
   __isset = other64.__isset;
 }
 deployment_change::deployment_change(deployment_change&& other65) noexcept {
-  deployment = std::move(other65.deployment);
+  content = std::move(other65.content);
   rows = std::move(other65.rows);
   document = std::move(other65.document);
   __isset = other65.__isset;
 }
 deployment_change& deployment_change::operator=(const deployment_change& other66) {
-  deployment = other66.deployment;
+  content = other66.content;
   rows = other66.rows;
   document = other66.document;
   __isset = other66.__isset;
   return *this;
 }
 deployment_change& deployment_change::operator=(deployment_change&& other67) noexcept {
-  deployment = std::move(other67.deployment);
+  content = std::move(other67.content);
   rows = std::move(other67.rows);
   document = std::move(other67.document);
   __isset = other67.__isset;
@@ -1883,7 +1883,7 @@
 void deployment_change::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "deployment_change(";
-  out << "deployment=" << to_string(deployment);
+  out << "content=" << to_string(content);
   out << ", " << "rows=" << to_string(rows);
   out << ", " << "document=" << to_string(document);
   out << ")";
@@ -1914,9 +1914,9 @@
 __isset.group = true;
 }
 
-void control_command::__set_deployment(const deployment_change& val) {
-  this->deployment = val;
-__isset.deployment = true;
+void control_command::__set_change(const deployment_change& val) {
+  this->change = val;
+__isset.change = true;
 }
 std::ostream& operator<<(std::ostream& out, const control_command& obj)
 {
@@ -1980,8 +1980,8 @@
         break;
       case 5:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->deployment.read(iprot);
-          this->__isset.deployment = true;
+          xfer += this->change.read(iprot);
+          this->__isset.change = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2023,9 +2023,9 @@
     xfer += this->group.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.deployment) {
-    xfer += oprot->writeFieldBegin("deployment", ::apache::thrift::protocol::T_STRUCT, 5);
-    xfer += this->deployment.write(oprot);
+  if (this->__isset.change) {
+    xfer += oprot->writeFieldBegin("change", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->change.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
@@ -2039,7 +2039,7 @@
   swap(a.vm, b.vm);
   swap(a.announcement, b.announcement);
   swap(a.group, b.group);
-  swap(a.deployment, b.deployment);
+  swap(a.change, b.change);
   swap(a.__isset, b.__isset);
 }
 
@@ -2048,7 +2048,7 @@
   vm = other68.vm;
   announcement = other68.announcement;
   group = other68.group;
-  deployment = other68.deployment;
+  change = other68.change;
   __isset = other68.__isset;
 }
 control_command::control_command(control_command&& other69) noexcept {
@@ -2056,7 +2056,7 @@
   vm = std::move(other69.vm);
   announcement = std::move(other69.announcement);
   group = std::move(other69.group);
-  deployment = std::move(other69.deployment);
+  change = std::move(other69.change);
   __isset = other69.__isset;
 }
 control_command& control_command::operator=(const control_command& other70) {
@@ -2064,7 +2064,7 @@
   vm = other70.vm;
   announcement = other70.announcement;
   group = other70.group;
-  deployment = other70.deployment;
+  change = other70.change;
   __isset = other70.__isset;
   return *this;
 }
@@ -2073,7 +2073,7 @@
   vm = std::move(other71.vm);
   announcement = std::move(other71.announcement);
   group = std::move(other71.group);
-  deployment = std::move(other71.deployment);
+  change = std::move(other71.change);
   __isset = other71.__isset;
   return *this;
 }
@@ -2084,7 +2084,7 @@
   out << ", " << "vm="; (__isset.vm ? (out << to_string(vm)) : (out << "<null>"));
   out << ", " << "announcement="; (__isset.announcement ? (out << to_string(announcement)) : (out << "<null>"));
   out << ", " << "group="; (__isset.group ? (out << to_string(group)) : (out << "<null>"));
-  out << ", " << "deployment="; (__isset.deployment ? (out << to_string(deployment)) : (out << "<null>"));
+  out << ", " << "change="; (__isset.change ? (out << to_string(change)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2117,9 +2117,9 @@
   this->edits = val;
 }
 
-void control_snapshot::__set_deployment(const deployment_change& val) {
-  this->deployment = val;
-__isset.deployment = true;
+void control_snapshot::__set_in_force(const deployment_change& val) {
+  this->in_force = val;
+__isset.in_force = true;
 }
 
 void control_snapshot::__set_deployment_revision(const int64_t val) {
@@ -2239,8 +2239,8 @@
         break;
       case 7:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->deployment.read(iprot);
-          this->__isset.deployment = true;
+          xfer += this->in_force.read(iprot);
+          this->__isset.in_force = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2318,9 +2318,9 @@
   }
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.deployment) {
-    xfer += oprot->writeFieldBegin("deployment", ::apache::thrift::protocol::T_STRUCT, 7);
-    xfer += this->deployment.write(oprot);
+  if (this->__isset.in_force) {
+    xfer += oprot->writeFieldBegin("in_force", ::apache::thrift::protocol::T_STRUCT, 7);
+    xfer += this->in_force.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldBegin("deployment_revision", ::apache::thrift::protocol::T_I64, 8);
@@ -2340,7 +2340,7 @@
   swap(a.vms, b.vms);
   swap(a.groups, b.groups);
   swap(a.edits, b.edits);
-  swap(a.deployment, b.deployment);
+  swap(a.in_force, b.in_force);
   swap(a.deployment_revision, b.deployment_revision);
   swap(a.__isset, b.__isset);
 }
@@ -2352,7 +2352,7 @@
   vms = other90.vms;
   groups = other90.groups;
   edits = other90.edits;
-  deployment = other90.deployment;
+  in_force = other90.in_force;
   deployment_revision = other90.deployment_revision;
   __isset = other90.__isset;
 }
@@ -2363,7 +2363,7 @@
   vms = std::move(other91.vms);
   groups = std::move(other91.groups);
   edits = std::move(other91.edits);
-  deployment = std::move(other91.deployment);
+  in_force = std::move(other91.in_force);
   deployment_revision = other91.deployment_revision;
   __isset = other91.__isset;
 }
@@ -2374,7 +2374,7 @@
   vms = other92.vms;
   groups = other92.groups;
   edits = other92.edits;
-  deployment = other92.deployment;
+  in_force = other92.in_force;
   deployment_revision = other92.deployment_revision;
   __isset = other92.__isset;
   return *this;
@@ -2386,7 +2386,7 @@
   vms = std::move(other93.vms);
   groups = std::move(other93.groups);
   edits = std::move(other93.edits);
-  deployment = std::move(other93.deployment);
+  in_force = std::move(other93.in_force);
   deployment_revision = other93.deployment_revision;
   __isset = other93.__isset;
   return *this;
@@ -2400,7 +2400,7 @@
   out << ", " << "vms=" << to_string(vms);
   out << ", " << "groups=" << to_string(groups);
   out << ", " << "edits=" << to_string(edits);
-  out << ", " << "deployment="; (__isset.deployment ? (out << to_string(deployment)) : (out << "<null>"));
+  out << ", " << "in_force="; (__isset.in_force ? (out << to_string(in_force)) : (out << "<null>"));
   out << ", " << "deployment_revision=" << to_string(deployment_revision);
   out << ")";
 }
--- a/modules/control/gen/control_commands_types.h
+++ b/modules/control/gen/control_commands_types.h
@@ -638,8 +638,8 @@
 std::ostream& operator<<(std::ostream& out, const edit_record& obj);
 
 typedef struct _deployment_change__isset {
-  _deployment_change__isset() : deployment(false), rows(false), document(false) {}
-  bool deployment :1;
+  _deployment_change__isset() : content(false), rows(false), document(false) {}
+  bool content :1;
   bool rows :1;
   bool document :1;
 } _deployment_change__isset;
@@ -656,13 +656,13 @@
   }
 
   virtual ~deployment_change() noexcept;
-   ::teasellock::wire::deployment deployment;
+   ::teasellock::wire::deployment content;
   std::vector< ::teasellock::wire::table_row>  rows;
   std::string document;
 
   _deployment_change__isset __isset;
 
-  void __set_deployment(const  ::teasellock::wire::deployment& val);
+  void __set_content(const  ::teasellock::wire::deployment& val);
 
   void __set_rows(const std::vector< ::teasellock::wire::table_row> & val);
 
@@ -670,7 +670,7 @@
 
   bool operator == (const deployment_change & rhs) const
   {
-    if (!(deployment == rhs.deployment))
+    if (!(content == rhs.content))
       return false;
     if (!(rows == rhs.rows))
       return false;
@@ -695,12 +695,12 @@
 std::ostream& operator<<(std::ostream& out, const deployment_change& obj);
 
 typedef struct _control_command__isset {
-  _control_command__isset() : edit(false), vm(false), announcement(false), group(false), deployment(false) {}
+  _control_command__isset() : edit(false), vm(false), announcement(false), group(false), change(false) {}
   bool edit :1;
   bool vm :1;
   bool announcement :1;
   bool group :1;
-  bool deployment :1;
+  bool change :1;
 } _control_command__isset;
 
 class control_command : public virtual ::apache::thrift::TBase {
@@ -718,7 +718,7 @@
   vm_record vm;
    ::teasellock::wire::announcement announcement;
   group_record group;
-  deployment_change deployment;
+  deployment_change change;
 
   _control_command__isset __isset;
 
@@ -730,7 +730,7 @@
 
   void __set_group(const group_record& val);
 
-  void __set_deployment(const deployment_change& val);
+  void __set_change(const deployment_change& val);
 
   bool operator == (const control_command & rhs) const
   {
@@ -750,9 +750,9 @@
       return false;
     else if (__isset.group && !(group == rhs.group))
       return false;
-    if (__isset.deployment != rhs.__isset.deployment)
+    if (__isset.change != rhs.__isset.change)
       return false;
-    else if (__isset.deployment && !(deployment == rhs.deployment))
+    else if (__isset.change && !(change == rhs.change))
       return false;
     return true;
   }
@@ -773,14 +773,14 @@
 std::ostream& operator<<(std::ostream& out, const control_command& obj);
 
 typedef struct _control_snapshot__isset {
-  _control_snapshot__isset() : applied(false), table_version(false), last_edit(false), vms(false), groups(false), edits(false), deployment(false), deployment_revision(false) {}
+  _control_snapshot__isset() : applied(false), table_version(false), last_edit(false), vms(false), groups(false), edits(false), in_force(false), deployment_revision(false) {}
   bool applied :1;
   bool table_version :1;
   bool last_edit :1;
   bool vms :1;
   bool groups :1;
   bool edits :1;
-  bool deployment :1;
+  bool in_force :1;
   bool deployment_revision :1;
 } _control_snapshot__isset;
 
@@ -805,7 +805,7 @@
   std::vector<vm_record>  vms;
   std::vector<group_record>  groups;
   std::vector<edit_record>  edits;
-  deployment_change deployment;
+  deployment_change in_force;
   int64_t deployment_revision;
 
   _control_snapshot__isset __isset;
@@ -822,7 +822,7 @@
 
   void __set_edits(const std::vector<edit_record> & val);
 
-  void __set_deployment(const deployment_change& val);
+  void __set_in_force(const deployment_change& val);
 
   void __set_deployment_revision(const int64_t val);
 
@@ -840,9 +840,9 @@
       return false;
     if (!(edits == rhs.edits))
       return false;
-    if (__isset.deployment != rhs.__isset.deployment)
+    if (__isset.in_force != rhs.__isset.in_force)
       return false;
-    else if (__isset.deployment && !(deployment == rhs.deployment))
+    else if (__isset.in_force && !(in_force == rhs.in_force))
       return false;
     if (!(deployment_revision == rhs.deployment_revision))
       return false;
--- a/modules/control/gen/control_messages_types.cpp
+++ b/modules/control/gen/control_messages_types.cpp
@@ -918,8 +918,8 @@
   this->group = val;
 }
 
-void route::__set_consistency(const consistency::type val) {
-  this->consistency = val;
+void route::__set_reads(const consistency::type val) {
+  this->reads = val;
 }
 
 void route::__set_max_staleness_ms(const int64_t val) {
@@ -993,8 +993,8 @@
         if (ftype == ::apache::thrift::protocol::T_I32) {
           int32_t ecast28;
           xfer += iprot->readI32(ecast28);
-          this->consistency = static_cast<consistency::type>(ecast28);
-          this->__isset.consistency = true;
+          this->reads = static_cast<consistency::type>(ecast28);
+          this->__isset.reads = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1060,8 +1060,8 @@
   xfer += oprot->writeString(this->group);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("consistency", ::apache::thrift::protocol::T_I32, 4);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->consistency));
+  xfer += oprot->writeFieldBegin("reads", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->reads));
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("max_staleness_ms", ::apache::thrift::protocol::T_I64, 5);
@@ -1090,7 +1090,7 @@
   swap(a.name, b.name);
   swap(a.database, b.database);
   swap(a.group, b.group);
-  swap(a.consistency, b.consistency);
+  swap(a.reads, b.reads);
   swap(a.max_staleness_ms, b.max_staleness_ms);
   swap(a.statement_ms, b.statement_ms);
   swap(a.target_ms, b.target_ms);
@@ -1102,7 +1102,7 @@
   name = other29.name;
   database = other29.database;
   group = other29.group;
-  consistency = other29.consistency;
+  reads = other29.reads;
   max_staleness_ms = other29.max_staleness_ms;
   statement_ms = other29.statement_ms;
   target_ms = other29.target_ms;
@@ -1113,7 +1113,7 @@
   name = std::move(other30.name);
   database = std::move(other30.database);
   group = std::move(other30.group);
-  consistency = other30.consistency;
+  reads = other30.reads;
   max_staleness_ms = other30.max_staleness_ms;
   statement_ms = other30.statement_ms;
   target_ms = other30.target_ms;
@@ -1124,7 +1124,7 @@
   name = other31.name;
   database = other31.database;
   group = other31.group;
-  consistency = other31.consistency;
+  reads = other31.reads;
   max_staleness_ms = other31.max_staleness_ms;
   statement_ms = other31.statement_ms;
   target_ms = other31.target_ms;
@@ -1136,7 +1136,7 @@
   name = std::move(other32.name);
   database = std::move(other32.database);
   group = std::move(other32.group);
-  consistency = other32.consistency;
+  reads = other32.reads;
   max_staleness_ms = other32.max_staleness_ms;
   statement_ms = other32.statement_ms;
   target_ms = other32.target_ms;
@@ -1150,7 +1150,7 @@
   out << "name=" << to_string(name);
   out << ", " << "database=" << to_string(database);
   out << ", " << "group=" << to_string(group);
-  out << ", " << "consistency=" << to_string(consistency);
+  out << ", " << "reads=" << to_string(reads);
   out << ", " << "max_staleness_ms=" << to_string(max_staleness_ms);
   out << ", " << "statement_ms=" << to_string(statement_ms);
   out << ", " << "target_ms=" << to_string(target_ms);
@@ -2911,9 +2911,9 @@
   this->released = val;
 }
 
-void renewal_reply::__set_deployment(const deployment& val) {
-  this->deployment = val;
-__isset.deployment = true;
+void renewal_reply::__set_newer_deployment(const deployment& val) {
+  this->newer_deployment = val;
+__isset.newer_deployment = true;
 }
 
 void renewal_reply::__set_control(const std::vector<std::string> & val) {
@@ -3025,8 +3025,8 @@
         break;
       case 9:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->deployment.read(iprot);
-          this->__isset.deployment = true;
+          xfer += this->newer_deployment.read(iprot);
+          this->__isset.newer_deployment = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3108,9 +3108,9 @@
   xfer += oprot->writeBool(this->released);
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.deployment) {
-    xfer += oprot->writeFieldBegin("deployment", ::apache::thrift::protocol::T_STRUCT, 9);
-    xfer += this->deployment.write(oprot);
+  if (this->__isset.newer_deployment) {
+    xfer += oprot->writeFieldBegin("newer_deployment", ::apache::thrift::protocol::T_STRUCT, 9);
+    xfer += this->newer_deployment.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldBegin("control", ::apache::thrift::protocol::T_LIST, 10);
@@ -3140,7 +3140,7 @@
   swap(a.revision, b.revision);
   swap(a.more, b.more);
   swap(a.released, b.released);
-  swap(a.deployment, b.deployment);
+  swap(a.newer_deployment, b.newer_deployment);
   swap(a.control, b.control);
   swap(a.__isset, b.__isset);
 }
@@ -3154,7 +3154,7 @@
   revision = other105.revision;
   more = other105.more;
   released = other105.released;
-  deployment = other105.deployment;
+  newer_deployment = other105.newer_deployment;
   control = other105.control;
   __isset = other105.__isset;
 }
@@ -3167,7 +3167,7 @@
   revision = other106.revision;
   more = other106.more;
   released = other106.released;
-  deployment = std::move(other106.deployment);
+  newer_deployment = std::move(other106.newer_deployment);
   control = std::move(other106.control);
   __isset = other106.__isset;
 }
@@ -3180,7 +3180,7 @@
   revision = other107.revision;
   more = other107.more;
   released = other107.released;
-  deployment = other107.deployment;
+  newer_deployment = other107.newer_deployment;
   control = other107.control;
   __isset = other107.__isset;
   return *this;
@@ -3194,7 +3194,7 @@
   revision = other108.revision;
   more = other108.more;
   released = other108.released;
-  deployment = std::move(other108.deployment);
+  newer_deployment = std::move(other108.newer_deployment);
   control = std::move(other108.control);
   __isset = other108.__isset;
   return *this;
@@ -3210,7 +3210,7 @@
   out << ", " << "revision=" << to_string(revision);
   out << ", " << "more=" << to_string(more);
   out << ", " << "released=" << to_string(released);
-  out << ", " << "deployment="; (__isset.deployment ? (out << to_string(deployment)) : (out << "<null>"));
+  out << ", " << "newer_deployment="; (__isset.newer_deployment ? (out << to_string(newer_deployment)) : (out << "<null>"));
   out << ", " << "control=" << to_string(control);
   out << ")";
 }
--- a/modules/control/gen/control_messages_types.h
+++ b/modules/control/gen/control_messages_types.h
@@ -368,11 +368,11 @@
 std::ostream& operator<<(std::ostream& out, const announcement& obj);
 
 typedef struct _route__isset {
-  _route__isset() : name(false), database(false), group(false), consistency(false), max_staleness_ms(false), statement_ms(false), target_ms(false), priority(false) {}
+  _route__isset() : name(false), database(false), group(false), reads(false), max_staleness_ms(false), statement_ms(false), target_ms(false), priority(false) {}
   bool name :1;
   bool database :1;
   bool group :1;
-  bool consistency :1;
+  bool reads :1;
   bool max_staleness_ms :1;
   bool statement_ms :1;
   bool target_ms :1;
@@ -390,7 +390,7 @@
         : name(),
           database(),
           group(),
-          consistency(static_cast<consistency::type>(0)),
+          reads(static_cast<consistency::type>(0)),
           max_staleness_ms(0),
           statement_ms(0),
           target_ms(0),
@@ -405,7 +405,7 @@
    * 
    * @see consistency
    */
-  consistency::type consistency;
+  consistency::type reads;
   int64_t max_staleness_ms;
   int64_t statement_ms;
   int64_t target_ms;
@@ -419,7 +419,7 @@
 
   void __set_group(const std::string& val);
 
-  void __set_consistency(const consistency::type val);
+  void __set_reads(const consistency::type val);
 
   void __set_max_staleness_ms(const int64_t val);
 
@@ -437,7 +437,7 @@
       return false;
     if (!(group == rhs.group))
       return false;
-    if (!(consistency == rhs.consistency))
+    if (!(reads == rhs.reads))
       return false;
     if (!(max_staleness_ms == rhs.max_staleness_ms))
       return false;
@@ -1040,7 +1040,7 @@
 std::ostream& operator<<(std::ostream& out, const renewal& obj);
 
 typedef struct _renewal_reply__isset {
-  _renewal_reply__isset() : granted(false), sent_at_us(false), lease_ms(false), leader_address(false), groups(false), revision(false), more(false), released(false), deployment(false), control(false) {}
+  _renewal_reply__isset() : granted(false), sent_at_us(false), lease_ms(false), leader_address(false), groups(false), revision(false), more(false), released(false), newer_deployment(false), control(false) {}
   bool granted :1;
   bool sent_at_us :1;
   bool lease_ms :1;
@@ -1049,7 +1049,7 @@
   bool revision :1;
   bool more :1;
   bool released :1;
-  bool deployment :1;
+  bool newer_deployment :1;
   bool control :1;
 } _renewal_reply__isset;
 
@@ -1079,7 +1079,7 @@
   int64_t revision;
   bool more;
   bool released;
-  deployment deployment;
+  deployment newer_deployment;
   std::vector<std::string>  control;
 
   _renewal_reply__isset __isset;
@@ -1100,7 +1100,7 @@
 
   void __set_released(const bool val);
 
-  void __set_deployment(const deployment& val);
+  void __set_newer_deployment(const deployment& val);
 
   void __set_control(const std::vector<std::string> & val);
 
@@ -1122,9 +1122,9 @@
       return false;
     if (!(released == rhs.released))
       return false;
-    if (__isset.deployment != rhs.__isset.deployment)
+    if (__isset.newer_deployment != rhs.__isset.newer_deployment)
       return false;
-    else if (__isset.deployment && !(deployment == rhs.deployment))
+    else if (__isset.newer_deployment && !(newer_deployment == rhs.newer_deployment))
       return false;
     if (!(control == rhs.control))
       return false;
--- a/modules/control/group_view.cpp
+++ b/modules/control/group_view.cpp
@@ -78,6 +78,9 @@
   Result.slots = static_cast<std::int32_t>(Announcement.Slots);
   Result.connections = static_cast<std::int32_t>(Announcement.Connections);
   Result.leaving = Announcement.Leaving;
+  Result.incarnation = toSigned(Announcement.Incarnation.Value);
+  Result.primary = Announcement.ClaimsPrimary;
+  Result.gone = Announcement.Gone;
   return Result;
 }
 
@@ -92,6 +95,9 @@
   Result.Slots = toCount(Announcement.slots);
   Result.Connections = toCount(Announcement.connections);
   Result.Leaving = Announcement.leaving;
+  Result.Incarnation = incarnation(toUnsigned(Announcement.incarnation));
+  Result.ClaimsPrimary = Announcement.primary;
+  Result.Gone = Announcement.gone;
   return Result;
 }
 
--- a/modules/control/group_view.h
+++ b/modules/control/group_view.h
@@ -23,6 +23,12 @@
   std::uint32_t Connections = 1;
   /// No new work may be sent to it.
   bool Leaving = false;
+  /// Which run of the upstream's process this is; zero when it is not told.
+  incarnation Incarnation;
+  /// It takes itself for the primary.
+  bool ClaimsPrimary = false;
+  /// It has left for good.
+  bool Gone = false;
 
   bool operator==(const upstream_announcement &) const = default;
 };
--- a/modules/control/leader_state.h
+++ b/modules/control/leader_state.h
@@ -28,6 +28,12 @@
   duration Unreachable{};
   bool Refused = false;
   std::string Problem;
+  /// A replica that receives nothing; Received was read after it was paused.
+  bool Paused = false;
+  /// Highest position in its log, applied or not.
+  position Received;
+  /// Age of the connection that this was heard on.
+  duration ConnectionAge{};
 };
 
 /// A VM's latest report on a group.
@@ -79,6 +85,53 @@
   std::string Waiting;
 };
 
+/// A replica's answer to the order to receive nothing more.
+struct pause_answer {
+  incarnation Incarnation;
+  position Received;
+  /// When the connection it came on was opened, at the latest.
+  time_point ConnectedBy;
+};
+
+/// How the platform answered an order to promote.
+enum class promotion_answer {
+  /// Accepted: the upstream will lead, or leads already.
+  Accepted,
+  /// It will not be carried out: a later order is known, or the upstream does
+  /// not run.
+  Refused,
+  /// It may or may not be carried out, now or later.
+  Unknown,
+};
+
+/// A promotion by pausing, as far as this leader has driven it.
+struct pause_orders {
+  time_point Since;
+  std::map<gateway_run, time_point> AskedAt;
+  std::map<upstream_id, pause_answer> Paused;
+  /// The attempt that this leader has decided on. Only that one is sent.
+  std::uint32_t OwnAttempt = 0;
+  std::uint32_t SentAttempt = 0;
+  time_point SentAt;
+  std::optional<promotion_answer> Answer;
+  /// Why nothing is promoted, for operators.
+  std::string Waiting;
+};
+
+/// When an upstream's announcement was last heard, and of which run.
+struct heard_announcement {
+  incarnation Incarnation;
+  time_point At;
+};
+
+/// An order to the platform to promote an upstream.
+struct promotion_order {
+  group_id Group;
+  upstream_id Upstream;
+  /// Higher than that of every order before it.
+  revision FencingToken;
+};
+
 /// An act that waits for an operator's word in hand mode.
 struct proposal {
   /// Kind, group and term; the same act has the same id on every leader.
@@ -98,6 +151,8 @@
   std::map<gateway_run, time_point> LeaseEnds;
   std::map<vm_id, vm_observation> Vms;
   std::map<group_id, group_orders> Orders;
+  std::map<group_id, pause_orders> Pauses;
+  std::map<std::pair<group_id, upstream_id>, heard_announcement> Announced;
   std::map<std::string, proposal> Proposals;
   std::set<std::string> Approved;
   std::set<std::string> Rejected;
@@ -116,6 +171,14 @@
   bool FreshPositions = true;
 };
 
+/// How a new primary is found and made.
+enum class promotion_method {
+  /// Gateways stop acknowledging or lose their lease; a gateway promotes.
+  Fence,
+  /// Replicas stop receiving; the platform promotes.
+  Pause,
+};
+
 /// How long the leader's decisions wait.
 struct decision_settings {
   duration LeaseTime = fromMilliseconds(2000);
@@ -129,6 +192,18 @@
   /// Orders to promote sent before another candidate is sought.
   std::uint32_t MostOrders = 10;
   promotion_rules Rules;
+  promotion_method Method = promotion_method::Fence;
+  /// An order to the platform without a word is sent again after this: it
+  /// answers within a second when it can be reached.
+  duration PlatformTimeout = fromMilliseconds(1000);
+  /// An accepted order is sent again if the upstream does not lead by then.
+  duration PromotionTimeout = fromMilliseconds(3000);
+  /// A stuck promotion is given up after this if the primary is back.
+  duration StuckPromotion = fromMilliseconds(2000);
+  /// An upstream that neither announces itself nor is reached by any gateway
+  /// for so long is taken for lost: well beyond the longest partition after
+  /// which a replica comes back.
+  duration UpstreamLoss = fromMilliseconds(20000);
 };
 
 /// What to do for a group now.
@@ -140,6 +215,12 @@
   std::string Reason;
   /// Gateways to ask to stop acknowledging.
   std::vector<gateway_run> Fences;
+  /// The term under which replicas are paused with Fences; zero for none.
+  term PauseTerm;
+  /// Gateways are to let paused replicas receive again.
+  bool Resume = false;
+  /// The order for the platform.
+  std::optional<promotion_order> Order;
   /// The gateway to be told to promote Promotion.Chosen.
   std::optional<gateway_run> Promoter;
   /// VMs to be asked for a fresh report.
--- a/modules/control/leases.cpp
+++ b/modules/control/leases.cpp
@@ -85,6 +85,10 @@
         fromMilliseconds(std::max<std::int64_t>(Report.unreachable_ms, 0));
     Observation.Refused = Report.refused;
     Observation.Problem = Report.problem;
+    Observation.Paused = Report.paused;
+    Observation.Received = fromWire(Report.received);
+    Observation.ConnectionAge = fromMilliseconds(
+        std::max<std::int64_t>(Report.connection_age_ms, 0));
     Result[Observation.Upstream] = std::move(Observation);
   }
   return Result;
@@ -99,6 +103,7 @@
   Record.AvailabilityZone = availability_zone_id(Renewal.availability_zone);
   Record.Region = region_id(Renewal.region);
   Record.Draining = Renewal.draining;
+  Record.Gateway = Renewal.gateway;
   auto Known = State.Vms.find(Record.Vm);
   if (Known == State.Vms.end())
     return Record;
--- a/modules/control/message_kinds.h
+++ b/modules/control/message_kinds.h
@@ -15,5 +15,6 @@
 constexpr std::int16_t OperatorRequestKind = 106;
 constexpr std::int16_t OperatorReplyKind = 107;
 constexpr std::int16_t NudgeKind = 108;
+constexpr std::int16_t ResumeKind = 109;
 
 } // namespace teasellock
--- /dev/null
+++ b/modules/control/pause_promotion.cpp
@@ -0,0 +1,481 @@
+#include "modules/control/pause_promotion.h"
+
+#include "modules/control/group_reports.h"
+#include "modules/control/leases.h"
+#include "modules/control/primary_health.h"
+
+#include <algorithm>
+
+namespace teasellock {
+
+namespace {
+
+/// Ages are reported in whole milliseconds, rounded down.
+const duration AgeResolution = fromMilliseconds(1);
+/// A refused order leads to new pauses at once, one that failed in another way
+/// is sent again after this: the platform accepts tens of calls a second.
+const duration FailedOrderDelay = fromMilliseconds(200);
+
+group_decision waiting(std::string Why) {
+  group_decision Decision;
+  Decision.Waiting = std::move(Why);
+  return Decision;
+}
+
+group_decision change(group_state Next, std::string Kind, std::string Reason) {
+  group_decision Decision;
+  Decision.Next = std::move(Next);
+  Decision.Kind = std::move(Kind);
+  Decision.Reason = std::move(Reason);
+  return Decision;
+}
+
+/// The upstream that was last seen leading in the highest term.
+const upstream_observation *
+leadingUpstream(const std::map<upstream_id, upstream_observation> &Probes) {
+  const upstream_observation *Best = nullptr;
+  for (const auto &[Name, Probe] : Probes)
+    if (!Probe.Replica &&
+        (!Best || Probe.Replayed.Term > Best->Replayed.Term))
+      Best = &Probe;
+  return Best;
+}
+
+group_decision adopt(const group_state &Group, const upstream_id &Primary,
+                     term Term, const std::string &Reason) {
+  group_state Next = Group;
+  Next.Primary = Primary;
+  Next.Term = std::max(Term, Group.Term);
+  Next.LeastAckReplicas = Group.Row.AckReplicas;
+  Next.Promotion.reset();
+  return change(std::move(Next), "promoted", Reason);
+}
+
+/// Adopts what leads already: the first primary, or one that a late order has
+/// promoted.
+std::optional<group_decision>
+adoptLeading(const group_state &Group,
+             const std::map<upstream_id, upstream_observation> &Probes) {
+  const auto *Leading = leadingUpstream(Probes);
+  if (!Leading || !Group.Upstreams.contains(Leading->Upstream))
+    return std::nullopt;
+  bool Newer = Leading->Replayed.Term > Group.Term;
+  bool Missing = !Group.Primary && !Group.Promotion;
+  if (!Newer && !(Missing && Leading->Replayed.Term == Group.Term))
+    return std::nullopt;
+  return adopt(Group, Leading->Upstream, Leading->Replayed.Term,
+               Leading->Upstream.Value + " leads term " +
+                   toString(Leading->Replayed.Term));
+}
+
+group_state beginPausing(const group_state &Group, const std::string &Reason) {
+  group_state Next = Group;
+  Next.Promotion = promotion_state();
+  Next.Promotion->Reason = Reason;
+  Next.Promotion->FencedTerm = Group.Term;
+  Next.Promotion->Deposed = Group.Primary;
+  Next.Primary.reset();
+  return Next;
+}
+
+bool isReplica(const group_state &Group, const upstream_id &Upstream) {
+  return !Group.Promotion || Group.Promotion->Deposed != Upstream;
+}
+
+//===----------------------------------------------------------------------===//
+// A group with a primary
+//===----------------------------------------------------------------------===//
+
+/// Whether a replica that stays can take over from a primary that leaves.
+bool hasSuccessor(const group_state &Group,
+                  const std::map<upstream_id, upstream_observation> &Probes) {
+  return std::any_of(Probes.begin(), Probes.end(), [&](const auto &Entry) {
+    auto Known = Group.Upstreams.find(Entry.first);
+    return Known != Group.Upstreams.end() && !Known->second.Leaving &&
+           Entry.first != Group.Primary && Entry.second.Replica;
+  });
+}
+
+/// A replica that neither announces itself nor is reached by anyone.
+std::optional<upstream_id>
+findLost(const group_state &Group, const leader_state &Leader,
+         const std::map<upstream_id, upstream_observation> &Probes,
+         const decision_settings &Settings, time_point Now) {
+  if (Now - Leader.LeadingSince < Settings.UpstreamLoss)
+    return std::nullopt;
+  for (const auto &[Name, Upstream] : Group.Upstreams) {
+    if (Name == Group.Primary || Probes.contains(Name))
+      continue;
+    auto Heard = Leader.Announced.find({Group.Group, Name});
+    if (Heard == Leader.Announced.end() ||
+        Now - Heard->second.At > Settings.UpstreamLoss)
+      return Name;
+  }
+  return std::nullopt;
+}
+
+group_decision forget(const group_state &Group, const upstream_id &Lost) {
+  group_state Next = Group;
+  Next.Departed.push_back({Lost, Group.Upstreams.at(Lost).Incarnation});
+  Next.Upstreams.erase(Lost);
+  Next.Dirty = true;
+  Next.DirtySince = revision(ThisRevision);
+  return change(std::move(Next), "upstream_lost",
+                Lost.Value + " is neither heard nor reached");
+}
+
+group_decision decideSteady(const group_state &Group,
+                            const leader_state &Leader,
+                            const decision_settings &Settings,
+                            time_point Now) {
+  auto Probes = latestProbes(Group, Leader, Settings, Now);
+  auto Known = Group.Upstreams.find(*Group.Primary);
+  if (Known == Group.Upstreams.end()) {
+    std::string Reason = "primary " + Group.Primary->Value + " has left";
+    return change(beginPausing(Group, Reason), "failover", Reason);
+  }
+  auto Health = healthOf(Group, Leader, Settings, Now);
+  if (isSuspect(Group, Health)) {
+    std::string Reason =
+        "primary " + Group.Primary->Value + " failed: " + Health.Text;
+    return change(beginPausing(Group, Reason), "failover", Reason);
+  }
+  if (Known->second.Leaving && !Group.Dirty && hasSuccessor(Group, Probes)) {
+    std::string Reason = "primary " + Group.Primary->Value + " is leaving";
+    return change(beginPausing(Group, Reason), "handover", Reason);
+  }
+  if (auto Lost = findLost(Group, Leader, Probes, Settings, Now))
+    return forget(Group, *Lost);
+  group_decision Decision;
+  Decision.Nudges = std::move(Health.ToAsk);
+  if (!Health.Text.empty())
+    Decision.Waiting = "primary not failed for all gateways: " + Health.Text;
+  // A replica may have been left paused by a promotion that was given up.
+  for (const auto &[Name, Probe] : Probes)
+    Decision.Resume = Decision.Resume || Probe.Paused;
+  return Decision;
+}
+
+/// Without a primary and a promotion: what claims to be one is watched like
+/// one, so that it is replaced if it fails.
+group_decision decideWithout(const group_state &Group) {
+  for (const auto &[Name, Upstream] : Group.Upstreams)
+    if (Upstream.ClaimsPrimary)
+      return adopt(Group, Name, Group.Term, Name.Value + " says it leads");
+  return waiting("no upstream leads");
+}
+
+//===----------------------------------------------------------------------===//
+// Pausing
+//===----------------------------------------------------------------------===//
+
+const pause_orders *ordersOf(const group_state &Group,
+                             const leader_state &Leader) {
+  auto Found = Leader.Pauses.find(Group.Group);
+  return Found == Leader.Pauses.end() ? nullptr : &Found->second;
+}
+
+/// Whether the run that answered is the one that control knows: it announced
+/// itself after the connection was opened.
+bool isConfirmed(const group_state &Group, const leader_state &Leader,
+                 const upstream_announcement &Upstream,
+                 const pause_answer &Answer) {
+  if (Answer.Incarnation != Upstream.Incarnation)
+    return false;
+  auto Heard = Leader.Announced.find({Group.Group, Upstream.Upstream});
+  return Heard != Leader.Announced.end() &&
+         Heard->second.Incarnation == Upstream.Incarnation &&
+         Heard->second.At >= Answer.ConnectedBy;
+}
+
+std::vector<gateway_run> duePauses(const group_state &Group,
+                                   const pause_orders *Orders,
+                                   const decision_settings &Settings,
+                                   time_point Now) {
+  std::vector<gateway_run> Due;
+  for (const auto &Share : Group.Gateways) {
+    gateway_run Run(Share.Vm, Share.Incarnation);
+    if (Orders) {
+      auto Asked = Orders->AskedAt.find(Run);
+      if (Asked != Orders->AskedAt.end() &&
+          Now - Asked->second < Settings.OrderTimeout)
+        continue;
+    }
+    Due.push_back(Run);
+  }
+  return Due;
+}
+
+term highestTerm(const group_state &Group,
+                 const std::map<upstream_id, upstream_observation> &Probes) {
+  term Highest = Group.Term;
+  for (const auto &[Name, Probe] : Probes)
+    Highest = std::max(
+        {Highest, Probe.Replayed.Term, Probe.Received.Term});
+  return Highest;
+}
+
+/// The answers that count, by upstream; says which replicas are missing.
+std::map<upstream_id, pause_answer> countedAnswers(const group_state &Group,
+                                                   const leader_state &Leader,
+                                                   const pause_orders &Orders,
+                                                   const pause_rules &Rules,
+                                                   std::string &Missing) {
+  std::map<upstream_id, pause_answer> Result;
+  for (const auto &[Name, Upstream] : Group.Upstreams) {
+    if (!isReplica(Group, Name))
+      continue;
+    auto Answer = Orders.Paused.find(Name);
+    if (Answer == Orders.Paused.end()) {
+      Missing += Name.Value + " (no answer) ";
+      continue;
+    }
+    if (Rules.Run && !isConfirmed(Group, Leader, Upstream, Answer->second)) {
+      Missing += Name.Value + " (run not confirmed) ";
+      continue;
+    }
+    Result.insert(*Answer);
+  }
+  return Result;
+}
+
+/// The highest position; of equals one that stays.
+const std::pair<const upstream_id, pause_answer> *
+highestOf(const group_state &Group,
+          const std::map<upstream_id, pause_answer> &Answers) {
+  const std::pair<const upstream_id, pause_answer> *Best = nullptr;
+  auto Rank = [&](const auto &Entry) {
+    return std::pair(Entry.second.Received,
+                     !Group.Upstreams.at(Entry.first).Leaving);
+  };
+  for (const auto &Entry : Answers)
+    if (!Best || Rank(*Best) < Rank(Entry))
+      Best = &Entry;
+  return Best;
+}
+
+/// The primary that was to be replaced is back, and nothing was ordered yet.
+bool mayGiveUp(const group_state &Group, const pause_orders *Orders,
+               const std::map<upstream_id, upstream_observation> &Probes,
+               const decision_settings &Settings, time_point Now) {
+  const auto &Promotion = *Group.Promotion;
+  if (!Orders || Now - Orders->Since < Settings.StuckPromotion ||
+      !Promotion.Deposed || Promotion.Attempt > 0 ||
+      !Group.Upstreams.contains(*Promotion.Deposed))
+    return false;
+  auto Former = Probes.find(*Promotion.Deposed);
+  return Former != Probes.end() && !Former->second.Replica &&
+         Former->second.Replayed.Term == Promotion.FencedTerm;
+}
+
+group_decision decidePausing(const group_state &Group,
+                             const leader_state &Leader,
+                             const decision_settings &Settings, time_point Now,
+                             const pause_rules &Rules) {
+  auto Probes = latestProbes(Group, Leader, Settings, Now);
+  const auto *Orders = ordersOf(Group, Leader);
+  group_decision Decision;
+  Decision.Fences = duePauses(Group, Orders, Settings, Now);
+  Decision.PauseTerm = term(highestTerm(Group, Probes).Value + 1);
+  std::string Missing;
+  std::map<upstream_id, pause_answer> Answers;
+  if (Orders)
+    Answers = countedAnswers(Group, Leader, *Orders, Rules, Missing);
+  const auto *Best = highestOf(Group, Answers);
+  if (!Best || (Rules.All && !Missing.empty()) ||
+      (Rules.Dirty && Group.Dirty)) {
+    if (mayGiveUp(Group, Orders, Probes, Settings, Now))
+      return adopt(Group, *Group.Promotion->Deposed, Group.Term,
+                   "promotion given up, the primary is back");
+    Decision.Waiting = "waiting for replicas to be paused: " + Missing +
+                       (Group.Dirty ? "(a lost replica is not covered)" : "");
+    return Decision;
+  }
+  group_state Next = Group;
+  Next.Promotion->Phase = promotion_phase::Ordering;
+  Next.Promotion->Chosen = Best->first;
+  Next.Promotion->ChosenPosition = Best->second.Received;
+  ++Next.Promotion->Attempt;
+  std::string Reason = Group.Promotion->Reason + " -> " + Best->first.Value +
+                       " at " + toString(Best->second.Received);
+  return change(std::move(Next), "promote", Reason);
+}
+
+//===----------------------------------------------------------------------===//
+// The order
+//===----------------------------------------------------------------------===//
+
+group_decision orderAgain(const group_state &Group, const std::string &Why) {
+  group_state Next = Group;
+  ++Next.Promotion->Attempt;
+  return change(std::move(Next), "promote_again",
+                Group.Promotion->Chosen->Value + ": " + Why);
+}
+
+group_decision pauseAgain(const group_state &Group, const std::string &Why) {
+  group_state Next = Group;
+  Next.Promotion->Phase = promotion_phase::Fencing;
+  Next.Promotion->Chosen.reset();
+  return change(std::move(Next), "promotion_refused", Why);
+}
+
+group_decision decideOrder(const group_state &Group,
+                           const leader_state &Leader,
+                           const decision_settings &Settings, time_point Now) {
+  const auto &Promotion = *Group.Promotion;
+  const auto *Orders = ordersOf(Group, Leader);
+  if (!Orders || Orders->OwnAttempt != Promotion.Attempt)
+    return orderAgain(Group, "this leader has not ordered it yet");
+  if (Orders->SentAttempt != Promotion.Attempt) {
+    group_decision Decision;
+    Decision.Order =
+        promotion_order{Group.Group, *Promotion.Chosen, Group.Revision};
+    Decision.Waiting = "ordering " + Promotion.Chosen->Value;
+    return Decision;
+  }
+  duration Since = Now - Orders->SentAt;
+  if (!Orders->Answer)
+    return Since < Settings.PlatformTimeout
+               ? waiting("the platform has not answered")
+               : orderAgain(Group, "no answer from the platform");
+  switch (*Orders->Answer) {
+  case promotion_answer::Refused:
+    return pauseAgain(Group, Promotion.Chosen->Value + " was refused");
+  case promotion_answer::Unknown:
+    if (Since >= FailedOrderDelay)
+      return orderAgain(Group, "the platform could not be asked");
+    break;
+  case promotion_answer::Accepted:
+    if (Since >= Settings.PromotionTimeout)
+      return orderAgain(Group, "accepted, but it does not lead");
+    break;
+  }
+  return waiting("waiting for " + Promotion.Chosen->Value + " to lead");
+}
+
+} // namespace
+
+group_decision decidePausePromotion(const group_state &Group,
+                                    const leader_state &Leader,
+                                    const decision_settings &Settings,
+                                    time_point Now, const pause_rules &Rules) {
+  if (Group.Removed)
+    return {};
+  if (auto Adopted =
+          adoptLeading(Group, latestProbes(Group, Leader, Settings, Now)))
+    return std::move(*Adopted);
+  if (!Group.Promotion)
+    return Group.Primary ? decideSteady(Group, Leader, Settings, Now)
+                         : decideWithout(Group);
+  if (Group.Promotion->Phase == promotion_phase::Fencing)
+    return decidePausing(Group, Leader, Settings, Now, Rules);
+  return decideOrder(Group, Leader, Settings, Now);
+}
+
+group_decision decidePauseCleaning(const group_state &Group,
+                                   const leader_state &Leader) {
+  if (!Group.Dirty || !Group.Primary)
+    return {};
+  auto Orders = Leader.Orders.find(Group.Group);
+  if (Orders == Leader.Orders.end() ||
+      Orders->second.DirtySince != Group.DirtySince)
+    return {};
+  // The lowest position of the primary that was read after the mark.
+  std::optional<position> Primary;
+  position Replica;
+  for (const auto &Share : Group.Gateways) {
+    const auto *Report = reportOf(Group, Leader, Share);
+    if (!Report)
+      continue;
+    auto Seen = Orders->second.DirtySeenAtUs.find(
+        gateway_run(Share.Vm, Share.Incarnation));
+    for (const auto &[Name, Probe] : Report->Upstreams) {
+      if (!Probe.Reachable)
+        continue;
+      if (Name != *Group.Primary) {
+        if (Probe.Replica && Group.Upstreams.contains(Name))
+          Replica = std::max({Replica, Probe.Replayed, Probe.Received});
+        continue;
+      }
+      std::int64_t ProbedAtUs =
+          Report->SentAtUs - (Probe.Age + AgeResolution).count();
+      if (Probe.Replica || Seen == Orders->second.DirtySeenAtUs.end() ||
+          ProbedAtUs <= Seen->second)
+        continue;
+      // The end of its log; Replayed carries the term that it leads.
+      if (!Primary || Probe.Received < *Primary)
+        Primary = Probe.Received;
+    }
+  }
+  if (!Primary || Replica < *Primary)
+    return {};
+  group_state Next = Group;
+  Next.Dirty = false;
+  return change(std::move(Next), "covered",
+                "a replica at " + toString(Replica) +
+                    " has reached the primary's " + toString(*Primary));
+}
+
+void notePausesSent(const group_state &Group, leader_state &Leader,
+                    const std::vector<gateway_run> &Runs, time_point Now) {
+  auto Known = Leader.Pauses.find(Group.Group);
+  if (Known == Leader.Pauses.end()) {
+    Known = Leader.Pauses.emplace(Group.Group, pause_orders()).first;
+    Known->second.Since = Now;
+  }
+  for (const auto &Run : Runs)
+    Known->second.AskedAt[Run] = Now;
+}
+
+void takePauseReply(const group_state &Group, leader_state &Leader,
+                    const wire::fence_reply &Reply, time_point Now) {
+  auto Orders = Leader.Pauses.find(Group.Group);
+  if (!Group.Promotion || Orders == Leader.Pauses.end() ||
+      static_cast<std::uint64_t>(Reply.term) != Group.Term.Value)
+    return;
+  for (const auto &[Name, Probe] : readReports(Reply.upstreams)) {
+    auto Known = Group.Upstreams.find(Name);
+    if (!Probe.Reachable || !Probe.Paused || Known == Group.Upstreams.end())
+      continue;
+    pause_answer Answer;
+    Answer.Incarnation = Known->second.Incarnation;
+    Answer.Received = Probe.Received;
+    Answer.ConnectedBy = Now - Probe.ConnectionAge;
+    Orders->second.Paused[Name] = Answer;
+  }
+}
+
+void noteAttempt(const group_state &Next, leader_state &Leader) {
+  if (!Next.Promotion) {
+    Leader.Pauses.erase(Next.Group);
+    return;
+  }
+  if (Next.Promotion->Phase == promotion_phase::Fencing) {
+    // Answers of earlier pauses do not count for this one.
+    Leader.Pauses.erase(Next.Group);
+    return;
+  }
+  auto &Orders = Leader.Pauses[Next.Group];
+  Orders.OwnAttempt = Next.Promotion->Attempt;
+  Orders.Answer.reset();
+}
+
+void noteOrderSentToPlatform(const group_state &Group, leader_state &Leader,
+                             time_point Now) {
+  auto &Orders = Leader.Pauses[Group.Group];
+  Orders.SentAttempt = Group.Promotion->Attempt;
+  Orders.SentAt = Now;
+  Orders.Answer.reset();
+}
+
+void takePlatformAnswer(const group_state &Group, leader_state &Leader,
+                        std::uint32_t Attempt, promotion_answer Answer) {
+  auto Orders = Leader.Pauses.find(Group.Group);
+  if (!Group.Promotion || Orders == Leader.Pauses.end() ||
+      Orders->second.SentAttempt != Attempt ||
+      Group.Promotion->Attempt != Attempt)
+    return;
+  Orders->second.Answer = Answer;
+}
+
+} // namespace teasellock
--- a/modules/control/tests/test_control_service.cpp
+++ b/modules/control/tests/test_control_service.cpp
@@ -116,7 +116,7 @@
 };
 
 /// One control member and three VMs on one loop.
-struct deployment {
+struct test_deployment {
   event_loop Loop;
   timer_service Timers{Loop};
   temporary_folder Folder;
@@ -209,7 +209,7 @@
 
 TEST_CASE("control: a row, announcements and renewals lead to leases, "
           "gateways, a first primary and views") {
-  deployment Deployment;
+  test_deployment Deployment;
   Deployment.serve();
   CHECK(Deployment.Third.Agent->leaseValid());
   CHECK((Deployment.view()->Term == term(1)));
@@ -223,7 +223,7 @@
 
 TEST_CASE("control: a primary that dies is replaced by the highest replica, "
           "and one that leaves is handed over") {
-  deployment Deployment;
+  test_deployment Deployment;
   Deployment.serve();
   Deployment.Upstreams["a"].Up = false;
   REQUIRE(Deployment.runUntil([&] { return Deployment.primaryIs("c"); }));
@@ -237,7 +237,7 @@
 }
 
 TEST_CASE("control: a VM that drains hands its groups over first") {
-  deployment Deployment;
+  test_deployment Deployment;
   Deployment.serve();
   vm_id Leaving = Deployment.view()->Gateways.front().Vm;
   test_vm *Vm = Leaving == vm_id("one")   ? &Deployment.First
@@ -253,7 +253,7 @@
 }
 
 TEST_CASE("control: racing and resent edits, and answers to bad requests") {
-  deployment Deployment;
+  test_deployment Deployment;
   Deployment.serve();
   nlohmann::json Rows = {{{"group", "fares"}, {"queue_limit", 7}}};
   auto Edit = [&](const std::string &Id, int Base) {
@@ -278,7 +278,7 @@
 
 TEST_CASE("control: in hand mode nothing is promoted before an operator "
           "approves it") {
-  deployment Deployment;
+  test_deployment Deployment;
   Deployment.found();
   Deployment.Upstreams["a"].Replica = false;
   Deployment.Upstreams["b"] = {};
@@ -310,7 +310,7 @@
 
 TEST_CASE("control: a promotion by hand goes to the upstream asked for and "
           "names what may be lost") {
-  deployment Deployment;
+  test_deployment Deployment;
   Deployment.serve();
   auto Promote = [&](const char *Upstream, bool Force) {
     return Deployment.ask("POST", "/v1/groups/fares/promote",
--- /dev/null
+++ b/modules/deployment/deployment.cpp
@@ -0,0 +1,132 @@
+#include "modules/deployment/deployment.h"
+
+#include <set>
+#include <utility>
+
+namespace teasellock {
+
+namespace {
+
+wire::consistency::type toWire(consistency Consistency) {
+  switch (Consistency) {
+  case consistency::Primary:
+    return wire::consistency::primary;
+  case consistency::BoundedStaleness:
+    return wire::consistency::bounded_staleness;
+  case consistency::ReadYourWrites:
+    return wire::consistency::read_your_writes;
+  }
+  return wire::consistency::primary;
+}
+
+// An unknown kind is served by the strictest rule.
+consistency fromWire(wire::consistency::type Consistency) {
+  if (Consistency == wire::consistency::bounded_staleness)
+    return consistency::BoundedStaleness;
+  if (Consistency == wire::consistency::read_your_writes)
+    return consistency::ReadYourWrites;
+  return consistency::Primary;
+}
+
+wire::route toWire(const route &Route) {
+  wire::route Result;
+  Result.name = Route.Name;
+  Result.database = Route.Database.Value;
+  Result.group = Route.Group.Value;
+  Result.reads = toWire(Route.Consistency);
+  Result.max_staleness_ms = toMilliseconds(Route.MaxStaleness);
+  Result.statement_ms = toMilliseconds(Route.StatementTimeout);
+  Result.target_ms = toMilliseconds(Route.TargetLatency);
+  Result.priority = static_cast<std::int32_t>(Route.Priority);
+  return Result;
+}
+
+route fromWire(const wire::route &Route) {
+  route Result;
+  Result.Name = Route.name;
+  Result.Database = database_id(Route.database);
+  Result.Group = group_id(Route.group);
+  Result.Consistency = fromWire(Route.reads);
+  Result.MaxStaleness = fromMilliseconds(Route.max_staleness_ms);
+  Result.StatementTimeout = fromMilliseconds(Route.statement_ms);
+  Result.TargetLatency = fromMilliseconds(Route.target_ms);
+  Result.Priority = static_cast<std::uint32_t>(std::max(0, Route.priority));
+  return Result;
+}
+
+void checkRoute(const route &Route, const std::set<group_id> &Groups,
+                std::vector<deployment_problem> &Problems) {
+  std::string Where = "route " + Route.Name;
+  if (Route.Database.Value.empty())
+    Problems.push_back({Where, "the database name is empty"});
+  if (!Groups.contains(Route.Group))
+    Problems.push_back({Where, "unknown group " + Route.Group.Value});
+  if (Route.StatementTimeout <= duration::zero())
+    Problems.push_back({Where, "the statement timeout must be above 0"});
+  if (Route.MaxStaleness < duration::zero())
+    Problems.push_back({Where, "the staleness must not be negative"});
+}
+
+} // namespace
+
+std::vector<deployment_problem>
+checkDeployment(const deployment_proposal &Proposal) {
+  std::vector<deployment_problem> Problems;
+  std::set<group_id> Groups;
+  for (const auto &Group : Proposal.Groups) {
+    if (Group.Group.Value.empty())
+      Problems.push_back({"groups", "a group has no name"});
+    if (!Groups.insert(Group.Group).second)
+      Problems.push_back({"group " + Group.Group.Value, "is named twice"});
+  }
+  std::set<std::pair<database_id, std::string>> Places;
+  for (const auto &Route : Proposal.Deployment.Routes) {
+    checkRoute(Route, Groups, Problems);
+    if (!Places.emplace(Route.Database, Route.Prefix).second)
+      Problems.push_back({"route " + Route.Name,
+                          "another route serves " + Route.Database.Value});
+  }
+  return Problems;
+}
+
+std::vector<table_row> rowsOf(const deployment_proposal &Proposal) {
+  std::vector<table_row> Rows;
+  for (const auto &Group : Proposal.Groups) {
+    table_row Row;
+    Row.Group = Group.Group;
+    Row.AckReplicas = Group.AckReplicas;
+    Row.MaxConnections = Group.MaxConnections;
+    Row.Gateways = 0;
+    Rows.push_back(std::move(Row));
+  }
+  return Rows;
+}
+
+const route *findRoute(const deployment &Deployment,
+                       const database_id &Database) {
+  for (const auto &Route : Deployment.Routes)
+    if (Route.Database == Database)
+      return &Route;
+  return nullptr;
+}
+
+wire::deployment toWire(const deployment &Deployment) {
+  wire::deployment Result;
+  Result.version = static_cast<std::int64_t>(Deployment.Version.Value);
+  for (const auto &Route : Deployment.Routes)
+    Result.routes.push_back(toWire(Route));
+  Result.idle_transaction_ms = toMilliseconds(Deployment.IdleTransaction);
+  return Result;
+}
+
+deployment fromWire(const wire::deployment &Deployment) {
+  deployment Result;
+  Result.Version =
+      deployment_version(static_cast<std::uint64_t>(Deployment.version));
+  for (const auto &Route : Deployment.routes)
+    Result.Routes.push_back(fromWire(Route));
+  Result.IdleTransaction = fromMilliseconds(Deployment.idle_transaction_ms);
+  return Result;
+}
+
+} // namespace teasellock
--- a/modules/gateway/gateway_service.cpp
+++ b/modules/gateway/gateway_service.cpp
@@ -28,13 +28,17 @@
   link_hub &Hub;
   member_agent &Member;
   gateway_settings Settings;
-  std::map<group_id, std::unique_ptr<group_gateway>> Groups;
-
-  group_gateway &groupOf(const group_id &Group) {
-    std::unique_ptr<group_gateway> &Entry = Groups[Group];
-    if (!Entry)
+  std::map<group_id, std::shared_ptr<group_port>> Groups;
+
+  group_port &groupOf(const group_id &Group) {
+    std::shared_ptr<group_port> &Entry = Groups[Group];
+    if (Entry)
+      return *Entry;
+    if (Settings.MakeGroup)
+      Entry = Settings.MakeGroup(Context, hooks(), Group);
+    else
       Entry =
-          std::make_unique<group_gateway>(Context, hooks(), Settings, Group);
+          std::make_shared<group_gateway>(Context, hooks(), Settings, Group);
     return *Entry;
   }
 
@@ -45,10 +49,11 @@
   void attach() {
     gateway_hooks Hooks;
     Hooks.Reports = [this] { return reports(); };
-    Hooks.Fence = [this](const group_id &Group, term Term,
+    Hooks.Fence = [this](const wire::fence &Fence,
                          std::function<void(wire::fence_reply)> Answer) {
-      groupOf(Group).fence(Term, std::move(Answer));
+      groupOf(group_id(Fence.group)).fence(Fence, std::move(Answer));
     };
+    Hooks.Resume = [this](const group_id &Group) { groupOf(Group).resume(); };
     Hooks.Promote = [this](const wire::promote &Order,
                            std::function<void(wire::promote_reply)> Answer) {
       groupOf(group_id(Order.group)).promote(Order, std::move(Answer));
--- a/modules/gateway/gateway_service.h
+++ b/modules/gateway/gateway_service.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "modules/gateway/gen/gateway_messages_types.h"
+#include "modules/gateway/group_port.h"
 #include "modules/membership/member_agent.h"
 
 #include <functional>
@@ -20,6 +21,8 @@
   /// libpq sslmode towards upstreams: disable, require or verify-ca.
   std::string SslMode = "disable";
   std::string SslRootCertificate;
+  /// Makes the work for a group. Empty: SQL upstreams, as set above.
+  group_port_factory MakeGroup;
 };
 
 /// The gateway role of this VM. Serves statement requests of kinds 300 to 399
--- a/modules/gateway/group_gateway.cpp
+++ b/modules/gateway/group_gateway.cpp
@@ -430,9 +430,10 @@
 
 wire::group_report group_gateway::report() const { return State->report(); }
 
-void group_gateway::fence(term Term,
+void group_gateway::fence(const wire::fence &Fence,
                           std::function<void(wire::fence_reply)> Answer) {
-  State->fenceTerm(Term, std::move(Answer));
+  State->fenceTerm(term(static_cast<std::uint64_t>(Fence.term)),
+                   std::move(Answer));
 }
 
 void group_gateway::promote(const wire::promote &Order,
--- /dev/null
+++ b/modules/line/line_caller_state.cpp
@@ -0,0 +1,304 @@
+#include "modules/line/line_caller_state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace teasellock {
+
+namespace {
+
+/// A statement of a route without a limit of its own.
+constexpr duration DefaultStatementTimeout = std::chrono::milliseconds(5000);
+
+const line_protocol &protocol(const line_environment &Environment) {
+  return *Environment.Protocol;
+}
+
+void ready(const line_caller_state &State, const line_environment &Environment,
+           line_effects &Effects) {
+  protocol(Environment).AppendReady(Effects.Out, State.State);
+}
+
+void done(const line_caller_state &State, const line_environment &Environment,
+          line_effects &Effects) {
+  protocol(Environment).AppendDone(Effects.Out);
+  ready(State, Environment, Effects);
+}
+
+void fail(const line_caller_state &State, const line_environment &Environment,
+          line_error Code, const std::string &Reason, line_effects &Effects) {
+  protocol(Environment).AppendError(Effects.Out, Code, Reason);
+  ready(State, Environment, Effects);
+}
+
+/// Leaves the transaction, in whatever state it is.
+void endTransaction(line_caller_state &State, line_effects &Effects) {
+  if (State.Opened)
+    Effects.Release = State.Transaction;
+  State.State = 'I';
+  State.Opened = false;
+  State.TimedOut = false;
+  State.ReadOnly = false;
+  State.Route.reset();
+  State.Transaction = {};
+}
+
+void takeStart(line_caller_state &State, const line_environment &Environment,
+               const line_start &Start, line_effects &Effects) {
+  State.Database = database_id(Start.Database);
+  if (!Environment.FindRoute(State.Database)) {
+    bool Known = Environment.DeploymentKnown();
+    protocol(Environment)
+        .AppendError(Effects.Out,
+                     Known ? line_error::NoDatabase : line_error::Busy,
+                     Known ? "no database of that name"
+                           : "no deployment is known yet");
+    State.Phase = line_caller_state::phase::Closed;
+    Effects.Close = true;
+    return;
+  }
+  State.Phase = line_caller_state::phase::Ready;
+  ready(State, Environment, Effects);
+}
+
+wire::line_step stepOf(const line_caller_state &State,
+                       const line_statement &Statement) {
+  wire::line_step Step;
+  Step.id = Statement.Id;
+  Step.text = Statement.Text;
+  Step.writes = Statement.Writes;
+  switch (Statement.Verb) {
+  case line_verb::Write:
+    Step.verb = wire::line_verb::write;
+    break;
+  case line_verb::Commit:
+    Step.verb = wire::line_verb::commit;
+    break;
+  case line_verb::Execute: {
+    const auto &Prepared = State.Prepared.at(Statement.Name);
+    Step.verb = wire::line_verb::execute;
+    Step.shape = Prepared.Shape;
+    Step.writes = Prepared.Writes;
+    Step.arguments = Statement.Value;
+    Step.text.clear();
+    break;
+  }
+  default:
+    Step.verb = wire::line_verb::read;
+  }
+  return Step;
+}
+
+void submit(line_caller_state &State, const route &Route,
+            const line_statement &Statement, transaction_id NextTransaction,
+            line_effects &Effects) {
+  wire::statement_request Request;
+  Request.group = Route.Group.Value;
+  Request.__set_line(stepOf(State, Statement));
+  Request.access = Request.line.writes ? wire::statement_access::write
+                                       : wire::statement_access::read;
+  Request.settings = State.Settings;
+  Request.priority = static_cast<std::int32_t>(Route.Priority);
+  duration Timeout = Route.StatementTimeout > duration::zero()
+                         ? Route.StatementTimeout
+                         : DefaultStatementTimeout;
+  Request.timeout_ms = toMilliseconds(Timeout);
+  Request.max_staleness_ms = Route.Consistency == consistency::Primary
+                                 ? -1
+                                 : toMilliseconds(Route.MaxStaleness);
+  // The session's own writes are shown on every kind of route.
+  if (State.Floor) {
+    Request.floor_known = true;
+    Request.floor.term = static_cast<std::int64_t>(State.Floor->Term.Value);
+    Request.floor.offset = static_cast<std::int64_t>(State.Floor->Offset);
+  }
+  State.Committing = Statement.Verb == line_verb::Commit;
+  Request.may_commit = State.Committing;
+  State.Opening = false;
+  if (State.State == 'T') {
+    State.Opening = !State.Opened;
+    if (State.Opening)
+      State.Transaction = NextTransaction;
+    State.Opened = true;
+    Request.transaction = static_cast<std::int64_t>(State.Transaction.Value);
+    Request.opens_transaction = State.Opening;
+    Request.read_only = State.ReadOnly;
+  }
+  State.RunningId = Statement.Id;
+  State.Phase = line_caller_state::phase::Busy;
+  Effects.Submit = std::move(Request);
+}
+
+void takeBegin(line_caller_state &State, const line_environment &Environment,
+               const line_statement &Statement, line_effects &Effects) {
+  if (State.State == 'T')
+    return fail(State, Environment, line_error::Malformed,
+                "a transaction is open", Effects);
+  const route *Route = Environment.FindRoute(State.Database);
+  if (!Route)
+    return fail(State, Environment, line_error::NoDatabase,
+                "the database is no longer served", Effects);
+  State.Route = *Route;
+  State.State = 'T';
+  State.ReadOnly = Statement.Verb == line_verb::BeginRead;
+  done(State, Environment, Effects);
+}
+
+void takeEnd(line_caller_state &State, const line_environment &Environment,
+             const line_statement &Statement, transaction_id NextTransaction,
+             line_effects &Effects) {
+  if (State.State == 'I')
+    return fail(State, Environment, line_error::Malformed,
+                "no transaction is open", Effects);
+  bool Commit = Statement.Verb == line_verb::Commit;
+  if (State.State == 'T' && Commit && !State.TimedOut)
+    return submit(State, *State.Route, Statement, NextTransaction, Effects);
+  bool Failed = Commit;
+  endTransaction(State, Effects);
+  if (Failed)
+    return fail(State, Environment, line_error::Aborted,
+                "the transaction had failed and was rolled back", Effects);
+  done(State, Environment, Effects);
+}
+
+void takeData(line_caller_state &State, const line_environment &Environment,
+              const line_statement &Statement, transaction_id NextTransaction,
+              line_effects &Effects) {
+  if (Statement.Verb == line_verb::Execute &&
+      !State.Prepared.contains(Statement.Name))
+    return fail(State, Environment, line_error::NoStatement,
+                "no prepared statement " + Statement.Name, Effects);
+  if (State.State == 'T')
+    return submit(State, *State.Route, Statement, NextTransaction, Effects);
+  const route *Route = Environment.FindRoute(State.Database);
+  if (!Route)
+    return fail(State, Environment, line_error::NoDatabase,
+                "the database is no longer served", Effects);
+  submit(State, *Route, Statement, NextTransaction, Effects);
+}
+
+void takeStatement(line_caller_state &State,
+                   const line_environment &Environment,
+                   const line_statement &Statement,
+                   transaction_id NextTransaction, line_effects &Effects) {
+  bool Ends = Statement.Verb == line_verb::Commit ||
+              Statement.Verb == line_verb::Rollback;
+  if (State.State == 'E' && !Ends)
+    return fail(State, Environment, line_error::Malformed,
+                "the transaction has failed; end it first", Effects);
+  if (State.TimedOut && !Ends) {
+    State.State = 'E';
+    return fail(State, Environment, line_error::Aborted,
+                "the transaction was idle for too long and was rolled back",
+                Effects);
+  }
+  switch (Statement.Verb) {
+  case line_verb::Begin:
+  case line_verb::BeginRead:
+    return takeBegin(State, Environment, Statement, Effects);
+  case line_verb::Commit:
+  case line_verb::Rollback:
+    return takeEnd(State, Environment, Statement, NextTransaction, Effects);
+  case line_verb::Set:
+    State.Settings[Statement.Name] = Statement.Value;
+    return done(State, Environment, Effects);
+  case line_verb::Prepare:
+    State.Prepared[Statement.Name] = {Statement.Shape, Statement.Writes};
+    return done(State, Environment, Effects);
+  case line_verb::Deallocate:
+    if (State.Prepared.erase(Statement.Name) == 0)
+      return fail(State, Environment, line_error::NoStatement,
+                  "no prepared statement " + Statement.Name, Effects);
+    return done(State, Environment, Effects);
+  case line_verb::Read:
+  case line_verb::Write:
+  case line_verb::Execute:
+    return takeData(State, Environment, Statement, NextTransaction, Effects);
+  }
+}
+
+} // namespace
+
+void takeLine(line_caller_state &State, const line_environment &Environment,
+              const caller_line &Line, transaction_id NextTransaction,
+              line_effects &Effects) {
+  if (std::holds_alternative<line_bye>(Line)) {
+    abandon(State, Effects);
+    Effects.Close = true;
+    return;
+  }
+  bool Starting = State.Phase == line_caller_state::phase::Start;
+  if (const auto *Start = std::get_if<line_start>(&Line); Start && Starting)
+    return takeStart(State, Environment, *Start, Effects);
+  if (const auto *Statement = std::get_if<line_statement>(&Line);
+      Statement && !Starting)
+    return takeStatement(State, Environment, *Statement, NextTransaction,
+                         Effects);
+  const auto *Bad = std::get_if<line_malformed>(&Line);
+  std::string Problem =
+      Bad ? Bad->Problem
+          : std::string(Starting ? "START expected" : "QUERY or BYE expected");
+  if (!Starting)
+    return fail(State, Environment, line_error::Malformed, Problem, Effects);
+  protocol(Environment)
+      .AppendError(Effects.Out, line_error::Malformed, Problem);
+  State.Phase = line_caller_state::phase::Closed;
+  Effects.Close = true;
+}
+
+void takeReply(line_caller_state &State, const line_environment &Environment,
+               const wire::statement_reply &Reply, line_effects &Effects) {
+  State.Phase = line_caller_state::phase::Ready;
+  bool InTransaction = State.State == 'T';
+  bool Committing = std::exchange(State.Committing, false);
+  State.RunningId.clear();
+  bool Answered = Reply.outcome == wire::statement_outcome::answered;
+  if (Answered && Reply.code.empty()) {
+    position Reached{term(static_cast<std::uint64_t>(Reply.reached.term)),
+                     static_cast<std::uint64_t>(Reply.reached.offset)};
+    if (Reached != position() && (!State.Floor || *State.Floor < Reached))
+      State.Floor = Reached;
+    if (Committing) {
+      State.Opened = false;
+      endTransaction(State, Effects);
+    }
+    Effects.Out += Reply.messages;
+    return ready(State, Environment, Effects);
+  }
+  line_error Code = errorOf(Reply.code);
+  bool Unknown = Reply.outcome == wire::statement_outcome::unknown;
+  if (Unknown && Code != line_error::Timeout)
+    Code = line_error::InDoubt;
+  if (InTransaction && !Committing) {
+    // Nothing of a transaction that is not committed is kept.
+    if (Unknown)
+      Code = line_error::Aborted;
+    if (State.Opened)
+      Effects.Release = State.Transaction;
+    State.Opened = false;
+    State.State = 'E';
+  } else if (InTransaction) {
+    endTransaction(State, Effects);
+  }
+  fail(State, Environment, Code, Reply.problem, Effects);
+}
+
+void abandon(line_caller_state &State, line_effects &Effects) {
+  endTransaction(State, Effects);
+  State.Phase = line_caller_state::phase::Closed;
+}
+
+void endIdleTransaction(line_caller_state &State, line_effects &Effects) {
+  if (State.Phase != line_caller_state::phase::Ready || State.State != 'T')
+    return;
+  if (State.Opened)
+    Effects.Release = State.Transaction;
+  State.Opened = false;
+  State.TimedOut = true;
+}
+
+bool isIdle(const line_caller_state &State) {
+  return State.Phase != line_caller_state::phase::Busy && State.State == 'I';
+}
+
+} // namespace teasellock
--- /dev/null
+++ b/modules/line/line_connection.cpp
@@ -0,0 +1,295 @@
+#include "modules/line/line_connection.h"
+
+#include <cerrno>
+#include <cstring>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace teasellock {
+
+namespace {
+
+constexpr std::size_t ReadBytes = 16 * 1024;
+/// Unacknowledged data closes the connection after this: a peer without power
+/// would hold it for minutes.
+constexpr unsigned UnacknowledgedMs = 3000;
+constexpr std::string_view LineEnd = "\r\n";
+
+} // namespace
+
+struct line_connection::state
+    : std::enable_shared_from_this<line_connection::state> {
+  enum class phase { Connecting, Starting, Open, Closed };
+
+  daemon_context &Context;
+  const line_protocol &Protocol;
+  line_target Target;
+  phase Phase = phase::Connecting;
+  int Socket = -1;
+  descriptor_watch Watch;
+  timer_subscription Timeout;
+  std::function<void(line_opening)> Opened;
+  std::function<void()> Lost;
+  std::function<void(line_run)> Done;
+  std::size_t Expected = 0;
+  line_run Run;
+  line_answer Current;
+  std::string In;
+  std::string Out;
+  time_point OpenedAt;
+
+  state(daemon_context &Context, const line_protocol &Protocol,
+        line_target Target, std::function<void(line_opening)> Opened)
+      : Context(Context), Protocol(Protocol), Target(std::move(Target)),
+        Opened(std::move(Opened)) {}
+
+  ~state() { release(); }
+
+  void release();
+  void dial();
+  void onReady(readiness Ready);
+  void finishConnect();
+  bool read();
+  void takeLines();
+  void takeLine(std::string_view Line);
+  void takeStartLine(upstream_line Line);
+  void flush();
+  void fail(const std::string &Step, const std::string &Reason, bool Refused,
+            std::optional<line_error> Code = std::nullopt);
+};
+
+void line_connection::state::release() {
+  Phase = phase::Closed;
+  Watch = descriptor_watch();
+  Timeout.cancel();
+  if (Socket >= 0)
+    ::close(Socket);
+  Socket = -1;
+}
+
+void line_connection::state::dial() {
+  Socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (Socket < 0)
+    return fail("upstream.connect", std::strerror(errno), false);
+  int On = 1;
+  ::setsockopt(Socket, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
+  ::setsockopt(Socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &UnacknowledgedMs,
+               sizeof(UnacknowledgedMs));
+  sockaddr_in Address = toSocketAddress(Target.Address);
+  int Status = ::connect(Socket, reinterpret_cast<sockaddr *>(&Address),
+                         sizeof(Address));
+  if (Status < 0 && errno != EINPROGRESS)
+    return fail("upstream.connect", std::strerror(errno),
+                errno == ECONNREFUSED);
+  auto Weak = weak_from_this();
+  Watch = Context.Loop.watch(Socket, {false, true}, [Weak](readiness Ready) {
+    if (auto Self = Weak.lock())
+      Self->onReady(Ready);
+  });
+}
+
+void line_connection::state::onReady(readiness Ready) {
+  if (Phase == phase::Connecting)
+    return finishConnect();
+  if (Ready.Writable)
+    flush();
+  if (Phase != phase::Closed && Ready.Readable && read())
+    takeLines();
+}
+
+void line_connection::state::finishConnect() {
+  int Status = 0;
+  socklen_t Length = sizeof(Status);
+  ::getsockopt(Socket, SOL_SOCKET, SO_ERROR, &Status, &Length);
+  if (Status != 0)
+    return fail("upstream.connect", std::strerror(Status),
+                Status == ECONNREFUSED);
+  Phase = phase::Starting;
+  Protocol.AppendStart(Out, Target.Service, Target.User,
+                       Target.Upstream.Value);
+  flush();
+}
+
+bool line_connection::state::read() {
+  char Buffer[ReadBytes];
+  for (;;) {
+    ssize_t Count = ::recv(Socket, Buffer, sizeof(Buffer), 0);
+    if (Count > 0) {
+      In.append(Buffer, static_cast<std::size_t>(Count));
+      if (static_cast<std::size_t>(Count) < sizeof(Buffer))
+        return true;
+      continue;
+    }
+    if (Count < 0 && errno == EINTR)
+      continue;
+    if (Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+      return true;
+    // What arrived before the end still counts.
+    std::string Reason = Count == 0 ? "closed by peer" : std::strerror(errno);
+    auto Keep = shared_from_this();
+    takeLines();
+    if (Phase != phase::Closed)
+      fail("upstream.read", Reason, false);
+    return false;
+  }
+}
+
+void line_connection::state::takeLines() {
+  auto Keep = shared_from_this();
+  std::size_t Start = 0;
+  while (Phase != phase::Closed) {
+    std::size_t End = In.find(LineEnd, Start);
+    if (End == std::string::npos)
+      break;
+    std::string Line = In.substr(Start, End - Start);
+    Start = End + LineEnd.size();
+    takeLine(Line);
+  }
+  if (Phase == phase::Closed)
+    return;
+  In.erase(0, Start);
+  if (In.size() > LargestLine)
+    fail("upstream.read", "a message is longer than 1 MiB", false);
+}
+
+void line_connection::state::takeStartLine(upstream_line Line) {
+  if (const auto *Failure = std::get_if<line_failure>(&Line))
+    return fail("upstream.start", Failure->Text, false, Failure->Code);
+  if (!std::holds_alternative<line_ready>(Line))
+    return fail("upstream.start", "an unexpected message", false);
+  Phase = phase::Open;
+  OpenedAt = Context.Timers.now();
+  Timeout.cancel();
+  if (auto Callback = std::exchange(Opened, nullptr))
+    Callback({});
+}
+
+void line_connection::state::takeLine(std::string_view Text) {
+  upstream_line Line = Protocol.ReadUpstream(Text);
+  if (Phase == phase::Starting)
+    return takeStartLine(std::move(Line));
+  if (const auto *Bad = std::get_if<line_malformed>(&Line))
+    return fail("upstream.read", Bad->Problem, false);
+  if (!Done)
+    return fail("upstream.read", "a message nobody asked for", false);
+  if (auto *Row = std::get_if<line_row>(&Line))
+    return Current.Rows.push_back(std::move(Row->Text));
+  if (auto *End = std::get_if<line_done>(&Line)) {
+    Current.Signature = std::move(End->Signature);
+    return;
+  }
+  if (auto *Failure = std::get_if<line_failure>(&Line)) {
+    Current.Failure = std::move(*Failure);
+    return;
+  }
+  Current.Ready = std::get<line_ready>(Line);
+  Run.Answers.push_back(std::exchange(Current, {}));
+  if (Run.Answers.size() < Expected)
+    return;
+  auto Callback = std::exchange(Done, nullptr);
+  Callback(std::exchange(Run, {}));
+}
+
+void line_connection::state::flush() {
+  std::size_t Start = 0;
+  while (Start < Out.size()) {
+    ssize_t Count =
+        ::send(Socket, Out.data() + Start, Out.size() - Start, MSG_NOSIGNAL);
+    if (Count > 0) {
+      Start += static_cast<std::size_t>(Count);
+      continue;
+    }
+    if (errno == EINTR)
+      continue;
+    if (errno == EAGAIN || errno == EWOULDBLOCK)
+      break;
+    std::string Reason = std::strerror(errno);
+    // The callbacks must not run inside run().
+    Context.Loop.post([Weak = weak_from_this(), Reason] {
+      if (auto Self = Weak.lock(); Self && Self->Phase != phase::Closed)
+        Self->fail("upstream.write", Reason, false);
+    });
+    break;
+  }
+  Out.erase(0, Start);
+  Watch.want({true, !Out.empty()});
+}
+
+void line_connection::state::fail(const std::string &Step,
+                                  const std::string &Reason, bool Refused,
+                                  std::optional<line_error> Code) {
+  auto Keep = shared_from_this();
+  release();
+  if (auto Callback = std::exchange(Opened, nullptr))
+    return Callback(
+        {error(Step, Target.Upstream.Value, Reason), Refused, Code});
+  if (auto Callback = std::exchange(Done, nullptr)) {
+    Run.Broken = true;
+    Run.Problem = Step + ": " + Reason;
+    return Callback(std::exchange(Run, {}));
+  }
+  if (Lost)
+    Lost();
+}
+
+line_connection::line_connection(daemon_context &Context,
+                                 const line_protocol &Protocol,
+                                 line_target Target,
+                                 std::function<void(line_opening)> Opened)
+    : State(std::make_shared<state>(Context, Protocol, std::move(Target),
+                                    std::move(Opened))) {
+  std::weak_ptr<state> Weak = State;
+  Context.Loop.post([Weak] {
+    if (auto Self = Weak.lock())
+      Self->dial();
+  });
+  State->Timeout = Context.Timers.after(State->Target.ConnectTimeout, [Weak] {
+    if (auto Self = Weak.lock())
+      Self->fail("upstream.connect", "no answer in time", false);
+  });
+}
+
+line_connection::~line_connection() { close(); }
+
+void line_connection::onLost(std::function<void()> Callback) {
+  State->Lost = std::move(Callback);
+}
+
+void line_connection::run(std::string Bytes, std::size_t Count,
+                          std::function<void(line_run)> Done) {
+  State->Done = std::move(Done);
+  State->Expected = Count;
+  State->Run = {};
+  State->Current = {};
+  if (State->Phase != state::phase::Open) {
+    State->Context.Loop.post([Weak = std::weak_ptr<state>(State)] {
+      auto Self = Weak.lock();
+      if (!Self || !Self->Done)
+        return;
+      line_run Run;
+      Run.Broken = true;
+      Run.Problem = "the connection is closed";
+      std::exchange(Self->Done, nullptr)(std::move(Run));
+    });
+    return;
+  }
+  State->Out += Bytes;
+  State->flush();
+}
+
+void line_connection::close() {
+  State->Opened = nullptr;
+  State->Done = nullptr;
+  State->Lost = nullptr;
+  State->release();
+}
+
+bool line_connection::isOpen() const {
+  return State->Phase == state::phase::Open;
+}
+
+time_point line_connection::openedAt() const { return State->OpenedAt; }
+
+} // namespace teasellock
--- /dev/null
+++ b/modules/line/line_group_state.h
@@ -0,0 +1,254 @@
+/// The inside of the line protocol's group gateway, shared by its sources.
+#pragma once
+
+#include "modules/line/line_connection.h"
+#include "modules/line/line_group.h"
+#include "modules/line/read_choice.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace teasellock {
+
+/// A connection that carries statements, with what its session holds.
+struct line_session {
+  std::unique_ptr<line_connection> Connection;
+  std::map<std::string, std::string> Settings;
+  /// Names of prepared statements.
+  std::set<std::string> Prepared;
+};
+
+/// One question on an upstream's own connection for probes.
+struct line_question {
+  std::string Bytes;
+  std::size_t Count = 1;
+  std::function<void(const line_run &)> Answered;
+};
+
+/// What this gateway knows of one upstream.
+struct line_upstream {
+  upstream_announcement Announcement;
+  std::vector<std::unique_ptr<line_session>> Idle;
+  /// Connections that run a statement or hold a transaction.
+  std::uint32_t Occupied = 0;
+  std::uint32_t Opening = 0;
+  std::uint32_t Running = 0;
+  time_point ConnectNotBefore;
+  duration ConnectDelay{};
+  /// It refused work for want of room.
+  time_point BusyUntil;
+  /// When it was first seen to be leaving.
+  std::optional<time_point> LeavingSince;
+
+  /// It leads in Term, as far as is known.
+  bool Leads = false;
+  term Term;
+  position Applied;
+  position Received;
+  time_point HeardAt;
+  bool Heard = false;
+  bool Paused = false;
+  std::optional<time_point> UnreachableSince;
+  bool Refused = false;
+  std::string Problem;
+  /// Of late statements, from sending to the answer.
+  duration Latency{};
+  /// The oldest write that no write answered since has overtaken.
+  std::optional<time_point> WriteUnansweredSince;
+
+  /// For probes, so that they never wait for a statement.
+  std::unique_ptr<line_connection> Probe;
+  bool ProbeOpening = false;
+  std::deque<line_question> Questions;
+  std::optional<line_question> Asked;
+  time_point AskedAt;
+  time_point ProbeNotBefore;
+  time_point PositionAskedAt;
+  time_point StatusAskedAt;
+};
+
+/// What a statement needs from an upstream.
+enum class line_need { Replica, PrimaryRead, Primary };
+
+/// Where a statement is on its way.
+enum class line_phase { Waiting, Preparing, Running };
+
+/// A statement on its way through the gateway.
+struct line_work {
+  std::uint64_t Id = 0;
+  arrived_statement Arrived;
+  line_need Need = line_need::Replica;
+  line_phase Phase = line_phase::Waiting;
+  read_demand Demand;
+  time_point ArrivedAt;
+  time_point Deadline;
+  time_point NotBefore;
+  time_point SentAt;
+  std::set<upstream_id> Tried;
+  std::uint32_t Attempts = 0;
+  upstream_id Upstream;
+  std::optional<position> After;
+  std::unique_ptr<line_session> Session;
+  /// Why it was not run so far.
+  std::string Reason;
+  span Span;
+
+  const wire::statement_request &request() const { return Arrived.Statement; }
+  const wire::line_step &step() const { return Arrived.Statement.line; }
+  bool inTransaction() const { return request().transaction != 0; }
+  bool opens() const { return request().opens_transaction; }
+  bool commits() const { return step().verb == wire::line_verb::commit; }
+  /// Losing its answer leaves open whether data changed.
+  bool changesData() const {
+    return commits() || (!inTransaction() &&
+                         request().access == wire::statement_access::write);
+  }
+};
+
+/// Names a transaction among all entries.
+struct line_transaction_key {
+  link_id Link;
+  transaction_id Transaction;
+
+  auto operator<=>(const line_transaction_key &) const = default;
+};
+
+/// An open transaction and the connection it is pinned to.
+struct line_transaction {
+  upstream_id Upstream;
+  std::unique_ptr<line_session> Session;
+  /// The statement that runs in it now, or 0.
+  std::uint64_t Work = 0;
+  bool Wrote = false;
+};
+
+class line_group : public group_port,
+                   public std::enable_shared_from_this<line_group> {
+public:
+  line_group(daemon_context &Context, membership_hooks Member,
+             const line_group_settings &Settings, group_id Group);
+  ~line_group() override;
+
+  void apply(const group_view &NewView) override;
+  void submit(arrived_statement Arrived) override;
+  void cancel(const caller_request &Caller) override;
+  void release(link_id Link, transaction_id Transaction) override;
+  void callerGone(link_id Link) override;
+  bool holdsGroup() const override;
+  wire::group_report report() const override;
+  void fence(const wire::fence &Fence,
+             std::function<void(wire::fence_reply)> Answer) override;
+  void resume() override;
+  void promote(const wire::promote &Order,
+               std::function<void(wire::promote_reply)> Answer) override;
+  std::size_t inFlight() const override;
+
+private:
+  struct pending_pause {
+    std::int64_t FencedTerm = 0;
+    term PauseTerm;
+    std::set<upstream_id> Missing;
+    std::set<upstream_id> Paused;
+    /// Empty once it was called.
+    std::function<void(wire::fence_reply)> Answer;
+    timer_subscription Timeout;
+  };
+
+  time_point now() const { return Context.Timers.now(); }
+  const line_protocol &protocol() const { return *Settings.Protocol; }
+  line_upstream *findUpstream(const upstream_id &Id);
+  line_work *findWork(std::uint64_t Id);
+
+  // line_group.cpp
+  void applyUpstreams();
+  void dropUpstream(const upstream_id &Id);
+  void tick();
+  void armDeadline();
+  void expire();
+  std::uint32_t connectionLimit() const;
+  bool mayConnect(const line_upstream &Upstream) const;
+  void connect(const upstream_id &Id);
+  void onConnected(const upstream_id &Id, std::uint64_t Attempt,
+                   const line_opening &Opening);
+  void giveBack(const upstream_id &Id, std::unique_ptr<line_session> Session);
+  void rollBack(const upstream_id &Id, std::unique_ptr<line_session> Session);
+  void discard(const upstream_id &Id, std::unique_ptr<line_session> Session);
+  void trimIdle(line_upstream &Upstream);
+  bool accepts(const line_upstream &Upstream) const;
+
+  // line_statements.cpp
+  void pump();
+  bool tryStart(line_work &Work);
+  bool startOn(line_work &Work, const upstream_id &Id,
+               std::optional<position> After);
+  std::vector<read_option> readOptions() const;
+  bool tryRead(line_work &Work);
+  void prepare(line_work &Work);
+  void onPrepared(std::uint64_t Id, const line_run &Run);
+  void runMain(line_work &Work);
+  void onMain(std::uint64_t Id, line_run Run);
+  void continueTransaction(line_work &Work, line_transaction &Transaction);
+  void onTransactionAnswer(std::uint64_t Id, line_run Run);
+  void succeed(line_work &Work, const line_answer &Answer);
+  void noteAnswer(line_work &Work, const line_answer &Answer);
+  void handleFailure(line_work &Work, const line_failure &Failure);
+  void retry(line_work &Work, const std::string &Reason);
+  void lose(line_work &Work, const std::string &Reason);
+  void finish(line_work &Work, wire::statement_reply Reply);
+  void refuse(line_work &Work, line_error Code, const std::string &Reason,
+              bool NotAssigned = false);
+  void failed(line_work &Work, const line_failure &Failure);
+  void unknown(line_work &Work, line_error Code, const std::string &Reason);
+  void dropSession(line_work &Work);
+
+  // line_probes.cpp
+  std::optional<upstream_id> leader() const;
+  void noteLeads(const upstream_id &Id, bool Leads, term Term);
+  void noteReachable(line_upstream &Upstream);
+  void noteUnreachable(const upstream_id &Id, const std::string &Problem,
+                       bool Refused);
+  void ask(const upstream_id &Id, line_question Question);
+  void pumpQuestions(const upstream_id &Id);
+  void openProbe(const upstream_id &Id);
+  void onAnswered(const upstream_id &Id, const line_run &Run);
+  void probe(const upstream_id &Id);
+  void probeStatus(const upstream_id &Id);
+  void takeStatus(const upstream_id &Id, const line_run &Run);
+  void probeAll();
+  void takeSample(time_point AskedAt, const position &Position);
+  void pause(const upstream_id &Id,
+             const std::shared_ptr<pending_pause> &Pause);
+  void onPaused(const upstream_id &Id,
+                const std::shared_ptr<pending_pause> &Pause,
+                const line_run &Run);
+  void finishPause(pending_pause &Pause);
+  wire::upstream_report reportOf(const upstream_id &Id,
+                                 const line_upstream &Upstream) const;
+
+  daemon_context &Context;
+  membership_hooks Member;
+  line_group_settings Settings;
+  group_view View;
+  bool Assigned = false;
+  gateway_share Share;
+  std::map<upstream_id, line_upstream> Upstreams;
+  std::map<std::uint64_t, std::unique_ptr<line_work>> Works;
+  /// Waiting statements by importance and arrival.
+  std::map<std::pair<std::int32_t, std::uint64_t>, std::uint64_t> Queue;
+  std::map<line_transaction_key, line_transaction> Transactions;
+  /// Connections that are being opened, by attempt.
+  std::map<std::uint64_t, std::unique_ptr<line_connection>> Connecting;
+  std::optional<primary_sample> Sample;
+  std::uint64_t LastId = 0;
+  bool Pumping = false;
+  bool PumpAgain = false;
+  timer_subscription Ticker;
+  timer_subscription DeadlineTimer;
+  std::optional<time_point> DeadlineAt;
+  latency_histogram &QueueSeconds;
+  latency_histogram &StatementSeconds;
+};
+
+} // namespace teasellock
--- /dev/null
+++ b/modules/line/line_listener.cpp
@@ -0,0 +1,397 @@
+#include "modules/line/line_listener.h"
+
+#include "core/error.h"
+#include "core/event_log.h"
+#include "modules/line/line_caller_state.h"
+
+#include <cerrno>
+#include <cstring>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <set>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace teasellock {
+
+namespace {
+
+constexpr int ListenBacklog = 1024;
+constexpr std::size_t ReadBytes = 16 * 1024;
+/// A caller that takes no data is closed beyond this.
+constexpr std::size_t MostOutput = 4 * LargestLine;
+constexpr duration AcceptPause = std::chrono::milliseconds(100);
+/// How often idle transactions and the drain are looked at.
+constexpr duration CheckPeriod = std::chrono::milliseconds(200);
+/// A connection without a first message is closed after this.
+constexpr duration StartTimeout = std::chrono::seconds(10);
+/// A peer without power is given up after this.
+constexpr unsigned UnacknowledgedMs = 10000;
+constexpr std::string_view LineEnd = "\r\n";
+
+using caller_id = strong_type<struct line_caller_tag, std::uint64_t>;
+
+} // namespace
+
+struct line_listener::state {
+  struct connection {
+    caller_id Id;
+    int Socket = -1;
+    descriptor_watch Watch;
+    std::string In;
+    std::string Out;
+    std::size_t OutStart = 0;
+    line_caller_state Caller;
+    std::optional<request_id> Request;
+    time_point ActiveAt;
+    bool Closing = false;
+    /// The caller has sent its last byte.
+    bool Ended = false;
+  };
+
+  daemon_context &Context;
+  member_agent &Member;
+  statement_router &Router;
+  line_listener_settings Settings;
+  line_environment Environment;
+  int Listener = -1;
+  descriptor_watch ListenerWatch;
+  timer_subscription AcceptAgain;
+  timer_subscription Check;
+  std::map<caller_id, std::unique_ptr<connection>> Connections;
+  std::uint64_t LastCaller = 0;
+  std::optional<time_point> DrainingSince;
+  std::function<void()> Drained;
+  gauge &Callers;
+  latency_histogram &StatementSeconds;
+  std::shared_ptr<state *> Self = std::make_shared<state *>(this);
+
+  state(daemon_context &Context, member_agent &Member,
+        statement_router &Router, line_listener_settings Given)
+      : Context(Context), Member(Member), Router(Router),
+        Settings(std::move(Given)),
+        Callers(Context.Metrics.gaugeOf("teasellock_callers")),
+        StatementSeconds(
+            Context.Metrics.histogramOf("teasellock_statement_seconds")) {
+    Environment.Protocol = Settings.Protocol;
+    Environment.FindRoute = [&Member](const database_id &Database) {
+      return findRoute(Member.currentDeployment(), Database);
+    };
+    Environment.DeploymentKnown = [&Member] {
+      return Member.currentDeployment().Version != deployment_version();
+    };
+  }
+
+  ~state() {
+    Self.reset();
+    for (auto &[Id, Connection] : Connections)
+      ::close(Connection->Socket);
+    if (Listener >= 0)
+      ::close(Listener);
+  }
+
+  time_point now() const { return Context.Timers.now(); }
+  connection *find(caller_id Id) {
+    auto Found = Connections.find(Id);
+    return Found == Connections.end() ? nullptr : Found->second.get();
+  }
+
+  void listen();
+  void accept();
+  void add(int Socket);
+  void onReady(caller_id Id, readiness Ready);
+  bool readFrom(connection &Connection);
+  void process(connection &Connection);
+  void carryOut(connection &Connection, line_effects Effects);
+  void submit(connection &Connection, wire::statement_request Request);
+  void onReply(caller_id Id, const wire::statement_reply &Reply);
+  bool flush(connection &Connection);
+  void settle(caller_id Id);
+  void drop(caller_id Id);
+  void check();
+  void checkIdle(connection &Connection);
+  bool leaves(const connection &Connection) const;
+  void checkDrained();
+};
+
+void line_listener::state::listen() {
+  std::string Peer = toString(Settings.Listen);
+  Listener = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (Listener < 0)
+    throw error("caller.listen", Peer, std::strerror(errno));
+  int On = 1;
+  ::setsockopt(Listener, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
+  sockaddr_in Address = toSocketAddress(Settings.Listen);
+  socklen_t Length = sizeof(Address);
+  if (::bind(Listener, reinterpret_cast<sockaddr *>(&Address), Length) < 0 ||
+      ::listen(Listener, ListenBacklog) < 0)
+    throw error("caller.listen", Peer, std::strerror(errno));
+  ::getsockname(Listener, reinterpret_cast<sockaddr *>(&Address), &Length);
+  Settings.Listen.Port = ntohs(Address.sin_port);
+}
+
+void line_listener::state::accept() {
+  for (;;) {
+    int Socket =
+        ::accept4(Listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (Socket >= 0) {
+      add(Socket);
+      continue;
+    }
+    if (errno != EMFILE && errno != ENFILE)
+      return;
+    event("caller.accept_failed", severity::Warning)
+        .with("reason", std::strerror(errno));
+    ListenerWatch.want({});
+    AcceptAgain = Context.Timers.after(
+        AcceptPause, [this] { ListenerWatch.want({true, false}); });
+    return;
+  }
+}
+
+void line_listener::state::add(int Socket) {
+  if (Connections.size() >= Settings.MostCallers) {
+    std::string Out;
+    Settings.Protocol->AppendError(Out, line_error::Busy, "too many sessions");
+    [[maybe_unused]] auto Ignored =
+        ::send(Socket, Out.data(), Out.size(), MSG_NOSIGNAL);
+    ::close(Socket);
+    return;
+  }
+  int On = 1;
+  ::setsockopt(Socket, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
+  ::setsockopt(Socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &UnacknowledgedMs,
+               sizeof(UnacknowledgedMs));
+  auto Connection = std::make_unique<connection>();
+  Connection->Id = caller_id(++LastCaller);
+  Connection->Socket = Socket;
+  Connection->ActiveAt = now();
+  Connection->Watch = Context.Loop.watch(
+      Socket, {true, false},
+      [this, Id = Connection->Id](readiness Ready) { onReady(Id, Ready); });
+  Connections[Connection->Id] = std::move(Connection);
+  Callers.set(static_cast<double>(Connections.size()));
+}
+
+void line_listener::state::onReady(caller_id Id, readiness Ready) {
+  auto *Connection = find(Id);
+  if (!Connection)
+    return;
+  if (Ready.Readable && !readFrom(*Connection))
+    return drop(Id);
+  if (Ready.Writable && !flush(*Connection))
+    return drop(Id);
+  process(*Connection);
+  settle(Id);
+}
+
+bool line_listener::state::readFrom(connection &Connection) {
+  char Buffer[ReadBytes];
+  ssize_t Count = ::recv(Connection.Socket, Buffer, sizeof(Buffer), 0);
+  if (Count > 0) {
+    Connection.In.append(Buffer, static_cast<std::size_t>(Count));
+    Connection.ActiveAt = now();
+    return true;
+  }
+  return Count < 0 &&
+         (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+}
+
+void line_listener::state::process(connection &Connection) {
+  std::size_t Start = 0;
+  while (!Connection.Closing &&
+         Connection.Caller.Phase != line_caller_state::phase::Busy) {
+    std::size_t End = Connection.In.find(LineEnd, Start);
+    bool TooLong = Connection.In.size() - Start > LargestLine &&
+                   (End == std::string::npos || End - Start > LargestLine);
+    line_effects Effects;
+    if (TooLong) {
+      Settings.Protocol->AppendError(Effects.Out, line_error::Malformed,
+                                     "a message is longer than 1 MiB");
+      Effects.Close = true;
+    } else if (End == std::string::npos) {
+      break;
+    } else {
+      std::string_view Line(Connection.In.data() + Start, End - Start);
+      teasellock::takeLine(Connection.Caller, Environment,
+                           Settings.Protocol->ReadCaller(Line),
+                           Router.nextTransaction(), Effects);
+      Start = End + LineEnd.size();
+    }
+    carryOut(Connection, std::move(Effects));
+  }
+  Connection.In.erase(0, Start);
+  if (Connection.In.empty())
+    Connection.In.shrink_to_fit();
+}
+
+void line_listener::state::carryOut(connection &Connection,
+                                    line_effects Effects) {
+  Connection.Out += Effects.Out;
+  if (Effects.Release)
+    Router.release(*Effects.Release);
+  if (Effects.Submit)
+    submit(Connection, std::move(*Effects.Submit));
+  Connection.Closing = Connection.Closing || Effects.Close;
+}
+
+void line_listener::state::submit(connection &Connection,
+                                  wire::statement_request Request) {
+  span Span = Context.Tracer.start("entry.statement", {});
+  Span.set("group", Request.group);
+  std::string TraceParent = toTraceParent(Span.context());
+  auto Shared = std::make_shared<span>(std::move(Span));
+  std::weak_ptr<state *> Weak = Self;
+  Connection.Request = Router.submit(
+      std::move(Request), TraceParent,
+      [Weak, Id = Connection.Id, Shared,
+       Started = now()](const wire::statement_reply &Reply) {
+        auto Alive = Weak.lock();
+        if (!Alive || !Reply.last)
+          return;
+        Shared->end();
+        (*Alive)->StatementSeconds.observe((*Alive)->now() - Started);
+        (*Alive)->onReply(Id, Reply);
+      });
+}
+
+void line_listener::state::onReply(caller_id Id,
+                                   const wire::statement_reply &Reply) {
+  auto *Connection = find(Id);
+  if (!Connection)
+    return;
+  Connection->Request.reset();
+  Connection->ActiveAt = now();
+  if (!Reply.code.empty())
+    event("caller.failed")
+        .with("id", Connection->Caller.RunningId)
+        .with("database", Connection->Caller.Database.Value)
+        .with("code", Reply.code)
+        .with("upstream", Reply.upstream)
+        .with("reason", Reply.problem);
+  line_effects Effects;
+  teasellock::takeReply(Connection->Caller, Environment, Reply, Effects);
+  carryOut(*Connection, std::move(Effects));
+  process(*Connection);
+  settle(Id);
+}
+
+bool line_listener::state::flush(connection &Connection) {
+  auto &Out = Connection.Out;
+  while (Connection.OutStart < Out.size()) {
+    ssize_t Count = ::send(Connection.Socket, Out.data() + Connection.OutStart,
+                           Out.size() - Connection.OutStart, MSG_NOSIGNAL);
+    if (Count > 0) {
+      Connection.OutStart += static_cast<std::size_t>(Count);
+      continue;
+    }
+    if (errno == EINTR)
+      continue;
+    return errno == EAGAIN || errno == EWOULDBLOCK;
+  }
+  std::string().swap(Out);
+  Connection.OutStart = 0;
+  return true;
+}
+
+void line_listener::state::settle(caller_id Id) {
+  auto *Connection = find(Id);
+  if (!Connection)
+    return;
+  if (!flush(*Connection) ||
+      Connection->Out.size() - Connection->OutStart > MostOutput)
+    return drop(Id);
+  bool Written = Connection->Out.empty();
+  if (Written && (Connection->Closing || leaves(*Connection)))
+    return drop(Id);
+  bool Read = !Connection->Closing && Connection->In.size() <= LargestLine;
+  Connection->Watch.want({Read, !Written});
+}
+
+void line_listener::state::drop(caller_id Id) {
+  auto Taken = Connections.extract(Id);
+  if (Taken.empty())
+    return;
+  auto &Connection = *Taken.mapped();
+  Callers.set(static_cast<double>(Connections.size()));
+  Connection.Watch = descriptor_watch();
+  ::close(Connection.Socket);
+  if (Connection.Request)
+    Router.cancel(*Connection.Request);
+  line_effects Effects;
+  abandon(Connection.Caller, Effects);
+  if (Effects.Release)
+    Router.release(*Effects.Release);
+  checkDrained();
+}
+
+/// Whether a session ends now because the VM shuts down.
+bool line_listener::state::leaves(const connection &Connection) const {
+  if (!DrainingSince || !Connection.In.empty())
+    return false;
+  duration Since = now() - *DrainingSince;
+  if (isIdle(Connection.Caller))
+    return Since >= Settings.DrainNotice;
+  bool Busy = Connection.Caller.Phase == line_caller_state::phase::Busy;
+  return !Busy && Since >= Settings.DrainTransactions;
+}
+
+void line_listener::state::checkIdle(connection &Connection) {
+  duration Idle = now() - Connection.ActiveAt;
+  bool Silent = Connection.Caller.Phase == line_caller_state::phase::Start &&
+                Idle > StartTimeout;
+  Connection.Closing = Connection.Closing || Silent;
+  duration Limit = Member.currentDeployment().IdleTransaction;
+  if (Limit <= duration::zero() || Idle <= Limit)
+    return;
+  line_effects Effects;
+  endIdleTransaction(Connection.Caller, Effects);
+  carryOut(Connection, std::move(Effects));
+}
+
+void line_listener::state::check() {
+  std::vector<caller_id> All;
+  for (auto &[Id, Connection] : Connections) {
+    checkIdle(*Connection);
+    if (Connection->Closing || leaves(*Connection))
+      All.push_back(Id);
+  }
+  for (auto Id : All)
+    settle(Id);
+  checkDrained();
+}
+
+void line_listener::state::checkDrained() {
+  if (!DrainingSince || !Connections.empty() || !Drained ||
+      now() - *DrainingSince < Settings.DrainNotice)
+    return;
+  Context.Loop.post(std::exchange(Drained, nullptr));
+}
+
+line_listener::line_listener(daemon_context &Context, member_agent &Member,
+                             statement_router &Router,
+                             line_listener_settings Settings)
+    : State(std::make_unique<state>(Context, Member, Router,
+                                    std::move(Settings))) {}
+
+line_listener::~line_listener() = default;
+
+endpoint line_listener::start() {
+  State->listen();
+  State->ListenerWatch = State->Context.Loop.watch(
+      State->Listener, {true, false}, [this](readiness) { State->accept(); });
+  State->Check = State->Context.Timers.every(CheckPeriod,
+                                             [this] { State->check(); });
+  return State->Settings.Listen;
+}
+
+void line_listener::drain(std::function<void()> Done) {
+  State->DrainingSince = State->now();
+  State->Drained = std::move(Done);
+}
+
+std::size_t line_listener::callers() const {
+  return State->Connections.size();
+}
+
+} // namespace teasellock
--- /dev/null
+++ b/modules/line/line_statements.cpp
@@ -0,0 +1,543 @@
+#include "core/event_log.h"
+#include "modules/gateway/refusals.h"
+#include "modules/line/line_group_state.h"
+
+#include <algorithm>
+
+namespace teasellock {
+
+namespace {
+
+/// Times by distance: within a zone, within a region, between regions.
+constexpr duration ZoneRoundTrip = std::chrono::microseconds(300);
+constexpr duration RegionRoundTrip = std::chrono::milliseconds(3);
+constexpr duration FarRoundTrip = std::chrono::milliseconds(25);
+/// An upstream without room is left alone for this: less than a statement's
+/// usual work.
+constexpr duration BusyDelay = std::chrono::milliseconds(10);
+/// A statement that could not be run waits this long before the next try.
+constexpr duration RetryDelay = std::chrono::milliseconds(5);
+constexpr std::uint32_t MostAttempts = 12;
+/// Connections that may be opening to one upstream at once: each takes a slot
+/// there for as long as a statement.
+constexpr std::uint32_t MostOpening = 2;
+/// Weight of the latest answer in an upstream's latency, as one part in so
+/// many.
+constexpr int LatencyParts = 8;
+
+duration roundTripTo(const vm_identity &Self,
+                     const upstream_announcement &Upstream) {
+  if (Upstream.AvailabilityZone == Self.AvailabilityZone)
+    return ZoneRoundTrip;
+  return Upstream.Region == Self.Region ? RegionRoundTrip : FarRoundTrip;
+}
+
+/// Prepared statements of all sessions share names by shape.
+std::string preparedName(const wire::line_step &Step) {
+  constexpr char Digits[] = "0123456789abcdef";
+  std::uint64_t Hash = std::hash<std::string>()(Step.shape);
+  std::string Name = Step.writes ? "tw" : "tr";
+  for (int Shift = 60; Shift >= 0; Shift -= 4)
+    Name += Digits[(Hash >> Shift) & 15];
+  return Name;
+}
+
+line_need needOf(const wire::statement_request &Request) {
+  bool Write = Request.access == wire::statement_access::write;
+  if (Request.opens_transaction) {
+    bool Elsewhere = Request.read_only && Request.max_staleness_ms >= 0;
+    return Elsewhere ? line_need::Replica : line_need::Primary;
+  }
+  if (Write)
+    return line_need::Primary;
+  return Request.max_staleness_ms < 0 ? line_need::PrimaryRead
+                                      : line_need::Replica;
+}
+
+} // namespace
+
+//===----------------------------------------------------------------------===//
+// Arrival and choice
+//===----------------------------------------------------------------------===//
+
+void line_group::submit(arrived_statement Arrived) {
+  auto Work = std::make_unique<line_work>();
+  Work->Id = ++LastId;
+  Work->ArrivedAt = now();
+  Work->Deadline =
+      now() + fromMilliseconds(std::max<std::int64_t>(
+                  Arrived.Statement.timeout_ms, 1));
+  Work->Need = needOf(Arrived.Statement);
+  Work->Demand.ArrivedAt = now();
+  Work->Demand.MaxStaleness = fromMilliseconds(
+      std::max<std::int64_t>(Arrived.Statement.max_staleness_ms, 0));
+  if (Arrived.Statement.floor_known)
+    Work->Demand.Floor = fromWire(Arrived.Statement.floor);
+  Work->Span = Context.Tracer.start("gateway.statement",
+                                    parseTraceParent(Arrived.TraceParent));
+  Work->Arrived = std::move(Arrived);
+  auto &Added = *Work;
+  Works[Added.Id] = std::move(Work);
+  if (Added.inTransaction() && !Added.opens()) {
+    auto Found = Transactions.find(
+        {Added.Arrived.Caller.Link,
+         transaction_id(
+             static_cast<std::uint64_t>(Added.request().transaction))});
+    if (Found == Transactions.end() || !Found->second.Session)
+      return refuse(Added, line_error::Aborted, TransactionEnded);
+    return continueTransaction(Added, Found->second);
+  }
+  if (!Assigned)
+    return refuse(Added, line_error::Busy,
+                  "this VM is not a gateway of the group", true);
+  Queue[{Added.request().priority, Added.Id}] = Added.Id;
+  pump();
+  armDeadline();
+}
+
+void line_group::pump() {
+  if (Pumping) {
+    PumpAgain = true;
+    return;
+  }
+  Pumping = true;
+  do {
+    PumpAgain = false;
+    std::vector<std::uint64_t> Waiting;
+    for (const auto &[Rank, Id] : Queue)
+      Waiting.push_back(Id);
+    for (auto Id : Waiting)
+      if (auto *Work = findWork(Id); Work && now() >= Work->NotBefore)
+        tryStart(*Work);
+  } while (PumpAgain);
+  Pumping = false;
+}
+
+bool line_group::tryStart(line_work &Work) {
+  if (Work.Need == line_need::Replica)
+    return tryRead(Work);
+  auto Primary = leader();
+  if (!Primary) {
+    Work.Reason = "the group has no primary";
+    return false;
+  }
+  return startOn(Work, *Primary, std::nullopt);
+}
+
+std::vector<read_option> line_group::readOptions() const {
+  std::vector<read_option> Options;
+  auto Primary = leader();
+  for (const auto &[Id, Upstream] : Upstreams) {
+    if (!accepts(Upstream) || Upstream.UnreachableSince)
+      continue;
+    read_option Option;
+    Option.Upstream = Id;
+    Option.Applied = Upstream.Applied;
+    Option.Primary = Primary == Id;
+    Option.Free = !Upstream.Idle.empty();
+    Option.RoundTrip = roundTripTo(Context.Self, Upstream.Announcement);
+    Option.Latency = Upstream.Latency;
+    Option.Running = Upstream.Running;
+    Option.Slots = Upstream.Announcement.Slots;
+    Options.push_back(Option);
+  }
+  return Options;
+}
+
+bool line_group::tryRead(line_work &Work) {
+  auto Needed = neededPosition(Work.Demand, Sample);
+  if (!Needed) {
+    Work.Reason = "the primary's position is not known well enough";
+    if (auto Primary = leader())
+      probe(*Primary);
+    return false;
+  }
+  auto Options = readOptions();
+  if (const auto *Best = chooseUpstream(Options, *Needed, Work.Tried))
+    return startOn(Work, Best->Upstream, Needed);
+  for (auto &Option : Options)
+    Option.Free = mayConnect(Upstreams.at(Option.Upstream));
+  if (const auto *Best = chooseUpstream(Options, *Needed, Work.Tried))
+    return startOn(Work, Best->Upstream, Needed);
+  Work.Reason = "no upstream with the data has room";
+  // Once every upstream was tried in vain, each may be tried again.
+  if (Work.Tried.size() >= Options.size())
+    Work.Tried.clear();
+  return false;
+}
+
+bool line_group::startOn(line_work &Work, const upstream_id &Id,
+                         std::optional<position> After) {
+  auto &Upstream = Upstreams.at(Id);
+  if (!accepts(Upstream)) {
+    Work.Reason = "the upstream takes no more work";
+    return false;
+  }
+  if (Upstream.Idle.empty()) {
+    Work.Reason = "no connection is free";
+    if (Upstream.Opening < MostOpening && mayConnect(Upstream))
+      connect(Id);
+    return false;
+  }
+  // A connection that already holds the session's values saves messages.
+  auto Best = std::find_if(
+      Upstream.Idle.begin(), Upstream.Idle.end(), [&](const auto &Idle) {
+        return Idle->Settings == Work.request().settings;
+      });
+  if (Best == Upstream.Idle.end())
+    Best = std::prev(Upstream.Idle.end());
+  Work.Session = std::move(*Best);
+  Upstream.Idle.erase(Best);
+  ++Upstream.Occupied;
+  ++Upstream.Running;
+  Work.Upstream = Id;
+  Work.After = After;
+  Queue.erase({Work.request().priority, Work.Id});
+  QueueSeconds.observe(now() - Work.ArrivedAt);
+  prepare(Work);
+  return true;
+}
+
+//===----------------------------------------------------------------------===//
+// Running
+//===----------------------------------------------------------------------===//
+
+void line_group::prepare(line_work &Work) {
+  Work.Phase = line_phase::Preparing;
+  auto &Session = *Work.Session;
+  const auto &Wanted = Work.request().settings;
+  std::string Bytes;
+  std::size_t Count = 0;
+  bool Surplus = std::any_of(
+      Session.Settings.begin(), Session.Settings.end(),
+      [&](const auto &Entry) { return !Wanted.contains(Entry.first); });
+  if (Surplus) {
+    protocol().AppendReset(Bytes);
+    ++Count;
+    Session.Settings.clear();
+    Session.Prepared.clear();
+  }
+  for (const auto &[Name, Value] : Wanted) {
+    auto Known = Session.Settings.find(Name);
+    if (Known != Session.Settings.end() && Known->second == Value)
+      continue;
+    protocol().AppendSet(Bytes, Name, Value);
+    ++Count;
+    Session.Settings[Name] = Value;
+  }
+  if (Work.step().verb == wire::line_verb::execute &&
+      Session.Prepared.insert(preparedName(Work.step())).second) {
+    protocol().AppendPrepare(Bytes, preparedName(Work.step()),
+                             Work.step().writes, Work.step().shape);
+    ++Count;
+  }
+  // A statement behind a BEGIN that fails would run by itself: wait for it.
+  if (Work.opens() || Work.Need == line_need::PrimaryRead) {
+    bool ReadOnly = Work.opens() && Work.Need == line_need::Replica;
+    protocol().AppendBegin(Bytes, ReadOnly,
+                           ReadOnly ? Work.After : std::nullopt);
+    ++Count;
+  }
+  Work.SentAt = now();
+  if (Count == 0)
+    return runMain(Work);
+  Session.Connection->run(
+      std::move(Bytes), Count,
+      [Weak = weak_from_this(), Id = Work.Id](const line_run &Run) {
+        if (auto Self = Weak.lock())
+          Self->onPrepared(Id, Run);
+      });
+}
+
+void line_group::onPrepared(std::uint64_t Id, const line_run &Run) {
+  auto *Work = findWork(Id);
+  if (!Work)
+    return;
+  if (Run.Broken)
+    return lose(*Work, Run.Problem);
+  for (const auto &Answer : Run.Answers)
+    if (Answer.Failure)
+      return handleFailure(*Work, *Answer.Failure);
+  const auto &Last = Run.Answers.back();
+  bool Plain = Work->Need != line_need::Replica;
+  if (auto *Upstream = findUpstream(Work->Upstream)) {
+    noteReachable(*Upstream);
+    if (Last.Ready.Position)
+      Upstream->Applied = *Last.Ready.Position;
+  }
+  if (Plain && Last.Ready.State == 'T' && Last.Ready.Position &&
+      (Work->opens() || Work->Need == line_need::PrimaryRead))
+    takeSample(Work->SentAt, *Last.Ready.Position);
+  runMain(*Work);
+}
+
+void line_group::runMain(line_work &Work) {
+  Work.Phase = line_phase::Running;
+  Work.SentAt = now();
+  const auto &Step = Work.step();
+  // In a transaction the position was asked for at its start.
+  std::optional<position> After;
+  if (!Work.inTransaction() && Work.Need == line_need::Replica)
+    After = Work.After;
+  std::string Bytes;
+  if (Step.verb == wire::line_verb::execute)
+    protocol().AppendExecute(Bytes, Step.id, preparedName(Step), Step.arguments,
+                             After);
+  else
+    protocol().AppendStatement(Bytes, Step.id, Step.text, After);
+  std::size_t Count = 1;
+  if (Work.Need == line_need::PrimaryRead && !Work.inTransaction()) {
+    protocol().AppendRollback(Bytes);
+    ++Count;
+  }
+  auto *Upstream = findUpstream(Work.Upstream);
+  if (Upstream && Work.changesData() && !Upstream->WriteUnansweredSince)
+    Upstream->WriteUnansweredSince = now();
+  Work.Session->Connection->run(
+      std::move(Bytes), Count,
+      [Weak = weak_from_this(), Id = Work.Id](line_run Run) {
+        if (auto Self = Weak.lock())
+          Self->onMain(Id, std::move(Run));
+      });
+}
+
+void line_group::onMain(std::uint64_t Id, line_run Run) {
+  auto *Work = findWork(Id);
+  if (!Work)
+    return;
+  // The answer counts even if the connection ended right after it.
+  if (Run.Answers.empty())
+    return lose(*Work, Run.Problem);
+  const auto &Answer = Run.Answers.front();
+  noteAnswer(*Work, Answer);
+  if (Answer.Failure)
+    return handleFailure(*Work, *Answer.Failure);
+  succeed(*Work, Answer);
+}
+
+void line_group::continueTransaction(line_work &Work,
+                                     line_transaction &Transaction) {
+  Work.Need = line_need::Primary;
+  Work.Upstream = Transaction.Upstream;
+  Work.Session = std::move(Transaction.Session);
+  Transaction.Work = Work.Id;
+  if (auto *Upstream = findUpstream(Work.Upstream))
+    ++Upstream->Running;
+  prepare(Work);
+  armDeadline();
+}
+
+void line_group::noteAnswer(line_work &Work, const line_answer &Answer) {
+  auto *Upstream = findUpstream(Work.Upstream);
+  if (!Upstream)
+    return;
+  noteReachable(*Upstream);
+  if (Answer.Ready.Position && *Answer.Ready.Position > Upstream->Applied)
+    Upstream->Applied = *Answer.Ready.Position;
+  duration Took = now() - Work.SentAt;
+  StatementSeconds.observe(Took);
+  if (!Answer.Failure) {
+    Upstream->Latency += (Took - Upstream->Latency) / LatencyParts;
+    if (Work.changesData())
+      Upstream->WriteUnansweredSince.reset();
+  }
+}
+
+//===----------------------------------------------------------------------===//
+// The end
+//===----------------------------------------------------------------------===//
+
+void line_group::succeed(line_work &Work, const line_answer &Answer) {
+  wire::statement_reply Reply;
+  Reply.outcome = wire::statement_outcome::answered;
+  Reply.last = true;
+  Reply.upstream = Work.Upstream.Value;
+  Reply.by_replica = Work.Need == line_need::Replica;
+  for (const auto &Row : Answer.Rows)
+    protocol().AppendRow(Reply.messages, Row);
+  protocol().AppendSignature(Reply.messages, Answer.Signature);
+  Reply.transaction_status = 'I';
+  if (Work.changesData() && Answer.Ready.Position)
+    Reply.reached = toWire(*Answer.Ready.Position);
+  auto Session = std::move(Work.Session);
+  auto Id = Work.Upstream;
+  if (auto *Upstream = findUpstream(Id))
+    --Upstream->Running;
+  line_transaction_key Key{
+      Work.Arrived.Caller.Link,
+      transaction_id(static_cast<std::uint64_t>(Work.request().transaction))};
+  bool Gone = Work.inTransaction() && !Work.opens() &&
+              !Transactions.contains(Key);
+  if (!Work.inTransaction()) {
+    finish(Work, std::move(Reply));
+    return giveBack(Id, std::move(Session));
+  }
+  if (Work.commits()) {
+    Transactions.erase(Key);
+    finish(Work, std::move(Reply));
+    return giveBack(Id, std::move(Session));
+  }
+  if (Gone) {
+    refuse(Work, line_error::Aborted, TransactionEnded);
+    return rollBack(Id, std::move(Session));
+  }
+  auto &Transaction = Transactions[Key];
+  Transaction.Upstream = Id;
+  Transaction.Session = std::move(Session);
+  Transaction.Work = 0;
+  Transaction.Wrote = Transaction.Wrote ||
+                      Work.request().access == wire::statement_access::write;
+  Reply.transaction_status = 'T';
+  finish(Work, std::move(Reply));
+}
+
+void line_group::handleFailure(line_work &Work, const line_failure &Failure) {
+  auto *Upstream = findUpstream(Work.Upstream);
+  auto Id = Work.Upstream;
+  if (Failure.Code == line_error::ReadOnly)
+    noteLeads(Id, false, term());
+  if (Failure.Code == line_error::Busy && Upstream)
+    Upstream->BusyUntil = now() + BusyDelay;
+  if (Failure.Code == line_error::Lagging && leader() == Id)
+    Work.Demand.FloorDoubted = true;
+  event("statement.refused", severity::Debug)
+      .with("id", Work.step().id)
+      .with("group", View.Group.Value)
+      .with("upstream", Id.Value)
+      .with("code", sqlStateOf(Failure.Code))
+      .with("attempt", static_cast<std::uint64_t>(Work.Attempts));
+  bool InTransaction = Work.inTransaction() && !Work.opens();
+  bool Read = Work.request().access == wire::statement_access::read &&
+              !Work.commits();
+  bool Repeatable = isNotRun(Failure.Code) ||
+                    (Read && Failure.Code == line_error::Failed);
+  if (Failure.Code == line_error::NoStatement && Work.Session)
+    Work.Session->Prepared.clear();
+  dropSession(Work);
+  if (!InTransaction && Repeatable && !Work.commits()) {
+    if (Failure.Code != line_error::Busy)
+      Work.Tried.insert(Id);
+    return retry(Work, Failure.Text);
+  }
+  failed(Work, Failure);
+}
+
+/// Gives the connection of a statement back that failed: whatever transaction
+/// it was in is rolled back.
+void line_group::dropSession(line_work &Work) {
+  auto Session = std::move(Work.Session);
+  if (auto *Upstream = findUpstream(Work.Upstream))
+    --Upstream->Running;
+  Transactions.erase(
+      {Work.Arrived.Caller.Link,
+       transaction_id(
+           static_cast<std::uint64_t>(Work.request().transaction))});
+  if (!Session)
+    return;
+  // A run may still be under way on it.
+  rollBack(Work.Upstream, std::move(Session));
+}
+
+void line_group::retry(line_work &Work, const std::string &Reason) {
+  Work.Phase = line_phase::Waiting;
+  Work.Reason = Reason;
+  if (++Work.Attempts >= MostAttempts || now() >= Work.Deadline)
+    return refuse(Work, line_error::Busy, Reason);
+  Work.NotBefore = now() + RetryDelay;
+  Queue[{Work.request().priority, Work.Id}] = Work.Id;
+  armDeadline();
+}
+
+void line_group::lose(line_work &Work, const std::string &Reason) {
+  bool Running = Work.Phase == line_phase::Running;
+  bool Held = Work.Phase != line_phase::Waiting;
+  auto Id = Work.Upstream;
+  if (Held) {
+    if (auto *Upstream = findUpstream(Id))
+      --Upstream->Running;
+    discard(Id, std::move(Work.Session));
+  }
+  line_transaction_key Key{
+      Work.Arrived.Caller.Link,
+      transaction_id(static_cast<std::uint64_t>(Work.request().transaction))};
+  bool Wrote = false;
+  if (auto Found = Transactions.find(Key); Found != Transactions.end()) {
+    Wrote = Found->second.Wrote;
+    Transactions.erase(Found);
+  }
+  if (Running && Work.changesData() && (!Work.commits() || Wrote))
+    return unknown(Work, line_error::InDoubt, Reason);
+  if (Work.inTransaction() && !Work.opens())
+    return refuse(Work, line_error::Aborted, Reason);
+  if (now() >= Work.Deadline)
+    return refuse(Work, Running ? line_error::Timeout : line_error::Busy,
+                  Reason);
+  Work.Tried.insert(Id);
+  retry(Work, Reason);
+}
+
+void line_group::finish(line_work &Work, wire::statement_reply Reply) {
+  Reply.term = std::max(static_cast<std::int64_t>(View.Term.Value),
+                        Work.request().term);
+  Work.Span.set("upstream", Work.Upstream.Value);
+  Work.Span.end();
+  auto Callback = std::move(Work.Arrived.Reply);
+  Queue.erase({Work.request().priority, Work.Id});
+  Works.erase(Work.Id);
+  Callback(std::move(Reply));
+}
+
+void line_group::refuse(line_work &Work, line_error Code,
+                        const std::string &Reason, bool NotAssigned) {
+  wire::statement_reply Reply;
+  Reply.outcome = wire::statement_outcome::not_run;
+  Reply.last = true;
+  Reply.code = sqlStateOf(Code);
+  Reply.problem = Reason;
+  Reply.not_assigned = NotAssigned;
+  Reply.transaction_status = 'I';
+  event("statement.not_run")
+      .with("id", Work.step().id)
+      .with("group", View.Group.Value)
+      .with("code", Reply.code)
+      .with("attempts", static_cast<std::uint64_t>(Work.Attempts))
+      .with("waited_ms", toMilliseconds(now() - Work.ArrivedAt))
+      .with("reason", Reason);
+  finish(Work, std::move(Reply));
+}
+
+void line_group::failed(line_work &Work, const line_failure &Failure) {
+  wire::statement_reply Reply;
+  Reply.outcome = wire::statement_outcome::answered;
+  Reply.last = true;
+  Reply.code = sqlStateOf(Failure.Code);
+  Reply.problem = Failure.Text;
+  Reply.upstream = Work.Upstream.Value;
+  Reply.transaction_status = 'I';
+  event("statement.failed")
+      .with("id", Work.step().id)
+      .with("group", View.Group.Value)
+      .with("upstream", Work.Upstream.Value)
+      .with("code", Reply.code)
+      .with("reason", Failure.Text);
+  finish(Work, std::move(Reply));
+}
+
+void line_group::unknown(line_work &Work, line_error Code,
+                         const std::string &Reason) {
+  wire::statement_reply Reply;
+  Reply.outcome = wire::statement_outcome::unknown;
+  Reply.last = true;
+  Reply.code = sqlStateOf(Code);
+  Reply.problem = Reason;
+  Reply.transaction_status = 'I';
+  event("statement.unknown")
+      .with("id", Work.step().id)
+      .with("group", View.Group.Value)
+      .with("upstream", Work.Upstream.Value)
+      .with("sent_ms_ago", toMilliseconds(now() - Work.SentAt))
+      .with("reason", Reason);
+  finish(Work, std::move(Reply));
+}
+
+} // namespace teasellock
--- a/modules/membership/member_agent.cpp
+++ b/modules/membership/member_agent.cpp
@@ -71,6 +71,9 @@
   std::map<std::pair<group_id, upstream_id>, pending_announcement> Announced;
   std::map<request_id, forwarded_request> Forwarded;
   bool Draining = false;
+  store_id ControlStore;
+  /// Control VMs that the last answer named, besides those of the settings.
+  std::vector<endpoint> Named;
   std::function<void()> Released;
   timer_subscription Renewals;
   timer_subscription Hurried;
@@ -97,7 +100,9 @@
   void onReply(link_id Link, link_message &&Message);
   void takeGranted(const wire::renewal_reply &Reply, time_point SentAt);
   void redirect(const std::string &Address);
+  void takeNamed(const wire::renewal_reply &Reply);
   void onFence(link_id Link, link_message &&Message);
+  void onResume(link_id Link, link_message &&Message);
   void onPromote(link_id Link, link_message &&Message);
   void onOperatorReply(link_id Link, link_message &&Message);
   void forward(forwarded_request Request);
@@ -114,9 +119,12 @@
     if (Hub.isOpen(Link))
       return Link;
   }
-  for (std::size_t I = 0; I < Settings.Control.size(); ++I) {
-    std::size_t At = (Next + I) % Settings.Control.size();
-    auto Link = Hub.linkTo(Settings.Control[At]);
+  std::size_t Count = Settings.Control.size() + Named.size();
+  for (std::size_t I = 0; I < Count; ++I) {
+    std::size_t At = (Next + I) % Count;
+    bool FromSettings = At < Settings.Control.size();
+    auto Link = Hub.linkTo(FromSettings ? Settings.Control[At]
+                                        : Named[At - Settings.Control.size()]);
     if (!Hub.isOpen(Link))
       continue;
     Next = At;
@@ -127,8 +135,8 @@
 
 void member_agent::state::tryNext() {
   Leader.reset();
-  if (!Settings.Control.empty())
-    Next = (Next + 1) % Settings.Control.size();
+  if (std::size_t Count = Settings.Control.size() + Named.size())
+    Next = (Next + 1) % Count;
 }
 
 wire::renewal member_agent::state::makeRenewal() {
@@ -144,6 +152,10 @@
       static_cast<std::int64_t>(Member.AfterRevision.Value);
   Renewal.after_group = Member.AfterGroup.Value;
   Renewal.draining = Draining;
+  Renewal.deployment_version =
+      static_cast<std::int64_t>(Member.Deployment.Version.Value);
+  Renewal.control_store = static_cast<std::int64_t>(ControlStore.Value);
+  Renewal.gateway = Settings.Gateway;
   if (Gateway.Reports)
     Renewal.groups = Gateway.Reports();
   dropShownAnnouncements();
@@ -223,6 +235,8 @@
 void member_agent::state::takeGranted(const wire::renewal_reply &Reply,
                                       time_point SentAt) {
   revision Before = Member.Applied;
+  auto Version = Member.Deployment.Version;
+  takeNamed(Reply);
   auto Changed = applyReply(Member, Reply, SentAt);
   for (const auto &Group : Changed) {
     const auto &View = Member.Views.at(Group);
@@ -234,6 +248,12 @@
     for (const auto &Watcher : Watchers)
       Watcher(View);
   }
+  if (Member.Deployment.Version != Version)
+    event("membership.deployment")
+        .with("version", Member.Deployment.Version.Value)
+        .with("before", Version.Value)
+        .with("routes",
+              static_cast<std::uint64_t>(Member.Deployment.Routes.size()));
   // Control hears at once that its change has arrived, or sends the rest.
   if (Reply.more || (!Changed.empty() && Member.Applied > Before))
     hurry();
@@ -244,6 +264,21 @@
   }
 }
 
+void member_agent::state::takeNamed(const wire::renewal_reply &Reply) {
+  std::vector<endpoint> Control;
+  for (const auto &Address : Reply.control)
+    Control.push_back(parseEndpoint(Address));
+  if (!Control.empty())
+    Named = std::move(Control);
+}
+
+void member_agent::state::onResume(link_id, link_message &&Message) {
+  auto Resume = decode<wire::resume>(Message.Body, "control");
+  event("membership.resume").with("group", Resume.group);
+  if (Gateway.Resume)
+    Gateway.Resume(group_id(Resume.group));
+}
+
 template <typename Reply>
 void member_agent::state::answer(link_id Link, request_id Request,
                                  std::int16_t Kind, const Reply &Body) {
@@ -262,8 +297,7 @@
     answer(Link, Request, FenceReplyKind, Reply);
     return;
   }
-  Gateway.Fence(group_id(Fence.group),
-                term(static_cast<std::uint64_t>(Fence.term)),
+  Gateway.Fence(Fence,
                 [this, Link, Request](wire::fence_reply Reply) {
                   answer(Link, Request, FenceReplyKind, Reply);
                 });
@@ -360,6 +394,7 @@
   Receive(RenewalReplyKind, &state::onReply);
   Receive(FenceKind, &state::onFence);
   Receive(PromoteKind, &state::onPromote);
+  Receive(ResumeKind, &state::onResume);
   Receive(OperatorReplyKind, &state::onOperatorReply);
   Hub.receive(message_kind(NudgeKind), message_kind(NudgeKind),
               [this](link_id, link_message &&) { hurry(); });
@@ -408,6 +443,24 @@
   State->Watchers.push_back(std::move(Callback));
 }
 
+const deployment &member_agent::currentDeployment() const {
+  return State->Member.Deployment;
+}
+
+void member_agent::attachControlStore(store_id Store) {
+  State->ControlStore = Store;
+}
+
+void member_agent::setControl(std::vector<endpoint> Control) {
+  if (State->Settings.Control == Control)
+    return;
+  event("membership.control_changed")
+      .with("count", static_cast<std::uint64_t>(Control.size()));
+  State->Settings.Control = std::move(Control);
+  for (const auto &Address : State->Settings.Control)
+    State->Hub.linkTo(Address);
+}
+
 revision member_agent::applied() const { return State->Member.Applied; }
 
 void member_agent::announce(const upstream_announcement &Announcement) {
--- a/modules/membership/member_agent.h
+++ b/modules/membership/member_agent.h
@@ -2,7 +2,9 @@
 /// the views it is sent, and answers the leader's fences and promotions.
 #pragma once
 
+#include "modules/consensus/control_member.h"
 #include "modules/control/group_view.h"
+#include "modules/deployment/deployment.h"
 #include "modules/link/link_hub.h"
 
 #include <functional>
@@ -16,10 +18,13 @@
 struct gateway_hooks {
   /// Reports on all groups assigned to this VM.
   std::function<std::vector<wire::group_report>()> Reports;
-  /// Stops acknowledging in the term, probes, then calls back.
-  std::function<void(const group_id &, term,
+  /// Stops acknowledging in the term or pauses the replicas, probes, then
+  /// calls back.
+  std::function<void(const wire::fence &,
                      std::function<void(wire::fence_reply)>)>
       Fence;
+  /// Lets paused replicas of a group receive again.
+  std::function<void(const group_id &)> Resume;
   /// Promotes an upstream, then calls back.
   std::function<void(const wire::promote &,
                      std::function<void(wire::promote_reply)>)>
@@ -32,6 +37,8 @@
   duration RenewalPeriod = fromMilliseconds(400);
   /// An unanswered renewal goes to another control VM after this.
   duration RenewalTimeout = fromMilliseconds(600);
+  /// Whether groups may be assigned to this VM.
+  bool Gateway = true;
 };
 
 /// The lease, the views and the reports of this VM.
@@ -57,6 +64,15 @@
   /// Called after a group's view changed.
   void onViewChanged(std::function<void(const group_view &)> Callback);
 
+  /// The deployment in force here. Version 0: none has come yet.
+  const deployment &currentDeployment() const;
+
+  /// Tells control of this VM's control store with every renewal.
+  void attachControlStore(store_id Store);
+
+  /// Replaces the addresses at which control is sought.
+  void setControl(std::vector<endpoint> Control);
+
   /// Highest revision whose changes are all applied here.
   revision applied() const;
 
--- a/modules/membership/member_state.cpp
+++ b/modules/membership/member_state.cpp
@@ -36,6 +36,11 @@
     Changed.push_back(View.Group);
     State.Views[View.Group] = std::move(View);
   }
+  if (Reply.__isset.newer_deployment) {
+    auto Next = fromWire(Reply.newer_deployment);
+    if (Next.Version > State.Deployment.Version)
+      State.Deployment = std::move(Next);
+  }
   State.Applied = Reached;
   bool Partial = Reply.more && !Reply.groups.empty();
   State.AfterRevision = revision(
--- a/modules/membership/member_state.h
+++ b/modules/membership/member_state.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "modules/control/group_view.h"
+#include "modules/deployment/deployment.h"
 
 #include <map>
 #include <vector>
@@ -17,6 +18,8 @@
   /// Highest revision whose changes are all in Views.
   revision Applied;
   std::map<group_id, group_view> Views;
+  /// Never goes back to an older version.
+  deployment Deployment;
   /// The last view of an answer beyond which more follow.
   revision AfterRevision;
   group_id AfterGroup;
--- a/modules/table/table_schema.cpp
+++ b/modules/table/table_schema.cpp
@@ -133,7 +133,7 @@
                   &table_row::AckReplicas, 0, MostReplicas));
   Columns.push_back(countColumn("gateways",
                                 "VMs that hold connections to the upstreams",
-                                &table_row::Gateways, 1, MostGateways));
+                                &table_row::Gateways, 0, MostGateways));
   Columns.push_back(
       {"weights",
        "share of reads as name=weight;…, by upstream or availability zone",
