--- a/modules/control/assignment.cpp
+++ b/modules/control/assignment.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/// Connections that a gateway needs to be of use.
+constexpr std::uint32_t LeastConnections = 4;
+
 /// The loss of one gateway must leave two.
 constexpr std::size_t LeastAutomaticGateways = 3;
 
@@ -49,8 +52,14 @@
 std::size_t wantedGateways(const control_state &State,
                            const group_state &Group) {
   auto Limits = limitsOf(Group);
-  std::size_t Wanted =
-      Group.Row.Gateways > 0 ? Group.Row.Gateways : automaticGateways(State);
+  // Where the number is open, upstreams queue what exceeds their slots, so that
+  // only connections are scarce: one for probes and some for statements.
+  if (Group.Row.Gateways == 0)
+    return std::max<std::size_t>(
+        std::min<std::size_t>(automaticGateways(State),
+                              Limits.Connections / LeastConnections),
+        1);
+  std::size_t Wanted = Group.Row.Gateways;
   // Every gateway needs a connection and a slot of its own.
   std::size_t Useful = std::min(Limits.Connections, Limits.Slots);
   return std::max<std::size_t>(std::min(Wanted, Useful), 1);
--- a/modules/control/budget.cpp
+++ b/modules/control/budget.cpp
@@ -6,7 +6,10 @@
 
 namespace {
 
+/// Zero stands for "not told" on either side.
 std::uint32_t withinCap(std::uint32_t Announced, std::uint32_t Cap) {
+  if (Announced == 0)
+    return Cap;
   return Cap == 0 ? Announced : std::min(Announced, Cap);
 }
 
