Line, Control: reads may lag as far as their route allows; a restart frees shares at once

Cause: (1) reads had to reach the newest sample of the primary's position, so that lagging replicas served none although routes tolerate 1.5 s and more; all reads then queued at the primary. (2) After a restart of all VMs gateways had no connections until the leases of their earlier runs had ended, 2.2 s. (3) A new control leader did not know which runs of replicas had announced themselves, 0.9 s in one failover; an unanswered order to promote was repeated after 1 s.

--- a/main/daemon_process.cpp
+++ b/main/daemon_process.cpp
@@ -95,7 +95,11 @@
         platform::orderPromotion(Context, Service, Order, std::move(Done));
       };
   platform::api_target Target{
-      Member, [this] { return isReady(); }, Settings.Regions};
+      Member, [this] { return isReady(); }, Settings.Regions,
+      [this](const upstream_announcement &Announcement) {
+        if (Control)
+          Control->noteHeard(Announcement);
+      }};
   Settings.Admin.Adapter = [Target](const http_request &Request,
                                     const http_reply &Reply) {
     return platform::handleCall(Target, Request, Reply);
--- a/modules/control/assignment.cpp
+++ b/modules/control/assignment.cpp
@@ -238,6 +238,13 @@
       Holder.RemovedAt == revision(ThisRevision))
     return holder_fate::Stays;
   gateway_run Run(Holder.Vm, Holder.Incarnation);
+  // A later run of the VM shows that this one has ended, and its connections
+  // with it. Where acknowledgements hang on the lease it is waited out.
+  auto Record = Input.State.Vms.find(Holder.Vm);
+  if (Input.Settings.Method == promotion_method::Pause &&
+      Record != Input.State.Vms.end() &&
+      Record->second.Incarnation > Holder.Incarnation)
+    return holder_fate::Ended;
   if (leaseEnd(Input.Leader, Run, Input.Settings) <= Input.Now)
     return holder_fate::Ended;
   auto Vm = Input.Leader.Vms.find(Holder.Vm);
--- a/modules/control/control_service.cpp
+++ b/modules/control/control_service.cpp
@@ -81,7 +81,10 @@
 void control_service::state::leadershipChanged(bool IsLeading) {
   Leading = IsLeading;
   ++Leadership;
+  // What was heard of upstreams stays true.
+  auto Announced = std::move(Leader.Announced);
   Leader = leader_state();
+  Leader.Announced = std::move(Announced);
   Leader.LeadingSince = now();
   Committing.clear();
   Unregistered.clear();
@@ -320,6 +323,11 @@
 
 bool control_service::isLeader() const { return State->Leading; }
 
+void control_service::noteHeard(const upstream_announcement &Announcement) {
+  State->Leader.Announced[{Announcement.Group, Announcement.Upstream}] = {
+      Announcement.Incarnation, State->now()};
+}
+
 store_id control_service::store() const { return State->Consensus.store(); }
 
 } // namespace teasellock
--- a/modules/control/control_service.h
+++ b/modules/control/control_service.h
@@ -55,6 +55,10 @@
 
   bool isLeader() const;
 
+  /// Notes that an upstream announced itself to this VM, which is forwarded to
+  /// the leader besides: should this VM lead one day, it knows.
+  void noteHeard(const upstream_announcement &Announcement);
+
   /// Identity of this VM's control store.
   store_id store() const;
 
--- a/modules/control/leader_state.h
+++ b/modules/control/leader_state.h
@@ -193,9 +193,9 @@
   std::uint32_t MostOrders = 10;
   promotion_rules Rules;
   promotion_method Method = promotion_method::Fence;
-  /// An order to the platform without a word is sent again after this: it
-  /// answers within a second when it can be reached.
-  duration PlatformTimeout = fromMilliseconds(1000);
+  /// An order to the platform without a word is sent again after this: many
+  /// times a round trip, and few orders a second.
+  duration PlatformTimeout = fromMilliseconds(400);
   /// An accepted order is sent again if the upstream does not lead by then.
   duration PromotionTimeout = fromMilliseconds(3000);
   /// A stuck promotion is given up after this if the primary is back.
--- a/modules/line/line_group_state.h
+++ b/modules/line/line_group_state.h
@@ -240,7 +240,7 @@
   std::map<line_transaction_key, line_transaction> Transactions;
   /// Connections that are being opened, by attempt.
   std::map<std::uint64_t, std::unique_ptr<line_connection>> Connecting;
-  std::optional<primary_sample> Sample;
+  sample_history Samples;
   std::uint64_t LastId = 0;
   bool Pumping = false;
   bool PumpAgain = false;
--- a/modules/line/line_probes.cpp
+++ b/modules/line/line_probes.cpp
@@ -12,6 +12,10 @@
 constexpr duration StatusPeriod = std::chrono::milliseconds(2000);
 /// Without a known leader every upstream is asked this often.
 constexpr duration SearchPeriod = std::chrono::milliseconds(100);
+/// Samples older than any route tolerates are of no use.
+constexpr duration SampleMemory = std::chrono::seconds(10);
+/// Finer than this, samples let replicas lag no further.
+constexpr duration SampleSpacing = std::chrono::milliseconds(100);
 constexpr duration ProbeConnectDelay = std::chrono::milliseconds(100);
 /// How long answers to a pause are waited for before those that came are sent.
 constexpr duration PauseTimeout = std::chrono::milliseconds(250);
@@ -181,9 +185,7 @@
 //===----------------------------------------------------------------------===//
 
 void line_group::takeSample(time_point AskedAt, const position &Position) {
-  if (Sample && Sample->AskedAt >= AskedAt)
-    return;
-  Sample = primary_sample{AskedAt, Position};
+  addSample(Samples, {AskedAt, Position}, SampleSpacing, SampleMemory);
 }
 
 /// Opens a plain transaction and ends it: only an upstream that leads does so.
--- a/modules/line/line_statements.cpp
+++ b/modules/line/line_statements.cpp
@@ -145,7 +145,7 @@
 }
 
 bool line_group::tryRead(line_work &Work) {
-  auto Needed = neededPosition(Work.Demand, Sample);
+  auto Needed = neededPosition(Work.Demand, Samples);
   if (!Needed) {
     Work.Reason = "the primary's position is not known well enough";
     if (auto Primary = leader())
--- a/modules/line/read_choice.cpp
+++ b/modules/line/read_choice.cpp
@@ -20,17 +20,38 @@
 
 } // namespace
 
-std::optional<position>
-neededPosition(const read_demand &Demand,
-               const std::optional<primary_sample> &Sample) {
-  if (!Sample || Sample->AskedAt + Demand.MaxStaleness < Demand.ArrivedAt)
+void addSample(sample_history &History, const primary_sample &Sample,
+               duration Spacing, duration Kept) {
+  if (!History.empty() && Sample.AskedAt <= History.back().AskedAt)
+    return;
+  // The newest always stays: reads that must see everything wait for it.
+  bool Close = History.size() > 1 &&
+               Sample.AskedAt - History[History.size() - 2].AskedAt < Spacing;
+  if (Close)
+    History.back() = Sample;
+  else
+    History.push_back(Sample);
+  while (History.front().AskedAt + Kept < Sample.AskedAt)
+    History.pop_front();
+}
+
+std::optional<position> neededPosition(const read_demand &Demand,
+                                       const sample_history &History) {
+  if (History.empty())
     return std::nullopt;
-  bool Fresh = Sample->AskedAt >= Demand.ArrivedAt;
-  if (Fresh || !Demand.Floor)
-    return Sample->Position;
+  const auto &Latest = History.back();
+  bool Fresh = Latest.AskedAt >= Demand.ArrivedAt;
   if (Demand.FloorDoubted)
+    return Fresh ? std::optional(Latest.Position) : std::nullopt;
+  auto Oldest = std::find_if(
+      History.begin(), History.end(), [&](const primary_sample &Sample) {
+        return Sample.AskedAt + Demand.MaxStaleness >= Demand.ArrivedAt;
+      });
+  if (Oldest == History.end())
     return std::nullopt;
-  return std::max(*Demand.Floor, Sample->Position);
+  if (!Demand.Floor)
+    return Oldest->Position;
+  return std::max(*Demand.Floor, Oldest->Position);
 }
 
 const read_option *chooseUpstream(const std::vector<read_option> &Options,
--- a/modules/line/read_choice.h
+++ b/modules/line/read_choice.h
@@ -5,6 +5,7 @@
 #include "core/position.h"
 #include "core/time.h"
 
+#include <deque>
 #include <optional>
 #include <set>
 #include <vector>
@@ -30,10 +31,19 @@
   bool FloorDoubted = false;
 };
 
-/// The least position that an upstream must have for a read. Nothing when the
-/// sample is too old to tell.
+/// The latest samples, oldest first.
+using sample_history = std::deque<primary_sample>;
+
+/// Adds a sample and forgets those older than Kept. Samples that are closer
+/// together than Spacing replace each other, so that the history stays small.
+void addSample(sample_history &History, const primary_sample &Sample,
+               duration Spacing, duration Kept);
+
+/// The least position that an upstream must have for a read: of the oldest
+/// sample that is recent enough, so that replicas may lag as far as the read
+/// tolerates. Nothing when no sample is recent enough to tell.
 std::optional<position> neededPosition(const read_demand &Demand,
-                                       const std::optional<primary_sample> &Sample);
+                                       const sample_history &History);
 
 /// An upstream as a read may use it.
 struct read_option {
--- a/modules/link/link_hub.h
+++ b/modules/link/link_hub.h
@@ -40,8 +40,10 @@
 
 /// How long links wait.
 struct link_settings {
-  duration HeartbeatPeriod = fromMilliseconds(500);
-  duration SilenceLimit = fromMilliseconds(2000);
+  /// A link that sent nothing for this long sends a heartbeat.
+  duration HeartbeatPeriod = fromMilliseconds(250);
+  /// Four heartbeats: a frozen VM is left before most callers give up.
+  duration SilenceLimit = fromMilliseconds(1000);
   duration LeastRedialDelay = fromMilliseconds(50);
   duration MostRedialDelay = fromMilliseconds(1000);
   /// A link whose peer takes no data is closed beyond this many bytes.
