Line: a question put while no probe connection could be opened is asked later

Cause: after a restart of all VMs upstreams still counted connections of the dead processes and refused the probe's; the question stayed in the queue and no later one was put, so that 9 of 15 gateways never learnt of a primary.

--- a/modules/control/tests/test_control_service.cpp
+++ b/modules/control/tests/test_control_service.cpp
@@ -61,10 +61,10 @@
     Agent = std::make_unique<member_agent>(Context, Hub, Settings);
     gateway_hooks Hooks;
     Hooks.Reports = [this] { return reports(); };
-    Hooks.Fence = [this](const group_id &Group, term Term, auto Answer) {
+    Hooks.Fence = [this](const wire::fence &Fence, auto Answer) {
       wire::fence_reply Reply;
-      Reply.group = Group.Value;
-      Reply.term = static_cast<std::int64_t>(Term.Value);
+      Reply.group = Fence.group;
+      Reply.term = Fence.term;
       Reply.upstreams = probes();
       Answer(Reply);
     };
@@ -126,7 +126,7 @@
   test_vm Third{Loop, Timers, "three", Upstreams};
   std::unique_ptr<control_service> Control;
 
-  deployment() {
+  test_deployment() {
     consensus_settings Consensus;
     Consensus.DataFolder = Folder.Path;
     Consensus.HeartbeatPeriod = fromMilliseconds(20);
--- a/modules/line/line_listener.cpp
+++ b/modules/line/line_listener.cpp
@@ -22,7 +22,10 @@
 constexpr std::size_t MostOutput = 4 * LargestLine;
 constexpr duration AcceptPause = std::chrono::milliseconds(100);
 /// How often idle transactions and the drain are looked at.
-constexpr duration CheckPeriod = std::chrono::milliseconds(200);
+constexpr duration CheckPeriod = std::chrono::milliseconds(100);
+/// How long a first message waits for a deployment: callers give a session up
+/// after 2 s.
+constexpr duration DeploymentPatience = std::chrono::milliseconds(1500);
 /// A connection without a first message is closed after this.
 constexpr duration StartTimeout = std::chrono::seconds(10);
 /// A peer without power is given up after this.
@@ -102,6 +105,7 @@
   void onReady(caller_id Id, readiness Ready);
   bool readFrom(connection &Connection);
   void process(connection &Connection);
+  bool awaitsDeployment(const connection &Connection) const;
   void carryOut(connection &Connection, line_effects Effects);
   void submit(connection &Connection, wire::statement_request Request);
   void onReply(caller_id Id, const wire::statement_reply &Reply);
@@ -199,7 +203,7 @@
 
 void line_listener::state::process(connection &Connection) {
   std::size_t Start = 0;
-  while (!Connection.Closing &&
+  while (!Connection.Closing && !awaitsDeployment(Connection) &&
          Connection.Caller.Phase != line_caller_state::phase::Busy) {
     std::size_t End = Connection.In.find(LineEnd, Start);
     bool TooLong = Connection.In.size() - Start > LargestLine &&
@@ -225,6 +229,15 @@
     Connection.In.shrink_to_fit();
 }
 
+/// A VM that has just started hears of the deployment within moments: its first
+/// callers wait for it.
+bool line_listener::state::awaitsDeployment(
+    const connection &Connection) const {
+  return Connection.Caller.Phase == line_caller_state::phase::Start &&
+         !Environment.DeploymentKnown() &&
+         now() - Connection.ActiveAt < DeploymentPatience;
+}
+
 void line_listener::state::carryOut(connection &Connection,
                                     line_effects Effects) {
   Connection.Out += Effects.Out;
@@ -353,7 +366,11 @@
   std::vector<caller_id> All;
   for (auto &[Id, Connection] : Connections) {
     checkIdle(*Connection);
-    if (Connection->Closing || leaves(*Connection))
+    bool Held = Connection->Caller.Phase == line_caller_state::phase::Start &&
+                !Connection->In.empty();
+    if (Held)
+      process(*Connection);
+    if (Held || Connection->Closing || leaves(*Connection))
       All.push_back(Id);
   }
   for (auto Id : All)
--- a/modules/line/line_probes.cpp
+++ b/modules/line/line_probes.cpp
@@ -263,6 +263,8 @@
     auto *Known = findUpstream(Id);
     if (!Known)
       continue;
+    // A question may have been put while no connection could be opened yet.
+    pumpQuestions(Id);
     if (!Leader && now() - Known->PositionAskedAt >= SearchPeriod)
       probe(Id);
     else if (Leader == Id && now() - Known->PositionAskedAt >=
