Line: statements that would wait too long are refused at once; lost reads are asked elsewhere

Cause: while all replicas lag, a group asks more of its primary than its slots run. An answer past its deadline is still awaited on its connection, which is then used again. Reads without an answer for four times the usual are asked elsewhere too, and the first answer counts.

--- a/modules/gateway/gateway_messages.thrift
+++ b/modules/gateway/gateway_messages.thrift
@@ -102,6 +102,8 @@
   16: bool read_only;
   /// 0 is the most important.
   17: i32 priority;
+  /// What the caller hopes for; 0: not told.
+  18: i64 target_ms;
 }
 
 /// A part of the answer. Kind 301.
--- a/modules/gateway/gen/gateway_messages_types.cpp
+++ b/modules/gateway/gen/gateway_messages_types.cpp
@@ -821,6 +821,10 @@
 void statement_request::__set_priority(const int32_t val) {
   this->priority = val;
 }
+
+void statement_request::__set_target_ms(const int64_t val) {
+  this->target_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const statement_request& obj)
 {
   obj.printTo(out);
@@ -1014,6 +1018,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->target_ms);
+          this->__isset.target_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1117,6 +1129,10 @@
   xfer += oprot->writeI32(this->priority);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("target_ms", ::apache::thrift::protocol::T_I64, 18);
+  xfer += oprot->writeI64(this->target_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1141,6 +1157,7 @@
   swap(a.max_staleness_ms, b.max_staleness_ms);
   swap(a.read_only, b.read_only);
   swap(a.priority, b.priority);
+  swap(a.target_ms, b.target_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -1162,6 +1179,7 @@
   max_staleness_ms = other41.max_staleness_ms;
   read_only = other41.read_only;
   priority = other41.priority;
+  target_ms = other41.target_ms;
   __isset = other41.__isset;
 }
 statement_request::statement_request(statement_request&& other42) noexcept {
@@ -1182,6 +1200,7 @@
   max_staleness_ms = other42.max_staleness_ms;
   read_only = other42.read_only;
   priority = other42.priority;
+  target_ms = other42.target_ms;
   __isset = other42.__isset;
 }
 statement_request& statement_request::operator=(const statement_request& other43) {
@@ -1202,6 +1221,7 @@
   max_staleness_ms = other43.max_staleness_ms;
   read_only = other43.read_only;
   priority = other43.priority;
+  target_ms = other43.target_ms;
   __isset = other43.__isset;
   return *this;
 }
@@ -1223,6 +1243,7 @@
   max_staleness_ms = other44.max_staleness_ms;
   read_only = other44.read_only;
   priority = other44.priority;
+  target_ms = other44.target_ms;
   __isset = other44.__isset;
   return *this;
 }
@@ -1246,6 +1267,7 @@
   out << ", " << "max_staleness_ms=" << to_string(max_staleness_ms);
   out << ", " << "read_only=" << to_string(read_only);
   out << ", " << "priority=" << to_string(priority);
+  out << ", " << "target_ms=" << to_string(target_ms);
   out << ")";
 }
 
--- a/modules/line/line_caller_state.cpp
+++ b/modules/line/line_caller_state.cpp
@@ -103,6 +103,7 @@
                          ? Route.StatementTimeout
                          : DefaultStatementTimeout;
   Request.timeout_ms = toMilliseconds(Timeout);
+  Request.target_ms = toMilliseconds(Route.TargetLatency);
   Request.max_staleness_ms = Route.Consistency == consistency::Primary
                                  ? -1
                                  : toMilliseconds(Route.MaxStaleness);
--- a/modules/line/line_group.cpp
+++ b/modules/line/line_group.cpp
@@ -137,6 +137,9 @@
   std::erase_if(Transactions, [&](const auto &Entry) {
     return Entry.second.Upstream == Id;
   });
+  std::erase_if(Stragglers, [&](const auto &Entry) {
+    return Entry.second.Upstream == Id;
+  });
   Upstreams.erase(Id);
 }
 
@@ -256,6 +259,8 @@
 
 void line_group::tick() {
   probeAll();
+  askElsewhere();
+  dropStragglers();
   pump();
   if (!Assigned && !holdsGroup()) {
     Ticker.cancel();
--- a/modules/line/line_group_state.h
+++ b/modules/line/line_group_state.h
@@ -3,6 +3,7 @@
 
 #include "modules/line/line_connection.h"
 #include "modules/line/line_group.h"
+#include "modules/line/queue_pace.h"
 #include "modules/line/read_choice.h"
 
 #include <deque>
@@ -75,6 +76,14 @@
 /// Where a statement is on its way.
 enum class line_phase { Waiting, Preparing, Running };
 
+/// One try of a statement.
+struct line_attempt_key {
+  std::uint64_t Work = 0;
+  std::uint32_t Attempt = 0;
+
+  auto operator<=>(const line_attempt_key &) const = default;
+};
+
 /// A statement on its way through the gateway.
 struct line_work {
   std::uint64_t Id = 0;
@@ -97,6 +106,11 @@
 
   const wire::statement_request &request() const { return Arrived.Statement; }
   const wire::line_step &step() const { return Arrived.Statement.line; }
+  line_attempt_key key() const { return {Id, Attempts}; }
+  bool readsOnly() const {
+    return !inTransaction() && !commits() &&
+           request().access == wire::statement_access::read;
+  }
   bool inTransaction() const { return request().transaction != 0; }
   bool opens() const { return request().opens_transaction; }
   bool commits() const { return step().verb == wire::line_verb::commit; }
@@ -107,6 +121,14 @@
   }
 };
 
+/// A connection whose answer is no longer awaited, or not only there.
+struct line_straggler {
+  upstream_id Upstream;
+  std::unique_ptr<line_session> Session;
+  /// It is closed if no answer has come by then.
+  time_point Until;
+};
+
 /// Names a transaction among all entries.
 struct line_transaction_key {
   link_id Link;
@@ -186,11 +208,20 @@
   std::vector<read_option> readOptions() const;
   bool tryRead(line_work &Work);
   void prepare(line_work &Work);
-  void onPrepared(std::uint64_t Id, const line_run &Run);
+  void onPrepared(line_attempt_key Key, const line_run &Run);
   void runMain(line_work &Work);
-  void onMain(std::uint64_t Id, line_run Run);
+  void onMain(line_attempt_key Key, line_run Run);
+  bool takeStraggler(line_attempt_key Key, const line_run &Run);
+  void leaveBehind(line_work &Work);
+  void askElsewhere();
+  void dropStragglers();
+  bool refuseIfTooLong(line_work &Work);
+  queue_pace &paceOf(const line_work &Work);
+  std::size_t aheadOf(const line_work &Work) const;
   void continueTransaction(line_work &Work, line_transaction &Transaction);
-  void onTransactionAnswer(std::uint64_t Id, line_run Run);
+  wire::statement_reply replyOf(const line_work &Work,
+                                const line_answer &Answer) const;
+  void answer(line_work &Work, const line_answer &Answer);
   void succeed(line_work &Work, const line_answer &Answer);
   void noteAnswer(line_work &Work, const line_answer &Answer);
   void handleFailure(line_work &Work, const line_failure &Failure);
@@ -238,6 +269,10 @@
   /// Waiting statements by importance and arrival.
   std::map<std::pair<std::int32_t, std::uint64_t>, std::uint64_t> Queue;
   std::map<line_transaction_key, line_transaction> Transactions;
+  std::map<line_attempt_key, line_straggler> Stragglers;
+  /// Of reads that any upstream may serve, and of what only the primary may.
+  queue_pace ReadPace;
+  queue_pace PrimaryPace;
   /// Connections that are being opened, by attempt.
   std::map<std::uint64_t, std::unique_ptr<line_connection>> Connecting;
   sample_history Samples;
--- a/modules/line/line_probes.cpp
+++ b/modules/line/line_probes.cpp
@@ -249,6 +249,13 @@
 
 void line_group::probeAll() {
   auto Leader = leader();
+  // Replicas that reads wait for may have caught up.
+  bool ReadsWait = std::any_of(
+      Queue.begin(), Queue.end(), [&](const auto &Entry) {
+        return Works.at(Entry.second)->Need == line_need::Replica;
+      });
+  duration PositionPeriod =
+      ReadsWait ? SearchPeriod : Settings.PositionPeriod;
   std::vector<upstream_id> Ids;
   for (const auto &[Id, Upstream] : Upstreams)
     Ids.push_back(Id);
@@ -271,9 +278,9 @@
                                  Settings.SamplePeriod)
       probe(Id);
     else if (Leader != Id &&
-             (now() - Known->HeardAt >= Settings.PositionPeriod ||
+             (now() - Known->HeardAt >= PositionPeriod ||
               Known->UnreachableSince) &&
-             now() - Known->PositionAskedAt >= Settings.SamplePeriod)
+             now() - Known->PositionAskedAt >= SearchPeriod)
       probe(Id);
     else if (now() - Known->StatusAskedAt >= StatusPeriod &&
              !Known->UnreachableSince)
--- a/modules/line/line_protocol.cpp
+++ b/modules/line/line_protocol.cpp
@@ -7,8 +7,9 @@
 
 namespace {
 
-constexpr std::array<std::pair<line_error, const char *>, 13> SqlStates = {{
+constexpr std::array<std::pair<line_error, const char *>, 14> SqlStates = {{
     {line_error::Busy, "53300"},
+    {line_error::Overloaded, "53400"},
     {line_error::Aborted, "40001"},
     {line_error::Lagging, "72000"},
     {line_error::ReadOnly, "25006"},
@@ -49,6 +50,7 @@
 bool isNotRun(line_error Code) {
   switch (Code) {
   case line_error::Busy:
+  case line_error::Overloaded:
   case line_error::Lagging:
   case line_error::ReadOnly:
   case line_error::Misrouted:
--- a/modules/line/line_protocol.h
+++ b/modules/line/line_protocol.h
@@ -20,6 +20,8 @@
 enum class line_error {
   /// Not run: no room for it now.
   Busy,
+  /// Not run: the queue is too long for it. Another gateway would say the same.
+  Overloaded,
   /// The transaction was rolled back; nothing of it is kept.
   Aborted,
   /// Not run: the upstream's log lacks the position asked for.
--- a/modules/line/line_statements.cpp
+++ b/modules/line/line_statements.cpp
@@ -18,6 +18,14 @@
 /// A statement that could not be run waits this long before the next try.
 constexpr duration RetryDelay = std::chrono::milliseconds(5);
 constexpr std::uint32_t MostAttempts = 12;
+/// A read is asked elsewhere once it takes so many times as long as usual, but
+/// not before the least delay: beyond the long tail of ordinary work.
+constexpr int HedgeFactor = 4;
+constexpr duration LeastHedgeDelay = std::chrono::milliseconds(150);
+constexpr std::uint32_t MostHedges = 3;
+/// An answer that is no longer awaited may still come for this long before its
+/// connection is closed.
+constexpr duration StragglerPatience = std::chrono::milliseconds(2000);
 /// Connections that may be opening to one upstream at once: each takes a slot
 /// there for as long as a statement.
 constexpr std::uint32_t MostOpening = 2;
@@ -91,10 +99,48 @@
     return refuse(Added, line_error::Busy,
                   "this VM is not a gateway of the group", true);
   Queue[{Added.request().priority, Added.Id}] = Added.Id;
+  std::uint64_t Id = Added.Id;
   pump();
+  if (auto *Waiting = findWork(Id);
+      Waiting && Waiting->Phase == line_phase::Waiting)
+    refuseIfTooLong(*Waiting);
   armDeadline();
 }
 
+queue_pace &line_group::paceOf(const line_work &Work) {
+  return Work.Need == line_need::Replica ? ReadPace : PrimaryPace;
+}
+
+std::size_t line_group::aheadOf(const line_work &Work) const {
+  bool Read = Work.Need == line_need::Replica;
+  std::size_t Ahead = 0;
+  for (const auto &[Rank, Id] : Queue) {
+    if (Id == Work.Id)
+      break;
+    const auto &Other = *Works.at(Id);
+    Ahead += (Other.Need == line_need::Replica) == Read;
+  }
+  return Ahead;
+}
+
+/// Refuses a statement at once that would wait too long.
+bool line_group::refuseIfTooLong(line_work &Work) {
+  auto Primary = leader();
+  // While a primary is being made, the pace says nothing.
+  if (!Primary)
+    return false;
+  wait_demand Demand;
+  Demand.Target = fromMilliseconds(Work.request().target_ms);
+  Demand.Remaining = Work.Deadline - now();
+  Demand.Latency = Upstreams.at(*Primary).Latency;
+  duration Wait = expectedWait(paceOf(Work), aheadOf(Work));
+  if (mayWait(Demand, Wait))
+    return false;
+  refuse(Work, line_error::Overloaded,
+         "the queue takes " + std::to_string(toMilliseconds(Wait)) + " ms");
+  return true;
+}
+
 void line_group::pump() {
   if (Pumping) {
     PumpAgain = true;
@@ -194,6 +240,11 @@
   Work.After = After;
   Queue.erase({Work.request().priority, Work.Id});
   QueueSeconds.observe(now() - Work.ArrivedAt);
+  bool Read = Work.Need == line_need::Replica;
+  bool Others = std::any_of(Queue.begin(), Queue.end(), [&](const auto &Entry) {
+    return (Works.at(Entry.second)->Need == line_need::Replica) == Read;
+  });
+  noteStart(paceOf(Work), Others ? 1 : 0, now());
   prepare(Work);
   return true;
 }
@@ -243,15 +294,16 @@
     return runMain(Work);
   Session.Connection->run(
       std::move(Bytes), Count,
-      [Weak = weak_from_this(), Id = Work.Id](const line_run &Run) {
+      [Weak = weak_from_this(), Key = Work.key()](const line_run &Run) {
         if (auto Self = Weak.lock())
-          Self->onPrepared(Id, Run);
+          Self->onPrepared(Key, Run);
       });
 }
 
-void line_group::onPrepared(std::uint64_t Id, const line_run &Run) {
-  auto *Work = findWork(Id);
-  if (!Work)
+void line_group::onPrepared(line_attempt_key Key, const line_run &Run) {
+  auto *Work = findWork(Key.Work);
+  // Nothing has run for the caller yet: there is no answer to hand on.
+  if (takeStraggler(Key, Run) || !Work)
     return;
   if (Run.Broken)
     return lose(*Work, Run.Problem);
@@ -295,16 +347,27 @@
     Upstream->WriteUnansweredSince = now();
   Work.Session->Connection->run(
       std::move(Bytes), Count,
-      [Weak = weak_from_this(), Id = Work.Id](line_run Run) {
+      [Weak = weak_from_this(), Key = Work.key()](line_run Run) {
         if (auto Self = Weak.lock())
-          Self->onMain(Id, std::move(Run));
+          Self->onMain(Key, std::move(Run));
       });
 }
 
-void line_group::onMain(std::uint64_t Id, line_run Run) {
-  auto *Work = findWork(Id);
+void line_group::onMain(line_attempt_key Key, line_run Run) {
+  bool Straggled = takeStraggler(Key, Run);
+  auto *Work = findWork(Key.Work);
   if (!Work)
     return;
+  if (Straggled) {
+    // An earlier try has answered first: its answer is as good.
+    bool Good = Work->readsOnly() && !Run.Answers.empty() &&
+                !Run.Answers.front().Failure;
+    if (!Good)
+      return;
+    if (Work->Phase != line_phase::Waiting)
+      leaveBehind(*Work);
+    return answer(*Work, Run.Answers.front());
+  }
   // The answer counts even if the connection ended right after it.
   if (Run.Answers.empty())
     return lose(*Work, Run.Problem);
@@ -315,6 +378,74 @@
   succeed(*Work, Answer);
 }
 
+/// Whether the answer is to a try that was left behind; its connection goes
+/// back to the others.
+bool line_group::takeStraggler(line_attempt_key Key, const line_run &Run) {
+  auto Taken = Stragglers.extract(Key);
+  if (Taken.empty())
+    return false;
+  auto &Straggler = Taken.mapped();
+  if (auto *Upstream = findUpstream(Straggler.Upstream))
+    --Upstream->Running;
+  if (Run.Broken)
+    discard(Straggler.Upstream, std::move(Straggler.Session));
+  else if (Run.Answers.back().Ready.State == 'I')
+    giveBack(Straggler.Upstream, std::move(Straggler.Session));
+  else
+    rollBack(Straggler.Upstream, std::move(Straggler.Session));
+  return true;
+}
+
+/// Awaits the answer of a try no longer, or not only there. The connection is
+/// kept for a while: closing it would cost a new one.
+void line_group::leaveBehind(line_work &Work) {
+  if (!Work.Session)
+    return;
+  Stragglers[Work.key()] = {Work.Upstream, std::move(Work.Session),
+                            now() + StragglerPatience};
+}
+
+/// Reads without an answer for much longer than usual are asked elsewhere as
+/// well: the answer may have been lost.
+void line_group::askElsewhere() {
+  std::vector<std::uint64_t> Slow;
+  for (const auto &[Id, Work] : Works) {
+    const auto *Upstream = findUpstream(Work->Upstream);
+    if (Work->Phase != line_phase::Running || !Work->readsOnly() || !Upstream ||
+        Work->Attempts >= MostHedges)
+      continue;
+    duration Limit = std::max(LeastHedgeDelay, Upstream->Latency * HedgeFactor);
+    if (now() - Work->SentAt > Limit)
+      Slow.push_back(Id);
+  }
+  for (auto Id : Slow) {
+    auto &Work = *Works.at(Id);
+    event("statement.asked_elsewhere", severity::Debug)
+        .with("id", Work.step().id)
+        .with("group", View.Group.Value)
+        .with("upstream", Work.Upstream.Value)
+        .with("after_ms", toMilliseconds(now() - Work.SentAt));
+    leaveBehind(Work);
+    if (Work.Need == line_need::Replica)
+      Work.Tried.insert(Work.Upstream);
+    retry(Work, "no answer for long");
+  }
+}
+
+void line_group::dropStragglers() {
+  std::vector<line_attempt_key> Over;
+  for (const auto &[Key, Straggler] : Stragglers)
+    if (now() >= Straggler.Until)
+      Over.push_back(Key);
+  for (const auto &Key : Over) {
+    auto Taken = Stragglers.extract(Key);
+    auto &Straggler = Taken.mapped();
+    if (auto *Upstream = findUpstream(Straggler.Upstream))
+      --Upstream->Running;
+    discard(Straggler.Upstream, std::move(Straggler.Session));
+  }
+}
+
 void line_group::continueTransaction(line_work &Work,
                                      line_transaction &Transaction) {
   Work.Need = line_need::Primary;
@@ -347,7 +478,9 @@
 // The end
 //===----------------------------------------------------------------------===//
 
-void line_group::succeed(line_work &Work, const line_answer &Answer) {
+/// The reply to a statement that succeeded.
+wire::statement_reply line_group::replyOf(const line_work &Work,
+                                          const line_answer &Answer) const {
   wire::statement_reply Reply;
   Reply.outcome = wire::statement_outcome::answered;
   Reply.last = true;
@@ -359,6 +492,16 @@
   Reply.transaction_status = 'I';
   if (Work.changesData() && Answer.Ready.Position)
     Reply.reached = toWire(*Answer.Ready.Position);
+  return Reply;
+}
+
+/// Answers a read whose connection is taken care of already.
+void line_group::answer(line_work &Work, const line_answer &Answer) {
+  finish(Work, replyOf(Work, Answer));
+}
+
+void line_group::succeed(line_work &Work, const line_answer &Answer) {
+  auto Reply = replyOf(Work, Answer);
   auto Session = std::move(Work.Session);
   auto Id = Work.Upstream;
   if (auto *Upstream = findUpstream(Id))
@@ -452,7 +595,10 @@
   bool Running = Work.Phase == line_phase::Running;
   bool Held = Work.Phase != line_phase::Waiting;
   auto Id = Work.Upstream;
-  if (Held) {
+  bool Late = now() >= Work.Deadline;
+  if (Held && Late) {
+    leaveBehind(Work);
+  } else if (Held) {
     if (auto *Upstream = findUpstream(Id))
       --Upstream->Running;
     discard(Id, std::move(Work.Session));
@@ -469,7 +615,7 @@
     return unknown(Work, line_error::InDoubt, Reason);
   if (Work.inTransaction() && !Work.opens())
     return refuse(Work, line_error::Aborted, Reason);
-  if (now() >= Work.Deadline)
+  if (Late)
     return refuse(Work, Running ? line_error::Timeout : line_error::Busy,
                   Reason);
   Work.Tried.insert(Id);
