Consensus, Membership, Line: back to service sooner after a restart of everything

Cause: after a loss of all VMs the first election came 0.3 to 0.6 s after the start, shares of gateways were given anew one commit after the other (0.6 s), and upstreams still counted the dead processes' connections up to their cap for 3 s. Ruled out: the start of the processes (11 ms of processor time). Change: trial elections are held soon after a start and repeated sooner; a new run of a VM uses the share of its earlier run; unused connections are closed.

--- a/main/daemon_settings.cpp
+++ b/main/daemon_settings.cpp
@@ -377,6 +377,7 @@
     Settings.LineCallers.DrainTransactions = Settings.Grace / 2;
   }
   Settings.Membership.Gateway = Settings.Gateway;
+  Settings.Membership.InheritsShares = Settings.Lines;
   if (Settings.Callers)
     Settings.LineCallers.Listen = *Settings.Callers;
   if (Settings.ToleratedLosses > 0)
--- a/modules/consensus/consensus_election.cpp
+++ b/modules/consensus/consensus_election.cpp
@@ -70,6 +70,7 @@
     return;
   }
   State.Role = consensus_role::PreCandidate;
+  postponeTrial(State, Input);
   requestVotes(State, true, Effects);
 }
 
--- a/modules/consensus/consensus_internal.h
+++ b/modules/consensus/consensus_internal.h
@@ -30,6 +30,12 @@
 /// Sets the next election to a random point after one election timeout.
 void postponeElection(consensus_state &State, const decision_input &Input);
 
+/// Sets when the next trial election is held if this one is not won.
+void postponeTrial(consensus_state &State, const decision_input &Input);
+
+/// Sets the first trial election after a start.
+void scheduleFirstTrial(consensus_state &State, const decision_input &Input);
+
 /// Becomes a follower, in a newer term if Term is one.
 void stepDown(consensus_state &State, std::uint64_t Term,
               const decision_input &Input, consensus_effects &Effects);
--- a/modules/consensus/consensus_state.cpp
+++ b/modules/consensus/consensus_state.cpp
@@ -81,7 +81,10 @@
   State.CommitIndex = std::max(State.AppliedIndex, Recovered.Commit);
   // A leader may have been heard right before the restart.
   State.LeaderHeardAt = Input.Now;
-  postponeElection(State, Input);
+  if (State.Rules.PreVote)
+    scheduleFirstTrial(State, Input);
+  else
+    postponeElection(State, Input);
   return State;
 }
 
@@ -181,11 +184,34 @@
   return voterCount(Members) / 2 + 1;
 }
 
+namespace {
+
+/// Sets the election to a random instant from Least on within as long again.
+void setElection(consensus_state &State, const decision_input &Input,
+                 duration Least) {
+  auto Extra = static_cast<std::int64_t>(
+      Input.Random % static_cast<std::uint64_t>(Least.count()));
+  State.ElectionDue = Input.Now + Least + duration(Extra);
+}
+
+/// Parts of the election timeout after which a trial is held again, and the
+/// first one after a start. A trial changes nothing and is refused while a
+/// leader is heard, so it need not wait for as long as an election.
+constexpr int TrialParts = 3;
+constexpr int FirstTrialParts = 6;
+
+} // namespace
+
 void postponeElection(consensus_state &State, const decision_input &Input) {
-  auto Least = State.Timing.ElectionTimeout.count();
-  auto Extra = static_cast<std::int64_t>(Input.Random %
-                                         static_cast<std::uint64_t>(Least));
-  State.ElectionDue = Input.Now + duration(Least + Extra);
+  setElection(State, Input, State.Timing.ElectionTimeout);
+}
+
+void postponeTrial(consensus_state &State, const decision_input &Input) {
+  setElection(State, Input, State.Timing.ElectionTimeout / TrialParts);
+}
+
+void scheduleFirstTrial(consensus_state &State, const decision_input &Input) {
+  setElection(State, Input, State.Timing.ElectionTimeout / FirstTrialParts);
 }
 
 void stepDown(consensus_state &State, std::uint64_t Term,
--- a/modules/line/line_group.cpp
+++ b/modules/line/line_group.cpp
@@ -20,6 +20,9 @@
 /// Connections opened before there is work, so that the first statements need
 /// not wait for them.
 constexpr std::uint32_t WarmConnections = 2;
+/// Connections unused for this long are closed: after a loss of power upstreams
+/// count those of the dead for seconds, and the next run needs some too.
+constexpr duration UnusedLimit = std::chrono::milliseconds(3000);
 /// Of a gateway's share, what its probes use.
 constexpr std::uint32_t ProbeConnections = 1;
 
@@ -210,6 +213,7 @@
       }
     std::erase_if(Upstream->Idle, [](const auto &Idle) { return !Idle; });
   });
+  Session->UsedAt = now();
   Upstream->Idle.push_back(std::move(Session));
   trimIdle(*Upstream);
   pump();
@@ -251,6 +255,10 @@
   while (!Upstream.Idle.empty() &&
          Upstream.Occupied + Upstream.Opening + Upstream.Idle.size() > Limit)
     Upstream.Idle.erase(Upstream.Idle.begin());
+  // The longest unused come first.
+  while (Upstream.Idle.size() > WarmConnections &&
+         now() - Upstream.Idle.front()->UsedAt > UnusedLimit)
+    Upstream.Idle.erase(Upstream.Idle.begin());
 }
 
 //===----------------------------------------------------------------------===//
@@ -261,6 +269,8 @@
   probeAll();
   askElsewhere();
   dropStragglers();
+  for (auto &[Id, Upstream] : Upstreams)
+    trimIdle(Upstream);
   pump();
   if (!Assigned && !holdsGroup()) {
     Ticker.cancel();
--- a/modules/line/line_group_state.h
+++ b/modules/line/line_group_state.h
@@ -19,6 +19,7 @@
   std::map<std::string, std::string> Settings;
   /// Names of prepared statements.
   std::set<std::string> Prepared;
+  time_point UsedAt;
 };
 
 /// One question on an upstream's own connection for probes.
@@ -215,6 +216,7 @@
   void leaveBehind(line_work &Work);
   void askElsewhere();
   void dropStragglers();
+  std::string upstreamsText() const;
   bool refuseIfTooLong(line_work &Work);
   queue_pace &paceOf(const line_work &Work);
   std::size_t aheadOf(const line_work &Work) const;
--- a/modules/line/line_statements.cpp
+++ b/modules/line/line_statements.cpp
@@ -123,6 +123,23 @@
   return Ahead;
 }
 
+/// What decided where a statement could go, for the log.
+std::string line_group::upstreamsText() const {
+  std::string Text;
+  for (const auto &[Id, Upstream] : Upstreams) {
+    Text += Text.empty() ? "" : " ";
+    Text += Id.Value + (Upstream.Leads ? " leads" : "") + " at " +
+            toString(Upstream.Applied) + " heard " +
+            std::to_string(toMilliseconds(now() - Upstream.HeardAt)) +
+            " ms ago running " + std::to_string(Upstream.Running) + " idle " +
+            std::to_string(Upstream.Idle.size()) + " taken " +
+            std::to_string(Upstream.Occupied) +
+            (Upstream.UnreachableSince ? " unreachable" : "") +
+            (accepts(Upstream) ? "" : " refuses work") + ";";
+  }
+  return Text;
+}
+
 /// Refuses a statement at once that would wait too long.
 bool line_group::refuseIfTooLong(line_work &Work) {
   auto Primary = leader();
@@ -137,7 +154,8 @@
   if (mayWait(Demand, Wait))
     return false;
   refuse(Work, line_error::Overloaded,
-         "the queue takes " + std::to_string(toMilliseconds(Wait)) + " ms");
+         "the queue takes " + std::to_string(toMilliseconds(Wait)) + " ms: " +
+             Work.Reason + "; " + upstreamsText());
   return true;
 }
 
--- a/modules/membership/member_agent.cpp
+++ b/modules/membership/member_agent.cpp
@@ -86,6 +86,7 @@
             "teasellock_membership_unanswered_renewals_total")) {
     Member.Self = Context.Self.Vm;
     Member.Incarnation = Context.Self.Incarnation;
+    Member.InheritsShares = this->Settings.InheritsShares;
   }
 
   time_point now() const { return Context.Timers.now(); }
--- a/modules/membership/member_agent.h
+++ b/modules/membership/member_agent.h
@@ -39,6 +39,8 @@
   duration RenewalTimeout = fromMilliseconds(600);
   /// Whether groups may be assigned to this VM.
   bool Gateway = true;
+  /// See member_state.
+  bool InheritsShares = false;
 };
 
 /// The lease, the views and the reports of this VM.
--- a/modules/membership/member_state.cpp
+++ b/modules/membership/member_state.cpp
@@ -6,8 +6,15 @@
 
 namespace {
 
-/// A share given to an earlier run of this VM is not this run's to use.
-void dropEarlierRun(const member_state &State, group_view &View) {
+/// A share given to an earlier run of this VM is not this run's to use, unless
+/// it inherits it.
+void takeEarlierRun(const member_state &State, group_view &View) {
+  if (State.InheritsShares) {
+    for (auto &Share : View.Gateways)
+      if (Share.Vm == State.Self)
+        Share.Incarnation = State.Incarnation;
+    return;
+  }
   std::erase_if(View.Gateways, [&](const gateway_share &Share) {
     return Share.Vm == State.Self && Share.Incarnation != State.Incarnation;
   });
@@ -32,7 +39,7 @@
     auto Known = State.Views.find(View.Group);
     if (Known != State.Views.end() && Known->second.Revision >= View.Revision)
       continue;
-    dropEarlierRun(State, View);
+    takeEarlierRun(State, View);
     Changed.push_back(View.Group);
     State.Views[View.Group] = std::move(View);
   }
--- a/modules/membership/member_state.h
+++ b/modules/membership/member_state.h
@@ -13,6 +13,9 @@
 struct member_state {
   vm_id Self;
   incarnation Incarnation;
+  /// This run may use shares that control gave to an earlier run of this VM:
+  /// that one has ended, and nothing is acknowledged under its lease.
+  bool InheritsShares = false;
   /// The lease is valid before this.
   time_point LeaseEnd;
   /// Highest revision whose changes are all in Views.
