--- /dev/null
+++ b/modules/control/tests/test_member_upkeep.cpp
@@ -0,0 +1,102 @@
+#include "modules/control/member_upkeep.h"
+
+#include <doctest/doctest.h>
+
+using namespace teasellock;
+
+namespace {
+
+time_point at(std::int64_t Milliseconds) {
+  return time_point(fromMilliseconds(Milliseconds));
+}
+
+control_member store(std::uint64_t Store, const std::string &Vm,
+                     bool Voter = true) {
+  control_member Member;
+  Member.Store = store_id(Store);
+  Member.Vm = vm_id(Vm);
+  Member.Address = {"10.0.0." + std::to_string(Store), 7000};
+  Member.Voter = Voter;
+  return Member;
+}
+
+member_upkeep threeVoters(std::int64_t HeardMs) {
+  member_upkeep Upkeep;
+  Upkeep.WantedVoters = 3;
+  Upkeep.Members = {store(1, "a"), store(2, "b"), store(3, "c")};
+  for (const auto &Member : Upkeep.Members)
+    Upkeep.Heard[Member.Store] = {Member, at(HeardMs)};
+  return Upkeep;
+}
+
+} // namespace
+
+TEST_CASE("control: a founder's group grows to the wanted voters") {
+  member_upkeep Upkeep;
+  Upkeep.WantedVoters = 3;
+  Upkeep.Members = {store(1, "a")};
+  Upkeep.Heard[store_id(1)] = {store(1, "a"), at(1000)};
+  CHECK_FALSE(decideMembers(Upkeep, at(1000)));
+  Upkeep.Heard[store_id(2)] = {store(2, "b"), at(1000)};
+  auto Change = decideMembers(Upkeep, at(1000));
+  REQUIRE(Change);
+  CHECK((Change->Kind == member_change::kind::AddVoter));
+  CHECK((Change->New.Store == store_id(2)));
+}
+
+TEST_CASE("control: a complete group takes further stores as spares") {
+  auto Upkeep = threeVoters(1000);
+  CHECK_FALSE(decideMembers(Upkeep, at(1000)));
+  Upkeep.Heard[store_id(4)] = {store(4, "d"), at(1000)};
+  auto Change = decideMembers(Upkeep, at(1000));
+  REQUIRE(Change);
+  CHECK((Change->Kind == member_change::kind::Add));
+  Upkeep.Members.push_back(store(4, "d", false));
+  CHECK_FALSE(decideMembers(Upkeep, at(1000)));
+}
+
+TEST_CASE("control: a VM that lost its disk gets its place back at once") {
+  auto Upkeep = threeVoters(1000);
+  Upkeep.Heard[store_id(9)] = {store(9, "c"), at(1000)};
+  auto Change = decideMembers(Upkeep, at(1000));
+  REQUIRE(Change);
+  CHECK((Change->Kind == member_change::kind::Replace));
+  CHECK((Change->Old == store_id(3)));
+  CHECK((Change->New.Store == store_id(9)));
+}
+
+TEST_CASE("control: a spare replaces a voter only once that one is lost") {
+  auto Upkeep = threeVoters(1000);
+  Upkeep.Members.push_back(store(4, "d", false));
+  auto Now = at(1000) + VoterLoss;
+  for (std::uint64_t Store : {1, 2, 4})
+    Upkeep.Heard[store_id(Store)] = {store(Store, std::string(1, "abcd"[Store - 1])),
+                                     Now};
+  CHECK_FALSE(decideMembers(Upkeep, Now));
+  auto Change = decideMembers(Upkeep, Now + fromMilliseconds(1));
+  REQUIRE(Change);
+  CHECK((Change->Kind == member_change::kind::Replace));
+  CHECK((Change->Old == store_id(3)));
+}
+
+TEST_CASE("control: a new leader gives every voter time to be heard") {
+  auto Upkeep = threeVoters(0);
+  Upkeep.LeadingSince = at(50000);
+  Upkeep.Heard[store_id(4)] = {store(4, "d"), at(50000)};
+  auto Change = decideMembers(Upkeep, at(50000));
+  REQUIRE(Change);
+  CHECK((Change->Kind == member_change::kind::Add));
+}
+
+TEST_CASE("control: a spare that is gone is forgotten") {
+  auto Upkeep = threeVoters(1000);
+  Upkeep.Members.push_back(store(4, "d", false));
+  Upkeep.Heard[store_id(4)] = {store(4, "d"), at(1000)};
+  auto Now = at(1001) + SpareLoss;
+  for (const auto &Member : threeVoters(0).Members)
+    Upkeep.Heard[Member.Store].HeardAt = Now;
+  auto Change = decideMembers(Upkeep, Now);
+  REQUIRE(Change);
+  CHECK((Change->Kind == member_change::kind::Remove));
+  CHECK((Change->Old == store_id(4)));
+}
--- a/modules/gateway/tests/gateway_bed.h
+++ b/modules/gateway/tests/gateway_bed.h
@@ -8,6 +8,14 @@
 
 namespace teasellock {
 
+/// The order to stop acknowledging in a term.
+inline wire::fence fenceOf(std::int64_t Term) {
+  wire::fence Fence;
+  Fence.group = "despacho";
+  Fence.term = Term;
+  return Fence;
+}
+
 /// A gateway of one group with three stand-in upstreams, all on one loop.
 /// Upstream "a" is the primary of term 1, "b" and "c" follow it.
 struct gateway_bed {
--- a/modules/gateway/tests/test_group_gateway.cpp
+++ b/modules/gateway/tests/test_group_gateway.cpp
@@ -80,7 +80,7 @@
     Bed.Loop.runOnce();
   REQUIRE_FALSE(Write->Done);
   std::optional<wire::fence_reply> Reply;
-  Bed.Gateway->fence(term(1),
+  Bed.Gateway->fence(fenceOf(1),
                      [&](wire::fence_reply Answer) { Reply = Answer; });
   CHECK(Write->Done);
   CHECK(Write->Last.outcome == Unknown);
@@ -173,7 +173,7 @@
 TEST_CASE("gateway: a promotion is idempotent and the old primary follows") {
   gateway_bed Bed;
   createTable(Bed);
-  Bed.Gateway->fence(term(1), [](wire::fence_reply) {});
+  Bed.Gateway->fence(fenceOf(1), [](wire::fence_reply) {});
   wire::promote Order;
   Order.group = "despacho";
   Order.upstream = "b";
--- /dev/null
+++ b/modules/line/tests/test_queue_pace.cpp
@@ -0,0 +1,93 @@
+#include "modules/line/queue_pace.h"
+
+#include <deque>
+#include <doctest/doctest.h>
+
+using namespace teasellock;
+
+namespace {
+
+time_point at(std::int64_t Milliseconds) {
+  return time_point(fromMilliseconds(Milliseconds));
+}
+
+/// A primary with one statement every ServiceMs, asked every ArrivalMs.
+struct overload {
+  std::int64_t ServiceMs = 6;
+  std::int64_t ArrivalMs = 4;
+  std::int64_t TimeoutMs = 800;
+  std::int64_t TargetMs = 400;
+  bool Refuses = true;
+
+  struct result {
+    int Asked = 0;
+    int InTarget = 0;
+    int Refused = 0;
+  };
+
+  result play(std::int64_t UntilMs) const {
+    result Result;
+    queue_pace Pace;
+    std::deque<std::int64_t> Waiting;
+    std::int64_t FreeAt = 0;
+    for (std::int64_t Now = 0; Now < UntilMs; ++Now) {
+      if (Now % ArrivalMs == 0) {
+        ++Result.Asked;
+        wait_demand Demand{fromMilliseconds(TargetMs),
+                           fromMilliseconds(TimeoutMs),
+                           fromMilliseconds(ServiceMs)};
+        if (!Refuses || mayWait(Demand, expectedWait(Pace, Waiting.size())))
+          Waiting.push_back(Now);
+        else
+          ++Result.Refused;
+      }
+      while (!Waiting.empty() && Now - Waiting.front() >= TimeoutMs)
+        Waiting.pop_front();
+      if (Now < FreeAt || Waiting.empty())
+        continue;
+      if (Now + ServiceMs - Waiting.front() <= TargetMs)
+        ++Result.InTarget;
+      Waiting.pop_front();
+      noteStart(Pace, Waiting.size(), at(Now));
+      FreeAt = Now + ServiceMs;
+    }
+    return Result;
+  }
+};
+
+} // namespace
+
+TEST_CASE("line: a primary asked for more than its slots run still serves") {
+  // Pattern: all replicas lag for seconds, so that reads and writes of a group
+  // all go to its primary, half more than it can run.
+  overload Load;
+  auto With = Load.play(10000);
+  Load.Refuses = false;
+  auto Without = Load.play(10000);
+  // Two thirds is all that the primary can do.
+  CHECK(With.InTarget >= With.Asked * 6 / 10);
+  // Without refusals nearly everything comes late.
+  CHECK(Without.InTarget < Without.Asked * 3 / 10);
+}
+
+TEST_CASE("line: nothing is refused while the queue moves quickly") {
+  overload Load;
+  Load.ServiceMs = 3;
+  CHECK(Load.play(10000).Refused == 0);
+}
+
+TEST_CASE("line: what can't be answered in its time does not wait") {
+  wait_demand Demand;
+  Demand.Remaining = fromMilliseconds(100);
+  Demand.Latency = fromMilliseconds(60);
+  CHECK(mayWait(Demand, fromMilliseconds(40)));
+  CHECK_FALSE(mayWait(Demand, fromMilliseconds(41)));
+}
+
+TEST_CASE("line: a pause of the upstream is not taken for its pace") {
+  queue_pace Pace;
+  noteStart(Pace, 1, at(0));
+  noteStart(Pace, 1, at(10));
+  noteStart(Pace, 1, at(5000));
+  CHECK(expectedWait(Pace, 10) < fromMilliseconds(200));
+}
