--- a/modules/line/line_group.cpp
+++ b/modules/line/line_group.cpp
@@ -23,6 +23,10 @@
 /// Connections unused for this long are closed: after a loss of power upstreams
 /// count those of the dead for seconds, and the next run needs some too.
 constexpr duration UnusedLimit = std::chrono::milliseconds(3000);
+/// Statements that one gateway runs at once on an upstream, for each slot: what
+/// is there waits in order of arrival, what is here in order of importance.
+/// Enough to keep the slots busy over a round trip between regions.
+constexpr std::uint32_t StatementsPerSlot = 2;
 /// Of a gateway's share, what its probes use.
 constexpr std::uint32_t ProbeConnections = 1;
 
@@ -56,6 +60,11 @@
   return std::max<std::uint32_t>(Share.Connections - ProbeConnections, 1);
 }
 
+std::uint32_t line_group::mostRunning(const line_upstream &Upstream) const {
+  return std::max<std::uint32_t>(Upstream.Announcement.Slots, 1) *
+         StatementsPerSlot;
+}
+
 bool line_group::mayConnect(const line_upstream &Upstream) const {
   std::uint32_t Held = Upstream.Occupied + Upstream.Opening +
                        static_cast<std::uint32_t>(Upstream.Idle.size());
@@ -63,7 +72,7 @@
 }
 
 bool line_group::accepts(const line_upstream &Upstream) const {
-  if (now() < Upstream.BusyUntil)
+  if (now() < Upstream.BusyUntil || Upstream.Running >= mostRunning(Upstream))
     return false;
   if (!Upstream.LeavingSince)
     return true;
--- a/modules/line/line_group_state.h
+++ b/modules/line/line_group_state.h
@@ -191,6 +191,7 @@
   void armDeadline();
   void expire();
   std::uint32_t connectionLimit() const;
+  std::uint32_t mostRunning(const line_upstream &Upstream) const;
   bool mayConnect(const line_upstream &Upstream) const;
   void connect(const upstream_id &Id);
   void onConnected(const upstream_id &Id, std::uint64_t Attempt,
