Control: a gateway of an open number has six connections at least

Cause: with 16 VMs five gateways kept 15 connections of 24 open, so that after a loss of power the next runs found no room beside those of the dead. Change: LeastConnections 4 -> 6.

--- a/modules/control/assignment.cpp
+++ b/modules/control/assignment.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 /// Connections that a gateway needs to be of use.
-constexpr std::uint32_t LeastConnections = 4;
+constexpr std::uint32_t LeastConnections = 6;
 
 /// The loss of one gateway must leave two.
 constexpr std::size_t LeastAutomaticGateways = 3;
