--- /dev/null
+++ b/modules/control/tests/test_pause_promotion.cpp
@@ -0,0 +1,338 @@
+#include "modules/control/pause_promotion.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <random>
+#include <set>
+
+using namespace teasellock;
+
+namespace {
+
+/// Upstreams with logs, a platform that carries orders out late, and a control
+/// leader that is driven by the decisions of production. Oracle: the commits
+/// that were acknowledged.
+class pause_world {
+public:
+  pause_world(std::uint64_t Seed, const pause_rules &Rules)
+      : Random(Seed), Rules(Rules) {
+    Group.Group = group_id("g");
+    Group.Removed = false;
+    Group.Row.AckReplicas = 1;
+    Group.Term = term(1);
+    Group.Primary = name(0);
+    gateway_share Share;
+    Share.Vm = vm_id("gateway");
+    Share.Address = {"10.0.0.9", 7000};
+    Share.Incarnation = incarnation(1);
+    Group.Gateways.push_back(Share);
+    for (std::size_t Id = 0; Id < Count; ++Id) {
+      Upstreams[Id].Born = 1;
+      announce(Id);
+    }
+    report();
+  }
+
+  /// Plays; true if a promotion lost an acknowledged commit.
+  bool losesCommit(int Steps) {
+    for (int Step = 0; Step < Steps && !Lost; ++Step)
+      step();
+    return Lost;
+  }
+
+  int promotions() const { return Promotions; }
+
+private:
+  static constexpr std::size_t Count = 3;
+  using entry = std::pair<std::uint64_t, std::uint64_t>;
+
+  struct upstream {
+    std::vector<entry> Log;
+    std::uint64_t Born = 0;
+    bool Paused = false;
+    bool Alive = true;
+    time_point ConnectedAt;
+  };
+
+  struct order {
+    std::size_t Upstream = 0;
+    std::uint64_t Token = 0;
+  };
+
+  static upstream_id name(std::size_t Id) {
+    return upstream_id("u" + std::to_string(Id));
+  }
+
+  static std::size_t numberOf(const upstream_id &Id) {
+    return static_cast<std::size_t>(Id.Value[1] - '0');
+  }
+
+  std::uint64_t pick(std::uint64_t Bound) { return Random() % Bound; }
+
+  position end(const upstream &Upstream) const {
+    if (Upstream.Log.empty())
+      return {};
+    return {term(Upstream.Log.back().first), Upstream.Log.back().second};
+  }
+
+  void pass(std::int64_t Milliseconds) { Now += fromMilliseconds(Milliseconds); }
+
+  /// A heartbeat of the upstream reaches control.
+  void announce(std::size_t Id) {
+    upstream_announcement Announcement;
+    Announcement.Group = Group.Group;
+    Announcement.Upstream = name(Id);
+    Announcement.Address = {"10.0.0." + std::to_string(Id + 1), 5432};
+    Announcement.Incarnation = incarnation(Upstreams[Id].Born);
+    apply(makeAnnouncementCommand(Announcement));
+    Leader.Announced[{Group.Group, name(Id)}] = {Announcement.Incarnation, Now};
+  }
+
+  void apply(const wire::control_command &Command) {
+    control_state State;
+    State.Groups[Group.Group] = Group;
+    applyCommand(State, revision(++Index), Command);
+    Group = State.Groups[Group.Group];
+  }
+
+  /// The gateway reports what it sees; it has applied everything.
+  void report() {
+    auto &Vm = Leader.Vms[vm_id("gateway")];
+    Vm.Incarnation = incarnation(1);
+    Vm.HeardAt = Now;
+    auto &Report = Vm.Groups[Group.Group];
+    Report.ReceivedAt = Now;
+    Report.SentAtUs = Now.time_since_epoch().count();
+    Report.Upstreams.clear();
+    for (std::size_t Id = 0; Id < Count; ++Id) {
+      const auto &Upstream = Upstreams[Id];
+      upstream_observation Seen;
+      Seen.Upstream = name(Id);
+      Seen.Reachable = Upstream.Alive;
+      Seen.Replica = Id != Lead;
+      Seen.Unreachable = Upstream.Alive ? duration() : fromMilliseconds(5000);
+      Seen.Received = Seen.Replayed = end(Upstream);
+      Seen.Paused = Upstream.Paused;
+      if (Id == Lead)
+        Seen.Replayed.Term = term(LeadTerm);
+      Report.Upstreams[Seen.Upstream] = Seen;
+    }
+    auto &Orders = Leader.Orders[Group.Group];
+    if (Orders.DirtySince != Group.DirtySince) {
+      Orders.DirtySince = Group.DirtySince;
+      Orders.DirtySeenAtUs.clear();
+    }
+    Orders.DirtySeenAtUs.try_emplace(
+        gateway_run(vm_id("gateway"), incarnation(1)), Report.SentAtUs - 1);
+  }
+
+  /// Entries that both logs begin with.
+  static std::size_t shared(const std::vector<entry> &Left,
+                            const std::vector<entry> &Right) {
+    std::size_t Same = 0;
+    while (Same < Left.size() && Same < Right.size() &&
+           Left[Same] == Right[Same])
+      ++Same;
+    return Same;
+  }
+
+  void commit() {
+    auto &Primary = Upstreams[Lead];
+    if (Primary.Alive)
+      Primary.Log.push_back({LeadTerm, Primary.Log.size() + 1});
+  }
+
+  void replicate(std::size_t Id) {
+    auto &Replica = Upstreams[Id];
+    const auto &Primary = Upstreams[Lead];
+    if (Id == Lead || Replica.Paused || !Replica.Alive || !Primary.Alive)
+      return;
+    std::size_t Same = shared(Replica.Log, Primary.Log);
+    Replica.Log.resize(Same);
+    if (Same < Primary.Log.size())
+      Replica.Log.push_back(Primary.Log[Same]);
+    // The primary acknowledges its own commits once one replica has them. What
+    // it held from earlier terms has nobody waiting for an answer, but is
+    // covered by the first commit after it.
+    if (Replica.Log.size() > Acknowledged.size() &&
+        Replica.Log.back().first == LeadTerm)
+      Acknowledged = Replica.Log;
+  }
+
+  void restart(std::size_t Id) {
+    auto &Upstream = Upstreams[Id];
+    // Left open by the rule: a replica that was paused starts again before the
+    // promotion runs.
+    if (Id == Lead || Group.Promotion)
+      return;
+    Upstream.Log.clear();
+    Upstream.Paused = false;
+    ++Upstream.Born;
+    Upstream.ConnectedAt = Now;
+  }
+
+  void pause() {
+    wire::fence_reply Reply;
+    Reply.group = Group.Group.Value;
+    Reply.term = static_cast<std::int64_t>(Group.Term.Value);
+    for (std::size_t Id = 0; Id < Count; ++Id) {
+      auto &Upstream = Upstreams[Id];
+      if (Id == Lead || !Upstream.Alive || pick(3) == 0)
+        continue;
+      wire::upstream_report Seen;
+      Seen.upstream = name(Id).Value;
+      Seen.reachable = true;
+      Seen.replica = true;
+      Seen.received = toWire(end(Upstream));
+      Seen.paused = true;
+      Seen.connection_age_ms = toMilliseconds(Now - Upstream.ConnectedAt);
+      // Without the rule the position is one read before the pause.
+      Upstream.Paused = Rules.Paused;
+      Reply.upstreams.push_back(Seen);
+    }
+    takePauseReply(Group, Leader, Reply, Now);
+  }
+
+  void carryOut(const order &Order) {
+    std::size_t Id = Order.Upstream;
+    if (Order.Token < Fence)
+      return;
+    Fence = Order.Token;
+    if (!Upstreams[Id].Alive) {
+      takePlatformAnswer(Group, Leader, Group.Promotion ? Group.Promotion->Attempt : 0,
+                         promotion_answer::Refused);
+      return;
+    }
+    if (Id == Lead)
+      return;
+    Lead = Id;
+    ++LeadTerm;
+    ++Promotions;
+    for (auto &Upstream : Upstreams)
+      Upstream.Paused = false;
+    Lost = shared(Upstreams[Id].Log, Acknowledged) < Acknowledged.size();
+  }
+
+  void decide() {
+    report();
+    auto Cleaning = decidePauseCleaning(Group, Leader);
+    auto Decision =
+        decidePausePromotion(Group, Leader, Settings, Now, Rules);
+    if (!Decision.Next && Cleaning.Next)
+      Decision.Next = Cleaning.Next;
+    if (!Decision.Fences.empty()) {
+      notePausesSent(Group, Leader, Decision.Fences, Now);
+      pause();
+    }
+    if (Decision.Order) {
+      noteOrderSentToPlatform(Group, Leader, Now);
+      Orders.push_back({numberOf(Decision.Order->Upstream),
+                        Decision.Order->FencingToken.Value});
+    }
+    if (Decision.Resume)
+      for (auto &Upstream : Upstreams)
+        Upstream.Paused = false;
+    if (!Decision.Next)
+      return;
+    noteAttempt(*Decision.Next, Leader);
+    apply(makeGroupCommand(*Decision.Next));
+  }
+
+  void step() {
+    pass(static_cast<std::int64_t>(pick(30)));
+    std::size_t Id = pick(Count);
+    switch (pick(14)) {
+    case 0:
+      return commit();
+    case 1:
+    case 2:
+    case 3:
+    case 4:
+      return replicate(Id);
+    case 5:
+      return pick(40) == 0 ? restart(Id) : replicate(Id);
+    case 6:
+      return announce(Id);
+    case 7:
+      if (pick(6) == 0 && Id == Lead)
+        Upstreams[Id].Alive = false;
+      return;
+    case 8:
+      Upstreams[Id].Alive = true;
+      return;
+    case 9:
+      if (Orders.empty())
+        return;
+      {
+        std::size_t At = pick(Orders.size());
+        order Order = Orders[At];
+        Orders.erase(Orders.begin() + static_cast<std::ptrdiff_t>(At));
+        return carryOut(Order);
+      }
+    case 10:
+      // Another leader takes over with nothing but the log.
+      if (pick(10) == 0) {
+        auto Announced = Leader.Announced;
+        Leader = leader_state();
+        Leader.Announced = Announced;
+        Leader.LeadingSince = Now;
+      }
+      return;
+    default:
+      return decide();
+    }
+  }
+
+  std::mt19937_64 Random;
+  pause_rules Rules;
+  decision_settings Settings;
+  group_state Group;
+  leader_state Leader;
+  time_point Now{fromMilliseconds(100000)};
+  std::uint64_t Index = 0;
+  upstream Upstreams[Count];
+  std::size_t Lead = 0;
+  std::uint64_t LeadTerm = 1;
+  std::vector<entry> Acknowledged;
+  std::vector<order> Orders;
+  std::uint64_t Fence = 0;
+  bool Lost = false;
+  int Promotions = 0;
+};
+
+constexpr int Steps = 1200;
+constexpr std::uint64_t Seeds = 3000;
+
+/// The first seed that loses a commit; nothing when none does.
+std::optional<std::uint64_t> firstLoss(const pause_rules &Rules,
+                                       std::uint64_t Most) {
+  for (std::uint64_t Seed = 1; Seed <= Most; ++Seed)
+    if (pause_world(Seed, Rules).losesCommit(Steps))
+      return Seed;
+  return std::nullopt;
+}
+
+} // namespace
+
+TEST_CASE("control: no acknowledged commit is lost when replicas are paused") {
+  int Promotions = 0;
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    pause_world World(Seed, {});
+    CAPTURE(Seed);
+    REQUIRE_FALSE(World.losesCommit(Steps));
+    Promotions += World.promotions();
+  }
+  // The days must be worth playing.
+  CHECK(Promotions > static_cast<int>(Seeds) / 2);
+}
+
+TEST_CASE("control: each part of the pausing rule is needed") {
+  pause_rules Rules;
+  SUBCASE("all replicas") { Rules.All = false; }
+  SUBCASE("positions after the pause") { Rules.Paused = false; }
+  SUBCASE("the run that answered") { Rules.Run = false; }
+  SUBCASE("no promotion while dirty") { Rules.Dirty = false; }
+  auto Seed = firstLoss(Rules, 40000);
+  REQUIRE(Seed);
+  MESSAGE("lost with seed " << *Seed);
+}
