Consensus: a member whose removal is not committed may still be elected

It no longer campaigned, and the other voter's log was shorter, so that nobody could be elected for good. Ruled out: lost messages, disks, a quorum that is gone. Change: such a member campaigns as long as the committed membership names it; its own vote does not count. Documents of deployments are compressed in the log, and the log is compacted by bytes too (a disk has 64 MB); a process whose store has failed ends, to be started again from what the disk holds.

--- a/core/tests/test_core.cpp
+++ b/core/tests/test_core.cpp
@@ -1,3 +1,4 @@
+#include "core/compression.h"
 #include "core/endpoint.h"
 #include "core/error.h"
 #include "core/metrics.h"
@@ -93,3 +94,17 @@
     Loop.runOnce();
   CHECK(Order == "abc");
 }
+
+TEST_CASE("core: compressed text comes back whole, other bytes are refused") {
+  rc::check("compress and decompress", [](const std::string &Text) {
+    RC_ASSERT(decompress(compress(Text), Text.size()) == Text);
+  });
+  std::string Routes;
+  for (int Route = 0; Route < 350; ++Route)
+    Routes += R"({"name":"r-)" + std::to_string(Route * 7919) +
+              R"(","path_prefix":"/","route_kind":"read_your_writes"})";
+  CHECK(compress(Routes).size() < Routes.size() / 8);
+  CHECK_THROWS_AS(decompress(compress(Routes), Routes.size() - 1), error);
+  CHECK_THROWS_AS(decompress("", 10), error);
+  CHECK_THROWS_AS(decompress(std::string("\x03\0\0\0abc", 7), 10), error);
+}
--- a/main/daemon_process.cpp
+++ b/main/daemon_process.cpp
@@ -13,6 +13,9 @@
 namespace {
 
 constexpr duration DrainCheckPeriod = fromMilliseconds(20);
+/// A process whose store has failed ends after this: time enough to see a disk
+/// that refuses for a moment through, and no loop without a pause.
+constexpr duration RestartDelay = fromMilliseconds(1000);
 /// How soon a changed settings file is noticed without a signal.
 constexpr duration SettingsPeriod = fromMilliseconds(2000);
 
@@ -88,6 +91,11 @@
   }
   if (!Settings.Platform)
     return;
+  // Whoever starts the process again starts it from what the disk holds.
+  Settings.Control.StoreFailed = [this] {
+    event("daemon.store_failed", severity::Error);
+    Restart = Timers.after(RestartDelay, [this] { Loop.stop(); });
+  };
   platform::promotion_service Service{*Settings.Platform, Settings.Holder};
   Settings.Control.OrderPromotion =
       [this, Service](const promotion_order &Order,
--- a/main/daemon_process.h
+++ b/main/daemon_process.h
@@ -47,6 +47,7 @@
   bool HandedOver = false;
   bool CallersGone = false;
   timer_subscription SettingsCheck;
+  timer_subscription Restart;
   timer_subscription DrainDeadline;
   timer_subscription DrainCheck;
 };
--- a/modules/consensus/consensus_election.cpp
+++ b/modules/consensus/consensus_election.cpp
@@ -45,13 +45,20 @@
   }
 }
 
+/// The own vote, which counts only while this store is a voter.
+std::set<store_id> ownVote(const consensus_state &State) {
+  if (!isVoter(State))
+    return {};
+  return {State.Self};
+}
+
 void startElection(consensus_state &State, const decision_input &Input,
                    consensus_effects &Effects) {
   State.Role = consensus_role::Candidate;
   State.Promises.Term += 1;
   State.Promises.VotedFor = State.Self;
   Effects.Disk.push_back(State.Promises);
-  State.Votes = {State.Self};
+  State.Votes = ownVote(State);
   requestVotes(State, false, Effects);
   if (State.Votes.size() >= quorumSize(currentMembers(State)))
     becomeLeader(State, Input, Effects);
@@ -63,7 +70,7 @@
               consensus_effects &Effects) {
   postponeElection(State, Input);
   State.Leader = store_id();
-  State.Votes = {State.Self};
+  State.Votes = ownVote(State);
   if (!State.Rules.PreVote ||
       State.Votes.size() >= quorumSize(currentMembers(State))) {
     startElection(State, Input, Effects);
--- a/modules/consensus/consensus_internal.h
+++ b/modules/consensus/consensus_internal.h
@@ -30,6 +30,10 @@
 /// Sets the next election to a random point after one election timeout.
 void postponeElection(consensus_state &State, const decision_input &Input);
 
+/// Whether this store may become leader. One whose removal is not committed yet
+/// may be the only one that holds it: without it nobody could be elected.
+bool mayCampaign(const consensus_state &State);
+
 /// Sets when the next trial election is held if this one is not won.
 void postponeTrial(consensus_state &State, const decision_input &Input);
 
--- a/modules/consensus/consensus_service.cpp
+++ b/modules/consensus/consensus_service.cpp
@@ -91,6 +91,7 @@
   void resolveProposals();
   void resolveConfirmations();
   void maybeCompact();
+  std::uint64_t keptEntries() const;
   void dialMembers();
   void showMetrics();
   void fail(const std::exception &Problem);
@@ -112,6 +113,7 @@
   gauge &LeaderGauge;
   /// The entry of the membership whose members have been dialled.
   std::uint64_t DialledMembership = 0;
+  std::size_t BytesSinceSnapshot = 0;
   /// Guards posted callbacks against outliving this object.
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
   bool FlushScheduled = false;
@@ -266,6 +268,7 @@
 
 void consensus_service::state::applyEntry(const wire::log_entry &Entry) {
   revision Revision(static_cast<std::uint64_t>(Entry.index));
+  BytesSinceSnapshot += Entry.data.size();
   if (Entry.kind == wire::entry_kind::command)
     Hooks.Apply(Revision, Entry.data);
   auto Found = Proposals.find(Revision.Value);
@@ -315,8 +318,10 @@
 
 void consensus_service::state::maybeCompact() {
   std::uint64_t Last = Decisions.Snapshot ? Decisions.Snapshot->Index : 0;
-  if (Decisions.AppliedIndex - Last < Settings.SnapshotEvery)
+  if (Decisions.AppliedIndex - Last < Settings.SnapshotEvery &&
+      BytesSinceSnapshot < Settings.SnapshotBytes)
     return;
+  BytesSinceSnapshot = 0;
   auto Image = std::make_shared<log_snapshot>();
   Image->Index = Decisions.AppliedIndex;
   Image->Term = Decisions.Log.termAt(Image->Index);
@@ -326,7 +331,21 @@
   event("snapshot.taken")
       .with("index", Image->Index)
       .with("bytes", static_cast<std::uint64_t>(Image->Data.size()));
-  compactLog(Decisions, std::move(Image), Settings.SnapshotEvery / 4);
+  compactLog(Decisions, std::move(Image), keptEntries());
+}
+
+/// How many entries stay for followers that are a little behind.
+std::uint64_t consensus_service::state::keptEntries() const {
+  std::uint64_t Kept = 0;
+  std::size_t Bytes = 0;
+  for (std::uint64_t Index = Decisions.AppliedIndex;
+       Index > Decisions.Log.baseIndex() && Kept < Settings.SnapshotEvery / 4;
+       --Index, ++Kept) {
+    Bytes += Decisions.Log.at(Index).data.size();
+    if (Bytes > Settings.SnapshotBytes / 4)
+      break;
+  }
+  return Kept;
 }
 
 void consensus_service::state::fail(const std::exception &Problem) {
@@ -336,6 +355,8 @@
   noteLeadership();
   resolveProposals();
   resolveConfirmations();
+  if (Hooks.Failed)
+    Hooks.Failed();
 }
 
 consensus_service::consensus_service(daemon_context &Context, link_hub &Hub,
--- a/modules/consensus/consensus_service.h
+++ b/modules/consensus/consensus_service.h
@@ -26,6 +26,9 @@
   /// This VM became leader (its barrier entry is committed and applied) or
   /// ceased to be.
   std::function<void(bool Leading)> LeadershipChanged;
+  /// The disk failed: this member takes part in nothing until the process has
+  /// been started again. May be empty.
+  std::function<void()> Failed;
 };
 
 /// How a proposal ended.
@@ -52,6 +55,9 @@
   duration ElectionTimeout = fromMilliseconds(500);
   /// Entries kept before a snapshot is taken.
   std::uint64_t SnapshotEvery = 2000;
+  /// Bytes of commands before one is taken, whatever their number: an eighth of
+  /// the smallest disk that a control VM has.
+  std::size_t SnapshotBytes = 8 * 1024 * 1024;
 };
 
 /// One member of the control group.
--- a/modules/consensus/consensus_state.cpp
+++ b/modules/consensus/consensus_state.cpp
@@ -127,7 +127,7 @@
     promoteCaughtUp(State, Input, Effects);
     return;
   }
-  if (Input.Now >= State.ElectionDue && isVoter(State))
+  if (Input.Now >= State.ElectionDue && mayCampaign(State))
     campaign(State, Input, Effects);
 }
 
@@ -180,6 +180,14 @@
   return Own != nullptr && Own->Voter;
 }
 
+bool mayCampaign(const consensus_state &State) {
+  if (isVoter(State))
+    return true;
+  const control_member *Own =
+      findMember(membersAt(State, State.CommitIndex), State.Self);
+  return Own != nullptr && Own->Voter;
+}
+
 std::size_t quorumSize(const member_list &Members) {
   return voterCount(Members) / 2 + 1;
 }
--- a/modules/control/control_commands.thrift
+++ b/modules/control/control_commands.thrift
@@ -87,7 +87,7 @@
 struct deployment_change {
   1: control_messages.deployment content;
   2: list<control_messages.table_row> rows;
-  /// The text it was read from, as it is shown to operators.
+  /// The text it was read from, compressed, as it is shown to operators.
   3: binary document;
 }
 
--- a/modules/control/control_deployment.cpp
+++ b/modules/control/control_deployment.cpp
@@ -1,5 +1,6 @@
 #include "modules/control/control_service_state.h"
 
+#include "core/compression.h"
 #include "core/event_log.h"
 #include "modules/consensus/control_member.h"
 #include "modules/control/internal_calls.h"
@@ -12,6 +13,8 @@
 constexpr int Done = 200;
 constexpr int BadRequest = 400;
 constexpr int TryElsewhere = 503;
+/// The HTTP server accepts no longer body.
+constexpr std::size_t LargestDocument = 16 * 1024 * 1024;
 
 } // namespace
 
@@ -79,7 +82,7 @@
       return notLeader(Answer);
     if (Replicated.Deployment.Revision == revision())
       return Answer(TryElsewhere, "no deployment has been submitted yet");
-    Answer(Done, Replicated.Deployment.Document);
+    Answer(Done, decompress(Replicated.Deployment.Document, LargestDocument));
   });
 }
 
--- a/modules/control/control_service.cpp
+++ b/modules/control/control_service.cpp
@@ -37,7 +37,7 @@
                               consensus_settings ConsensusSettings)
     : Context(Context), Hub(Hub), Settings(decisionSettings(Settings)),
       OrderPromotion(Settings.OrderPromotion), Voters(Settings.Voters),
-      Founder(Settings.Founder),
+      Founder(Settings.Founder), StoreFailed(Settings.StoreFailed),
       ConfirmationLife(ConsensusSettings.ElectionTimeout / 2),
       Promotions(
           Context.Metrics.counterOf("teasellock_control_promotions_total")),
@@ -56,6 +56,7 @@
   Hooks.LeadershipChanged = [this](bool IsLeading) {
     leadershipChanged(IsLeading);
   };
+  Hooks.Failed = StoreFailed;
   return Hooks;
 }
 
--- a/modules/control/control_service.h
+++ b/modules/control/control_service.h
@@ -30,6 +30,8 @@
   /// Control stores that vote once all have joined by themselves. 0: operators
   /// found and change the group.
   std::size_t Voters = 0;
+  /// Called when the control store has failed. May be empty.
+  std::function<void()> StoreFailed;
   /// This process founds the control group if its store is empty.
   bool Founder = false;
 };
--- a/modules/control/control_service_state.h
+++ b/modules/control/control_service_state.h
@@ -35,6 +35,7 @@
       OrderPromotion;
   std::size_t Voters;
   bool Founder;
+  std::function<void()> StoreFailed;
   std::map<store_id, heard_store> ControlStores;
   time_point MembersCheckedAt;
   control_state Replicated;
--- a/modules/control/control_state.cpp
+++ b/modules/control/control_state.cpp
@@ -1,5 +1,6 @@
 #include "modules/control/control_state.h"
 
+#include "core/compression.h"
 #include "modules/control/control_codec.h"
 
 #include <algorithm>
@@ -206,7 +207,8 @@
   Change.content = toWire(Proposal.Deployment);
   for (const auto &Row : rowsOf(Proposal))
     Change.rows.push_back(toWire(Row));
-  Change.document = Proposal.Document;
+  // A configuration of hundreds of routes goes through the log many times.
+  Change.document = compress(Proposal.Document);
   wire::control_command Result;
   Result.__set_change(std::move(Change));
   return Result;
--- a/modules/control/control_state.h
+++ b/modules/control/control_state.h
@@ -146,7 +146,7 @@
 /// The deployment in force and the text it was read from.
 struct deployment_record {
   deployment Deployment;
-  /// As it was submitted; shown to operators.
+  /// As it was submitted, compressed; shown to operators.
   std::string Document;
   /// Index of the entry that set it.
   revision Revision;
