Control, Membership: no VM gets more than its part of the groups; a new leader is found sooner

Change: when more than a quarter of the VMs are unheard, control waits three times as long before it moves groups; overloaded VMs rank last and are relieved, one group at a time; a control VM that left a renewal unanswered is passed over, after 350 ms in place of 600.

--- a/modules/control/assignment.cpp
+++ b/modules/control/assignment.cpp
@@ -11,6 +11,13 @@
 
 namespace {
 
+/// More than one part in so many of all VMs, and more than a few, are many: VMs
+/// rarely fail by the dozen, and moving all groups at once costs more than
+/// waiting.
+constexpr std::size_t ManyParts = 4;
+constexpr std::size_t FewVms = 3;
+/// Times the usual patience with VMs when many are unheard.
+constexpr int ManyPatience = 3;
 /// Connections that a gateway needs to be of use.
 constexpr std::uint32_t LeastConnections = 6;
 
@@ -25,10 +32,30 @@
   time_point Now;
 };
 
+/// Whether so many VMs are unheard at once that it rather is control that they
+/// can't find: a new leader, a partition.
+bool manyUnheard(const assignment_input &Input) {
+  std::size_t Unheard = 0;
+  std::size_t All = 0;
+  for (const auto &[Name, Vm] : Input.State.Vms) {
+    if (!Vm.Gateway || Vm.Draining)
+      continue;
+    ++All;
+    Unheard += !heardWithin(Input.Leader, Name, Input.Settings.VmTimeout,
+                            Input.Now);
+  }
+  return Unheard * ManyParts > All && Unheard > FewVms;
+}
+
 bool isGone(const assignment_input &Input, const vm_id &Vm) {
+  if (heardWithin(Input.Leader, Vm, Input.Settings.VmTimeout, Input.Now))
+    return false;
+  duration Patience = Input.Settings.VmTimeout;
+  if (manyUnheard(Input))
+    Patience *= ManyPatience;
   // A new leader gives every VM the time to be heard.
-  return Input.Now - Input.Leader.LeadingSince >= Input.Settings.VmTimeout &&
-         !heardWithin(Input.Leader, Vm, Input.Settings.VmTimeout, Input.Now);
+  return Input.Now - Input.Leader.LeadingSince >= Patience &&
+         !heardWithin(Input.Leader, Vm, Patience, Input.Now);
 }
 
 bool isDraining(const assignment_input &Input, const vm_id &Vm) {
@@ -65,17 +92,22 @@
   return std::max<std::size_t>(std::min(Wanted, Useful), 1);
 }
 
-std::map<vm_id, std::size_t> loads(const control_state &State) {
-  std::map<vm_id, std::size_t> Result;
-  for (const auto &[Name, Group] : State.Groups)
-    for (const auto &Share : Group.Gateways)
-      ++Result[Share.Vm];
-  return Result;
+std::size_t loadOf(const control_state &State, const vm_id &Vm) {
+  auto Found = State.Index.Loads.find(Vm);
+  return Found == State.Index.Loads.end() ? 0 : Found->second;
+}
+
+/// More groups than this are more than a VM's part.
+std::size_t loadLimit(const control_state &State) {
+  std::size_t Vms = std::max<std::size_t>(State.Index.GatewayVms, 1);
+  return (State.Index.Assignments + Vms - 1) / Vms + 1;
 }
 
-/// Smaller is better: zones not yet covered, zones and regions of the group's
-/// upstreams, few groups.
-auto rankOf(const group_state &Group, const vm_record &Vm, std::size_t Load) {
+/// Smaller is better: not overloaded, zones not yet covered, zones and regions
+/// of the group's upstreams, few groups.
+auto rankOf(const control_state &State, const group_state &Group,
+            const vm_record &Vm) {
+  std::size_t Load = loadOf(State, Vm.Vm);
   std::size_t SameZone = 0;
   std::size_t UpstreamsInZone = 0;
   std::size_t UpstreamsInRegion = 0;
@@ -85,20 +117,19 @@
     UpstreamsInZone += Upstream.AvailabilityZone == Vm.AvailabilityZone;
     UpstreamsInRegion += Upstream.Region == Vm.Region;
   }
-  return std::tuple(SameZone, UpstreamsInZone == 0,
+  return std::tuple(Load >= loadLimit(State), SameZone, UpstreamsInZone == 0,
                     Group.Upstreams.size() - UpstreamsInRegion, Load, Vm.Vm);
 }
 
 const vm_record *bestCandidate(const assignment_input &Input,
                                const group_state &Group) {
-  auto Loads = loads(Input.State);
   const vm_record *Best = nullptr;
   for (const auto &[Name, Vm] : Input.State.Vms) {
     if (Vm.Draining || !Vm.Gateway || findShare(Group, Name) ||
         !heardWithin(Input.Leader, Name, Input.Settings.VmTimeout, Input.Now))
       continue;
     if (!Best ||
-        rankOf(Group, Vm, Loads[Name]) < rankOf(Group, *Best, Loads[Best->Vm]))
+        rankOf(Input.State, Group, Vm) < rankOf(Input.State, Group, *Best))
       Best = &Vm;
   }
   return Best;
@@ -172,6 +203,16 @@
          Vm->second.Groups.contains(Group.Group);
 }
 
+/// Whether another VM should take over from one that has more than its part.
+bool mayRelieve(const assignment_input &Input, const group_state &Group,
+                const gateway_share &Share) {
+  std::size_t Limit = loadLimit(Input.State);
+  if (loadOf(Input.State, Share.Vm) <= Limit || Group.Row.Gateways > 0)
+    return false;
+  const auto *Other = bestCandidate(Input, Group);
+  return Other && loadOf(Input.State, Other->Vm) + 1 < Limit;
+}
+
 struct gateway_census {
   std::vector<vm_id> Gone;
   std::vector<vm_id> Draining;
@@ -183,10 +224,13 @@
 gateway_census countGateways(const assignment_input &Input,
                              const group_state &Group) {
   gateway_census Census;
+  bool Relieved = false;
   for (const auto &Share : Group.Gateways) {
     if (isGone(Input, Share.Vm)) {
       Census.Gone.push_back(Share.Vm);
-    } else if (isDraining(Input, Share.Vm)) {
+    } else if (isDraining(Input, Share.Vm) ||
+               (!Relieved && mayRelieve(Input, Group, Share))) {
+      Relieved = true;
       Census.Draining.push_back(Share.Vm);
     } else {
       Census.Staying.push_back(Share.Vm);
--- a/modules/control/control_state.cpp
+++ b/modules/control/control_state.cpp
@@ -156,7 +156,12 @@
     Index.LatestChange = std::max(Index.LatestChange, Group.Revision);
     if (Group.Dirty)
       Index.Dirty.push_back(Name);
+    for (const auto &Share : Group.Gateways)
+      ++Index.Loads[Share.Vm];
+    Index.Assignments += Group.Gateways.size();
   }
+  for (const auto &[Name, Vm] : State.Vms)
+    Index.GatewayVms += Vm.Gateway && !Vm.Draining;
   return Index;
 }
 
--- a/modules/control/control_state.h
+++ b/modules/control/control_state.h
@@ -139,6 +139,11 @@
   revision LatestChange;
   /// The groups that are dirty.
   std::vector<group_id> Dirty;
+  /// Groups assigned to each VM.
+  std::map<vm_id, std::size_t> Loads;
+  /// Assignments in all, and VMs that take some.
+  std::size_t Assignments = 0;
+  std::size_t GatewayVms = 0;
 
   bool operator==(const group_index &) const = default;
 };
--- a/modules/membership/member_agent.cpp
+++ b/modules/membership/member_agent.cpp
@@ -72,6 +72,10 @@
   std::map<request_id, forwarded_request> Forwarded;
   bool Draining = false;
   store_id ControlStore;
+  /// Where the last renewal went, and the last that left one unanswered: it is
+  /// passed over until another one answers.
+  std::optional<endpoint> Asked;
+  std::optional<endpoint> Silent;
   /// Control VMs that the last answer named, besides those of the settings.
   std::vector<endpoint> Named;
   std::function<void()> Released;
@@ -117,6 +121,7 @@
 std::optional<link_id> member_agent::state::controlLink() {
   if (Leader) {
     auto Link = Hub.linkTo(*Leader);
+    Asked = Leader;
     if (Hub.isOpen(Link))
       return Link;
   }
@@ -126,11 +131,17 @@
     bool FromSettings = At < Settings.Control.size();
     auto Link = Hub.linkTo(FromSettings ? Settings.Control[At]
                                         : Named[At - Settings.Control.size()]);
-    if (!Hub.isOpen(Link))
+    const auto &Address = FromSettings
+                              ? Settings.Control[At]
+                              : Named[At - Settings.Control.size()];
+    if (!Hub.isOpen(Link) || (Count > 1 && Address == Silent))
       continue;
     Next = At;
+    Asked = Address;
     return Link;
   }
+  // Nobody else is there to be asked.
+  Silent.reset();
   return std::nullopt;
 }
 
@@ -196,6 +207,7 @@
     return;
   Unanswered.add(Sent.size());
   Sent.clear();
+  Silent = Asked;
   tryNext();
   renew();
 }
@@ -209,6 +221,8 @@
   // Earlier renewals on the same way are answered by this one as well.
   Sent.erase(Sent.begin(), std::next(Known));
   LastAnswer = now();
+  if (Asked != Silent)
+    Silent.reset();
   if (Reply.granted)
     takeGranted(Reply, SentAt);
   else
--- a/modules/membership/member_agent.h
+++ b/modules/membership/member_agent.h
@@ -36,7 +36,7 @@
   std::vector<endpoint> Control;
   duration RenewalPeriod = fromMilliseconds(400);
   /// An unanswered renewal goes to another control VM after this.
-  duration RenewalTimeout = fromMilliseconds(600);
+  duration RenewalTimeout = fromMilliseconds(350);
   /// Whether groups may be assigned to this VM.
   bool Gateway = true;
   /// See member_state.
