Control, Core, Link: groups that relieve a VM come to rest; logs that never block

Change: the limit follows from the groups that are wanted; one group moves off a VM at a time; of too many gateways the most loaded leaves. Logs go to standard output with time and zone, through a buffer that drops and counts what a reader does not take, 50 lines of a kind a second; tests: a pipe that is not read, and the allowance. Heartbeats only on links that are idle.

--- a/core/event_log.cpp
+++ b/core/event_log.cpp
@@ -2,15 +2,22 @@
 
 #include "core/error.h"
 
+#include <chrono>
+#include <ctime>
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/logmanager.h>
 #include <log4cxx/patternlayout.h>
+#include <map>
 
 namespace teasellock {
 
 namespace {
 
+/// Lines that wait for the reader of standard output.
+constexpr int BufferedLines = 2000;
+
 log4cxx::LoggerPtr &sharedLogger() {
   static log4cxx::LoggerPtr Logger;
   return Logger;
@@ -54,15 +61,77 @@
   Line += '"';
 }
 
+std::map<std::string, line_allowance> &allowances() {
+  static std::map<std::string, line_allowance> Allowances;
+  return Allowances;
+}
+
+const char *nameOf(severity Severity) {
+  switch (Severity) {
+  case severity::Debug:
+    return "debug";
+  case severity::Info:
+    return "info";
+  case severity::Warning:
+    return "warning";
+  case severity::Error:
+    return "error";
+  }
+  return "error";
+}
+
+/// "time=2026-04-02T22:34:33.120Z level=info ".
+std::string headOf(std::chrono::system_clock::time_point Now,
+                   severity Severity) {
+  std::time_t Seconds = std::chrono::system_clock::to_time_t(Now);
+  auto Milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(
+                          Now.time_since_epoch())
+                          .count() %
+                      1000;
+  std::tm Parts = {};
+  ::gmtime_r(&Seconds, &Parts);
+  char Text[64];
+  std::size_t Length =
+      std::strftime(Text, sizeof(Text), "time=%Y-%m-%dT%H:%M:%S", &Parts);
+  std::snprintf(Text + Length, sizeof(Text) - Length, ".%03dZ level=%s ",
+                static_cast<int>(Milliseconds), nameOf(Severity));
+  return Text;
+}
+
 } // namespace
 
+bool allowLine(line_allowance &Allowance, std::int64_t Second,
+               std::uint32_t &LeftOut) {
+  if (Allowance.Second != Second) {
+    LeftOut = Allowance.LeftOut;
+    Allowance = {Second, 0, 0};
+  }
+  if (Allowance.Written >= LinesOfAKind) {
+    ++Allowance.LeftOut;
+    return false;
+  }
+  ++Allowance.Written;
+  return true;
+}
+
 event::event(std::string_view Name, severity Severity)
     : Enabled(sharedLogger() &&
               sharedLogger()->isEnabledFor(toLevel(Severity))),
       Severity(Severity) {
   if (!Enabled)
     return;
-  Line = "event=";
+  auto Now = std::chrono::system_clock::now();
+  std::uint32_t LeftOut = 0;
+  Enabled = allowLine(allowances()[std::string(Name)],
+                      std::chrono::system_clock::to_time_t(Now), LeftOut);
+  if (LeftOut > 0)
+    sharedLogger()->forcedLog(
+        toLevel(severity::Warning),
+        headOf(Now, severity::Warning) + "event=log.left_out kind=" +
+            std::string(Name) + " count=" + std::to_string(LeftOut));
+  if (!Enabled)
+    return;
+  Line = headOf(Now, Severity) + "event=";
   appendValue(Line, Name);
 }
 
@@ -107,17 +176,25 @@
 
 void startEventLog(severity Least) {
   using namespace log4cxx;
-  auto Layout = std::make_shared<PatternLayout>(
-      "time=%d{yyyy-MM-dd'T'HH:mm:ss.SSS} level=%p %m%n");
   auto Appender = std::make_shared<ConsoleAppender>(
-      Layout, ConsoleAppender::getSystemErr());
+      std::make_shared<PatternLayout>("%m%n"), ConsoleAppender::getSystemOut());
+  // A thread of the library writes; a full buffer drops lines and says so.
+  auto Buffer = std::make_shared<AsyncAppender>();
+  Buffer->setBufferSize(BufferedLines);
+  Buffer->setBlocking(false);
+  Buffer->addAppender(Appender);
   auto Root = Logger::getRootLogger();
   Root->removeAllAppenders();
-  Root->addAppender(Appender);
+  Root->addAppender(Buffer);
   Root->setLevel(toLevel(Least));
   sharedLogger() = Logger::getLogger("teasellock");
 }
 
+void stopEventLog() {
+  sharedLogger().reset();
+  log4cxx::LogManager::shutdown();
+}
+
 severity parseSeverity(std::string_view Text) {
   if (Text == "debug")
     return severity::Debug;
--- a/core/tests/test_core.cpp
+++ b/core/tests/test_core.cpp
@@ -1,13 +1,18 @@
 #include "core/compression.h"
 #include "core/endpoint.h"
 #include "core/error.h"
+#include "core/event_log.h"
 #include "core/metrics.h"
 #include "core/position.h"
 #include "core/timer_service.h"
 #include "core/trace.h"
 
+#include <chrono>
+#include <cstdio>
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
+#include <thread>
+#include <unistd.h>
 
 using namespace teasellock;
 
@@ -108,3 +113,48 @@
   CHECK_THROWS_AS(decompress("", 10), error);
   CHECK_THROWS_AS(decompress(std::string("\x03\0\0\0abc", 7), 10), error);
 }
+
+TEST_CASE("core: lines of one kind are limited and what is left out is told") {
+  line_allowance Allowance;
+  std::uint32_t LeftOut = 0;
+  std::uint32_t Written = 0;
+  for (int Line = 0; Line < 1000; ++Line)
+    Written += allowLine(Allowance, 7, LeftOut);
+  CHECK(Written == LinesOfAKind);
+  CHECK(LeftOut == 0);
+  CHECK(allowLine(Allowance, 8, LeftOut));
+  CHECK(LeftOut == 1000 - LinesOfAKind);
+  LeftOut = 0;
+  CHECK(allowLine(Allowance, 9, LeftOut));
+  CHECK(LeftOut == 0);
+}
+
+TEST_CASE("core: a reader of the log that takes nothing holds nobody up") {
+  int Pipe[2];
+  REQUIRE(::pipe(Pipe) == 0);
+  int Terminal = ::dup(STDOUT_FILENO);
+  REQUIRE(Terminal >= 0);
+  std::fflush(stdout);
+  ::dup2(Pipe[1], STDOUT_FILENO);
+  startEventLog(severity::Info);
+  auto Start = std::chrono::steady_clock::now();
+  // A pipe holds 64 KiB; these are several times as much.
+  std::string Long(1000, 'x');
+  for (int Kind = 0; Kind < 20; ++Kind)
+    for (int Line = 0; Line < 40; ++Line)
+      event("kind" + std::to_string(Kind)).with("text", Long);
+  auto Took = std::chrono::steady_clock::now() - Start;
+  // The reader is back: the log's own thread can end.
+  std::thread Reader([&] {
+    char Buffer[65536];
+    while (::read(Pipe[0], Buffer, sizeof(Buffer)) > 0) {
+    }
+  });
+  stopEventLog();
+  ::dup2(Terminal, STDOUT_FILENO);
+  ::close(Terminal);
+  ::close(Pipe[1]);
+  Reader.join();
+  ::close(Pipe[0]);
+  CHECK(Took < std::chrono::seconds(1));
+}
--- a/main/teasellockd.cpp
+++ b/main/teasellockd.cpp
@@ -28,8 +28,8 @@
   command_line Line;
   for (const auto &Setting : daemonSettings()) {
     Line.Texts[Setting.Flag] = Setting.Default;
-    auto *Option = App.add_option("--" + Setting.Flag,
-                                  Line.Texts[Setting.Flag], Setting.Meaning)
+    auto *Option = App.add_option("--" + Setting.Flag, Line.Texts[Setting.Flag],
+                                  Setting.Meaning)
                        ->envname(Setting.Environment);
     if (!Setting.Secret && !Setting.Default.empty())
       Option->capture_default_str();
@@ -57,8 +57,8 @@
   std::vector<std::string> Problems;
   daemon_settings Settings;
   try {
-    Settings = readSettings(readCommandLine(App, Count, Arguments).Texts,
-                            Problems);
+    Settings =
+        readSettings(readCommandLine(App, Count, Arguments).Texts, Problems);
   } catch (const CLI::Error &Problem) {
     Problems.push_back(Problem.what());
   }
@@ -86,8 +86,10 @@
     Daemon.run();
   } catch (const std::exception &Problem) {
     event("daemon.failed", severity::Error).with("reason", Problem.what());
+    stopEventLog();
     return FailedToRun;
   }
+  stopEventLog();
   return 0;
 }
 
--- a/modules/control/assignment.cpp
+++ b/modules/control/assignment.cpp
@@ -66,14 +66,9 @@
 /// Gateways of a group whose row leaves the number open: every VM has about
 /// one group, and each group has enough to lose one.
 std::size_t automaticGateways(const control_state &State) {
-  std::size_t Vms = 0;
-  for (const auto &[Name, Vm] : State.Vms)
-    Vms += Vm.Gateway && !Vm.Draining;
-  std::size_t Groups = 0;
-  for (const auto &[Name, Group] : State.Groups)
-    Groups += !Group.Removed;
   return std::max(LeastAutomaticGateways,
-                  Vms / std::max<std::size_t>(Groups, 1));
+                  State.Index.GatewayVms /
+                      std::max<std::size_t>(State.Index.Groups, 1));
 }
 
 std::size_t wantedGateways(const control_state &State,
@@ -97,10 +92,12 @@
   return Found == State.Index.Loads.end() ? 0 : Found->second;
 }
 
-/// More groups than this are more than a VM's part.
-std::size_t loadLimit(const control_state &State) {
+/// More groups than this are more than a VM's part. It does not depend on what
+/// is assigned now, or groups that move would move it.
+std::size_t loadLimit(const control_state &State, const group_state &Group) {
   std::size_t Vms = std::max<std::size_t>(State.Index.GatewayVms, 1);
-  return (State.Index.Assignments + Vms - 1) / Vms + 1;
+  std::size_t All = State.Index.Groups * wantedGateways(State, Group);
+  return (All + Vms - 1) / Vms + 1;
 }
 
 /// Smaller is better: not overloaded, zones not yet covered, zones and regions
@@ -117,7 +114,8 @@
     UpstreamsInZone += Upstream.AvailabilityZone == Vm.AvailabilityZone;
     UpstreamsInRegion += Upstream.Region == Vm.Region;
   }
-  return std::tuple(Load >= loadLimit(State), SameZone, UpstreamsInZone == 0,
+  return std::tuple(Load >= loadLimit(State, Group), SameZone,
+                    UpstreamsInZone == 0,
                     Group.Upstreams.size() - UpstreamsInRegion, Load, Vm.Vm);
 }
 
@@ -217,9 +215,13 @@
 /// Whether another VM should take over from one that has more than its part.
 bool mayRelieve(const assignment_input &Input, const group_state &Group,
                 const gateway_share &Share) {
-  std::size_t Limit = loadLimit(Input.State);
+  std::size_t Limit = loadLimit(Input.State, Group);
   if (loadOf(Input.State, Share.Vm) <= Limit || Group.Row.Gateways > 0)
     return false;
+  // One group moves at a time, or all would move to the same VM.
+  auto Last = Input.State.Index.LastGroups.find(Share.Vm);
+  if (Last == Input.State.Index.LastGroups.end() || Last->second != Group.Group)
+    return false;
   const auto *Other = bestCandidate(Input, Group);
   return Other && loadOf(Input.State, Other->Vm) + 1 < Limit;
 }
@@ -280,8 +282,13 @@
       Surplus -= Surplus > 0;
     }
   for (; Surplus > 0 && Census.Staying.size() > Wanted; --Surplus) {
-    removeGateway(Group, Census.Staying.back());
-    Census.Staying.pop_back();
+    auto Most = std::max_element(Census.Staying.begin(), Census.Staying.end(),
+                                 [&](const vm_id &Left, const vm_id &Right) {
+                                   return loadOf(Input.State, Left) <
+                                          loadOf(Input.State, Right);
+                                 });
+    removeGateway(Group, *Most);
+    Census.Staying.erase(Most);
   }
 }
 
--- a/modules/control/control_state.cpp
+++ b/modules/control/control_state.cpp
@@ -155,9 +155,11 @@
     Index.LatestChange = std::max(Index.LatestChange, Group.Revision);
     if (Group.Dirty)
       Index.Dirty.push_back(Name);
-    for (const auto &Share : Group.Gateways)
+    for (const auto &Share : Group.Gateways) {
       ++Index.Loads[Share.Vm];
-    Index.Assignments += Group.Gateways.size();
+      Index.LastGroups[Share.Vm] = Name;
+    }
+    Index.Groups += !Group.Removed;
   }
   for (const auto &[Name, Vm] : State.Vms)
     Index.GatewayVms += Vm.Gateway && !Vm.Draining;
--- a/modules/control/control_state.h
+++ b/modules/control/control_state.h
@@ -141,8 +141,10 @@
   std::vector<group_id> Dirty;
   /// Groups assigned to each VM.
   std::map<vm_id, std::size_t> Loads;
-  /// Assignments in all, and VMs that take some.
-  std::size_t Assignments = 0;
+  /// Of these, the last by name.
+  std::map<vm_id, group_id> LastGroups;
+  /// Groups that are served, and VMs that take some.
+  std::size_t Groups = 0;
   std::size_t GatewayVms = 0;
 
   bool operator==(const group_index &) const = default;
--- a/modules/link/link_hub.cpp
+++ b/modules/link/link_hub.cpp
@@ -63,6 +63,7 @@
     std::string Out;
     std::size_t OutStart = 0;
     time_point LastHeard;
+    time_point LastSent;
     duration RedialDelay;
     timer_subscription Redial;
     bool FlushPosted = false;
@@ -302,6 +303,7 @@
 }
 
 void link_hub::state::queue(link &Link, const wire::envelope &Envelope) {
+  Link.LastSent = Context.Timers.now();
   Link.Out += frameOf(Envelope);
   if (Link.Out.size() - Link.OutStart > Settings.LargestBacklog) {
     Context.Loop.post([this, Guard = std::weak_ptr<bool>(Alive), Id = Link.Id,
@@ -393,10 +395,12 @@
       Silent.emplace_back(Id, Link->PeerName);
       continue;
     }
+    // What was sent lately tells the peer as much.
+    if (Link->Connecting || Now - Link->LastSent < Settings.HeartbeatPeriod)
+      continue;
     wire::envelope Envelope;
     Envelope.kind = HeartbeatKind;
-    if (!Link->Connecting)
-      queue(*Link, Envelope);
+    queue(*Link, Envelope);
   }
   for (auto &[Id, Peer] : Silent)
     breakLink(Id, error("link.heartbeat", Peer, "silent"));
