Routing, Main: a lost gateway is named; format and lint

Cause: following a failed request from its id ended at "the connection to its gateway was lost" without the gateway's name.

--- a/bench/capacity/deployment.cpp
+++ b/bench/capacity/deployment.cpp
@@ -37,12 +37,14 @@
          std::to_string(Number % 256) + ":" + std::to_string(Port);
 }
 
-void apply(simulated_deployment &Deployment, const wire::control_command &Command) {
+void apply(simulated_deployment &Deployment,
+           const wire::control_command &Command) {
   applyCommand(Deployment.State, revision(Deployment.State.Applied.Value + 1),
                Command);
 }
 
-void announce(simulated_deployment &Deployment, std::size_t Group, std::size_t Number) {
+void announce(simulated_deployment &Deployment, std::size_t Group,
+              std::size_t Number) {
   upstream_announcement Announcement;
   Announcement.Group = group_id(groupName(Group));
   Announcement.Upstream = upstream_id("u" + std::to_string(Number));
@@ -129,7 +131,8 @@
   return Result;
 }
 
-wire::renewal makeRenewal(const simulated_deployment &Deployment, std::size_t Vm) {
+wire::renewal makeRenewal(const simulated_deployment &Deployment,
+                          std::size_t Vm) {
   wire::renewal Renewal;
   Renewal.vm = vmName(Vm);
   Renewal.incarnation = static_cast<std::int64_t>(Vm + 1);
--- a/bench/capacity/deployment.h
+++ b/bench/capacity/deployment.h
@@ -19,7 +19,8 @@
 simulated_deployment makeDeployment(std::size_t Vms);
 
 /// The renewal that a VM of the deployment sends when nothing is wrong.
-wire::renewal makeRenewal(const simulated_deployment &Deployment, std::size_t Vm);
+wire::renewal makeRenewal(const simulated_deployment &Deployment,
+                          std::size_t Vm);
 
 /// The rows of the deployment's table.
 std::vector<table_row> makeRows(std::size_t Groups);
--- a/core/compression.cpp
+++ b/core/compression.cpp
@@ -47,10 +47,10 @@
     throw error("core.decompress", "zlib", "the length can't be right");
   std::string Result(readLength(Bytes), '\0');
   uLongf Length = Result.size();
-  int Status = ::uncompress(
-      reinterpret_cast<Bytef *>(Result.data()), &Length,
-      reinterpret_cast<const Bytef *>(Bytes.data() + LengthBytes),
-      Bytes.size() - LengthBytes);
+  int Status =
+      ::uncompress(reinterpret_cast<Bytef *>(Result.data()), &Length,
+                   reinterpret_cast<const Bytef *>(Bytes.data() + LengthBytes),
+                   Bytes.size() - LengthBytes);
   if (Status != Z_OK || Length != Result.size())
     throw error("core.decompress", "zlib", "status " + std::to_string(Status));
   return Result;
--- a/main/daemon_process.cpp
+++ b/main/daemon_process.cpp
@@ -93,7 +93,8 @@
     return;
   // Whoever starts the process again starts it from what the disk holds.
   Settings.Control.StoreFailed = [this] {
-    event("daemon.store_failed", severity::Error);
+    event("daemon.store_failed", severity::Error)
+        .with("vm", Context.Self.Vm.Value);
     Restart = Timers.after(RestartDelay, [this] { Loop.stop(); });
   };
   platform::promotion_service Service{*Settings.Platform, Settings.Holder};
--- a/main/daemon_settings.cpp
+++ b/main/daemon_settings.cpp
@@ -160,7 +160,8 @@
 }
 
 /// "name=value" pairs by commas.
-std::map<availability_zone_id, region_id> parseRegions(const std::string &Text) {
+std::map<availability_zone_id, region_id>
+parseRegions(const std::string &Text) {
   std::map<availability_zone_id, region_id> Result;
   std::size_t Start = 0;
   while (Start < Text.size()) {
@@ -187,14 +188,13 @@
 
 /// What it takes to be run by a platform instead of by operators.
 void appendPlatform(std::vector<daemon_setting> &All) {
-  All.push_back(setting("protocol",
-                        "postgresql or line: spoken by callers and upstreams",
-                        "postgresql",
-                        [](daemon_settings &S, const std::string &Text) {
-                          if (Text != "postgresql" && Text != "line")
-                            throw badValue("must be postgresql or line");
-                          S.Lines = Text == "line";
-                        }));
+  All.push_back(
+      setting("protocol", "postgresql or line: spoken by callers and upstreams",
+              "postgresql", [](daemon_settings &S, const std::string &Text) {
+                if (Text != "postgresql" && Text != "line")
+                  throw badValue("must be postgresql or line");
+                S.Lines = Text == "line";
+              }));
   All.push_back(setting("platform",
                         "address:port that takes orders to promote; empty: "
                         "gateways promote by SQL",
@@ -202,10 +202,9 @@
                           if (!Text.empty())
                             S.Platform = parseAddress(Text);
                         }));
-  All.push_back(setting("holder", "name under which orders are given", "",
-                        [](daemon_settings &S, const std::string &Text) {
-                          S.Holder = Text;
-                        }));
+  All.push_back(setting(
+      "holder", "name under which orders are given", "",
+      [](daemon_settings &S, const std::string &Text) { S.Holder = Text; }));
   All.push_back(setting("tolerated-losses",
                         "control disks that may be lost at once; the group "
                         "then keeps itself complete. 0: operators do",
@@ -224,27 +223,25 @@
                           if (!Text.empty())
                             S.Seeds = parseAddresses(Text);
                         }));
-  All.push_back(setting("control-port",
-                        "internal port of the control VMs that --seeds names",
-                        "0", [](daemon_settings &S, const std::string &Text) {
-                          std::size_t Port = parseCount(Text, MostPort);
-                          for (const auto &Seed : S.Seeds)
-                            S.Membership.Control.push_back(
-                                {Seed.Address,
-                                 static_cast<std::uint16_t>(Port)});
-                        }));
+  All.push_back(setting(
+      "control-port", "internal port of the control VMs that --seeds names",
+      "0", [](daemon_settings &S, const std::string &Text) {
+        std::size_t Port = parseCount(Text, MostPort);
+        for (const auto &Seed : S.Seeds)
+          S.Membership.Control.push_back(
+              {Seed.Address, static_cast<std::uint16_t>(Port)});
+      }));
   All.push_back(setting("zone-regions",
                         "zone=region pairs by commas, for upstreams that tell "
                         "no region",
                         "", [](daemon_settings &S, const std::string &Text) {
                           S.Regions = parseRegions(Text);
                         }));
-  All.push_back(setting("grace-s",
-                        "seconds from SIGTERM to SIGKILL; 0: --drain-ms alone",
-                        "0", [](daemon_settings &S, const std::string &Text) {
-                          S.Grace = std::chrono::seconds(
-                              parseCount(Text, MostGraceSeconds));
-                        }));
+  All.push_back(setting(
+      "grace-s", "seconds from SIGTERM to SIGKILL; 0: --drain-ms alone", "0",
+      [](daemon_settings &S, const std::string &Text) {
+        S.Grace = std::chrono::seconds(parseCount(Text, MostGraceSeconds));
+      }));
 }
 
 void appendUpstreams(std::vector<daemon_setting> &All) {
--- a/modules/membership/member_agent.cpp
+++ b/modules/membership/member_agent.cpp
@@ -131,9 +131,8 @@
     bool FromSettings = At < Settings.Control.size();
     auto Link = Hub.linkTo(FromSettings ? Settings.Control[At]
                                         : Named[At - Settings.Control.size()]);
-    const auto &Address = FromSettings
-                              ? Settings.Control[At]
-                              : Named[At - Settings.Control.size()];
+    const auto &Address = FromSettings ? Settings.Control[At]
+                                       : Named[At - Settings.Control.size()];
     if (!Hub.isOpen(Link) || (Count > 1 && Address == Silent))
       continue;
     Next = At;
@@ -312,10 +311,9 @@
     answer(Link, Request, FenceReplyKind, Reply);
     return;
   }
-  Gateway.Fence(Fence,
-                [this, Link, Request](wire::fence_reply Reply) {
-                  answer(Link, Request, FenceReplyKind, Reply);
-                });
+  Gateway.Fence(Fence, [this, Link, Request](wire::fence_reply Reply) {
+    answer(Link, Request, FenceReplyKind, Reply);
+  });
 }
 
 void member_agent::state::onPromote(link_id Link, link_message &&Message) {
--- a/modules/routing/routing_state.cpp
+++ b/modules/routing/routing_state.cpp
@@ -386,8 +386,10 @@
     if (Statement.Life == statement_life::Sent && Statement.Gateway == Gateway)
       Lost.push_back(Id);
   for (auto Id : Lost)
-    loseAnswer(State, Id, "the connection to its gateway was lost", Now,
-               Effects);
+    loseAnswer(State, Id,
+               "the connection to its gateway " + toString(Gateway) +
+                   " was lost",
+               Now, Effects);
 }
 
 void submitStatement(routing_state &State, request_id Id,
