Core, Control, Gateway, Line: what the platform's parts wrote again stands once

Each is one function now: openListenSocket(), transaction_key, findOwnShare(), promotion_steps.h, splitAtCommas(). A prepared name is worked out once where it is prepared. Three fields that nothing read are gone, and a comment that was wrong. Left as it is: the two listeners' loops that write to a socket, which differ in what they keep of their buffers; settings are read again every 2 s although the file has not changed.

--- a/main/daemon_settings.cpp
+++ b/main/daemon_settings.cpp
@@ -68,17 +68,25 @@
   return parseEndpoint(Text);
 }
 
-std::vector<endpoint> parseAddresses(const std::string &Text) {
-  std::vector<endpoint> Result;
+/// The parts between commas, empty ones included.
+std::vector<std::string> splitAtCommas(const std::string &Text) {
+  std::vector<std::string> Result;
   std::size_t Start = 0;
   while (Start <= Text.size()) {
     std::size_t End = std::min(Text.find(',', Start), Text.size());
-    Result.push_back(parseAddress(Text.substr(Start, End - Start)));
+    Result.push_back(Text.substr(Start, End - Start));
     Start = End + 1;
   }
   return Result;
 }
 
+std::vector<endpoint> parseAddresses(const std::string &Text) {
+  std::vector<endpoint> Result;
+  for (const auto &Part : splitAtCommas(Text))
+    Result.push_back(parseAddress(Part));
+  return Result;
+}
+
 std::string environmentName(const std::string &Flag) {
   std::string Name = "TEASELLOCK_";
   for (char Char : Flag)
@@ -163,16 +171,14 @@
 std::map<availability_zone_id, region_id>
 parseRegions(const std::string &Text) {
   std::map<availability_zone_id, region_id> Result;
-  std::size_t Start = 0;
-  while (Start < Text.size()) {
-    std::size_t End = std::min(Text.find(',', Start), Text.size());
-    std::string Pair = Text.substr(Start, End - Start);
+  if (Text.empty())
+    return Result;
+  for (const auto &Pair : splitAtCommas(Text)) {
     std::size_t Middle = Pair.find('=');
     if (Middle == std::string::npos)
       throw badValue("must be zone=region pairs by commas");
     Result[availability_zone_id(parseName(Pair.substr(0, Middle)))] =
         region_id(parseName(Pair.substr(Middle + 1)));
-    Start = End + 1;
   }
   return Result;
 }
--- a/modules/caller/caller_listener.cpp
+++ b/modules/caller/caller_listener.cpp
@@ -2,6 +2,7 @@
 
 #include "core/error.h"
 #include "core/event_log.h"
+#include "core/listen_socket.h"
 #include "modules/caller/caller_state.h"
 #include "modules/caller/reply_metrics.h"
 #include "modules/caller/wire_format.h"
@@ -116,7 +117,6 @@
     return Found == Connections.end() ? nullptr : Found->second.get();
   }
 
-  void listen();
   void accept();
   void add(int Socket);
   void refuse(int Socket);
@@ -135,22 +135,6 @@
   void checkDrained();
 };
 
-void caller_listener::state::listen() {
-  std::string Peer = toString(Settings.Listen);
-  Listener = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  if (Listener < 0)
-    throw error("caller.listen", Peer, std::strerror(errno));
-  int On = 1;
-  ::setsockopt(Listener, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
-  sockaddr_in Address = toSocketAddress(Settings.Listen);
-  socklen_t Length = sizeof(Address);
-  if (::bind(Listener, reinterpret_cast<sockaddr *>(&Address), Length) < 0 ||
-      ::listen(Listener, ListenBacklog) < 0)
-    throw error("caller.listen", Peer, std::strerror(errno));
-  ::getsockname(Listener, reinterpret_cast<sockaddr *>(&Address), &Length);
-  Settings.Listen.Port = ntohs(Address.sin_port);
-}
-
 void caller_listener::state::accept() {
   for (;;) {
     int Socket =
@@ -411,7 +395,8 @@
 caller_listener::~caller_listener() = default;
 
 endpoint caller_listener::start() {
-  State->listen();
+  State->Listener =
+      openListenSocket(State->Settings.Listen, ListenBacklog, "caller.listen");
   State->ListenerWatch = State->Context.Loop.watch(
       State->Listener, {true, false}, [this](readiness) { State->accept(); });
   State->StartupCheck = State->Context.Timers.every(
--- a/modules/control/leader_state.h
+++ b/modules/control/leader_state.h
@@ -114,8 +114,6 @@
   std::uint32_t SentAttempt = 0;
   time_point SentAt;
   std::optional<promotion_answer> Answer;
-  /// Why nothing is promoted, for operators.
-  std::string Waiting;
 };
 
 /// When an upstream's announcement was last heard, and of which run.
--- a/modules/control/pause_promotion.cpp
+++ b/modules/control/pause_promotion.cpp
@@ -3,6 +3,7 @@
 #include "modules/control/group_reports.h"
 #include "modules/control/leases.h"
 #include "modules/control/primary_health.h"
+#include "modules/control/promotion_steps.h"
 
 #include <algorithm>
 
@@ -16,20 +17,6 @@
 /// is sent again after this: the platform accepts tens of calls a second.
 const duration FailedOrderDelay = fromMilliseconds(200);
 
-group_decision waiting(std::string Why) {
-  group_decision Decision;
-  Decision.Waiting = std::move(Why);
-  return Decision;
-}
-
-group_decision change(group_state Next, std::string Kind, std::string Reason) {
-  group_decision Decision;
-  Decision.Next = std::move(Next);
-  Decision.Kind = std::move(Kind);
-  Decision.Reason = std::move(Reason);
-  return Decision;
-}
-
 /// The upstream that was last seen leading in the highest term.
 const upstream_observation *
 leadingUpstream(const std::map<upstream_id, upstream_observation> &Probes) {
@@ -47,7 +34,7 @@
   Next.Term = std::max(Term, Group.Term);
   Next.LeastAckReplicas = Group.Row.AckReplicas;
   Next.Promotion.reset();
-  return change(std::move(Next), "promoted", Reason);
+  return changeTo(std::move(Next), "promoted", Reason);
 }
 
 /// Adopts what leads already: the first primary, or one that a late order has
@@ -67,16 +54,6 @@
                    toString(Leading->Replayed.Term));
 }
 
-group_state beginPausing(const group_state &Group, const std::string &Reason) {
-  group_state Next = Group;
-  Next.Promotion = promotion_state();
-  Next.Promotion->Reason = Reason;
-  Next.Promotion->FencedTerm = Group.Term;
-  Next.Promotion->Deposed = Group.Primary;
-  Next.Primary.reset();
-  return Next;
-}
-
 bool isReplica(const group_state &Group, const upstream_id &Upstream) {
   return !Group.Promotion || Group.Promotion->Deposed != Upstream;
 }
@@ -119,8 +96,8 @@
   Next.Upstreams.erase(Lost);
   Next.Dirty = true;
   Next.DirtySince = revision(ThisRevision);
-  return change(std::move(Next), "upstream_lost",
-                Lost.Value + " is neither heard nor reached");
+  return changeTo(std::move(Next), "upstream_lost",
+                  Lost.Value + " is neither heard nor reached");
 }
 
 group_decision decideSteady(const group_state &Group,
@@ -130,17 +107,17 @@
   auto Known = Group.Upstreams.find(*Group.Primary);
   if (Known == Group.Upstreams.end()) {
     std::string Reason = "primary " + Group.Primary->Value + " has left";
-    return change(beginPausing(Group, Reason), "failover", Reason);
+    return changeTo(beginFencing(Group, Reason), "failover", Reason);
   }
   auto Health = healthOf(Group, Leader, Settings, Now);
   if (isSuspect(Group, Health)) {
     std::string Reason =
         "primary " + Group.Primary->Value + " failed: " + Health.Text;
-    return change(beginPausing(Group, Reason), "failover", Reason);
+    return changeTo(beginFencing(Group, Reason), "failover", Reason);
   }
   if (Known->second.Leaving && !Group.Dirty && hasSuccessor(Group, Probes)) {
     std::string Reason = "primary " + Group.Primary->Value + " is leaving";
-    return change(beginPausing(Group, Reason), "handover", Reason);
+    return changeTo(beginFencing(Group, Reason), "handover", Reason);
   }
   if (auto Lost = findLost(Group, Leader, Probes, Settings, Now))
     return forget(Group, *Lost);
@@ -160,7 +137,7 @@
   for (const auto &[Name, Upstream] : Group.Upstreams)
     if (Upstream.ClaimsPrimary)
       return adopt(Group, Name, Group.Term, Name.Value + " says it leads");
-  return waiting("no upstream leads");
+  return waitingFor("no upstream leads");
 }
 
 //===----------------------------------------------------------------------===//
@@ -295,7 +272,7 @@
   ++Next.Promotion->Attempt;
   std::string Reason = Group.Promotion->Reason + " -> " + Best->first.Value +
                        " at " + toString(Best->second.Received);
-  return change(std::move(Next), "promote", Reason);
+  return changeTo(std::move(Next), "promote", Reason);
 }
 
 //===----------------------------------------------------------------------===//
@@ -305,15 +282,15 @@
 group_decision orderAgain(const group_state &Group, const std::string &Why) {
   group_state Next = Group;
   ++Next.Promotion->Attempt;
-  return change(std::move(Next), "promote_again",
-                Group.Promotion->Chosen->Value + ": " + Why);
+  return changeTo(std::move(Next), "promote_again",
+                  Group.Promotion->Chosen->Value + ": " + Why);
 }
 
 group_decision pauseAgain(const group_state &Group, const std::string &Why) {
   group_state Next = Group;
   Next.Promotion->Phase = promotion_phase::Fencing;
   Next.Promotion->Chosen.reset();
-  return change(std::move(Next), "promotion_refused", Why);
+  return changeTo(std::move(Next), "promotion_refused", Why);
 }
 
 group_decision decideOrder(const group_state &Group, const leader_state &Leader,
@@ -332,7 +309,7 @@
   duration Since = Now - Orders->SentAt;
   if (!Orders->Answer)
     return Since < Settings.PlatformTimeout
-               ? waiting("the platform has not answered")
+               ? waitingFor("the platform has not answered")
                : orderAgain(Group, "no answer from the platform");
   switch (*Orders->Answer) {
   case promotion_answer::Refused:
@@ -346,7 +323,7 @@
       return orderAgain(Group, "accepted, but it does not lead");
     break;
   }
-  return waiting("waiting for " + Promotion.Chosen->Value + " to lead");
+  return waitingFor("waiting for " + Promotion.Chosen->Value + " to lead");
 }
 
 } // namespace
@@ -407,9 +384,9 @@
     return {};
   group_state Next = Group;
   Next.Dirty = false;
-  return change(std::move(Next), "covered",
-                "a replica at " + toString(Replica) +
-                    " has reached the primary's " + toString(*Primary));
+  return changeTo(std::move(Next), "covered",
+                  "a replica at " + toString(Replica) +
+                      " has reached the primary's " + toString(*Primary));
 }
 
 void notePausesSent(const group_state &Group, leader_state &Leader,
--- a/modules/control/promotion.cpp
+++ b/modules/control/promotion.cpp
@@ -6,6 +6,7 @@
 #include "modules/control/leases.h"
 #include "modules/control/primary_health.h"
 #include "modules/control/promotion_orders.h"
+#include "modules/control/promotion_steps.h"
 
 #include <algorithm>
 
@@ -17,20 +18,6 @@
 const duration AgeResolution = fromMilliseconds(1);
 const duration FailedOrderDelay = fromMilliseconds(50);
 
-group_decision waiting(std::string Why) {
-  group_decision Decision;
-  Decision.Waiting = std::move(Why);
-  return Decision;
-}
-
-group_decision change(group_state Next, std::string Kind, std::string Reason) {
-  group_decision Decision;
-  Decision.Next = std::move(Next);
-  Decision.Kind = std::move(Kind);
-  Decision.Reason = std::move(Reason);
-  return Decision;
-}
-
 /// In hand mode an act becomes a proposal until an operator approves it.
 group_decision allowed(const group_state &Group, const leader_state &Leader,
                        group_decision Decision) {
@@ -79,17 +66,17 @@
 group_decision decideFirst(const group_state &Group, const leader_state &Leader,
                            const decision_settings &Settings, time_point Now) {
   if (Group.Upstreams.empty())
-    return waiting("no upstream has been announced");
+    return waitingFor("no upstream has been announced");
   if (Group.Gateways.empty())
-    return waiting("no gateway is assigned");
+    return waitingFor("no gateway is assigned");
   auto Probes = latestProbes(Group, Leader, Settings, Now);
   for (const auto &[Name, Upstream] : Group.Upstreams)
     if (!Probes.contains(Name))
-      return waiting("no gateway has reached upstream " + Name.Value);
+      return waitingFor("no gateway has reached upstream " + Name.Value);
   std::string Why;
   const auto *First = acceptedFirst(Probes, Why);
   if (!First)
-    return waiting(Why + ": " + positionsText(Probes));
+    return waitingFor(Why + ": " + positionsText(Probes));
   group_state Next = Group;
   Next.LeastAckReplicas = Group.Row.AckReplicas;
   Next.Watermark = std::max(Group.Watermark, First->Replayed);
@@ -100,7 +87,7 @@
     // Its acknowledgements of earlier times are bounded by a later probe.
     Next.Dirty = true;
     Next.DirtySince = revision(ThisRevision);
-    return allowed(Group, Leader, change(Next, "adopt", Reason));
+    return allowed(Group, Leader, changeTo(Next, "adopt", Reason));
   }
   Next.Promotion = promotion_state();
   Next.Promotion->Phase = promotion_phase::Ordering;
@@ -109,23 +96,13 @@
   Next.Promotion->Chosen = First->Upstream;
   Next.Promotion->ChosenPosition = First->Replayed;
   Next.Term = term(std::max(Group.Term, First->Replayed.Term).Value + 1);
-  return allowed(Group, Leader, change(Next, "adopt", Reason));
+  return allowed(Group, Leader, changeTo(Next, "adopt", Reason));
 }
 
 //===----------------------------------------------------------------------===//
 // Failure detection
 //===----------------------------------------------------------------------===//
 
-group_state beginFencing(const group_state &Group, const std::string &Reason) {
-  group_state Next = Group;
-  Next.Promotion = promotion_state();
-  Next.Promotion->Reason = Reason;
-  Next.Promotion->FencedTerm = Group.Term;
-  Next.Promotion->Deposed = Group.Primary;
-  Next.Primary.reset();
-  return Next;
-}
-
 /// Whether a replica that stays is close enough to take over from a primary
 /// that leaves.
 bool hasSuccessor(const group_state &Group, const leader_state &Leader,
@@ -149,14 +126,14 @@
     std::string Reason =
         "primary " + Group.Primary->Value + " failed: " + Health.Text;
     return allowed(Group, Leader,
-                   change(beginFencing(Group, Reason), "failover", Reason));
+                   changeTo(beginFencing(Group, Reason), "failover", Reason));
   }
   auto Known = Group.Upstreams.find(*Group.Primary);
   if (Known != Group.Upstreams.end() && Known->second.Leaving &&
       hasSuccessor(Group, Leader, Settings, Now)) {
     std::string Reason = "primary " + Group.Primary->Value + " is leaving";
     return allowed(Group, Leader,
-                   change(beginFencing(Group, Reason), "handover", Reason));
+                   changeTo(beginFencing(Group, Reason), "handover", Reason));
   }
   group_decision Decision;
   Decision.Nudges = std::move(Health.ToAsk);
@@ -320,8 +297,8 @@
                        Chosen->Upstream.Value + "; acknowledged up to " +
                        toString(Search.Watermark) + "; heard " +
                        positionsText(Search.Heard);
-  return change(beginOrdering(Search, *Chosen, Progress, *Orders), "promote",
-                Reason);
+  return changeTo(beginOrdering(Search, *Chosen, Progress, *Orders), "promote",
+                  Reason);
 }
 
 //===----------------------------------------------------------------------===//
@@ -335,9 +312,9 @@
   Next.LeastAckReplicas = Group.Row.AckReplicas;
   for (auto &Holder : Next.Holders)
     Holder.Fenced = !isAssigned(Next, Holder);
-  return change(Next, "promoted",
-                Next.Primary->Value + " is primary of term " +
-                    toString(Next.Term));
+  return changeTo(Next, "promoted",
+                  Next.Primary->Value + " is primary of term " +
+                      toString(Next.Term));
 }
 
 std::optional<gateway_run> nextPromoter(const group_state &Group,
@@ -363,7 +340,7 @@
   Promotion.Phase = promotion_phase::Fencing;
   Promotion.Reason += "; " + Reason;
   Promotion.Chosen.reset();
-  return change(Next, "promotion_failed", Reason);
+  return changeTo(Next, "promotion_failed", Reason);
 }
 
 group_decision decideOrdering(const group_state &Group,
@@ -378,8 +355,8 @@
   duration Patience = Failed ? FailedOrderDelay : Settings.OrderTimeout;
   std::string Problem = Failed ? ": " + Orders->Reply->problem : "";
   if (Sent > 0 && Now - Orders->OrderedAt < Patience)
-    return waiting("waiting for " + Group.Promotion->Chosen->Value +
-                   " to be promoted" + Problem);
+    return waitingFor("waiting for " + Group.Promotion->Chosen->Value +
+                      " to be promoted" + Problem);
   if (Sent >= Settings.MostOrders)
     return seekAnother(Group);
   group_decision Decision;
@@ -445,9 +422,9 @@
     group_state Next = Group;
     Next.Dirty = false;
     Next.Watermark = std::max(knownWatermark(Group, Leader), Probe->Replayed);
-    return change(Next, "watermark",
-                  "raised to the primary's position " +
-                      toString(Probe->Replayed));
+    return changeTo(Next, "watermark",
+                    "raised to the primary's position " +
+                        toString(Probe->Replayed));
   }
   return {};
 }
--- /dev/null
+++ b/modules/control/promotion_steps.cpp
@@ -0,0 +1,32 @@
+#include "modules/control/promotion_steps.h"
+
+#include <utility>
+
+namespace teasellock {
+
+group_decision waitingFor(std::string Why) {
+  group_decision Decision;
+  Decision.Waiting = std::move(Why);
+  return Decision;
+}
+
+group_decision changeTo(group_state Next, std::string Kind,
+                        std::string Reason) {
+  group_decision Decision;
+  Decision.Next = std::move(Next);
+  Decision.Kind = std::move(Kind);
+  Decision.Reason = std::move(Reason);
+  return Decision;
+}
+
+group_state beginFencing(const group_state &Group, const std::string &Reason) {
+  group_state Next = Group;
+  Next.Promotion = promotion_state();
+  Next.Promotion->Reason = Reason;
+  Next.Promotion->FencedTerm = Group.Term;
+  Next.Promotion->Deposed = Group.Primary;
+  Next.Primary.reset();
+  return Next;
+}
+
+} // namespace teasellock
--- a/modules/gateway/group_gateway.cpp
+++ b/modules/gateway/group_gateway.cpp
@@ -72,14 +72,9 @@
   std::vector<gateway_share> GatewaysBefore = std::move(View.Gateways);
   bool TermChanged = NewView.Term != View.Term;
   View = NewView;
-  auto Mine =
-      std::find_if(View.Gateways.begin(), View.Gateways.end(),
-                   [&](const gateway_share &Each) {
-                     return Each.Vm == Context.Self.Vm &&
-                            Each.Incarnation == Context.Self.Incarnation;
-                   });
-  Assigned = Mine != View.Gateways.end() && !View.Removed;
-  Share = Mine != View.Gateways.end() ? *Mine : gateway_share();
+  const auto *Mine = findOwnShare(View, Context.Self);
+  Assigned = Mine && !View.Removed;
+  Share = Mine ? *Mine : gateway_share();
   applyUpstreams();
   applyLimits();
   if (TermChanged)
--- a/modules/gateway/group_port.h
+++ b/modules/gateway/group_port.h
@@ -27,6 +27,26 @@
   auto operator<=>(const caller_request &) const = default;
 };
 
+/// Names a transaction among all entries.
+struct transaction_key {
+  link_id Link;
+  transaction_id Transaction;
+
+  auto operator<=>(const transaction_key &) const = default;
+};
+
+/// The transaction that a statement belongs to.
+inline transaction_key
+transactionKeyOf(const caller_request &Caller,
+                 const wire::statement_request &Request) {
+  return {Caller.Link,
+          transaction_id(static_cast<std::uint64_t>(Request.transaction))};
+}
+
+/// This run's share of a group. Null when it has none.
+const gateway_share *findOwnShare(const group_view &View,
+                                  const vm_identity &Self);
+
 /// A statement as it arrived.
 struct arrived_statement {
   caller_request Caller;
--- a/modules/gateway/group_state.h
+++ b/modules/gateway/group_state.h
@@ -28,14 +28,6 @@
   AwaitingKey,
 };
 
-/// Names a transaction among all entries.
-struct transaction_key {
-  link_id Link;
-  transaction_id Transaction;
-
-  auto operator<=>(const transaction_key &) const = default;
-};
-
 /// An open transaction and the connection it is pinned to.
 struct pinned_transaction {
   upstream_id Upstream;
@@ -86,8 +78,7 @@
   bool isRead() const { return Request.access == wire::statement_access::read; }
   bool inTransaction() const { return Request.transaction != 0; }
   transaction_key transactionKey() const {
-    return {Caller.Link,
-            transaction_id(static_cast<std::uint64_t>(Request.transaction))};
+    return transactionKeyOf(Caller, Request);
   }
 };
 
--- a/modules/line/line_group.cpp
+++ b/modules/line/line_group.cpp
@@ -82,14 +82,9 @@
 
 void line_group::apply(const group_view &NewView) {
   View = NewView;
-  auto Mine =
-      std::find_if(View.Gateways.begin(), View.Gateways.end(),
-                   [&](const gateway_share &Each) {
-                     return Each.Vm == Context.Self.Vm &&
-                            Each.Incarnation == Context.Self.Incarnation;
-                   });
-  Assigned = Mine != View.Gateways.end() && !View.Removed;
-  Share = Mine != View.Gateways.end() ? *Mine : gateway_share();
+  const auto *Mine = findOwnShare(View, Context.Self);
+  Assigned = Mine && !View.Removed;
+  Share = Mine ? *Mine : gateway_share();
   applyUpstreams();
   if (!Assigned)
     refuseQueued();
--- a/modules/line/line_group_state.h
+++ b/modules/line/line_group_state.h
@@ -108,6 +108,9 @@
   const wire::statement_request &request() const { return Arrived.Statement; }
   const wire::line_step &step() const { return Arrived.Statement.line; }
   line_attempt_key key() const { return {Id, Attempts}; }
+  transaction_key transactionKey() const {
+    return transactionKeyOf(Arrived.Caller, request());
+  }
   bool readsOnly() const {
     return !inTransaction() && !commits() &&
            request().access == wire::statement_access::read;
@@ -130,20 +133,10 @@
   time_point Until;
 };
 
-/// Names a transaction among all entries.
-struct line_transaction_key {
-  link_id Link;
-  transaction_id Transaction;
-
-  auto operator<=>(const line_transaction_key &) const = default;
-};
-
 /// An open transaction and the connection it is pinned to.
 struct line_transaction {
   upstream_id Upstream;
   std::unique_ptr<line_session> Session;
-  /// The statement that runs in it now, or 0.
-  std::uint64_t Work = 0;
   bool Wrote = false;
 };
 
@@ -273,7 +266,7 @@
   std::map<std::uint64_t, std::unique_ptr<line_work>> Works;
   /// Waiting statements by importance and arrival.
   std::map<std::pair<std::int32_t, std::uint64_t>, std::uint64_t> Queue;
-  std::map<line_transaction_key, line_transaction> Transactions;
+  std::map<transaction_key, line_transaction> Transactions;
   std::map<line_attempt_key, line_straggler> Stragglers;
   /// Of reads that any upstream may serve, and of what only the primary may.
   queue_pace ReadPace;
--- a/modules/line/line_listener.cpp
+++ b/modules/line/line_listener.cpp
@@ -2,6 +2,7 @@
 
 #include "core/error.h"
 #include "core/event_log.h"
+#include "core/listen_socket.h"
 #include "modules/line/line_caller_state.h"
 
 #include <cerrno>
@@ -48,8 +49,6 @@
     std::optional<request_id> Request;
     time_point ActiveAt;
     bool Closing = false;
-    /// The caller has sent its last byte.
-    bool Ended = false;
   };
 
   daemon_context &Context;
@@ -99,7 +98,6 @@
     return Found == Connections.end() ? nullptr : Found->second.get();
   }
 
-  void listen();
   void accept();
   void add(int Socket);
   void onReady(caller_id Id, readiness Ready);
@@ -118,22 +116,6 @@
   void checkDrained();
 };
 
-void line_listener::state::listen() {
-  std::string Peer = toString(Settings.Listen);
-  Listener = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  if (Listener < 0)
-    throw error("caller.listen", Peer, std::strerror(errno));
-  int On = 1;
-  ::setsockopt(Listener, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
-  sockaddr_in Address = toSocketAddress(Settings.Listen);
-  socklen_t Length = sizeof(Address);
-  if (::bind(Listener, reinterpret_cast<sockaddr *>(&Address), Length) < 0 ||
-      ::listen(Listener, ListenBacklog) < 0)
-    throw error("caller.listen", Peer, std::strerror(errno));
-  ::getsockname(Listener, reinterpret_cast<sockaddr *>(&Address), &Length);
-  Settings.Listen.Port = ntohs(Address.sin_port);
-}
-
 void line_listener::state::accept() {
   for (;;) {
     int Socket =
@@ -395,7 +377,8 @@
 line_listener::~line_listener() = default;
 
 endpoint line_listener::start() {
-  State->listen();
+  State->Listener =
+      openListenSocket(State->Settings.Listen, ListenBacklog, "caller.listen");
   State->ListenerWatch = State->Context.Loop.watch(
       State->Listener, {true, false}, [this](readiness) { State->accept(); });
   State->Check =
--- a/modules/line/line_outcomes.cpp
+++ b/modules/line/line_outcomes.cpp
@@ -129,9 +129,7 @@
   auto Id = Work.Upstream;
   if (auto *Upstream = findUpstream(Id))
     --Upstream->Running;
-  line_transaction_key Key{
-      Work.Arrived.Caller.Link,
-      transaction_id(static_cast<std::uint64_t>(Work.request().transaction))};
+  auto Key = Work.transactionKey();
   bool Gone =
       Work.inTransaction() && !Work.opens() && !Transactions.contains(Key);
   if (!Work.inTransaction()) {
@@ -150,7 +148,6 @@
   auto &Transaction = Transactions[Key];
   Transaction.Upstream = Id;
   Transaction.Session = std::move(Session);
-  Transaction.Work = 0;
   Transaction.Wrote = Transaction.Wrote ||
                       Work.request().access == wire::statement_access::write;
   Reply.transaction_status = 'T';
@@ -194,12 +191,9 @@
   auto Session = std::move(Work.Session);
   if (auto *Upstream = findUpstream(Work.Upstream))
     --Upstream->Running;
-  Transactions.erase(
-      {Work.Arrived.Caller.Link,
-       transaction_id(static_cast<std::uint64_t>(Work.request().transaction))});
+  Transactions.erase(Work.transactionKey());
   if (!Session)
     return;
-  // A run may still be under way on it.
   rollBack(Work.Upstream, std::move(Session));
 }
 
@@ -227,9 +221,7 @@
       --Upstream->Running;
     discard(Id, std::move(Work.Session));
   }
-  line_transaction_key Key{
-      Work.Arrived.Caller.Link,
-      transaction_id(static_cast<std::uint64_t>(Work.request().transaction))};
+  auto Key = Work.transactionKey();
   bool Wrote = false;
   if (auto Found = Transactions.find(Key); Found != Transactions.end()) {
     Wrote = Found->second.Wrote;
--- a/modules/line/line_statements.cpp
+++ b/modules/line/line_statements.cpp
@@ -1,4 +1,3 @@
-#include "core/event_log.h"
 #include "modules/gateway/refusals.h"
 #include "modules/line/line_group_state.h"
 
@@ -73,9 +72,7 @@
   auto &Added = *Work;
   Works[Added.Id] = std::move(Work);
   if (Added.inTransaction() && !Added.opens()) {
-    auto Found = Transactions.find(
-        {Added.Arrived.Caller.Link, transaction_id(static_cast<std::uint64_t>(
-                                        Added.request().transaction))});
+    auto Found = Transactions.find(Added.transactionKey());
     if (Found == Transactions.end() || !Found->second.Session)
       return refuse(Added, line_error::Aborted, TransactionEnded);
     return continueTransaction(Added, Found->second);
@@ -279,11 +276,13 @@
     ++Count;
     Session.Settings[Name] = Value;
   }
-  if (Work.step().verb == wire::line_verb::execute &&
-      Session.Prepared.insert(preparedName(Work.step())).second) {
-    protocol().AppendPrepare(Bytes, preparedName(Work.step()),
-                             Work.step().writes, Work.step().shape);
-    ++Count;
+  if (Work.step().verb == wire::line_verb::execute) {
+    auto [Name, IsNew] = Session.Prepared.insert(preparedName(Work.step()));
+    if (IsNew) {
+      protocol().AppendPrepare(Bytes, *Name, Work.step().writes,
+                               Work.step().shape);
+      ++Count;
+    }
   }
   // A statement behind a BEGIN that fails would run by itself: wait for it.
   if (Work.opens() || Work.Need == line_need::PrimaryRead) {
@@ -386,7 +385,6 @@
   Work.Need = line_need::Primary;
   Work.Upstream = Transaction.Upstream;
   Work.Session = std::move(Transaction.Session);
-  Transaction.Work = Work.Id;
   if (auto *Upstream = findUpstream(Work.Upstream))
     ++Upstream->Running;
   prepare(Work);
--- a/modules/link/link_hub.cpp
+++ b/modules/link/link_hub.cpp
@@ -1,6 +1,7 @@
 #include "modules/link/link_hub.h"
 
 #include "core/event_log.h"
+#include "core/listen_socket.h"
 #include "modules/link/codec.h"
 #include "modules/link/gen/link_messages_types.h"
 
@@ -422,20 +423,7 @@
 
 endpoint link_hub::listen() {
   endpoint Bound = State->Context.Self.Internal;
-  std::string Peer = toString(Bound);
-  int Socket = makeSocket("link.listen", Peer);
-  int On = 1;
-  ::setsockopt(Socket, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
-  sockaddr_in Address = toSocketAddress(Bound);
-  socklen_t Length = sizeof(Address);
-  if (::bind(Socket, reinterpret_cast<sockaddr *>(&Address), Length) < 0 ||
-      ::listen(Socket, ListenBacklog) < 0) {
-    int Status = errno;
-    ::close(Socket);
-    throw error("link.listen", Peer, std::strerror(Status));
-  }
-  ::getsockname(Socket, reinterpret_cast<sockaddr *>(&Address), &Length);
-  Bound.Port = ntohs(Address.sin_port);
+  int Socket = openListenSocket(Bound, ListenBacklog, "link.listen");
   State->Context.Self.Internal = Bound;
   State->Listener = Socket;
   State->ListenerWatch = State->Context.Loop.watch(
