Link, Control: VMs that come back find each other within half a second

Cause: after a loss of power of all VMs a dial that began before its peer had power hung until the link counted as silent, 1 s: the elected leader reached no quorum and stepped down after 1.1 s, and entries had no gateway. VMs that asked before the election was over were sent away and asked again 400 ms later. Ruled out: slow starts (0.1 to 0.5 s), the disk, the load of the leader alone. Change: a dial is given up after 150 ms, then half as long again each time; a renewal without a known leader is kept until there is one.

--- a/core/daemon_context.h
+++ b/core/daemon_context.h
@@ -7,6 +7,8 @@
 #include "core/timer_service.h"
 #include "core/trace.h"
 
+#include <optional>
+
 namespace teasellock {
 
 /// Who this process is.
@@ -17,6 +19,9 @@
   region_id Region;
   /// Where other VMs reach it.
   endpoint Internal;
+  /// Where it listens for them, if that is another address: behind a proxy or
+  /// an address translation.
+  std::optional<endpoint> InternalListen = std::nullopt;
 };
 
 /// What every task of the process is given. Outlives all tasks.
--- a/main/daemon_process.cpp
+++ b/main/daemon_process.cpp
@@ -39,13 +39,11 @@
 
 daemon_process::daemon_process(const daemon_settings &Given,
                                std::function<daemon_settings()> Reread)
-    : Settings(Given), Timers(Loop),
-      Tracer(makeTracer(Settings)), Context{Loop, Timers, Metrics, Tracer,
-                                            vm_identity{
-                                                Settings.Vm, newIncarnation(),
-                                                Settings.AvailabilityZone,
-                                                Settings.Region,
-                                                Settings.Internal}},
+    : Settings(Given), Timers(Loop), Tracer(makeTracer(Settings)),
+      Context{Loop, Timers, Metrics, Tracer,
+              vm_identity{Settings.Vm, newIncarnation(),
+                          Settings.AvailabilityZone, Settings.Region,
+                          Settings.Internal, Settings.InternalListen}},
       Hub(Context, link_settings()), Member(Context, Hub, Settings.Membership),
       Reread(std::move(Reread)) {
   Hub.listen();
@@ -122,13 +120,18 @@
 
 /// The file may change without a signal.
 void daemon_process::watchSettings() {
+  // Without a file a reload changes nothing, but must not end the process.
+  Loop.onSignal(SIGHUP, [this] { reload(); });
   if (!Reread)
     return;
-  Loop.onSignal(SIGHUP, [this] { reload(); });
   SettingsCheck = Timers.every(SettingsPeriod, [this] { reload(); });
 }
 
 void daemon_process::reload() {
+  if (!Reread) {
+    event("daemon.reload_skipped").with("reason", "no settings file is used");
+    return;
+  }
   try {
     auto Next = Reread();
     Member.setControl(Next.Membership.Control);
--- a/main/daemon_settings.cpp
+++ b/main/daemon_settings.cpp
@@ -138,6 +138,13 @@
                         [](daemon_settings &S, const std::string &Text) {
                           S.Internal = parseAddress(Text);
                         }));
+  All.push_back(setting("internal-listen",
+                        "address:port to listen at for other VMs, if they "
+                        "reach --internal through a proxy",
+                        "", [](daemon_settings &S, const std::string &Text) {
+                          if (!Text.empty())
+                            S.InternalListen = parseAddress(Text);
+                        }));
   All.push_back(setting("http", "address:port of the HTTP API", "",
                         [](daemon_settings &S, const std::string &Text) {
                           S.Admin.Listen = parseAddress(Text);
--- a/main/daemon_settings.h
+++ b/main/daemon_settings.h
@@ -24,6 +24,8 @@
   availability_zone_id AvailabilityZone;
   region_id Region;
   endpoint Internal;
+  /// Nothing: --internal is listened at.
+  std::optional<endpoint> InternalListen;
   /// Nothing: no entry role.
   std::optional<endpoint> Callers;
   /// Callers and upstreams speak the line protocol in place of PostgreSQL's.
--- a/modules/control/control_decisions.cpp
+++ b/modules/control/control_decisions.cpp
@@ -27,6 +27,7 @@
 } // namespace
 
 void control_service::state::tick() {
+  answerHeld();
   if (!Leading)
     return;
   forgetEndedLeases(Replicated, Leader, now());
@@ -236,12 +237,12 @@
   if (News.active())
     return;
   duration Since = now() - NewsToldAt;
-  News = Context.Timers.after(
-      std::max(duration::zero(), NewsPeriod - Since), [this] {
-        NewsToldAt = now();
-        if (Leading)
-          nudgeBehind();
-      });
+  News = Context.Timers.after(std::max(duration::zero(), NewsPeriod - Since),
+                              [this] {
+                                NewsToldAt = now();
+                                if (Leading)
+                                  nudgeBehind();
+                              });
 }
 
 void control_service::state::nudgeBehind() {
--- a/modules/control/control_service.cpp
+++ b/modules/control/control_service.cpp
@@ -115,7 +115,10 @@
   auto Renewal = decode<wire::renewal>(Message.Body, "renewal");
   Renewals.add();
   if (!Leading || !Consensus.isLeader()) {
-    refuseRenewal(Link, Message, Renewal);
+    if (Consensus.leader())
+      refuseRenewal(Link, Message, Renewal);
+    else
+      holdRenewal(Held, vm_id(Renewal.vm), Link, std::move(Message), now());
     return;
   }
   if (now() - Consensus.leaderConfirmedAt() < ConfirmationLife) {
@@ -182,6 +185,19 @@
   });
 }
 
+void control_service::state::answerHeld() {
+  if (Held.empty())
+    return;
+  bool Known = Consensus.leader().has_value();
+  for (auto &Renewal : takeAnswerable(Held, Known, now())) {
+    if (Known)
+      onRenewal(Renewal.Link, std::move(Renewal.Message));
+    else
+      refuseRenewal(Renewal.Link, Renewal.Message,
+                    decode<wire::renewal>(Renewal.Message.Body, "renewal"));
+  }
+}
+
 void control_service::state::refuseRenewal(link_id Link,
                                            const link_message &Message,
                                            const wire::renewal &Renewal) {
--- a/modules/control/control_service_state.h
+++ b/modules/control/control_service_state.h
@@ -4,6 +4,7 @@
 
 #include "modules/control/control_service.h"
 #include "modules/control/decision_agenda.h"
+#include "modules/control/held_renewals.h"
 #include "modules/control/leader_state.h"
 #include "modules/control/message_kinds.h"
 
@@ -53,6 +54,8 @@
   /// Proposals made by the decision under way.
   std::vector<proposal> SeenProposals;
   std::map<vm_id, std::pair<link_id, link_message>> Unregistered;
+  /// Renewals that came while no leader was known, the latest of each VM.
+  held_renewals Held;
   std::set<gateway_run> Registering;
   std::map<std::pair<group_id, upstream_id>, time_point> Announcing;
   std::map<request_id, sent_fence> Fences;
@@ -82,6 +85,7 @@
                      const wire::renewal &Renewal);
   void registerVm(link_id Link, link_message &&Message,
                   const wire::renewal &Renewal, const vm_record &Record);
+  void answerHeld();
   void refuseRenewal(link_id Link, const link_message &Message,
                      const wire::renewal &Renewal);
   void grantRenewal(link_id Link, const link_message &Message,
--- a/modules/link/link_hub.cpp
+++ b/modules/link/link_hub.cpp
@@ -3,6 +3,7 @@
 #include "core/event_log.h"
 #include "core/listen_socket.h"
 #include "modules/link/codec.h"
+#include "modules/link/dial_schedule.h"
 #include "modules/link/gen/link_messages_types.h"
 
 #include <algorithm>
@@ -65,7 +66,8 @@
     std::size_t OutStart = 0;
     time_point LastHeard;
     time_point LastSent;
-    duration RedialDelay;
+    dial_schedule Schedule;
+    /// The next dial, or the end of the time for the present one.
     timer_subscription Redial;
     bool FlushPosted = false;
   };
@@ -126,7 +128,6 @@
   auto Link = std::make_unique<link>();
   Link->Id = link_id(++LastLink);
   Link->Dialled = IsDialled;
-  Link->RedialDelay = Settings.LeastRedialDelay;
   auto &Result = *Link;
   Links[Result.Id] = std::move(Link);
   return Result;
@@ -167,14 +168,19 @@
   Link.Watch = Context.Loop.watch(
       Link.Socket, {false, true},
       [this, Id = Link.Id](readiness Ready) { onReady(Id, Ready); });
+  Link.Redial = Context.Timers.after(Link.Schedule.Timeout, [this,
+                                                             Id = Link.Id] {
+    if (auto *Found = find(Id); Found && Found->Connecting)
+      breakLink(Id, error("link.dial", Found->PeerName, "no answer in time"));
+  });
 }
 
 void link_hub::state::scheduleRedial(link &Link) {
-  Link.Redial = Context.Timers.after(Link.RedialDelay, [this, Id = Link.Id] {
+  duration Wait = noteDialEnded(Link.Schedule);
+  Link.Redial = Context.Timers.after(Wait, [this, Id = Link.Id] {
     if (auto *Found = find(Id))
       dial(*Found);
   });
-  Link.RedialDelay = std::min(Link.RedialDelay * 2, Settings.MostRedialDelay);
 }
 
 void link_hub::state::begin(link &Link) {
@@ -279,7 +285,7 @@
     Link.Peer.Incarnation =
         incarnation(static_cast<std::uint64_t>(Hello.incarnation));
     Link.Open = true;
-    Link.RedialDelay = Settings.LeastRedialDelay;
+    notePeerAnswered(Link.Schedule);
     event("link.opened", severity::Debug)
         .with("peer", Link.PeerName)
         .with("vm", Hello.vm);
@@ -422,9 +428,11 @@
 }
 
 endpoint link_hub::listen() {
-  endpoint Bound = State->Context.Self.Internal;
+  auto &Self = State->Context.Self;
+  endpoint Bound = Self.InternalListen.value_or(Self.Internal);
   int Socket = openListenSocket(Bound, ListenBacklog, "link.listen");
-  State->Context.Self.Internal = Bound;
+  if (!Self.InternalListen)
+    Self.Internal = Bound;
   State->Listener = Socket;
   State->ListenerWatch = State->Context.Loop.watch(
       Socket, {true, false}, [this](readiness) { State->accept(); });
--- a/modules/link/link_hub.h
+++ b/modules/link/link_hub.h
@@ -44,9 +44,6 @@
   duration HeartbeatPeriod = fromMilliseconds(250);
   /// Four heartbeats: a frozen VM is left before most callers give up.
   duration SilenceLimit = fromMilliseconds(1000);
-  duration LeastRedialDelay = fromMilliseconds(50);
-  /// A VM that is back is found within this.
-  duration MostRedialDelay = fromMilliseconds(250);
   /// A link whose peer takes no data is closed beyond this many bytes.
   std::size_t LargestBacklog = 256 * 1024 * 1024;
 };
--- /dev/null
+++ b/tests/soak/deployment.cpp
@@ -0,0 +1,302 @@
+#include "tests/soak/deployment.h"
+
+#include "core/error.h"
+#include "core/event_log.h"
+
+#include <filesystem>
+#include <nlohmann/json.hpp>
+
+namespace teasellock::soak {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::uint16_t InternalPort = 7440;
+constexpr std::uint16_t RelayPort = 7441;
+constexpr std::uint16_t HttpPort = 7442;
+constexpr std::uint16_t CallerPort = 7443;
+constexpr std::uint16_t UpstreamPort = 7450;
+constexpr std::uint16_t PlatformPort = 7460;
+constexpr duration AnnouncementPeriod = std::chrono::milliseconds(400);
+constexpr duration OperatorPeriod = std::chrono::milliseconds(500);
+/// A lost order is carried out this much later at most.
+constexpr std::int64_t LatestOrderMs = 4000;
+constexpr std::size_t FirstControl = 1;
+constexpr std::size_t FirstEntry = 50;
+constexpr std::size_t PlatformNumber = 250;
+constexpr std::size_t FirstGroup = 200;
+constexpr int Accepted = 200;
+constexpr int Conflict = 409;
+
+const char *zoneOf(std::size_t Number) {
+  constexpr const char *Zones[] = {"zocalo", "mercado", "malecon"};
+  return Zones[Number % 3];
+}
+
+std::string groupName(std::size_t Index) {
+  return "despacho" + std::to_string(Index + 1);
+}
+
+} // namespace
+
+soak_deployment::soak_deployment(daemon_context &Context, oracle &Oracle,
+                                 deployment_options Given)
+    : Context(Context), Oracle(Oracle), Options(std::move(Given)),
+      Random(Options.Seed), Read(Options.Controls) {
+  startPlatform();
+  for (std::size_t Index = 0; Index < Options.Groups; ++Index) {
+    group_settings Settings;
+    Settings.Group = group_id(groupName(Index));
+    Settings.Address = {address(FirstGroup + Index), UpstreamPort};
+    Groups.push_back(std::make_unique<upstream_group>(
+        Context.Loop, Context.Timers, Oracle, std::move(Settings)));
+  }
+  startVms();
+  Announcements =
+      Context.Timers.every(AnnouncementPeriod, [this] { announce(); });
+  Operator = Context.Timers.every(OperatorPeriod, [this] { sendDeployment(); });
+}
+
+soak_deployment::~soak_deployment() = default;
+
+std::string soak_deployment::address(std::size_t Number) const {
+  return "127." + std::to_string(Options.Network / 250 + 1) + "." +
+         std::to_string(Options.Network % 250 + 1) + "." +
+         std::to_string(Number);
+}
+
+//===----------------------------------------------------------------------===//
+// Processes
+//===----------------------------------------------------------------------===//
+
+void soak_deployment::startVms() {
+  for (std::size_t Index = 0; Index < Options.Controls; ++Index) {
+    std::string Seed = address(FirstControl + Index);
+    Seeds += (Seeds.empty() ? "" : ",") + Seed + ":" + std::to_string(HttpPort);
+  }
+  for (std::size_t Index = 0; Index < Options.Controls; ++Index)
+    Controls.push_back(makeVm("control-" + std::to_string(Index + 1),
+                              FirstControl + Index, true));
+  for (std::size_t Index = 0; Index < Options.Entries; ++Index)
+    Entries.push_back(makeVm("entry-" + std::to_string(Index + 1),
+                             FirstEntry + Index, false));
+}
+
+soak_vm soak_deployment::makeVm(const std::string &Name, std::size_t Number,
+                                bool Control) {
+  soak_vm Vm;
+  Vm.Address = address(Number);
+  auto At = [&](std::uint16_t Port) { return endpoint{Vm.Address, Port}; };
+  Vm.Relay = std::make_unique<relay>(Context.Loop, Context.Timers,
+                                     At(RelayPort), At(InternalPort));
+  process_options Process;
+  Process.Name = Name;
+  Process.Program = Options.Program;
+  Process.LogFile = Options.Folder + "/" + Name + ".log";
+  auto &Arguments = Process.Arguments;
+  auto Add = [&](const std::string &Flag, const std::string &Value) {
+    Arguments.push_back("--" + Flag);
+    Arguments.push_back(Value);
+  };
+  Add("vm", Name);
+  Add("availability-zone", zoneOf(Number));
+  Add("region", "centro");
+  Add("internal", toString(At(RelayPort)));
+  Add("internal-listen", toString(At(InternalPort)));
+  Add("http", toString(At(HttpPort)));
+  Add("seeds", Seeds);
+  Add("control-port", std::to_string(RelayPort));
+  Add("protocol", "line");
+  Add("platform", address(PlatformNumber) + ":" + std::to_string(PlatformPort));
+  Add("holder", Name);
+  Add("grace-s", "3");
+  if (Control) {
+    Vm.DataFolder = Options.Folder + "/" + Name;
+    std::filesystem::create_directories(Vm.DataFolder);
+    Add("data-folder", Vm.DataFolder);
+    Add("gateway", "off");
+    Add("bootstrap", "true");
+    Add("tolerated-losses", "1");
+    Add("election-ms", "300");
+  } else {
+    Add("callers", toString(At(CallerPort)));
+  }
+  Vm.Process = std::make_unique<vm_process>(Context.Timers, std::move(Process));
+  return Vm;
+}
+
+//===----------------------------------------------------------------------===//
+// The platform
+//===----------------------------------------------------------------------===//
+
+void soak_deployment::startPlatform() {
+  Platform = std::make_unique<http_responder>(
+      Context.Loop, endpoint{address(PlatformNumber), PlatformPort},
+      [this](const http_text &Order) { return takeOrder(Order); });
+}
+
+std::optional<int> soak_deployment::takeOrder(const http_text &Order) {
+  auto Body = json::parse(Order.Body);
+  std::string Service = Body.at("service");
+  std::string Id = Body.at("id");
+  std::string Holder = Order.Headers.at("x-teasellock-duty-holder");
+  std::uint64_t Token =
+      std::stoull(Order.Headers.at("x-teasellock-fencing-token"));
+  Oracle.ordered(group_id(Service), Holder, Token);
+  auto CarryOut = [this, Service, Id, Token] {
+    auto &Newest = NewestToken[Service];
+    if (Token < Newest)
+      return Conflict;
+    Newest = Token;
+    for (std::size_t Index = 0; Index < Groups.size(); ++Index)
+      if (groupName(Index) == Service)
+        return Groups[Index]->promote(Id) ? Accepted : Conflict;
+    return Conflict;
+  };
+  if (!std::bernoulli_distribution(LostOrders)(Random))
+    return CarryOut();
+  auto Late = std::uniform_int_distribution<std::int64_t>(0, LatestOrderMs);
+  LateOrders.push_back(
+      Context.Timers.after(fromMilliseconds(Late(Random)), CarryOut));
+  return std::nullopt;
+}
+
+void soak_deployment::announce() {
+  for (std::size_t Index = 0; Index < Groups.size(); ++Index)
+    for (std::size_t Upstream = 0; Upstream < Groups[Index]->size(); ++Upstream)
+      announce(*Groups[Index], Upstream, groupName(Index));
+}
+
+void soak_deployment::announce(const upstream_group &Group,
+                               std::size_t Upstream,
+                               const std::string &Service) {
+  auto Account = Group.account(Upstream);
+  if (!Account.Running)
+    return;
+  json Body = {{"service", Service},
+               {"addr", toString(Account.Address)},
+               {"zone", zoneOf(Upstream)},
+               {"version", "v1"},
+               {"capacity", 3},
+               {"lifecycle", Account.Leaving ? "draining" : "ready"},
+               {"cold_remaining_ms", 0},
+               {"db_role", Account.Primary ? "primary" : "replica"},
+               {"born", Account.Born},
+               {"sequence", ++Sequence}};
+  const auto &Control = Controls[Random() % Controls.size()];
+  call({Control.Address, HttpPort}, "POST",
+       "/Instances.Heartbeat/" + Account.Id, Body.dump(),
+       [](const std::optional<http_text> &) {});
+}
+
+//===----------------------------------------------------------------------===//
+// The operator
+//===----------------------------------------------------------------------===//
+
+std::string soak_deployment::deploymentText(std::uint64_t Version) const {
+  constexpr const char *Kinds[] = {"primary", "read_your_writes",
+                                   "bounded_staleness"};
+  json Routes = json::array();
+  json Services = json::array();
+  for (std::size_t Index = 0; Index < Options.Groups; ++Index) {
+    std::string Service = groupName(Index);
+    Services.push_back({{"name", Service},
+                        {"health_path", "/health"},
+                        {"max_conns", 24},
+                        {"protocol", "h1"},
+                        {"tls", false},
+                        {"sync_replicas", 1}});
+    for (const auto *Kind : Kinds)
+      Routes.push_back({{"name", Service + "-" + Kind},
+                        {"host", Service + "-" + Kind},
+                        {"path_prefix", "/"},
+                        {"route_kind", Kind},
+                        {"timeout_ms", 1500 + Version % 100},
+                        {"target_latency_ms", 400},
+                        {"priority", 1},
+                        {"service", Service},
+                        {"max_attempts", 2},
+                        {"max_staleness_ms", 1500}});
+  }
+  json Limits = {{"max_header_bytes", 16384},
+                 {"max_body_bytes", 262144},
+                 {"header_timeout_ms", 3000},
+                 {"idle_timeout_ms", 15000},
+                 {"tx_idle_ms", 3000}};
+  return json({{"version", Version},
+               {"routes", Routes},
+               {"services", Services},
+               {"limits", Limits}})
+      .dump();
+}
+
+void soak_deployment::changeDeployment() { ++Version; }
+
+/// Sends the newest version again until it is acknowledged.
+void soak_deployment::sendDeployment() {
+  for (std::size_t Index = 0; Index < Controls.size(); ++Index)
+    readDeployment(Index);
+  if (Acknowledged >= Version)
+    return;
+  const auto &Control = Controls[Random() % Controls.size()];
+  call({Control.Address, HttpPort}, "POST", "/Config.Put",
+       deploymentText(Version),
+       [this, Sent = Version](const std::optional<http_text> &Answer) {
+         if (!Answer || Answer->status() != Accepted)
+           return;
+         Acknowledged = std::max(Acknowledged, Sent);
+         Oracle.deploymentAcknowledged(Sent, Context.Timers.now());
+       });
+}
+
+void soak_deployment::readDeployment(std::size_t Control) {
+  call({Controls[Control].Address, HttpPort}, "GET", "/Config.Get", "",
+       [this, Control,
+        Sent = Context.Timers.now()](const std::optional<http_text> &Answer) {
+         if (!Answer || Answer->status() != Accepted)
+           return;
+         auto Body = json::parse(Answer->Body, nullptr, false);
+         Read[Control] = Body.value("version", std::uint64_t{0});
+         Oracle.deploymentRead(Read[Control], Sent);
+       });
+}
+
+void soak_deployment::call(const endpoint &Server, const std::string &Method,
+                           const std::string &Path, const std::string &Body,
+                           std::function<void(std::optional<http_text>)> Done) {
+  std::uint64_t Number = ++LastCall;
+  Calls[Number] = std::make_unique<http_request_call>(
+      Context.Loop, Context.Timers, Server, Method, Path, Body,
+      [this, Number,
+       Done = std::move(Done)](const std::optional<http_text> &Answer) {
+        Done(Answer);
+        Context.Loop.post([this, Number] { Calls.erase(Number); });
+      });
+}
+
+//===----------------------------------------------------------------------===//
+// Callers
+//===----------------------------------------------------------------------===//
+
+void soak_deployment::startCallers() {
+  caller_options Caller;
+  for (const auto &Vm : Entries)
+    Caller.Entries.push_back({Vm.Address, CallerPort});
+  for (std::size_t Index = 0; Index < Options.Groups; ++Index) {
+    group_id Group(groupName(Index));
+    duration Stale = std::chrono::milliseconds(1500);
+    Caller.Databases.push_back({Group.Value + "-primary", {Group, {}}});
+    Caller.Databases.push_back(
+        {Group.Value + "-read_your_writes", {Group, Stale}});
+    Caller.Databases.push_back(
+        {Group.Value + "-bounded_staleness", {Group, Stale}});
+  }
+  for (std::size_t Index = 0; Index < Options.Callers; ++Index) {
+    Caller.Number = Index + 1;
+    Caller.Seed = Random();
+    Callers.push_back(std::make_unique<soak_caller>(Context, Oracle, Caller));
+  }
+}
+
+} // namespace teasellock::soak
--- /dev/null
+++ b/tests/soak/faults.cpp
@@ -0,0 +1,220 @@
+#include "tests/soak/faults.h"
+
+#include "core/event_log.h"
+
+#include <array>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+
+namespace teasellock::soak {
+
+namespace {
+
+constexpr std::int64_t MostGapMs = 1200;
+constexpr std::int64_t LeastLengthMs = 200;
+constexpr std::int64_t MostLengthMs = 4000;
+/// A lost disk takes this long to be made up for: none other is lost meanwhile.
+constexpr duration DiskRepair = std::chrono::seconds(8);
+constexpr duration LongDelay = std::chrono::milliseconds(250);
+constexpr duration LongLag = std::chrono::milliseconds(2500);
+constexpr duration UsualLag = std::chrono::milliseconds(20);
+constexpr std::size_t TornBytes = 37;
+
+constexpr std::array Names = {
+    "kill_entry",       "kill_every_entry", "freeze_entry",
+    "stop_entry",       "kill_control",     "kill_every_control",
+    "freeze_control",   "wipe_control",     "tear_log",
+    "cut_vm",           "delay_vm",         "reset_vm",
+    "silence_links",    "reload_entry",     "crash_upstream",
+    "silence_upstream", "cut_primary",      "lag_replicas",
+    "leaving_primary",  "lose_orders",      "silence_upstreams",
+    "reset_upstreams",  "change_deployment"};
+
+using undo = std::function<void()>;
+
+std::size_t vmCount(const soak_deployment &Deployment) {
+  return Deployment.Entries.size() + Deployment.Controls.size();
+}
+
+soak_vm &vmOf(soak_deployment &Deployment, std::uint64_t Pick) {
+  std::size_t Index = Pick % vmCount(Deployment);
+  std::size_t Entries = Deployment.Entries.size();
+  return Index < Entries ? Deployment.Entries[Index]
+                         : Deployment.Controls[Index - Entries];
+}
+
+void signalAll(std::vector<soak_vm> &Vms, int Signal) {
+  for (auto &Vm : Vms)
+    Vm.Process->signal(Signal);
+}
+
+undo freeze(soak_vm &Vm) {
+  Vm.Process->signal(SIGSTOP);
+  return [&Vm] { Vm.Process->signal(SIGCONT); };
+}
+
+/// The process ends and comes back without its disk.
+void wipe(soak_vm &Vm) {
+  Vm.Process->signal(SIGKILL);
+  std::filesystem::remove_all(Vm.DataFolder);
+  std::filesystem::create_directories(Vm.DataFolder);
+}
+
+/// The process ends while it writes: its newest file ends in rubbish.
+void tearLog(soak_vm &Vm) {
+  Vm.Process->signal(SIGKILL);
+  std::filesystem::path Newest;
+  for (const auto &Entry : std::filesystem::directory_iterator(Vm.DataFolder))
+    if (Entry.is_regular_file() &&
+        Entry.path().filename().string().starts_with("log") &&
+        Entry.path() > Newest)
+      Newest = Entry.path();
+  if (!Newest.empty())
+    std::ofstream(Newest, std::ios::app | std::ios::binary)
+        << std::string(TornBytes, '\x5a');
+}
+
+undo cutVm(soak_vm &Vm, std::uint64_t Pick) {
+  constexpr std::array Cuts = {relay_cut::ToServer, relay_cut::FromServer,
+                               relay_cut::Both};
+  Vm.Relay->cut(Cuts[(Pick >> 8) % Cuts.size()]);
+  return [&Vm] { Vm.Relay->cut(relay_cut::None); };
+}
+
+undo failUpstream(upstream_group &Group, std::uint64_t Pick,
+                  upstream_fault Fault) {
+  // Every second time it is the primary.
+  std::size_t Upstream =
+      (Pick >> 8) % 2 ? Group.primary() : (Pick >> 16) % Group.size();
+  Group.fail(Upstream, Fault);
+  return [&Group, Upstream] { Group.recover(Upstream); };
+}
+
+undo beginVmFault(soak_deployment &Deployment, const fault &Fault) {
+  auto &Entry = Deployment.Entries[Fault.Pick % Deployment.Entries.size()];
+  auto &Control = Deployment.Controls[Fault.Pick % Deployment.Controls.size()];
+  auto &Vm = vmOf(Deployment, Fault.Pick);
+  switch (Fault.Kind) {
+  case fault_kind::KillEntry:
+    Entry.Process->signal(SIGKILL);
+    break;
+  case fault_kind::KillEveryEntry:
+    signalAll(Deployment.Entries, SIGKILL);
+    break;
+  case fault_kind::FreezeEntry:
+    return freeze(Entry);
+  case fault_kind::StopEntry:
+    Entry.Process->signal(SIGTERM);
+    break;
+  case fault_kind::KillControl:
+    Control.Process->signal(SIGKILL);
+    break;
+  case fault_kind::KillEveryControl:
+    signalAll(Deployment.Controls, SIGKILL);
+    break;
+  case fault_kind::FreezeControl:
+    return freeze(Control);
+  case fault_kind::WipeControl:
+    wipe(Control);
+    break;
+  case fault_kind::TearLog:
+    tearLog(Control);
+    break;
+  case fault_kind::CutVm:
+    return cutVm(Vm, Fault.Pick);
+  case fault_kind::DelayVm:
+    Vm.Relay->delay(LongDelay);
+    return [&Vm] { Vm.Relay->delay({}); };
+  case fault_kind::ResetVm:
+    Vm.Relay->reset(0.6, Fault.Pick);
+    break;
+  case fault_kind::SilenceLinks:
+    for (auto &Each : Deployment.Entries)
+      Each.Relay->silenceOpen();
+    break;
+  default:
+    Entry.Process->signal(SIGHUP);
+  }
+  return nullptr;
+}
+
+undo beginUpstreamFault(soak_deployment &Deployment, const fault &Fault) {
+  auto &Group = *Deployment.Groups[Fault.Pick % Deployment.Groups.size()];
+  switch (Fault.Kind) {
+  case fault_kind::CrashUpstream:
+    return failUpstream(Group, Fault.Pick, upstream_fault::Crashed);
+  case fault_kind::SilenceUpstream:
+    return failUpstream(Group, Fault.Pick, upstream_fault::Silent);
+  case fault_kind::CutPrimary: {
+    std::size_t Upstream = Group.primary();
+    Group.cutReplication(Upstream, true);
+    return [&Group, Upstream] { Group.cutReplication(Upstream, false); };
+  }
+  case fault_kind::LagReplicas:
+    Group.setLag(LongLag);
+    return [&Group] { Group.setLag(UsualLag); };
+  case fault_kind::LeavingPrimary: {
+    std::size_t Upstream = Group.primary();
+    Group.setLeaving(Upstream, true);
+    return [&Group, Upstream] { Group.setLeaving(Upstream, false); };
+  }
+  case fault_kind::LoseOrders:
+    Deployment.loseOrders(0.5);
+    return [&Deployment] { Deployment.loseOrders(0); };
+  case fault_kind::SilenceUpstreams:
+    Group.silenceConnections();
+    return nullptr;
+  case fault_kind::ResetUpstreams:
+    Group.resetConnections(0.5, Fault.Pick);
+    return nullptr;
+  default:
+    Deployment.changeDeployment();
+    return nullptr;
+  }
+}
+
+} // namespace
+
+const char *toString(fault_kind Kind) {
+  return Names[static_cast<std::size_t>(Kind)];
+}
+
+std::vector<fault> drawFaults(std::uint64_t Seed, duration Span) {
+  std::mt19937_64 Random(Seed);
+  auto Draw = [&](std::int64_t Least, std::int64_t Most) {
+    return std::uniform_int_distribution<std::int64_t>(Least, Most)(Random);
+  };
+  std::vector<fault> Faults;
+  std::optional<duration> DiskLostAt;
+  duration At{};
+  while (At < Span) {
+    At += fromMilliseconds(Draw(0, MostGapMs));
+    fault Fault;
+    Fault.At = At;
+    Fault.Length = fromMilliseconds(Draw(LeastLengthMs, MostLengthMs));
+    Fault.Kind = static_cast<fault_kind>(
+        Draw(0, static_cast<std::int64_t>(Names.size()) - 1));
+    Fault.Pick = Random();
+    bool LosesDisk = Fault.Kind == fault_kind::WipeControl;
+    if (LosesDisk && DiskLostAt && At - *DiskLostAt < DiskRepair)
+      Fault.Kind = fault_kind::ChangeDeployment;
+    else if (LosesDisk)
+      DiskLostAt = At;
+    Faults.push_back(Fault);
+  }
+  return Faults;
+}
+
+std::function<void()> beginFault(soak_deployment &Deployment,
+                                 const fault &Fault) {
+  event("soak.fault")
+      .with("kind", toString(Fault.Kind))
+      .with("for_ms", toMilliseconds(Fault.Length))
+      .with("pick", Fault.Pick);
+  if (Fault.Kind < fault_kind::CrashUpstream)
+    return beginVmFault(Deployment, Fault);
+  return beginUpstreamFault(Deployment, Fault);
+}
+
+} // namespace teasellock::soak
--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,225 @@
+#include "core/error.h"
+#include "core/event_log.h"
+#include "tests/soak/faults.h"
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <filesystem>
+#include <iostream>
+
+using namespace teasellock;
+using namespace teasellock::soak;
+
+namespace {
+
+constexpr duration StartLimit = std::chrono::seconds(15);
+/// Every caller must be served again this long after the last fault.
+constexpr duration RecoveryLimit = std::chrono::seconds(12);
+constexpr duration CheckPeriod = std::chrono::milliseconds(100);
+/// Ends of processes that no signal of the soak explains.
+constexpr std::size_t MostUnexpectedEnds = 0;
+
+struct soak_options {
+  deployment_options Deployment;
+  double Seconds = 20;
+  bool Faults = true;
+};
+
+/// One seed from the start of the processes to the verdict.
+class soak_run {
+public:
+  soak_run(daemon_context &Context, const soak_options &Options)
+      : Context(Context), Options(Options),
+        Deployment(Context, Oracle, Options.Deployment),
+        StartedAt(Context.Timers.now()) {
+    Check = Context.Timers.every(CheckPeriod, [this] { check(); });
+  }
+
+  /// Zero: every promise was kept.
+  int report() const;
+
+private:
+  enum class phase { Starting, Faults, Recovering };
+
+  duration elapsed() const { return Context.Timers.now() - StartedAt; }
+  void check();
+  void startFaults();
+  void begin(const fault &Fault);
+  void startRecovery();
+  void checkRecovery();
+
+  daemon_context &Context;
+  const soak_options &Options;
+  oracle Oracle;
+  soak_deployment Deployment;
+  phase Phase = phase::Starting;
+  time_point StartedAt;
+  timer_subscription Check;
+  std::vector<timer_subscription> Timers;
+  std::vector<std::function<void()>> Undo;
+};
+
+void soak_run::check() {
+  switch (Phase) {
+  case phase::Starting:
+    if (Deployment.deployed())
+      return startFaults();
+    if (elapsed() < StartLimit)
+      return;
+    Oracle.fail("start", "no deployment was accepted");
+    return Context.Loop.stop();
+  case phase::Faults:
+    if (elapsed() >= std::chrono::milliseconds(
+                         static_cast<std::int64_t>(Options.Seconds * 1000)))
+      startRecovery();
+    return;
+  case phase::Recovering:
+    return checkRecovery();
+  }
+}
+
+void soak_run::startFaults() {
+  Phase = phase::Faults;
+  StartedAt = Context.Timers.now();
+  Deployment.startCallers();
+  if (!Options.Faults)
+    return;
+  // The callers open their sessions first.
+  constexpr duration Lead = std::chrono::seconds(1);
+  auto Span = std::chrono::milliseconds(
+      static_cast<std::int64_t>(Options.Seconds * 1000));
+  for (const auto &Fault : drawFaults(Options.Deployment.Seed, Span - Lead))
+    Timers.push_back(
+        Context.Timers.after(Lead + Fault.At, [this, Fault] { begin(Fault); }));
+}
+
+void soak_run::begin(const fault &Fault) {
+  auto End = beginFault(Deployment, Fault);
+  if (!End)
+    return;
+  std::size_t Index = Undo.size();
+  Undo.push_back(std::move(End));
+  Timers.push_back(Context.Timers.after(Fault.Length, [this, Index] {
+    if (auto End = std::exchange(Undo[Index], nullptr))
+      End();
+  }));
+}
+
+void soak_run::startRecovery() {
+  Phase = phase::Recovering;
+  StartedAt = Context.Timers.now();
+  Timers.clear();
+  for (auto &End : Undo)
+    if (End)
+      std::exchange(End, nullptr)();
+  event("soak.recovering");
+}
+
+void soak_run::checkRecovery() {
+  auto Served = [&](const auto &Caller) {
+    // Some seconds after the last fault, not what was under way.
+    constexpr duration Settled = std::chrono::seconds(3);
+    return Caller->lastSuccess() > StartedAt + Settled;
+  };
+  bool All =
+      std::all_of(Deployment.Callers.begin(), Deployment.Callers.end(), Served);
+  for (auto Version : Deployment.readVersions())
+    All = All && Version >= Deployment.acknowledgedVersion();
+  if (All)
+    return Context.Loop.stop();
+  if (elapsed() < RecoveryLimit)
+    return;
+  for (std::size_t Index = 0; Index < Deployment.Callers.size(); ++Index)
+    if (!Served(Deployment.Callers[Index]))
+      Oracle.fail("recover", "caller " + std::to_string(Index + 1) +
+                                 " is not served again");
+  for (auto Version : Deployment.readVersions())
+    if (Version < Deployment.acknowledgedVersion())
+      Oracle.fail("config",
+                  "version " + std::to_string(Version) +
+                      " at the end, acknowledged was " +
+                      std::to_string(Deployment.acknowledgedVersion()));
+  Context.Loop.stop();
+}
+
+int soak_run::report() const {
+  caller_counts Sum;
+  for (const auto &Caller : Deployment.Callers) {
+    Sum.Succeeded += Caller->counts().Succeeded;
+    Sum.Refused += Caller->counts().Refused;
+    Sum.Unknown += Caller->counts().Unknown;
+    Sum.Broken += Caller->counts().Broken;
+  }
+  std::size_t Ends = 0;
+  for (const auto *Vms : {&Deployment.Entries, &Deployment.Controls})
+    for (const auto &Vm : *Vms)
+      Ends += Vm.Process->unexpectedEnds();
+  std::uint64_t Promotions = 0;
+  for (const auto &Group : Deployment.Groups)
+    Promotions += Group->promotions();
+  std::cout << "seed=" << Options.Deployment.Seed
+            << " broken=" << Oracle.broken().size()
+            << " served=" << Sum.Succeeded << " refused=" << Sum.Refused
+            << " unknown=" << Sum.Unknown << " cut_off=" << Sum.Broken
+            << " writes_acknowledged=" << Oracle.acknowledgedWrites()
+            << " promotions=" << Promotions << " unexpected_ends=" << Ends
+            << "\n";
+  for (const auto &Line : Oracle.broken())
+    std::cout << "  " << Line << "\n";
+  return Oracle.broken().empty() && Ends <= MostUnexpectedEnds &&
+                 Sum.Succeeded > 0
+             ? 0
+             : 1;
+}
+
+void declareFlags(CLI::App &App, soak_options &Options) {
+  auto &Deployment = Options.Deployment;
+  App.add_option("--program", Deployment.Program, "path of teasellockd")
+      ->required()
+      ->check(CLI::ExistingFile);
+  App.add_option("--folder", Deployment.Folder, "empty folder for logs, disks")
+      ->required();
+  App.add_option("--seed", Deployment.Seed, "draws faults and load");
+  App.add_option("--seconds", Options.Seconds, "how long faults go on")
+      ->check(CLI::Range(5.0, 3600.0));
+  App.add_option("--entries", Deployment.Entries)->check(CLI::Range(1, 150));
+  App.add_option("--controls", Deployment.Controls)->check(CLI::Range(3, 7));
+  App.add_option("--groups", Deployment.Groups)->check(CLI::Range(1, 40));
+  App.add_option("--callers", Deployment.Callers)->check(CLI::Range(1, 2000));
+  App.add_option("--network", Deployment.Network,
+                 "which loopback network; runs side by side need their own");
+  App.add_flag("!--calm", Options.Faults, "no faults");
+}
+
+int run(const soak_options &Options) {
+  std::filesystem::create_directories(Options.Deployment.Folder);
+  event_loop Loop;
+  timer_service Timers(Loop);
+  metrics Metrics;
+  tracer Tracer;
+  daemon_context Context{Loop, Timers, Metrics, Tracer, {}};
+  Loop.onSignal(SIGTERM, [&Loop] { Loop.stop(); });
+  Loop.onSignal(SIGINT, [&Loop] { Loop.stop(); });
+  soak_run Run(Context, Options);
+  Loop.run();
+  return Run.report();
+}
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  CLI::App App{"teasellock_soak: the programs under random faults."};
+  soak_options Options;
+  declareFlags(App, Options);
+  CLI11_PARSE(App, Count, Arguments);
+  std::signal(SIGPIPE, SIG_IGN);
+  startEventLog(severity::Info);
+  int Verdict = 1;
+  try {
+    Verdict = run(Options);
+  } catch (const std::exception &Problem) {
+    std::cerr << "teasellock_soak: " << Problem.what() << "\n";
+  }
+  stopEventLog();
+  return Verdict;
+}
