Line: statements in flight are bounded over all gateways of a group

Cause: seven gateways sent up to 42 statements at once to an upstream with 3 slots and a queue of 24: it refused work, what waited there went in order of arrival, and the pools grew to 42 of 45 connections, which an upstream counts for 3 s after all VMs have lost power. Change: a gateway runs at most its part of four statements a slot, two at least. Test: 'gateways together keep an upstream's slots busy and its queue short'.

--- a/modules/line/line_group.cpp
+++ b/modules/line/line_group.cpp
@@ -23,10 +23,6 @@
 /// Connections unused for this long are closed: after a loss of power upstreams
 /// count those of the dead for seconds, and the next run needs some too.
 constexpr duration UnusedLimit = std::chrono::milliseconds(3000);
-/// Statements that one gateway runs at once on an upstream, for each slot: what
-/// is there waits in order of arrival, what is here in order of importance.
-/// Enough to keep the slots busy over a round trip between regions.
-constexpr std::uint32_t StatementsPerSlot = 2;
 /// Of a gateway's share, what its probes use.
 constexpr std::uint32_t ProbeConnections = 1;
 
@@ -61,8 +57,7 @@
 }
 
 std::uint32_t line_group::mostRunning(const line_upstream &Upstream) const {
-  return std::max<std::uint32_t>(Upstream.Announcement.Slots, 1) *
-         StatementsPerSlot;
+  return mostInFlight(Upstream.Announcement.Slots, View.Gateways.size());
 }
 
 bool line_group::mayConnect(const line_upstream &Upstream) const {
--- a/modules/line/queue_pace.cpp
+++ b/modules/line/queue_pace.cpp
@@ -14,6 +14,12 @@
 /// statements, and each takes its own time besides.
 constexpr int TargetParts = 2;
 
+/// Statements of all gateways together for each slot of an upstream: enough to
+/// keep the slots busy over a round trip between regions.
+constexpr std::uint32_t StatementsPerSlot = 4;
+/// A gateway far away has one on its way while another one runs.
+constexpr std::uint32_t LeastInFlight = 2;
+
 } // namespace
 
 void noteStart(queue_pace &Pace, std::size_t StillWaiting, time_point Now) {
@@ -29,6 +35,12 @@
   return Pace.Gap * static_cast<std::int64_t>(Ahead);
 }
 
+std::uint32_t mostInFlight(std::uint32_t Slots, std::size_t Gateways) {
+  auto Parts = static_cast<std::uint32_t>(std::max<std::size_t>(Gateways, 1));
+  std::uint32_t All = std::max<std::uint32_t>(Slots, 1) * StatementsPerSlot;
+  return std::max((All + Parts - 1) / Parts, LeastInFlight);
+}
+
 bool mayWait(const wait_demand &Demand, duration Wait) {
   if (Wait + Demand.Latency > Demand.Remaining)
     return false;
--- a/modules/line/queue_pace.h
+++ b/modules/line/queue_pace.h
@@ -8,6 +8,7 @@
 #include "core/time.h"
 
 #include <cstddef>
+#include <cstdint>
 
 namespace teasellock {
 
@@ -40,4 +41,13 @@
 /// the operation.
 bool mayWait(const wait_demand &Demand, duration Wait);
 
+/// How many statements one of so many gateways runs at once on an upstream with
+/// so many slots.
+///
+/// Load answered: more statements than an upstream's slots can run. What is
+/// sent there waits in order of arrival, and fills its queue until it refuses
+/// work; what waits here goes in order of importance. It also bounds the
+/// connections that an upstream still counts after all VMs have lost power.
+std::uint32_t mostInFlight(std::uint32_t Slots, std::size_t Gateways);
+
 } // namespace teasellock
--- a/modules/line/tests/test_queue_pace.cpp
+++ b/modules/line/tests/test_queue_pace.cpp
@@ -91,3 +91,18 @@
   noteStart(Pace, 1, at(5000));
   CHECK(expectedWait(Pace, 10) < fromMilliseconds(200));
 }
+
+TEST_CASE("line: gateways together keep an upstream's slots busy and its queue "
+          "short") {
+  for (std::uint32_t Slots : {1u, 2u, 3u, 8u})
+    for (std::size_t Gateways : {1u, 3u, 6u, 7u, 10u}) {
+      CAPTURE(Slots);
+      CAPTURE(Gateways);
+      auto Most = mostInFlight(Slots, Gateways);
+      CHECK(Most >= 2);
+      CHECK(Most * Gateways >= Slots * 4);
+      CHECK(Most * Gateways <=
+            std::max<std::size_t>(Slots * 4 + Gateways, 2 * Gateways));
+    }
+  CHECK(mostInFlight(3, 0) == 12);
+}
