--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,8 @@
 # One seed for every property test, so that a verdict repeats.
 export RC_PARAMS ?= seed=20261204
 
-.PHONY: install build demo up clients test unit failures bench soak fuzz format lint
+.PHONY: install build demo up clients test unit failures regressions soak \
+  failures-again bench fuzz format lint
 
 install:
 	@.ci/install
@@ -21,8 +22,9 @@
 up: build
 	tests/cluster/up.sh
 
-# All tests: decisions and tasks in one process, then failures of processes.
-test: unit failures
+# All tests: decisions and tasks in one process, then failures of processes, then
+# random faults with the seeds that ever failed.
+test: unit failures regressions
 
 unit: build
 	timeout 900 $(BUILD)/teasellock_tests
@@ -38,8 +40,15 @@
 bench: build
 	timeout 900 tests/cluster/bench.sh
 
-# The failures again and again with changing seeds, each printed.
+# Random faults with the line protocol: seeds that once failed, or fresh ones.
+regressions: build
+	SEEDS=regressions SPAN=15 timeout 600 tests/soak/soak.sh
+
 soak: build
+	tests/soak/soak.sh
+
+# The scripted failures again and again with changing seeds, each printed.
+failures-again: build
 	tests/cluster/soak.sh
 
 # Property tests with many more cases and a changing seed, which is printed.
--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -116,7 +116,7 @@
     std::filesystem::create_directories(Vm.DataFolder);
     Add("data-folder", Vm.DataFolder);
     Add("gateway", "off");
-    Add("bootstrap", "true");
+    Process.FirstArguments = {"--bootstrap", "true"};
     Add("tolerated-losses", "1");
     Add("election-ms", "300");
   } else {
--- a/tests/soak/vm_process.cpp
+++ b/tests/soak/vm_process.cpp
@@ -40,13 +40,15 @@
   Arguments.push_back(Options.Program.data());
   for (auto &Argument : Options.Arguments)
     Arguments.push_back(Argument.data());
+  for (auto &Argument : Options.FirstArguments)
+    Arguments.push_back(Argument.data());
   Arguments.push_back(nullptr);
   Ending = false;
   Pid = ::fork();
   if (Pid < 0)
     throw error("process.start", Options.Name, std::strerror(errno));
   if (Pid > 0)
-    return;
+    return Options.FirstArguments.clear();
   int Log = ::open(Options.LogFile.c_str(),
                    O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
   ::dup2(Log, STDOUT_FILENO);
--- a/tests/soak/vm_process.h
+++ b/tests/soak/vm_process.h
@@ -16,6 +16,8 @@
   std::string Name;
   std::string Program;
   std::vector<std::string> Arguments;
+  /// Besides, at the first start only.
+  std::vector<std::string> FirstArguments;
   std::string LogFile;
 };
 
