Consensus: a leader waits two election timeouts for a quorum

Change: no quorum for two election timeouts in place of one. What a leader may answer is still guarded by confirmations. Test: the consensus fuzz and 'a leader cut off from the others steps down' pass.

--- a/modules/consensus/consensus_state.cpp
+++ b/modules/consensus/consensus_state.cpp
@@ -10,6 +10,10 @@
 
 namespace {
 
+/// Election timeouts that a leader waits for a quorum. Followers that are only
+/// slow, as while everything starts, still follow it after one.
+constexpr int QuorumPatience = 2;
+
 /// Whether a request is for this store and of its group.
 template <typename Request>
 bool isForUs(const consensus_state &State, const Request &Message) {
@@ -47,12 +51,12 @@
   }
 };
 
-/// Steps down when no quorum has answered for an election timeout.
+/// Steps down when no quorum has answered for some time.
 void checkQuorum(consensus_state &State, const decision_input &Input,
                  consensus_effects &Effects) {
   time_point Confirmed =
       std::max(leaderConfirmedAt(State, Input.Now), State.LeaderSince);
-  if (Input.Now - Confirmed > State.Timing.ElectionTimeout)
+  if (Input.Now - Confirmed > State.Timing.ElectionTimeout * QuorumPatience)
     stepDown(State, State.Promises.Term, Input, Effects);
 }
 
