Line: reads stay within their region until it is notably slower

Cause: between regions bytes are billed, and a read left its region as soon as an upstream there was 25 ms slower. Change: distance counts as a cost, 60 ms between regions and 8 ms between zones.

--- a/modules/line/line_statements.cpp
+++ b/modules/line/line_statements.cpp
@@ -7,10 +7,12 @@
 
 namespace {
 
-/// Times by distance: within a zone, within a region, between regions.
-constexpr duration ZoneRoundTrip = std::chrono::microseconds(300);
-constexpr duration RegionRoundTrip = std::chrono::milliseconds(3);
-constexpr duration FarRoundTrip = std::chrono::milliseconds(25);
+/// What a statement costs by distance, as time: within a zone, within a region,
+/// between regions. More than the round trip, as bytes are billed by distance:
+/// a nearer upstream is preferred until its latency has grown by so much.
+constexpr duration ZoneCost = std::chrono::microseconds(300);
+constexpr duration RegionCost = std::chrono::milliseconds(8);
+constexpr duration FarCost = std::chrono::milliseconds(60);
 /// Connections that may be opening to one upstream at once: each takes a slot
 /// there for as long as a statement.
 constexpr std::uint32_t MostOpening = 2;
@@ -18,11 +20,11 @@
 /// many.
 constexpr int LatencyParts = 8;
 
-duration roundTripTo(const vm_identity &Self,
-                     const upstream_announcement &Upstream) {
+duration costTo(const vm_identity &Self,
+                const upstream_announcement &Upstream) {
   if (Upstream.AvailabilityZone == Self.AvailabilityZone)
-    return ZoneRoundTrip;
-  return Upstream.Region == Self.Region ? RegionRoundTrip : FarRoundTrip;
+    return ZoneCost;
+  return Upstream.Region == Self.Region ? RegionCost : FarCost;
 }
 
 /// Prepared statements of all sessions share names by shape.
@@ -184,7 +186,7 @@
     Option.Applied = Upstream.Applied;
     Option.Primary = Primary == Id;
     Option.Free = !Upstream.Idle.empty();
-    Option.RoundTrip = roundTripTo(Context.Self, Upstream.Announcement);
+    Option.DistanceCost = costTo(Context.Self, Upstream.Announcement);
     Option.Latency = Upstream.Latency;
     Option.Running = Upstream.Running;
     Option.Slots = Upstream.Announcement.Slots;
--- a/modules/line/read_choice.cpp
+++ b/modules/line/read_choice.cpp
@@ -14,7 +14,7 @@
   auto Slots = std::max<std::uint32_t>(Option.Slots, 1);
   auto Ahead = static_cast<std::int64_t>(Option.Running) /
                static_cast<std::int64_t>(Slots);
-  duration Expected = Option.RoundTrip + Option.Latency * (1 + Ahead);
+  duration Expected = Option.DistanceCost + Option.Latency * (1 + Ahead);
   return Option.Primary ? Expected * PrimaryPenalty : Expected;
 }
 
--- a/modules/line/read_choice.h
+++ b/modules/line/read_choice.h
@@ -53,8 +53,8 @@
   bool Primary = false;
   /// A connection is free or may be opened.
   bool Free = false;
-  /// Time to and from it.
-  duration RoundTrip{};
+  /// What its distance costs, as time.
+  duration DistanceCost{};
   /// What one statement takes there now, by its latest answers.
   duration Latency{};
   /// Statements of this gateway that run there.
--- a/modules/line/tests/test_read_choice.cpp
+++ b/modules/line/tests/test_read_choice.cpp
@@ -104,7 +104,7 @@
   Near.Latency = fromMilliseconds(20);
   read_option Far = Near;
   Far.Upstream = upstream_id("far");
-  Far.RoundTrip = fromMilliseconds(25);
+  Far.DistanceCost = fromMilliseconds(25);
   std::vector<read_option> Options = {Far, Near};
   CHECK(chooseUpstream(Options, place(1, 5), {})->Upstream.Value == "near");
   // It lags: the other one.
