Link: idle links send a sixth of the heartbeats

Cause: every entry has a link to every gateway, thousands of which carry nothing; four heartbeats a second on each were a large part of the processor time and of the bytes between VMs, and break the limit at 1,700 VMs. Change: a link without messages for 2 s sends a heartbeat every 1.5 s and counts as silent after 4 s; with the next message it is watched closely again, so that a frozen peer is noticed within 1 s of being asked, as before. Tests: ends that run never call each other silent whatever is sent (rapidcheck); a frozen peer is noticed in time; heartbeats of idle links.

--- a/modules/link/link_hub.cpp
+++ b/modules/link/link_hub.cpp
@@ -64,8 +64,7 @@
     std::string In;
     std::string Out;
     std::size_t OutStart = 0;
-    time_point LastHeard;
-    time_point LastSent;
+    link_pulse Pulse;
     dial_schedule Schedule;
     /// The next dial, or the end of the time for the present one.
     timer_subscription Redial;
@@ -164,7 +163,6 @@
     return;
   }
   Link.Connecting = true;
-  Link.LastHeard = Context.Timers.now();
   Link.Watch = Context.Loop.watch(
       Link.Socket, {false, true},
       [this, Id = Link.Id](readiness Ready) { onReady(Id, Ready); });
@@ -185,7 +183,8 @@
 
 void link_hub::state::begin(link &Link) {
   sendWithoutDelay(Link.Socket);
-  Link.LastHeard = Context.Timers.now();
+  time_point Now = Context.Timers.now();
+  Link.Pulse = {Now, Now, Now, Now};
   Link.Watch = Context.Loop.watch(
       Link.Socket, {true, false},
       [this, Id = Link.Id](readiness Ready) { onReady(Id, Ready); });
@@ -230,7 +229,7 @@
     ssize_t Count = ::recv(Link.Socket, Buffer, sizeof(Buffer), 0);
     if (Count > 0) {
       Link.In.append(Buffer, static_cast<std::size_t>(Count));
-      Link.LastHeard = Context.Timers.now();
+      Link.Pulse.LastHeard = Context.Timers.now();
       BytesIn.add(static_cast<std::uint64_t>(Count));
       if (static_cast<std::size_t>(Count) < sizeof(Buffer))
         return;
@@ -298,6 +297,7 @@
   }
   if (!Link.Open)
     throw error("link.hello", Link.PeerName, "message before hello");
+  noteMessage(Link.Pulse, Settings.Pulse, Context.Timers.now());
   link_message Message{message_kind(Envelope.kind),
                        request_id(static_cast<std::uint64_t>(Envelope.request)),
                        std::move(Envelope.body),
@@ -310,7 +310,7 @@
 }
 
 void link_hub::state::queue(link &Link, const wire::envelope &Envelope) {
-  Link.LastSent = Context.Timers.now();
+  Link.Pulse.LastSent = Context.Timers.now();
   Link.Out += frameOf(Envelope);
   if (Link.Out.size() - Link.OutStart > Settings.LargestBacklog) {
     Context.Loop.post([this, Guard = std::weak_ptr<bool>(Alive), Id = Link.Id,
@@ -396,14 +396,15 @@
   auto Now = Context.Timers.now();
   std::vector<std::pair<link_id, std::string>> Silent;
   for (auto &[Id, Link] : Links) {
-    if (Link->Socket < 0)
+    // A dial has a limit of its own.
+    if (Link->Socket < 0 || Link->Connecting)
       continue;
-    if (Now - Link->LastHeard > Settings.SilenceLimit) {
+    if (isSilent(Link->Pulse, Settings.Pulse, Now)) {
       Silent.emplace_back(Id, Link->PeerName);
       continue;
     }
     // What was sent lately tells the peer as much.
-    if (Link->Connecting || Now - Link->LastSent < Settings.HeartbeatPeriod)
+    if (!heartbeatDue(Link->Pulse, Settings.Pulse, Now))
       continue;
     wire::envelope Envelope;
     Envelope.kind = HeartbeatKind;
@@ -416,7 +417,7 @@
 link_hub::link_hub(daemon_context &Context, link_settings Settings)
     : State(std::make_unique<state>(Context, Settings)) {
   State->Heartbeats = Context.Timers.every(
-      Settings.HeartbeatPeriod, [State = State.get()] { State->heartbeat(); });
+      Settings.Pulse.Period, [State = State.get()] { State->heartbeat(); });
 }
 
 link_hub::~link_hub() {
@@ -477,6 +478,7 @@
   Envelope.body = std::move(Message.Body);
   if (!Message.TraceParent.empty())
     Envelope.__set_trace_parent(Message.TraceParent);
+  noteMessage(Link->Pulse, State->Settings.Pulse, State->Context.Timers.now());
   State->queue(*Link, Envelope);
   return true;
 }
--- a/modules/link/link_hub.h
+++ b/modules/link/link_hub.h
@@ -8,6 +8,7 @@
 
 #include "core/daemon_context.h"
 #include "core/error.h"
+#include "modules/link/link_pulse.h"
 
 #include <functional>
 #include <memory>
@@ -40,10 +41,7 @@
 
 /// How long links wait.
 struct link_settings {
-  /// A link that sent nothing for this long sends a heartbeat.
-  duration HeartbeatPeriod = fromMilliseconds(250);
-  /// Four heartbeats: a frozen VM is left before most callers give up.
-  duration SilenceLimit = fromMilliseconds(1000);
+  pulse_settings Pulse;
   /// A link whose peer takes no data is closed beyond this many bytes.
   std::size_t LargestBacklog = 256 * 1024 * 1024;
 };
