Link: idle links are woken when a peer in use falls silent

Change: when a peer in use is unheard for half the limit, all idle links are asked to be watched closely, by both ends. Test: doubtful before silent, idle links are no reason to doubt.

--- a/modules/link/link_hub.cpp
+++ b/modules/link/link_hub.cpp
@@ -22,6 +22,8 @@
 
 constexpr std::int16_t HeartbeatKind = 1;
 constexpr std::int16_t HelloKind = 2;
+/// Asks the peer to watch the link closely, as any message does.
+constexpr std::int16_t WakeKind = 3;
 constexpr std::int32_t ProtocolVersion = 1;
 constexpr std::size_t LengthBytes = 4;
 constexpr std::size_t ReadBytes = 64 * 1024;
@@ -120,6 +122,7 @@
   void queue(link &Link, const wire::envelope &Envelope);
   void flush(link &Link);
   void breakLink(link_id Id, const error &Problem);
+  void wakeIdle(time_point Now);
   void heartbeat();
 };
 
@@ -298,6 +301,8 @@
   if (!Link.Open)
     throw error("link.hello", Link.PeerName, "message before hello");
   noteMessage(Link.Pulse, Settings.Pulse, Context.Timers.now());
+  if (Envelope.kind == WakeKind)
+    return;
   link_message Message{message_kind(Envelope.kind),
                        request_id(static_cast<std::uint64_t>(Envelope.request)),
                        std::move(Envelope.body),
@@ -392,8 +397,27 @@
       Watcher.Closed(Id, Problem);
 }
 
+/// Watches the idle links closely as well while a peer in use is doubtful.
+void link_hub::state::wakeIdle(time_point Now) {
+  bool Doubt = std::any_of(Links.begin(), Links.end(), [&](const auto &Entry) {
+    return Entry.second->Open &&
+           isDoubtful(Entry.second->Pulse, Settings.Pulse, Now);
+  });
+  if (!Doubt)
+    return;
+  for (auto &[Id, Link] : Links) {
+    if (!Link->Open || !isIdle(Link->Pulse, Settings.Pulse, Now))
+      continue;
+    wire::envelope Envelope;
+    Envelope.kind = WakeKind;
+    noteMessage(Link->Pulse, Settings.Pulse, Now);
+    queue(*Link, Envelope);
+  }
+}
+
 void link_hub::state::heartbeat() {
   auto Now = Context.Timers.now();
+  wakeIdle(Now);
   std::vector<std::pair<link_id, std::string>> Silent;
   for (auto &[Id, Link] : Links) {
     // A dial has a limit of its own.
--- a/modules/link/link_pulse.h
+++ b/modules/link/link_pulse.h
@@ -46,4 +46,14 @@
 bool isSilent(const link_pulse &Pulse, const pulse_settings &Settings,
               time_point Now);
 
+/// Whether a peer in use has been silent for half of that. Others may have
+/// failed with it: idle links are then watched closely as well, or callers
+/// would wait for one after the other.
+bool isDoubtful(const link_pulse &Pulse, const pulse_settings &Settings,
+                time_point Now);
+
+/// Whether the link carries nothing, so that it is not watched closely.
+bool isIdle(const link_pulse &Pulse, const pulse_settings &Settings,
+            time_point Now);
+
 } // namespace teasellock
--- a/modules/link/tests/test_link_pulse.cpp
+++ b/modules/link/tests/test_link_pulse.cpp
@@ -101,6 +101,22 @@
   }
 }
 
+TEST_CASE("link: a peer in use is doubtful before it counts as silent") {
+  // Pattern: many VMs lose power at once, and most links to them are idle.
+  pulse_settings Settings;
+  link_pulse Pulse{at(0), at(0), at(0), at(0)};
+  CHECK_FALSE(isDoubtful(Pulse, Settings, at(400)));
+  CHECK(isDoubtful(Pulse, Settings, at(600)));
+  CHECK_FALSE(isSilent(Pulse, Settings, at(600)));
+  // Idle links are no reason to doubt; they wake with the next message.
+  CHECK(isIdle(Pulse, Settings, at(2100)));
+  CHECK_FALSE(isDoubtful(Pulse, Settings, at(2100)));
+  noteMessage(Pulse, Settings, at(2100));
+  CHECK_FALSE(isIdle(Pulse, Settings, at(2100)));
+  CHECK_FALSE(isSilent(Pulse, Settings, at(3000)));
+  CHECK(isSilent(Pulse, Settings, at(3200)));
+}
+
 TEST_CASE("link: an idle link costs a sixth of the heartbeats") {
   two_ends Link;
   for (std::int64_t Now = 1; Now <= 2000; ++Now)
