Line: reads wait for a near connection rather than go far

Cause suspected: with few idle connections a read took an idle one in the other region although a near one could be opened. Change: an upstream without an idle connection may be chosen too, at the cost of opening one; at most two statements wait for it.

--- a/modules/line/line_group_state.h
+++ b/modules/line/line_group_state.h
@@ -37,6 +37,8 @@
   /// Connections that run a statement or hold a transaction.
   std::uint32_t Occupied = 0;
   std::uint32_t Opening = 0;
+  /// Statements that wait for one to be opened, in this turn of the queue.
+  std::uint32_t Awaited = 0;
   std::uint32_t Running = 0;
   time_point ConnectNotBefore;
   duration ConnectDelay{};
--- a/modules/line/line_statements.cpp
+++ b/modules/line/line_statements.cpp
@@ -13,6 +13,8 @@
 constexpr duration ZoneCost = std::chrono::microseconds(300);
 constexpr duration RegionCost = std::chrono::milliseconds(8);
 constexpr duration FarCost = std::chrono::milliseconds(60);
+/// What a connection that must be opened first adds.
+constexpr duration ConnectCost = std::chrono::milliseconds(15);
 /// Connections that may be opening to one upstream at once: each takes a slot
 /// there for as long as a statement.
 constexpr std::uint32_t MostOpening = 2;
@@ -154,6 +156,8 @@
   Pumping = true;
   do {
     PumpAgain = false;
+    for (auto &[Id, Upstream] : Upstreams)
+      Upstream.Awaited = 0;
     std::vector<std::uint64_t> Waiting;
     for (const auto &[Rank, Id] : Queue)
       Waiting.push_back(Id);
@@ -185,8 +189,12 @@
     Option.Upstream = Id;
     Option.Applied = Upstream.Applied;
     Option.Primary = Primary == Id;
-    Option.Free = !Upstream.Idle.empty();
     Option.DistanceCost = costTo(Context.Self, Upstream.Announcement);
+    bool Opens = Upstream.Opening > 0 || mayConnect(Upstream);
+    Option.Free =
+        !Upstream.Idle.empty() || (Opens && Upstream.Awaited < MostOpening);
+    if (Upstream.Idle.empty())
+      Option.DistanceCost += ConnectCost;
     Option.Latency = Upstream.Latency;
     Option.Running = Upstream.Running;
     Option.Slots = Upstream.Announcement.Slots;
@@ -204,10 +212,6 @@
     return false;
   }
   auto Options = readOptions();
-  if (const auto *Best = chooseUpstream(Options, *Needed, Work.Tried))
-    return startOn(Work, Best->Upstream, Needed);
-  for (auto &Option : Options)
-    Option.Free = mayConnect(Upstreams.at(Option.Upstream));
   if (const auto *Best = chooseUpstream(Options, *Needed, Work.Tried))
     return startOn(Work, Best->Upstream, Needed);
   Work.Reason = "no upstream with the data has room";
@@ -226,6 +230,7 @@
   }
   if (Upstream.Idle.empty()) {
     Work.Reason = "no connection is free";
+    ++Upstream.Awaited;
     if (Upstream.Opening < MostOpening && mayConnect(Upstream))
       connect(Id);
     return false;
