--- a/ctl/teasellock.cpp
+++ b/ctl/teasellock.cpp
@@ -107,6 +107,13 @@
                                 "lease_ms", "draining", "applied",
                                 "heard_ms_ago"});
              });
+  addCommand(App, "routes", "every route of the deployment in force",
+             "teasellock routes", Chosen, [](command_context &C) {
+               return showList(C, "/v1/deployment", "routes",
+                               {"database", "group", "consistency",
+                                "max_staleness_ms", "timeout_ms", "target_ms",
+                                "priority"});
+             });
   addCommand(App, "group", "all that is known of one group",
              "teasellock group despacho-1", Chosen,
              [&](command_context &C) {
--- a/modules/control/control_operators.cpp
+++ b/modules/control/control_operators.cpp
@@ -117,6 +117,8 @@
     Answer(200, text(groupsJson(Replicated, Leader)));
   else if (What == "vms")
     Answer(200, text(vmsJson(Replicated, Leader, Settings, now())));
+  else if (What == "deployment")
+    Answer(200, text(deploymentJson(Replicated.Deployment.Deployment)));
   else if (What == "proposals")
     Answer(200, text(proposalsJson(Leader)));
   else
--- a/modules/control/operator_json.cpp
+++ b/modules/control/operator_json.cpp
@@ -68,11 +68,37 @@
     Result["deposed"] = Promotion.Deposed->Value;
   if (Promotion.Wanted)
     Result["wanted"] = Promotion.Wanted->Value;
-  if (Promotion.Chosen)
+  if (Promotion.Chosen) {
     Result["chosen"] = Promotion.Chosen->Value;
+    Result["chosen_at"] = toString(Promotion.ChosenPosition);
+  }
+  // Orders to the platform; zero while replicas are being paused.
+  Result["orders"] = Promotion.Attempt;
   return Result;
 }
 
+const char *toText(consistency Consistency) {
+  switch (Consistency) {
+  case consistency::Primary:
+    return "primary";
+  case consistency::BoundedStaleness:
+    return "bounded_staleness";
+  default:
+    return "read_your_writes";
+  }
+}
+
+json routeJson(const route &Route) {
+  return {{"route", Route.Name},
+          {"database", Route.Database.Value},
+          {"group", Route.Group.Value},
+          {"consistency", toText(Route.Consistency)},
+          {"max_staleness_ms", toMilliseconds(Route.MaxStaleness)},
+          {"timeout_ms", toMilliseconds(Route.StatementTimeout)},
+          {"target_ms", toMilliseconds(Route.TargetLatency)},
+          {"priority", Route.Priority}};
+}
+
 std::string waitingText(const group_state &Group, const leader_state &Leader) {
   auto Orders = Leader.Orders.find(Group.Group);
   return Orders == Leader.Orders.end() ? "" : Orders->second.Waiting;
@@ -94,6 +120,13 @@
   return {{"version", State.TableVersion.Value}, {"rows", Rows}};
 }
 
+json deploymentJson(const deployment &Deployment) {
+  json Routes = json::array();
+  for (const auto &Route : Deployment.Routes)
+    Routes.push_back(routeJson(Route));
+  return {{"version", Deployment.Version.Value}, {"routes", Routes}};
+}
+
 json groupJson(const group_state &Group, const leader_state &Leader) {
   json Result = {
       {"group", Group.Group.Value},
--- a/modules/control/operator_json.h
+++ b/modules/control/operator_json.h
@@ -10,6 +10,9 @@
 /// The table with its version.
 nlohmann::json tableJson(const control_state &State);
 
+/// The deployment in force: its version and routes.
+nlohmann::json deploymentJson(const deployment &Deployment);
+
 /// One group: its view, and why nothing is promoted if something should be.
 nlohmann::json groupJson(const group_state &Group, const leader_state &Leader);
 
--- a/modules/control/tests/test_control_service.cpp
+++ b/modules/control/tests/test_control_service.cpp
@@ -1,4 +1,5 @@
 #include "modules/control/control_service.h"
+#include "modules/control/operator_json.h"
 #include "modules/membership/member_agent.h"
 
 #include <doctest/doctest.h>
@@ -331,3 +332,24 @@
         std::string::npos);
   REQUIRE(Deployment.runUntil([&] { return Deployment.primaryIs("b"); }));
 }
+
+TEST_CASE("control: operators read the deployment in force") {
+  test_deployment Deployment;
+  Deployment.serve();
+  auto Empty = Deployment.ask("GET", "/v1/deployment");
+  CHECK(Empty.first == 200);
+  CHECK(Empty.second["version"] == 0);
+  deployment Given;
+  Given.Version = deployment_version(7);
+  route Route;
+  Route.Database = database_id("fares-live");
+  Route.Group = group_id("fares");
+  Route.Consistency = consistency::BoundedStaleness;
+  Route.MaxStaleness = fromMilliseconds(1500);
+  Given.Routes.push_back(Route);
+  auto Shown = deploymentJson(Given);
+  CHECK(Shown["version"] == 7);
+  CHECK(Shown["routes"][0]["database"] == "fares-live");
+  CHECK(Shown["routes"][0]["consistency"] == "bounded_staleness");
+  CHECK(Shown["routes"][0]["max_staleness_ms"] == 1500);
+}
--- /dev/null
+++ b/modules/link/link_connections.cpp
@@ -0,0 +1,282 @@
+#include "core/event_log.h"
+#include "modules/link/codec.h"
+#include "modules/link/link_hub_state.h"
+
+#include <arpa/inet.h>
+#include <cerrno>
+#include <cstring>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace teasellock {
+
+namespace {
+
+constexpr std::int32_t ProtocolVersion = 1;
+constexpr std::size_t LengthBytes = 4;
+constexpr std::size_t ReadBytes = 64 * 1024;
+
+std::string frameOf(const wire::envelope &Envelope) {
+  std::string Body = encode(Envelope);
+  std::uint32_t Length = htonl(static_cast<std::uint32_t>(Body.size()));
+  std::string Frame(reinterpret_cast<const char *>(&Length), LengthBytes);
+  Frame += Body;
+  return Frame;
+}
+
+int makeSocket(const std::string &Step, const std::string &Peer) {
+  int Socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (Socket < 0)
+    throw error(Step, Peer, std::strerror(errno));
+  return Socket;
+}
+
+void sendWithoutDelay(int Socket) {
+  int On = 1;
+  ::setsockopt(Socket, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
+}
+
+} // namespace
+
+link_hub::state::link &link_hub::state::addLink(bool IsDialled) {
+  auto Link = std::make_unique<link>();
+  Link->Id = link_id(++LastLink);
+  Link->Dialled = IsDialled;
+  auto &Result = *Link;
+  Links[Result.Id] = std::move(Link);
+  return Result;
+}
+
+void link_hub::state::accept() {
+  for (;;) {
+    sockaddr_in Address = {};
+    socklen_t Length = sizeof(Address);
+    int Socket = ::accept4(Listener, reinterpret_cast<sockaddr *>(&Address),
+                           &Length, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (Socket < 0)
+      return;
+    char Text[INET_ADDRSTRLEN] = {};
+    ::inet_ntop(AF_INET, &Address.sin_addr, Text, sizeof(Text));
+    auto &Link = addLink(false);
+    Link.PeerName =
+        std::string(Text) + ":" + std::to_string(ntohs(Address.sin_port));
+    Link.Socket = Socket;
+    begin(Link);
+  }
+}
+
+void link_hub::state::dial(link &Link) {
+  Link.PeerName = toString(Link.Target);
+  Link.Socket = makeSocket("link.dial", Link.PeerName);
+  sockaddr_in Address = toSocketAddress(Link.Target);
+  int Status = ::connect(Link.Socket, reinterpret_cast<sockaddr *>(&Address),
+                         sizeof(Address));
+  if (Status < 0 && errno != EINPROGRESS) {
+    ::close(Link.Socket);
+    Link.Socket = -1;
+    scheduleRedial(Link);
+    return;
+  }
+  Link.Connecting = true;
+  Link.Watch = Context.Loop.watch(
+      Link.Socket, {false, true},
+      [this, Id = Link.Id](readiness Ready) { onReady(Id, Ready); });
+  Link.Redial = Context.Timers.after(Link.Schedule.Timeout, [this,
+                                                             Id = Link.Id] {
+    if (auto *Found = find(Id); Found && Found->Connecting)
+      breakLink(Id, error("link.dial", Found->PeerName, "no answer in time"));
+  });
+}
+
+void link_hub::state::scheduleRedial(link &Link) {
+  duration Wait = noteDialEnded(Link.Schedule);
+  Link.Redial = Context.Timers.after(Wait, [this, Id = Link.Id] {
+    if (auto *Found = find(Id))
+      dial(*Found);
+  });
+}
+
+void link_hub::state::begin(link &Link) {
+  sendWithoutDelay(Link.Socket);
+  time_point Now = Context.Timers.now();
+  Link.Pulse = {Now, Now, Now, Now};
+  Link.Watch = Context.Loop.watch(
+      Link.Socket, {true, false},
+      [this, Id = Link.Id](readiness Ready) { onReady(Id, Ready); });
+  wire::hello Hello;
+  Hello.vm = Context.Self.Vm.Value;
+  Hello.incarnation = static_cast<std::int64_t>(Context.Self.Incarnation.Value);
+  Hello.protocol = ProtocolVersion;
+  wire::envelope Envelope;
+  Envelope.kind = HelloKind;
+  Envelope.body = encode(Hello);
+  queue(Link, Envelope);
+}
+
+void link_hub::state::onReady(link_id Id, readiness Ready) {
+  try {
+    if (auto *Link = find(Id); Link && Link->Connecting)
+      return finishConnect(*Link);
+    if (auto *Link = find(Id); Link && Ready.Readable) {
+      readFrom(*Link);
+      takeFrames(Id);
+    }
+    if (auto *Link = find(Id); Link && Link->Socket >= 0 && Ready.Writable)
+      flush(*Link);
+  } catch (const error &Problem) {
+    breakLink(Id, Problem);
+  }
+}
+
+void link_hub::state::finishConnect(link &Link) {
+  int Status = 0;
+  socklen_t Length = sizeof(Status);
+  ::getsockopt(Link.Socket, SOL_SOCKET, SO_ERROR, &Status, &Length);
+  if (Status != 0)
+    throw error("link.dial", Link.PeerName, std::strerror(Status));
+  Link.Connecting = false;
+  begin(Link);
+}
+
+void link_hub::state::readFrom(link &Link) {
+  char Buffer[ReadBytes];
+  for (;;) {
+    ssize_t Count = ::recv(Link.Socket, Buffer, sizeof(Buffer), 0);
+    if (Count > 0) {
+      Link.In.append(Buffer, static_cast<std::size_t>(Count));
+      Link.Pulse.LastHeard = Context.Timers.now();
+      BytesIn.add(static_cast<std::uint64_t>(Count));
+      if (static_cast<std::size_t>(Count) < sizeof(Buffer))
+        return;
+      continue;
+    }
+    if (Count == 0)
+      throw error("link.read", Link.PeerName, "closed by peer");
+    if (errno == EAGAIN || errno == EWOULDBLOCK)
+      return;
+    if (errno != EINTR)
+      throw error("link.read", Link.PeerName, std::strerror(errno));
+  }
+}
+
+void link_hub::state::takeFrames(link_id Id) {
+  std::size_t Start = 0;
+  for (;;) {
+    // A receiver may have closed the link; look it up anew each time.
+    auto *Link = find(Id);
+    if (!Link || Link->Socket < 0)
+      return;
+    if (Link->In.size() - Start < LengthBytes) {
+      Link->In.erase(0, Start);
+      return;
+    }
+    std::uint32_t Length;
+    std::memcpy(&Length, Link->In.data() + Start, LengthBytes);
+    Length = ntohl(Length);
+    if (Length > LargestFrame)
+      throw error("link.read", Link->PeerName,
+                  "frame of " + std::to_string(Length) + " bytes is too long");
+    if (Link->In.size() - Start - LengthBytes < Length) {
+      Link->In.erase(0, Start);
+      return;
+    }
+    std::string_view Bytes(Link->In.data() + Start + LengthBytes, Length);
+    auto Envelope = decode<wire::envelope>(Bytes, Link->PeerName);
+    Start += LengthBytes + Length;
+    deliver(*Link, std::move(Envelope));
+  }
+}
+
+void link_hub::state::deliver(link &Link, wire::envelope &&Envelope) {
+  if (Envelope.kind == HeartbeatKind)
+    return;
+  if (Envelope.kind == HelloKind) {
+    auto Hello = decode<wire::hello>(Envelope.body, Link.PeerName);
+    if (Hello.protocol != ProtocolVersion)
+      throw error("link.hello", Link.PeerName,
+                  "speaks protocol " + std::to_string(Hello.protocol));
+    Link.Peer.Vm = vm_id(Hello.vm);
+    Link.Peer.Incarnation =
+        incarnation(static_cast<std::uint64_t>(Hello.incarnation));
+    Link.Open = true;
+    notePeerAnswered(Link.Schedule);
+    event("link.opened", severity::Debug)
+        .with("peer", Link.PeerName)
+        .with("vm", Hello.vm);
+    auto Id = Link.Id;
+    auto Peer = Link.Peer;
+    for (auto &Watcher : Watchers)
+      if (Watcher.Opened)
+        Watcher.Opened(Id, Peer);
+    return;
+  }
+  if (!Link.Open)
+    throw error("link.hello", Link.PeerName, "message before hello");
+  noteMessage(Link.Pulse, Settings.Pulse, Context.Timers.now());
+  if (Envelope.kind == WakeKind)
+    return;
+  link_message Message{message_kind(Envelope.kind),
+                       request_id(static_cast<std::uint64_t>(Envelope.request)),
+                       std::move(Envelope.body),
+                       std::move(Envelope.trace_parent)};
+  for (auto &Receiver : Receivers)
+    if (Envelope.kind >= Receiver.First && Envelope.kind <= Receiver.Last)
+      return Receiver.Deliver(Link.Id, std::move(Message));
+  throw error("link.read", Link.PeerName,
+              "unknown message kind " + std::to_string(Envelope.kind));
+}
+
+void link_hub::state::queue(link &Link, const wire::envelope &Envelope) {
+  Link.Pulse.LastSent = Context.Timers.now();
+  Link.Out += frameOf(Envelope);
+  if (Link.Out.size() - Link.OutStart > Settings.LargestBacklog) {
+    Context.Loop.post([this, Guard = std::weak_ptr<bool>(Alive), Id = Link.Id,
+                       Peer = Link.PeerName] {
+      if (!Guard.expired())
+        breakLink(Id, error("link.write", Peer, "takes no data"));
+    });
+    return;
+  }
+  // One write for all frames of this turn of the loop.
+  if (Link.FlushPosted)
+    return;
+  Link.FlushPosted = true;
+  Context.Loop.post([this, Guard = std::weak_ptr<bool>(Alive), Id = Link.Id] {
+    if (Guard.expired())
+      return;
+    auto *Found = find(Id);
+    if (!Found || Found->Socket < 0)
+      return;
+    try {
+      flush(*Found);
+    } catch (const error &Problem) {
+      breakLink(Id, Problem);
+    }
+  });
+}
+
+void link_hub::state::flush(link &Link) {
+  Link.FlushPosted = false;
+  while (Link.OutStart < Link.Out.size()) {
+    ssize_t Count = ::send(Link.Socket, Link.Out.data() + Link.OutStart,
+                           Link.Out.size() - Link.OutStart, MSG_NOSIGNAL);
+    if (Count > 0) {
+      Link.OutStart += static_cast<std::size_t>(Count);
+      BytesOut.add(static_cast<std::uint64_t>(Count));
+      continue;
+    }
+    if (errno == EAGAIN || errno == EWOULDBLOCK) {
+      Link.Watch.want({true, true});
+      return;
+    }
+    if (errno != EINTR)
+      throw error("link.write", Link.PeerName, std::strerror(errno));
+  }
+  Link.Out.clear();
+  Link.OutStart = 0;
+  Link.Watch.want({true, false});
+}
+
+} // namespace teasellock
