Control: one gateway for each zone where the number is open

Change: as many gateways as there are zones with gateway VMs, three at least. Test: 80 VMs in 1, 3 and 6 zones; each zone is covered.

--- a/modules/control/assignment.cpp
+++ b/modules/control/assignment.cpp
@@ -64,11 +64,12 @@
 }
 
 /// Gateways of a group whose row leaves the number open: every VM has about
-/// one group, and each group has enough to lose one.
+/// one group, and each group has enough to lose one. More than one for each
+/// zone would only divide queues and connections further.
 std::size_t automaticGateways(const control_state &State) {
-  return std::max(LeastAutomaticGateways,
-                  State.Index.GatewayVms /
-                      std::max<std::size_t>(State.Index.Groups, 1));
+  std::size_t Part =
+      State.Index.GatewayVms / std::max<std::size_t>(State.Index.Groups, 1);
+  return std::max(LeastAutomaticGateways, std::min(Part, State.Index.Zones));
 }
 
 std::size_t wantedGateways(const control_state &State,
--- a/modules/control/control_state.cpp
+++ b/modules/control/control_state.cpp
@@ -161,8 +161,14 @@
     }
     Index.Groups += !Group.Removed;
   }
-  for (const auto &[Name, Vm] : State.Vms)
-    Index.GatewayVms += Vm.Gateway && !Vm.Draining;
+  std::set<availability_zone_id> Zones;
+  for (const auto &[Name, Vm] : State.Vms) {
+    if (!Vm.Gateway || Vm.Draining)
+      continue;
+    ++Index.GatewayVms;
+    Zones.insert(Vm.AvailabilityZone);
+  }
+  Index.Zones = Zones.size();
   return Index;
 }
 
--- a/modules/control/control_state.h
+++ b/modules/control/control_state.h
@@ -146,6 +146,8 @@
   /// Groups that are served, and VMs that take some.
   std::size_t Groups = 0;
   std::size_t GatewayVms = 0;
+  /// Availability zones that have such VMs.
+  std::size_t Zones = 0;
 
   bool operator==(const group_index &) const = default;
 };
--- a/modules/control/tests/test_assignment.cpp
+++ b/modules/control/tests/test_assignment.cpp
@@ -1,6 +1,7 @@
 #include "modules/control/assignment.h"
 
 #include <doctest/doctest.h>
+#include <set>
 
 using namespace teasellock;
 
@@ -223,3 +224,38 @@
   auto Second = decideAssignment(State, *First.Next, Leader, Settings, Now);
   CHECK_FALSE(Second.Next);
 }
+
+TEST_CASE("control: a group whose number of gateways is open has one in each "
+          "zone") {
+  // Pattern: many VMs and few groups; more gateways would share an upstream's
+  // connections and slots in smaller parts.
+  for (std::size_t Zones : {1u, 3u, 6u}) {
+    CAPTURE(Zones);
+    control_state State;
+    leader_state Leader;
+    time_point Now(fromMilliseconds(100000));
+    for (std::size_t Number = 0; Number < 80; ++Number) {
+      vm_record Vm;
+      Vm.Vm = vm_id("vm" + std::to_string(Number));
+      Vm.AvailabilityZone =
+          availability_zone_id("z" + std::to_string(Number % Zones));
+      State.Vms[Vm.Vm] = Vm;
+      Leader.Vms[Vm.Vm].HeardAt = Now;
+    }
+    auto &Group = State.Groups[group_id("g")];
+    Group.Group = group_id("g");
+    Group.Removed = false;
+    Group.Row.Gateways = 0;
+    Group.Row.MaxConnections = 216;
+    Group.Upstreams[upstream_id("u")].Connections = 0;
+    State.Index = indexGroups(State);
+    auto Decision =
+        decideAssignment(State, Group, Leader, decision_settings(), Now);
+    REQUIRE(Decision.Next);
+    CHECK(Decision.Next->Gateways.size() == std::max<std::size_t>(Zones, 3));
+    std::set<availability_zone_id> Covered;
+    for (const auto &Share : Decision.Next->Gateways)
+      Covered.insert(Share.AvailabilityZone);
+    CHECK(Covered.size() == Zones);
+  }
+}
