--- a/modules/control/held_renewals.h
+++ b/modules/control/held_renewals.h
@@ -31,7 +31,7 @@
                  link_message Message, time_point Now);
 
 /// Removes and returns what is to be answered now: everything once a leader is
-/// known, else what has waited as long as VMs are patient.
+/// known, else what has waited for longer than an election takes.
 std::vector<held_renewal> takeAnswerable(held_renewals &Held, bool LeaderKnown,
                                          time_point Now);
 
--- a/modules/line/line_group.cpp
+++ b/modules/line/line_group.cpp
@@ -279,7 +279,7 @@
   while (!Upstream.Idle.empty() &&
          Upstream.Occupied + Upstream.Opening + Upstream.Idle.size() > Limit)
     Upstream.Idle.erase(Upstream.Idle.begin());
-  // The longest unused come first.
+  // The longest unused come first: sessions are taken from the back.
   while (Upstream.Idle.size() > WarmConnections &&
          now() - Upstream.Idle.front()->UsedAt > UnusedLimit)
     Upstream.Idle.erase(Upstream.Idle.begin());
