Control, Membership: copies of the deployment and late replies are logged

Cause: the logs of the incident could not tell three hypotheses apart. Nothing said what the leader sent to whom, or that a VM had discarded a reply.

Change: while a VM has an older deployment, the leader logs once a second control.deployment_progress: VMs, how many are behind, copies sent, their bytes, and all bytes on its links. A VM logs membership.late_reply with its size. Four counters have the same figures. No decision is changed.

--- a/modules/control/control_decisions.cpp
+++ b/modules/control/control_decisions.cpp
@@ -35,6 +35,7 @@
     return now() - Entry.second.FenceSentAt > FenceReplyTimeout;
   });
   maintainMembers();
+  reportDeploymentProgress();
   decideGroups(advanceSweep(Queue, Replicated));
 }
 
--- a/modules/control/control_deployment.cpp
+++ b/modules/control/control_deployment.cpp
@@ -6,6 +6,8 @@
 #include "modules/control/internal_calls.h"
 #include "modules/link/codec.h"
 
+#include <algorithm>
+
 namespace teasellock {
 
 namespace {
@@ -15,6 +17,7 @@
 constexpr int ServiceUnavailable = 503;
 /// The HTTP server accepts no larger body.
 constexpr std::size_t MaxDocumentBytes = 16 * 1024 * 1024;
+const duration ProgressReportInterval = fromMilliseconds(1000);
 
 } // namespace
 
@@ -87,6 +90,26 @@
   });
 }
 
+void control_service::state::reportDeploymentProgress() {
+  if (now() - ProgressReportedAt < ProgressReportInterval)
+    return;
+  ProgressReportedAt = now();
+  auto Version = Replicated.Deployment.Deployment.Version;
+  auto Behind =
+      std::count_if(Leader.Vms.begin(), Leader.Vms.end(), [&](const auto &Vm) {
+        return Vm.second.Deployment < Version;
+      });
+  if (Behind == 0)
+    return;
+  event("control.deployment_progress")
+      .with("version", Version.Value)
+      .with("vms", static_cast<std::uint64_t>(Leader.Vms.size()))
+      .with("behind", static_cast<std::uint64_t>(Behind))
+      .with("copies", DeploymentCopies.Value)
+      .with("copy_bytes", DeploymentBytes.Value)
+      .with("link_bytes", LinkBytes.Value);
+}
+
 /// The announcement of an upstream that has left may contain only its name.
 bool control_service::state::completeDeparture(
     wire::announcement &Announcement) const {
--- a/modules/control/control_service.cpp
+++ b/modules/control/control_service.cpp
@@ -45,6 +45,12 @@
       Promotions(
           Context.Metrics.counterOf("teasellock_control_promotions_total")),
       Renewals(Context.Metrics.counterOf("teasellock_control_renewals_total")),
+      DeploymentCopies(Context.Metrics.counterOf(
+          "teasellock_control_deployment_copies_total")),
+      DeploymentBytes(Context.Metrics.counterOf(
+          "teasellock_control_deployment_bytes_total")),
+      LinkBytes(Context.Metrics.counterOf("teasellock_link_bytes_total",
+                                          {{"direction", "out"}})),
       Consensus(Context, Hub, std::move(ConsensusSettings), hooks()) {}
 
 state_machine_hooks control_service::state::hooks() {
@@ -229,8 +235,11 @@
   Reply.lease_ms =
       Reply.more || !Leased ? 0 : toMilliseconds(Settings.LeaseTime);
   auto Version = static_cast<std::uint64_t>(Renewal.deployment_version);
-  if (Replicated.Deployment.Deployment.Version.Value > Version)
+  if (Replicated.Deployment.Deployment.Version.Value > Version) {
     Reply.__set_newer_deployment(toWire(Replicated.Deployment.Deployment));
+    DeploymentCopies.add();
+    DeploymentBytes.add(encode(Reply.newer_deployment).size());
+  }
   for (const auto &Member : Consensus.members())
     Reply.control.push_back(toString(Member.Address));
   Reply.released =
--- a/modules/control/control_service_state.h
+++ b/modules/control/control_service_state.h
@@ -71,6 +71,12 @@
   timer_subscription TickTimer;
   counter &Promotions;
   counter &Renewals;
+  /// Copies of the deployment sent to VMs, and their bytes.
+  counter &DeploymentCopies;
+  counter &DeploymentBytes;
+  /// Bytes that this process has sent on all its links.
+  counter &LinkBytes;
+  time_point ProgressReportedAt;
   consensus_service Consensus;
 
   state(daemon_context &Context, link_hub &Hub, control_settings Settings,
@@ -117,6 +123,8 @@
   bool isKnownAnnouncement(upstream_announcement Announcement);
   void handleAnnouncement(const std::string &Body,
                           const answer_callback &Answer);
+  /// Logs, once a second, how many VMs still have an older deployment.
+  void reportDeploymentProgress();
 
   void onFenceReply(link_id Link, link_message &&Message);
   void onPromoteReply(link_id Link, link_message &&Message);
--- a/modules/control/leader_state.h
+++ b/modules/control/leader_state.h
@@ -60,6 +60,7 @@
   incarnation Incarnation;
   time_point LastReceivedAt;
   revision AppliedRevision;
+  deployment_version Deployment;
   /// In microseconds of the VM's own clock.
   std::int64_t SentAtUs = 0;
   std::map<group_id, group_observation> Groups;
--- a/modules/control/leases.cpp
+++ b/modules/control/leases.cpp
@@ -165,6 +165,8 @@
   Vm.Incarnation = Gateway.second;
   Vm.LastReceivedAt = Now;
   Vm.AppliedRevision = std::max(Vm.AppliedRevision, appliedOf(Renewal));
+  Vm.Deployment = deployment_version(
+      static_cast<std::uint64_t>(Renewal.deployment_version));
   Vm.SentAtUs = Renewal.sent_at_us;
   recordReports(State, Vm, Renewal, Now);
   recordDirtyApplied(State, Leader, Gateway, Renewal);
--- a/modules/membership/member_agent.cpp
+++ b/modules/membership/member_agent.cpp
@@ -87,11 +87,14 @@
   timer_subscription EarlyRenewalTimer;
   timer_subscription TimeoutTimer;
   counter &UnansweredRenewals;
+  counter &LateReplies;
 
   state(daemon_context &Context, link_hub &Hub, membership_settings Settings)
       : Context(Context), Hub(Hub), Settings(std::move(Settings)),
         UnansweredRenewals(Context.Metrics.counterOf(
-            "teasellock_membership_unanswered_renewals_total")) {
+            "teasellock_membership_unanswered_renewals_total")),
+        LateReplies(Context.Metrics.counterOf(
+            "teasellock_membership_late_replies_total")) {
     Member.Self = Context.Self.Vm;
     Member.Incarnation = Context.Self.Incarnation;
     Member.InheritsShares = this->Settings.InheritsShares;
@@ -223,8 +226,16 @@
 void member_agent::state::onRenewalReply(link_id, link_message &&Message) {
   auto Reply = decode<wire::renewal_reply>(Message.Body, "control");
   auto Known = SentRenewals.find(Message.Request);
-  if (Known == SentRenewals.end())
+  if (Known == SentRenewals.end()) {
+    LateReplies.add();
+    event("membership.late_reply", severity::Warning)
+        .with("bytes", static_cast<std::uint64_t>(Message.Body.size()))
+        .with("revision", Reply.revision)
+        .with("deployment", Reply.__isset.newer_deployment
+                                ? Reply.newer_deployment.version
+                                : std::int64_t{0});
     return;
+  }
   time_point SentAt = Known->second;
   // This reply also covers all earlier renewals.
   SentRenewals.erase(SentRenewals.begin(), std::next(Known));
