Tests: a deployment of 1,466 routes is not distributed (known red)

What callers saw: an added route was not served and a confirmed change was not in force for twenty seconds, while little else was served either.

Two tests on real links through a relay of limited bandwidth, both failing on this code: behind 1 Mbit/s one VM never gets 1,466 routes (a reply that takes more than 350 ms is discarded and fetched again); behind 4 Mbit/s eight VMs are sent 92 copies in 4 s, and none has them.

The relay limits the rate of all its connections together.

--- a/tests/soak/relay.h
+++ b/tests/soak/relay.h
@@ -26,6 +26,9 @@
   void dropBytes(relay_drop Direction) { Dropped = Direction; }
   /// Delays all bytes by this time.
   void setDelay(duration Span) { Delay = Span; }
+  /// Limits the bytes per second in each direction, of all connections
+  /// together. Zero removes the limit.
+  void limitRate(std::uint64_t BytesPerSecond) { Rate = BytesPerSecond; }
   /// Closes each open connection with this probability, 0 to 1.
   void resetConnections(double Share, std::uint64_t Seed);
   /// Drops all further bytes of the open connections; new ones work.
@@ -36,6 +39,7 @@
 
   void accept();
   void forward(const std::shared_ptr<connection_pair> &Pair, bool ToServer);
+  duration transferTime(std::size_t Bytes, bool ToServer);
 
   event_loop &Loop;
   timer_service &Timers;
@@ -44,6 +48,10 @@
   descriptor_watch Watch;
   relay_drop Dropped = relay_drop::None;
   duration Delay{};
+  std::uint64_t Rate = 0;
+  /// When the limited link has sent what it has accepted so far.
+  time_point IdleToServer;
+  time_point IdleFromServer;
   std::vector<std::shared_ptr<connection_pair>> Pairs;
 };
 
