Control, Membership: one copy of a deployment on its way to a VM

What callers saw: after a change with 1,400 routes more, routes were served as before for up to twenty seconds, and two thirds of all work was not served.

Cause: every reply to a renewal of a VM that is behind contained the whole deployment (63 KB), also while an earlier copy was on its way; notifications make such a VM renew every 25 ms. A reply later than 350 ms was discarded and fetched again, although on a 2 Mbit/s link none can be sooner. The class: work that is repeated on a fixed timeout, whose result is thrown away when late, so that a queue keeps itself full (metastable failure by retries).

Change: startTransfer() decides when a reply contains the deployment: not while a copy of any version is on its way on the same connection; a newer version once the VM has reported that one; again after 3 s, doubling, for a VM that discarded it. A late reply is applied like any other; its lease counts from when the renewal was sent, which the reply repeats. A deployment is valid by its version alone. A VM that has applied one renews at once.

Why it works: the bytes on a link are bounded by one copy, whatever the number of renewals, and what arrives is used whenever it arrives.

--- a/modules/control/control_deployment.cpp
+++ b/modules/control/control_deployment.cpp
@@ -90,6 +90,20 @@
   });
 }
 
+void control_service::state::addDeployment(wire::renewal_reply &Reply,
+                                           link_id Link,
+                                           const wire::renewal &Renewal) {
+  const auto &Newest = Replicated.Deployment.Deployment;
+  deployment_version Applied(
+      static_cast<std::uint64_t>(Renewal.deployment_version));
+  if (!startTransfer(Transfers, {vm_id(Renewal.vm), Link, Applied},
+                     Newest.Version, now()))
+    return;
+  Reply.__set_newer_deployment(toWire(Newest));
+  DeploymentCopies.add();
+  DeploymentBytes.add(encode(Reply.newer_deployment).size());
+}
+
 void control_service::state::reportDeploymentProgress() {
   if (now() - ProgressReportedAt < ProgressReportInterval)
     return;
--- a/modules/control/control_service.cpp
+++ b/modules/control/control_service.cpp
@@ -234,12 +234,7 @@
   // A lease is granted only together with all views that it applies to.
   Reply.lease_ms =
       Reply.more || !Leased ? 0 : toMilliseconds(Settings.LeaseTime);
-  auto Version = static_cast<std::uint64_t>(Renewal.deployment_version);
-  if (Replicated.Deployment.Deployment.Version.Value > Version) {
-    Reply.__set_newer_deployment(toWire(Replicated.Deployment.Deployment));
-    DeploymentCopies.add();
-    DeploymentBytes.add(encode(Reply.newer_deployment).size());
-  }
+  addDeployment(Reply, Link, Renewal);
   for (const auto &Member : Consensus.members())
     Reply.control.push_back(toString(Member.Address));
   Reply.released =
--- a/modules/control/control_service_state.h
+++ b/modules/control/control_service_state.h
@@ -5,6 +5,7 @@
 
 #include "modules/control/control_service.h"
 #include "modules/control/decision_queue.h"
+#include "modules/control/deployment_transfers.h"
 #include "modules/control/held_renewals.h"
 #include "modules/control/leader_state.h"
 #include "modules/control/message_kinds.h"
@@ -50,6 +51,8 @@
   std::uint64_t LeadershipEpoch = 0;
   std::map<vm_id, link_id> Links;
   std::map<vm_id, time_point> LastNudgeAt;
+  /// Kept when the leadership changes: the links still deliver the copies.
+  deployment_transfers Transfers;
   /// Groups with a change that is not committed yet.
   std::set<group_id> Committing;
   decision_queue Queue;
@@ -101,6 +104,10 @@
                      const wire::renewal &Renewal);
   void grantRenewal(link_id Link, const link_message &Message,
                     const wire::renewal &Renewal, bool Leased);
+  /// Adds the deployment to a reply if the VM needs it and no copy is on its
+  /// way.
+  void addDeployment(wire::renewal_reply &Reply, link_id Link,
+                     const wire::renewal &Renewal);
   void handleAnnouncements(const wire::renewal &Renewal);
   void updateVmRecord(const wire::renewal &Renewal);
 
--- a/modules/membership/member_agent.cpp
+++ b/modules/membership/member_agent.cpp
@@ -111,6 +111,7 @@
   void checkTimeouts();
   void onRenewalReply(link_id Link, link_message &&Message);
   void applyGrantedReply(const wire::renewal_reply &Reply, time_point SentAt);
+  void handleLateReply(const wire::renewal_reply &Reply, std::size_t Bytes);
   void handleRedirect(const std::string &Address);
   void updateControlEndpoints(const wire::renewal_reply &Reply);
   void onFence(link_id Link, link_message &&Message);
@@ -227,13 +228,7 @@
   auto Reply = decode<wire::renewal_reply>(Message.Body, "control");
   auto Known = SentRenewals.find(Message.Request);
   if (Known == SentRenewals.end()) {
-    LateReplies.add();
-    event("membership.late_reply", severity::Warning)
-        .with("bytes", static_cast<std::uint64_t>(Message.Body.size()))
-        .with("revision", Reply.revision)
-        .with("deployment", Reply.__isset.newer_deployment
-                                ? Reply.newer_deployment.version
-                                : std::int64_t{0});
+    handleLateReply(Reply, Message.Body.size());
     return;
   }
   time_point SentAt = Known->second;
@@ -248,6 +243,21 @@
     handleRedirect(Reply.leader_address);
 }
 
+/// Handles a reply that came after its timeout. Its content is as valid as that
+/// of any other reply: on a slow link, or with a large deployment, all replies
+/// may be late.
+void member_agent::state::handleLateReply(const wire::renewal_reply &Reply,
+                                          std::size_t Bytes) {
+  time_point SentAt{duration(Reply.sent_at_us)};
+  LateReplies.add();
+  event("membership.late_reply", severity::Warning)
+      .with("age_ms", toMilliseconds(now() - SentAt))
+      .with("bytes", static_cast<std::uint64_t>(Bytes))
+      .with("revision", Reply.revision);
+  if (Reply.granted)
+    applyGrantedReply(Reply, SentAt);
+}
+
 void member_agent::state::handleRedirect(const std::string &Address) {
   try {
     if (Address.empty()) {
@@ -282,15 +292,17 @@
     for (const auto &Listener : ViewListeners)
       Listener(View);
   }
-  if (Member.Deployment.Version != Version)
+  bool IsDeploymentNew = Member.Deployment.Version != Version;
+  if (IsDeploymentNew)
     event("membership.deployment")
         .with("version", Member.Deployment.Version.Value)
         .with("before", Version.Value)
         .with("routes",
               static_cast<std::uint64_t>(Member.Deployment.Routes.size()));
   // Reports to control at once that its change is applied, or requests the rest
-  // of an incomplete reply.
-  if (Reply.more || (!Changed.empty() && Member.Applied > PreviousRevision))
+  // of an incomplete reply. Control sends a newer deployment only then.
+  if (Reply.more || IsDeploymentNew ||
+      (!Changed.empty() && Member.Applied > PreviousRevision))
     scheduleEarlyRenewal();
   if (Reply.released && DrainCallback) {
     auto Callback = std::move(DrainCallback);
--- a/modules/membership/member_state.cpp
+++ b/modules/membership/member_state.cpp
@@ -20,6 +20,15 @@
   });
 }
 
+/// A deployment is valid by its version alone, also in an outdated reply.
+void applyDeployment(member_state &State, const wire::renewal_reply &Reply) {
+  if (!Reply.__isset.newer_deployment)
+    return;
+  auto Next = fromWire(Reply.newer_deployment);
+  if (Next.Version > State.Deployment.Version)
+    State.Deployment = std::move(Next);
+}
+
 } // namespace
 
 std::vector<group_id> applyRenewalReply(member_state &State,
@@ -28,6 +37,7 @@
   std::vector<group_id> Changed;
   if (!Reply.granted)
     return Changed;
+  applyDeployment(State, Reply);
   // The lease is valid only for the views of its reply, which are outdated
   // here.
   revision ReplyRevision(static_cast<std::uint64_t>(Reply.revision));
@@ -44,11 +54,6 @@
     Changed.push_back(View.Group);
     State.Views[View.Group] = std::move(View);
   }
-  if (Reply.__isset.newer_deployment) {
-    auto Next = fromWire(Reply.newer_deployment);
-    if (Next.Version > State.Deployment.Version)
-      State.Deployment = std::move(Next);
-  }
   State.Applied = ReplyRevision;
   bool IsPartial = Reply.more && !Reply.groups.empty();
   State.AfterRevision = revision(
--- a/modules/membership/tests/test_member_state.cpp
+++ b/modules/membership/tests/test_member_state.cpp
@@ -118,3 +118,22 @@
   Order.term = 4;
   CHECK(promotionRefusal(State, Order).empty());
 }
+
+// Guards against a VM that fetches a large deployment again and again because
+// the reply with it was overtaken by a small one.
+TEST_CASE("membership: a deployment is taken from an outdated reply too, but "
+          "never an older version") {
+  member_state State;
+  State.Applied = revision(9);
+  auto Reply = replyAt(7);
+  wire::deployment Deployment;
+  Deployment.version = 4;
+  Reply.__set_newer_deployment(Deployment);
+  applyRenewalReply(State, Reply, Start);
+  CHECK((State.Deployment.Version == deployment_version(4)));
+  CHECK((State.Applied == revision(9)));
+  CHECK_FALSE(isLeaseValid(State, Start));
+  Reply.newer_deployment.version = 3;
+  applyRenewalReply(State, Reply, Start);
+  CHECK((State.Deployment.Version == deployment_version(4)));
+}
