--- a/modules/control/control_deployment.cpp
+++ b/modules/control/control_deployment.cpp
@@ -99,11 +99,35 @@
   if (!startTransfer(Transfers, {vm_id(Renewal.vm), Link, Applied},
                      Newest.Version, now()))
     return;
-  Reply.__set_newer_deployment(toWire(Newest));
   DeploymentCopies.add();
+  if (Renewal.accepts_patches) {
+    Reply.__set_deployment_patches(compressPatches(Applied));
+    DeploymentBytes.add(Reply.deployment_patches.size());
+    return;
+  }
+  Reply.__set_newer_deployment(toWire(Newest));
   DeploymentBytes.add(encode(Reply.newer_deployment).size());
 }
 
+const std::string &
+control_service::state::compressPatches(deployment_version Base) {
+  auto &Compressed = CompressedPatches[Base];
+  if (Compressed.empty()) {
+    wire::deployment_patches Patches;
+    Patches.patches = patchesSince(History, Base);
+    Compressed = compress(encode(Patches));
+  }
+  return Compressed;
+}
+
+void control_service::state::recordDeploymentVersion() {
+  const auto &Newest = Replicated.Deployment.Deployment;
+  if (History.Newest.Version == Newest.Version)
+    return;
+  recordVersion(History, Newest);
+  CompressedPatches.clear();
+}
+
 void control_service::state::reportDeploymentProgress() {
   if (now() - ProgressReportedAt < ProgressReportInterval)
     return;
--- a/modules/control/control_messages.thrift
+++ b/modules/control/control_messages.thrift
@@ -72,6 +72,28 @@
   3: i64 idle_transaction_ms;
 }
 
+/// A part of a new version's routes: some of the version before, then others.
+struct deployment_piece {
+  /// Index of the first route that is copied, and how many are.
+  1: i32 first;
+  2: i32 count;
+  3: list<route> added;
+}
+
+/// What leads from one version of a deployment to another.
+struct deployment_patch {
+  /// 0: the patch contains all routes.
+  1: i64 base_version;
+  2: i64 version;
+  3: list<deployment_piece> pieces;
+  4: i64 idle_transaction_ms;
+}
+
+/// Patches that follow each other.
+struct deployment_patches {
+  1: list<deployment_patch> patches;
+}
+
 /// One gateway's share of a group.
 struct gateway_share {
   1: string vm;
@@ -161,6 +183,8 @@
   14: i64 control_store;
   /// Whether groups may be assigned to it.
   15: bool gateway = true;
+  /// The VM reads deployment_patches in the reply.
+  16: bool accepts_patches;
 }
 
 /// Reply to a renewal. Kind 101.
@@ -179,10 +203,14 @@
   7: bool more;
   /// The VM is draining and all its groups have been handed over.
   8: bool released;
-  /// Set if the VM has an older version.
+  /// Set if the VM has an older version and does not accept patches.
   9: optional deployment newer_deployment;
   /// Internal addresses of the control VMs.
   10: list<string> control;
+  /// Set if the VM has an older version: deployment_patches in the compact
+  /// protocol, compressed. The first is based on the VM's version or contains
+  /// all routes.
+  11: optional binary deployment_patches;
 }
 
 /// Asks a gateway to stop acknowledging in a term. Kind 102.
--- a/modules/control/control_service.cpp
+++ b/modules/control/control_service.cpp
@@ -61,6 +61,7 @@
   Hooks.Snapshot = [this] { return encodeSnapshot(Replicated); };
   Hooks.Restore = [this](revision, const std::string &Snapshot) {
     Replicated = decodeSnapshot(Snapshot);
+    recordDeploymentVersion();
   };
   Hooks.LeadershipChanged = [this](bool IsLeading) {
     leadershipChanged(IsLeading);
@@ -80,6 +81,7 @@
         .with("index", Index.Value)
         .with("problem", Problem.what());
   }
+  recordDeploymentVersion();
   if (!Leading)
     return;
   for (const auto &[Name, Group] : Replicated.Groups)
--- a/modules/control/control_service_state.h
+++ b/modules/control/control_service_state.h
@@ -9,6 +9,7 @@
 #include "modules/control/held_renewals.h"
 #include "modules/control/leader_state.h"
 #include "modules/control/message_kinds.h"
+#include "modules/deployment/deployment_patch.h"
 
 #include <set>
 #include <string>
@@ -53,6 +54,10 @@
   std::map<vm_id, time_point> LastNudgeAt;
   /// Kept when the leadership changes: the links still deliver the copies.
   deployment_transfers Transfers;
+  deployment_history History;
+  /// For each version that a VM has reported, the compressed patches that lead
+  /// to the newest one.
+  std::map<deployment_version, std::string> CompressedPatches;
   /// Groups with a change that is not committed yet.
   std::set<group_id> Committing;
   decision_queue Queue;
@@ -108,6 +113,8 @@
   /// way.
   void addDeployment(wire::renewal_reply &Reply, link_id Link,
                      const wire::renewal &Renewal);
+  /// Returns the content of deployment_patches in a reply.
+  const std::string &compressPatches(deployment_version Base);
   void handleAnnouncements(const wire::renewal &Renewal);
   void updateVmRecord(const wire::renewal &Renewal);
 
@@ -130,6 +137,7 @@
   bool isKnownAnnouncement(upstream_announcement Announcement);
   void handleAnnouncement(const std::string &Body,
                           const answer_callback &Answer);
+  void recordDeploymentVersion();
   /// Logs, once a second, how many VMs still have an older deployment.
   void reportDeploymentProgress();
 
--- a/modules/control/deployment_transfers.cpp
+++ b/modules/control/deployment_transfers.cpp
@@ -24,13 +24,13 @@
   auto Last = Transfers.find(Report.Vm);
   bool IsPending = Last != Transfers.end() &&
                    Last->second.Link == Report.Link &&
-                   Report.Applied < Last->second.Version;
+                   Last->second.Base == Report.Applied;
   if (IsPending) {
     if (Now - Last->second.SentAt < Last->second.ResendDelay)
       return false;
     ResendDelay = std::min(2 * Last->second.ResendDelay, MaxResendDelay);
   }
-  Transfers[Report.Vm] = {Report.Link, Newest, Now, ResendDelay};
+  Transfers[Report.Vm] = {Report.Link, Report.Applied, Now, ResendDelay};
   return true;
 }
 
--- a/modules/control/deployment_transfers.h
+++ b/modules/control/deployment_transfers.h
@@ -3,7 +3,7 @@
 /// A copy may take seconds on a slow link, during which the VM sends further
 /// renewals. A link delivers what was sent, so a VM that is behind gets no
 /// second copy while the first is on its way, and a newer version only after
-/// the VM has reported the one before. Versions in between are never sent.
+/// the VM has reported the one before.
 #pragma once
 
 #include "modules/deployment/deployment.h"
@@ -16,7 +16,9 @@
 /// The last copy that was sent to a VM.
 struct deployment_transfer {
   link_id Link;
-  deployment_version Version;
+  /// What the VM had applied then. A copy is a patch of this version, of no
+  /// use if the VM has got another one since.
+  deployment_version Base;
   time_point SentAt;
   /// Another copy is sent if the VM has not reported this one for so long.
   duration ResendDelay{};
--- a/modules/control/gen/control_messages_types.cpp
+++ b/modules/control/gen/control_messages_types.cpp
@@ -1324,6 +1324,479 @@
 }
 
 
+deployment_piece::~deployment_piece() noexcept {
+}
+
+
+void deployment_piece::__set_first(const int32_t val) {
+  this->first = val;
+}
+
+void deployment_piece::__set_count(const int32_t val) {
+  this->count = val;
+}
+
+void deployment_piece::__set_added(const std::vector<route> & val) {
+  this->added = val;
+}
+std::ostream& operator<<(std::ostream& out, const deployment_piece& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t deployment_piece::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->first);
+          this->__isset.first = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->count);
+          this->__isset.count = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->added.clear();
+            uint32_t _size43;
+            ::apache::thrift::protocol::TType _etype46;
+            xfer += iprot->readListBegin(_etype46, _size43);
+            this->added.resize(_size43);
+            uint32_t _i47;
+            for (_i47 = 0; _i47 < _size43; ++_i47)
+            {
+              xfer += this->added[_i47].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.added = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t deployment_piece::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("deployment_piece");
+
+  xfer += oprot->writeFieldBegin("first", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->first);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("count", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->count);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("added", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->added.size()));
+    std::vector<route> ::const_iterator _iter48;
+    for (_iter48 = this->added.begin(); _iter48 != this->added.end(); ++_iter48)
+    {
+      xfer += (*_iter48).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(deployment_piece &a, deployment_piece &b) {
+  using ::std::swap;
+  swap(a.first, b.first);
+  swap(a.count, b.count);
+  swap(a.added, b.added);
+  swap(a.__isset, b.__isset);
+}
+
+deployment_piece::deployment_piece(const deployment_piece& other49) {
+  first = other49.first;
+  count = other49.count;
+  added = other49.added;
+  __isset = other49.__isset;
+}
+deployment_piece::deployment_piece(deployment_piece&& other50) noexcept {
+  first = other50.first;
+  count = other50.count;
+  added = std::move(other50.added);
+  __isset = other50.__isset;
+}
+deployment_piece& deployment_piece::operator=(const deployment_piece& other51) {
+  first = other51.first;
+  count = other51.count;
+  added = other51.added;
+  __isset = other51.__isset;
+  return *this;
+}
+deployment_piece& deployment_piece::operator=(deployment_piece&& other52) noexcept {
+  first = other52.first;
+  count = other52.count;
+  added = std::move(other52.added);
+  __isset = other52.__isset;
+  return *this;
+}
+void deployment_piece::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "deployment_piece(";
+  out << "first=" << to_string(first);
+  out << ", " << "count=" << to_string(count);
+  out << ", " << "added=" << to_string(added);
+  out << ")";
+}
+
+
+deployment_patch::~deployment_patch() noexcept {
+}
+
+
+void deployment_patch::__set_base_version(const int64_t val) {
+  this->base_version = val;
+}
+
+void deployment_patch::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void deployment_patch::__set_pieces(const std::vector<deployment_piece> & val) {
+  this->pieces = val;
+}
+
+void deployment_patch::__set_idle_transaction_ms(const int64_t val) {
+  this->idle_transaction_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const deployment_patch& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t deployment_patch::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->base_version);
+          this->__isset.base_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->pieces.clear();
+            uint32_t _size53;
+            ::apache::thrift::protocol::TType _etype56;
+            xfer += iprot->readListBegin(_etype56, _size53);
+            this->pieces.resize(_size53);
+            uint32_t _i57;
+            for (_i57 = 0; _i57 < _size53; ++_i57)
+            {
+              xfer += this->pieces[_i57].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.pieces = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->idle_transaction_ms);
+          this->__isset.idle_transaction_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t deployment_patch::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("deployment_patch");
+
+  xfer += oprot->writeFieldBegin("base_version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->base_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pieces", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->pieces.size()));
+    std::vector<deployment_piece> ::const_iterator _iter58;
+    for (_iter58 = this->pieces.begin(); _iter58 != this->pieces.end(); ++_iter58)
+    {
+      xfer += (*_iter58).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("idle_transaction_ms", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->idle_transaction_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(deployment_patch &a, deployment_patch &b) {
+  using ::std::swap;
+  swap(a.base_version, b.base_version);
+  swap(a.version, b.version);
+  swap(a.pieces, b.pieces);
+  swap(a.idle_transaction_ms, b.idle_transaction_ms);
+  swap(a.__isset, b.__isset);
+}
+
+deployment_patch::deployment_patch(const deployment_patch& other59) {
+  base_version = other59.base_version;
+  version = other59.version;
+  pieces = other59.pieces;
+  idle_transaction_ms = other59.idle_transaction_ms;
+  __isset = other59.__isset;
+}
+deployment_patch::deployment_patch(deployment_patch&& other60) noexcept {
+  base_version = other60.base_version;
+  version = other60.version;
+  pieces = std::move(other60.pieces);
+  idle_transaction_ms = other60.idle_transaction_ms;
+  __isset = other60.__isset;
+}
+deployment_patch& deployment_patch::operator=(const deployment_patch& other61) {
+  base_version = other61.base_version;
+  version = other61.version;
+  pieces = other61.pieces;
+  idle_transaction_ms = other61.idle_transaction_ms;
+  __isset = other61.__isset;
+  return *this;
+}
+deployment_patch& deployment_patch::operator=(deployment_patch&& other62) noexcept {
+  base_version = other62.base_version;
+  version = other62.version;
+  pieces = std::move(other62.pieces);
+  idle_transaction_ms = other62.idle_transaction_ms;
+  __isset = other62.__isset;
+  return *this;
+}
+void deployment_patch::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "deployment_patch(";
+  out << "base_version=" << to_string(base_version);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "pieces=" << to_string(pieces);
+  out << ", " << "idle_transaction_ms=" << to_string(idle_transaction_ms);
+  out << ")";
+}
+
+
+deployment_patches::~deployment_patches() noexcept {
+}
+
+
+void deployment_patches::__set_patches(const std::vector<deployment_patch> & val) {
+  this->patches = val;
+}
+std::ostream& operator<<(std::ostream& out, const deployment_patches& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t deployment_patches::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->patches.clear();
+            uint32_t _size63;
+            ::apache::thrift::protocol::TType _etype66;
+            xfer += iprot->readListBegin(_etype66, _size63);
+            this->patches.resize(_size63);
+            uint32_t _i67;
+            for (_i67 = 0; _i67 < _size63; ++_i67)
+            {
+              xfer += this->patches[_i67].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.patches = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t deployment_patches::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("deployment_patches");
+
+  xfer += oprot->writeFieldBegin("patches", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->patches.size()));
+    std::vector<deployment_patch> ::const_iterator _iter68;
+    for (_iter68 = this->patches.begin(); _iter68 != this->patches.end(); ++_iter68)
+    {
+      xfer += (*_iter68).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(deployment_patches &a, deployment_patches &b) {
+  using ::std::swap;
+  swap(a.patches, b.patches);
+  swap(a.__isset, b.__isset);
+}
+
+deployment_patches::deployment_patches(const deployment_patches& other69) {
+  patches = other69.patches;
+  __isset = other69.__isset;
+}
+deployment_patches::deployment_patches(deployment_patches&& other70) noexcept {
+  patches = std::move(other70.patches);
+  __isset = other70.__isset;
+}
+deployment_patches& deployment_patches::operator=(const deployment_patches& other71) {
+  patches = other71.patches;
+  __isset = other71.__isset;
+  return *this;
+}
+deployment_patches& deployment_patches::operator=(deployment_patches&& other72) noexcept {
+  patches = std::move(other72.patches);
+  __isset = other72.__isset;
+  return *this;
+}
+void deployment_patches::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "deployment_patches(";
+  out << "patches=" << to_string(patches);
+  out << ")";
+}
+
+
 gateway_share::~gateway_share() noexcept {
 }
 
@@ -1518,50 +1991,50 @@
   swap(a.__isset, b.__isset);
 }
 
-gateway_share::gateway_share(const gateway_share& other43) {
-  vm = other43.vm;
-  incarnation = other43.incarnation;
-  address = other43.address;
-  availability_zone = other43.availability_zone;
-  region = other43.region;
-  connections = other43.connections;
-  slots = other43.slots;
-  budget_epoch = other43.budget_epoch;
-  __isset = other43.__isset;
-}
-gateway_share::gateway_share(gateway_share&& other44) noexcept {
-  vm = std::move(other44.vm);
-  incarnation = other44.incarnation;
-  address = std::move(other44.address);
-  availability_zone = std::move(other44.availability_zone);
-  region = std::move(other44.region);
-  connections = other44.connections;
-  slots = other44.slots;
-  budget_epoch = other44.budget_epoch;
-  __isset = other44.__isset;
-}
-gateway_share& gateway_share::operator=(const gateway_share& other45) {
-  vm = other45.vm;
-  incarnation = other45.incarnation;
-  address = other45.address;
-  availability_zone = other45.availability_zone;
-  region = other45.region;
-  connections = other45.connections;
-  slots = other45.slots;
-  budget_epoch = other45.budget_epoch;
-  __isset = other45.__isset;
+gateway_share::gateway_share(const gateway_share& other73) {
+  vm = other73.vm;
+  incarnation = other73.incarnation;
+  address = other73.address;
+  availability_zone = other73.availability_zone;
+  region = other73.region;
+  connections = other73.connections;
+  slots = other73.slots;
+  budget_epoch = other73.budget_epoch;
+  __isset = other73.__isset;
+}
+gateway_share::gateway_share(gateway_share&& other74) noexcept {
+  vm = std::move(other74.vm);
+  incarnation = other74.incarnation;
+  address = std::move(other74.address);
+  availability_zone = std::move(other74.availability_zone);
+  region = std::move(other74.region);
+  connections = other74.connections;
+  slots = other74.slots;
+  budget_epoch = other74.budget_epoch;
+  __isset = other74.__isset;
+}
+gateway_share& gateway_share::operator=(const gateway_share& other75) {
+  vm = other75.vm;
+  incarnation = other75.incarnation;
+  address = other75.address;
+  availability_zone = other75.availability_zone;
+  region = other75.region;
+  connections = other75.connections;
+  slots = other75.slots;
+  budget_epoch = other75.budget_epoch;
+  __isset = other75.__isset;
   return *this;
 }
-gateway_share& gateway_share::operator=(gateway_share&& other46) noexcept {
-  vm = std::move(other46.vm);
-  incarnation = other46.incarnation;
-  address = std::move(other46.address);
-  availability_zone = std::move(other46.availability_zone);
-  region = std::move(other46.region);
-  connections = other46.connections;
-  slots = other46.slots;
-  budget_epoch = other46.budget_epoch;
-  __isset = other46.__isset;
+gateway_share& gateway_share::operator=(gateway_share&& other76) noexcept {
+  vm = std::move(other76.vm);
+  incarnation = other76.incarnation;
+  address = std::move(other76.address);
+  availability_zone = std::move(other76.availability_zone);
+  region = std::move(other76.region);
+  connections = other76.connections;
+  slots = other76.slots;
+  budget_epoch = other76.budget_epoch;
+  __isset = other76.__isset;
   return *this;
 }
 void gateway_share::printTo(std::ostream& out) const {
@@ -1690,14 +2163,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->upstreams.clear();
-            uint32_t _size47;
-            ::apache::thrift::protocol::TType _etype50;
-            xfer += iprot->readListBegin(_etype50, _size47);
-            this->upstreams.resize(_size47);
-            uint32_t _i51;
-            for (_i51 = 0; _i51 < _size47; ++_i51)
+            uint32_t _size77;
+            ::apache::thrift::protocol::TType _etype80;
+            xfer += iprot->readListBegin(_etype80, _size77);
+            this->upstreams.resize(_size77);
+            uint32_t _i81;
+            for (_i81 = 0; _i81 < _size77; ++_i81)
             {
-              xfer += this->upstreams[_i51].read(iprot);
+              xfer += this->upstreams[_i81].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1710,14 +2183,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->gateways.clear();
-            uint32_t _size52;
-            ::apache::thrift::protocol::TType _etype55;
-            xfer += iprot->readListBegin(_etype55, _size52);
-            this->gateways.resize(_size52);
-            uint32_t _i56;
-            for (_i56 = 0; _i56 < _size52; ++_i56)
+            uint32_t _size82;
+            ::apache::thrift::protocol::TType _etype85;
+            xfer += iprot->readListBegin(_etype85, _size82);
+            this->gateways.resize(_size82);
+            uint32_t _i86;
+            for (_i86 = 0; _i86 < _size82; ++_i86)
             {
-              xfer += this->gateways[_i56].read(iprot);
+              xfer += this->gateways[_i86].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1782,10 +2255,10 @@
   xfer += oprot->writeFieldBegin("upstreams", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upstreams.size()));
-    std::vector<announcement> ::const_iterator _iter57;
-    for (_iter57 = this->upstreams.begin(); _iter57 != this->upstreams.end(); ++_iter57)
+    std::vector<announcement> ::const_iterator _iter87;
+    for (_iter87 = this->upstreams.begin(); _iter87 != this->upstreams.end(); ++_iter87)
     {
-      xfer += (*_iter57).write(oprot);
+      xfer += (*_iter87).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1794,10 +2267,10 @@
   xfer += oprot->writeFieldBegin("gateways", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->gateways.size()));
-    std::vector<gateway_share> ::const_iterator _iter58;
-    for (_iter58 = this->gateways.begin(); _iter58 != this->gateways.end(); ++_iter58)
+    std::vector<gateway_share> ::const_iterator _iter88;
+    for (_iter88 = this->gateways.begin(); _iter88 != this->gateways.end(); ++_iter88)
     {
-      xfer += (*_iter58).write(oprot);
+      xfer += (*_iter88).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1830,54 +2303,54 @@
   swap(a.__isset, b.__isset);
 }
 
-group_view::group_view(const group_view& other59) {
-  group = other59.group;
-  revision = other59.revision;
-  row = other59.row;
-  term = other59.term;
-  primary = other59.primary;
-  upstreams = other59.upstreams;
-  gateways = other59.gateways;
-  watermark = other59.watermark;
-  removed = other59.removed;
-  __isset = other59.__isset;
+group_view::group_view(const group_view& other89) {
+  group = other89.group;
+  revision = other89.revision;
+  row = other89.row;
+  term = other89.term;
+  primary = other89.primary;
+  upstreams = other89.upstreams;
+  gateways = other89.gateways;
+  watermark = other89.watermark;
+  removed = other89.removed;
+  __isset = other89.__isset;
 }
-group_view::group_view(group_view&& other60) noexcept {
-  group = std::move(other60.group);
-  revision = other60.revision;
-  row = std::move(other60.row);
-  term = other60.term;
-  primary = std::move(other60.primary);
-  upstreams = std::move(other60.upstreams);
-  gateways = std::move(other60.gateways);
-  watermark = std::move(other60.watermark);
-  removed = other60.removed;
-  __isset = other60.__isset;
+group_view::group_view(group_view&& other90) noexcept {
+  group = std::move(other90.group);
+  revision = other90.revision;
+  row = std::move(other90.row);
+  term = other90.term;
+  primary = std::move(other90.primary);
+  upstreams = std::move(other90.upstreams);
+  gateways = std::move(other90.gateways);
+  watermark = std::move(other90.watermark);
+  removed = other90.removed;
+  __isset = other90.__isset;
 }
-group_view& group_view::operator=(const group_view& other61) {
-  group = other61.group;
-  revision = other61.revision;
-  row = other61.row;
-  term = other61.term;
-  primary = other61.primary;
-  upstreams = other61.upstreams;
-  gateways = other61.gateways;
-  watermark = other61.watermark;
-  removed = other61.removed;
-  __isset = other61.__isset;
+group_view& group_view::operator=(const group_view& other91) {
+  group = other91.group;
+  revision = other91.revision;
+  row = other91.row;
+  term = other91.term;
+  primary = other91.primary;
+  upstreams = other91.upstreams;
+  gateways = other91.gateways;
+  watermark = other91.watermark;
+  removed = other91.removed;
+  __isset = other91.__isset;
   return *this;
 }
-group_view& group_view::operator=(group_view&& other62) noexcept {
-  group = std::move(other62.group);
-  revision = other62.revision;
-  row = std::move(other62.row);
-  term = other62.term;
-  primary = std::move(other62.primary);
-  upstreams = std::move(other62.upstreams);
-  gateways = std::move(other62.gateways);
-  watermark = std::move(other62.watermark);
-  removed = other62.removed;
-  __isset = other62.__isset;
+group_view& group_view::operator=(group_view&& other92) noexcept {
+  group = std::move(other92.group);
+  revision = other92.revision;
+  row = std::move(other92.row);
+  term = other92.term;
+  primary = std::move(other92.primary);
+  upstreams = std::move(other92.upstreams);
+  gateways = std::move(other92.gateways);
+  watermark = std::move(other92.watermark);
+  removed = other92.removed;
+  __isset = other92.__isset;
   return *this;
 }
 void group_view::printTo(std::ostream& out) const {
@@ -2141,62 +2614,62 @@
   swap(a.__isset, b.__isset);
 }
 
-upstream_report::upstream_report(const upstream_report& other63) {
-  upstream = other63.upstream;
-  reachable = other63.reachable;
-  replica = other63.replica;
-  replayed = other63.replayed;
-  age_ms = other63.age_ms;
-  unreachable_ms = other63.unreachable_ms;
-  problem = other63.problem;
-  refused = other63.refused;
-  paused = other63.paused;
-  received = other63.received;
-  connection_age_ms = other63.connection_age_ms;
-  __isset = other63.__isset;
-}
-upstream_report::upstream_report(upstream_report&& other64) noexcept {
-  upstream = std::move(other64.upstream);
-  reachable = other64.reachable;
-  replica = other64.replica;
-  replayed = std::move(other64.replayed);
-  age_ms = other64.age_ms;
-  unreachable_ms = other64.unreachable_ms;
-  problem = std::move(other64.problem);
-  refused = other64.refused;
-  paused = other64.paused;
-  received = std::move(other64.received);
-  connection_age_ms = other64.connection_age_ms;
-  __isset = other64.__isset;
-}
-upstream_report& upstream_report::operator=(const upstream_report& other65) {
-  upstream = other65.upstream;
-  reachable = other65.reachable;
-  replica = other65.replica;
-  replayed = other65.replayed;
-  age_ms = other65.age_ms;
-  unreachable_ms = other65.unreachable_ms;
-  problem = other65.problem;
-  refused = other65.refused;
-  paused = other65.paused;
-  received = other65.received;
-  connection_age_ms = other65.connection_age_ms;
-  __isset = other65.__isset;
+upstream_report::upstream_report(const upstream_report& other93) {
+  upstream = other93.upstream;
+  reachable = other93.reachable;
+  replica = other93.replica;
+  replayed = other93.replayed;
+  age_ms = other93.age_ms;
+  unreachable_ms = other93.unreachable_ms;
+  problem = other93.problem;
+  refused = other93.refused;
+  paused = other93.paused;
+  received = other93.received;
+  connection_age_ms = other93.connection_age_ms;
+  __isset = other93.__isset;
+}
+upstream_report::upstream_report(upstream_report&& other94) noexcept {
+  upstream = std::move(other94.upstream);
+  reachable = other94.reachable;
+  replica = other94.replica;
+  replayed = std::move(other94.replayed);
+  age_ms = other94.age_ms;
+  unreachable_ms = other94.unreachable_ms;
+  problem = std::move(other94.problem);
+  refused = other94.refused;
+  paused = other94.paused;
+  received = std::move(other94.received);
+  connection_age_ms = other94.connection_age_ms;
+  __isset = other94.__isset;
+}
+upstream_report& upstream_report::operator=(const upstream_report& other95) {
+  upstream = other95.upstream;
+  reachable = other95.reachable;
+  replica = other95.replica;
+  replayed = other95.replayed;
+  age_ms = other95.age_ms;
+  unreachable_ms = other95.unreachable_ms;
+  problem = other95.problem;
+  refused = other95.refused;
+  paused = other95.paused;
+  received = other95.received;
+  connection_age_ms = other95.connection_age_ms;
+  __isset = other95.__isset;
   return *this;
 }
-upstream_report& upstream_report::operator=(upstream_report&& other66) noexcept {
-  upstream = std::move(other66.upstream);
-  reachable = other66.reachable;
-  replica = other66.replica;
-  replayed = std::move(other66.replayed);
-  age_ms = other66.age_ms;
-  unreachable_ms = other66.unreachable_ms;
-  problem = std::move(other66.problem);
-  refused = other66.refused;
-  paused = other66.paused;
-  received = std::move(other66.received);
-  connection_age_ms = other66.connection_age_ms;
-  __isset = other66.__isset;
+upstream_report& upstream_report::operator=(upstream_report&& other96) noexcept {
+  upstream = std::move(other96.upstream);
+  reachable = other96.reachable;
+  replica = other96.replica;
+  replayed = std::move(other96.replayed);
+  age_ms = other96.age_ms;
+  unreachable_ms = other96.unreachable_ms;
+  problem = std::move(other96.problem);
+  refused = other96.refused;
+  paused = other96.paused;
+  received = std::move(other96.received);
+  connection_age_ms = other96.connection_age_ms;
+  __isset = other96.__isset;
   return *this;
 }
 void upstream_report::printTo(std::ostream& out) const {
@@ -2304,14 +2777,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->upstreams.clear();
-            uint32_t _size67;
-            ::apache::thrift::protocol::TType _etype70;
-            xfer += iprot->readListBegin(_etype70, _size67);
-            this->upstreams.resize(_size67);
-            uint32_t _i71;
-            for (_i71 = 0; _i71 < _size67; ++_i71)
+            uint32_t _size97;
+            ::apache::thrift::protocol::TType _etype100;
+            xfer += iprot->readListBegin(_etype100, _size97);
+            this->upstreams.resize(_size97);
+            uint32_t _i101;
+            for (_i101 = 0; _i101 < _size97; ++_i101)
             {
-              xfer += this->upstreams[_i71].read(iprot);
+              xfer += this->upstreams[_i101].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2356,10 +2829,10 @@
   xfer += oprot->writeFieldBegin("upstreams", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upstreams.size()));
-    std::vector<upstream_report> ::const_iterator _iter72;
-    for (_iter72 = this->upstreams.begin(); _iter72 != this->upstreams.end(); ++_iter72)
+    std::vector<upstream_report> ::const_iterator _iter102;
+    for (_iter102 = this->upstreams.begin(); _iter102 != this->upstreams.end(); ++_iter102)
     {
-      xfer += (*_iter72).write(oprot);
+      xfer += (*_iter102).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2380,38 +2853,38 @@
   swap(a.__isset, b.__isset);
 }
 
-group_report::group_report(const group_report& other73) {
-  group = other73.group;
-  term = other73.term;
-  acknowledged = other73.acknowledged;
-  budget_epoch = other73.budget_epoch;
-  upstreams = other73.upstreams;
-  __isset = other73.__isset;
-}
-group_report::group_report(group_report&& other74) noexcept {
-  group = std::move(other74.group);
-  term = other74.term;
-  acknowledged = std::move(other74.acknowledged);
-  budget_epoch = other74.budget_epoch;
-  upstreams = std::move(other74.upstreams);
-  __isset = other74.__isset;
-}
-group_report& group_report::operator=(const group_report& other75) {
-  group = other75.group;
-  term = other75.term;
-  acknowledged = other75.acknowledged;
-  budget_epoch = other75.budget_epoch;
-  upstreams = other75.upstreams;
-  __isset = other75.__isset;
+group_report::group_report(const group_report& other103) {
+  group = other103.group;
+  term = other103.term;
+  acknowledged = other103.acknowledged;
+  budget_epoch = other103.budget_epoch;
+  upstreams = other103.upstreams;
+  __isset = other103.__isset;
+}
+group_report::group_report(group_report&& other104) noexcept {
+  group = std::move(other104.group);
+  term = other104.term;
+  acknowledged = std::move(other104.acknowledged);
+  budget_epoch = other104.budget_epoch;
+  upstreams = std::move(other104.upstreams);
+  __isset = other104.__isset;
+}
+group_report& group_report::operator=(const group_report& other105) {
+  group = other105.group;
+  term = other105.term;
+  acknowledged = other105.acknowledged;
+  budget_epoch = other105.budget_epoch;
+  upstreams = other105.upstreams;
+  __isset = other105.__isset;
   return *this;
 }
-group_report& group_report::operator=(group_report&& other76) noexcept {
-  group = std::move(other76.group);
-  term = other76.term;
-  acknowledged = std::move(other76.acknowledged);
-  budget_epoch = other76.budget_epoch;
-  upstreams = std::move(other76.upstreams);
-  __isset = other76.__isset;
+group_report& group_report::operator=(group_report&& other106) noexcept {
+  group = std::move(other106.group);
+  term = other106.term;
+  acknowledged = std::move(other106.acknowledged);
+  budget_epoch = other106.budget_epoch;
+  upstreams = std::move(other106.upstreams);
+  __isset = other106.__isset;
   return *this;
 }
 void group_report::printTo(std::ostream& out) const {
@@ -2489,6 +2962,10 @@
 void renewal::__set_gateway(const bool val) {
   this->gateway = val;
 }
+
+void renewal::__set_accepts_patches(const bool val) {
+  this->accepts_patches = val;
+}
 std::ostream& operator<<(std::ostream& out, const renewal& obj)
 {
   obj.printTo(out);
@@ -2585,14 +3062,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->groups.clear();
-            uint32_t _size77;
-            ::apache::thrift::protocol::TType _etype80;
-            xfer += iprot->readListBegin(_etype80, _size77);
-            this->groups.resize(_size77);
-            uint32_t _i81;
-            for (_i81 = 0; _i81 < _size77; ++_i81)
+            uint32_t _size107;
+            ::apache::thrift::protocol::TType _etype110;
+            xfer += iprot->readListBegin(_etype110, _size107);
+            this->groups.resize(_size107);
+            uint32_t _i111;
+            for (_i111 = 0; _i111 < _size107; ++_i111)
             {
-              xfer += this->groups[_i81].read(iprot);
+              xfer += this->groups[_i111].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2605,14 +3082,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->announcements.clear();
-            uint32_t _size82;
-            ::apache::thrift::protocol::TType _etype85;
-            xfer += iprot->readListBegin(_etype85, _size82);
-            this->announcements.resize(_size82);
-            uint32_t _i86;
-            for (_i86 = 0; _i86 < _size82; ++_i86)
+            uint32_t _size112;
+            ::apache::thrift::protocol::TType _etype115;
+            xfer += iprot->readListBegin(_etype115, _size112);
+            this->announcements.resize(_size112);
+            uint32_t _i116;
+            for (_i116 = 0; _i116 < _size112; ++_i116)
             {
-              xfer += this->announcements[_i86].read(iprot);
+              xfer += this->announcements[_i116].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2661,6 +3138,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->accepts_patches);
+          this->__isset.accepts_patches = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2713,10 +3198,10 @@
   xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
-    std::vector<group_report> ::const_iterator _iter87;
-    for (_iter87 = this->groups.begin(); _iter87 != this->groups.end(); ++_iter87)
+    std::vector<group_report> ::const_iterator _iter117;
+    for (_iter117 = this->groups.begin(); _iter117 != this->groups.end(); ++_iter117)
     {
-      xfer += (*_iter87).write(oprot);
+      xfer += (*_iter117).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2725,10 +3210,10 @@
   xfer += oprot->writeFieldBegin("announcements", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->announcements.size()));
-    std::vector<announcement> ::const_iterator _iter88;
-    for (_iter88 = this->announcements.begin(); _iter88 != this->announcements.end(); ++_iter88)
+    std::vector<announcement> ::const_iterator _iter118;
+    for (_iter118 = this->announcements.begin(); _iter118 != this->announcements.end(); ++_iter118)
     {
-      xfer += (*_iter88).write(oprot);
+      xfer += (*_iter118).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2754,6 +3239,10 @@
   xfer += oprot->writeBool(this->gateway);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("accepts_patches", ::apache::thrift::protocol::T_BOOL, 16);
+  xfer += oprot->writeBool(this->accepts_patches);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2776,81 +3265,86 @@
   swap(a.deployment_version, b.deployment_version);
   swap(a.control_store, b.control_store);
   swap(a.gateway, b.gateway);
+  swap(a.accepts_patches, b.accepts_patches);
   swap(a.__isset, b.__isset);
 }
 
-renewal::renewal(const renewal& other89) {
-  vm = other89.vm;
-  incarnation = other89.incarnation;
-  address = other89.address;
-  availability_zone = other89.availability_zone;
-  region = other89.region;
-  applied_revision = other89.applied_revision;
-  sent_at_us = other89.sent_at_us;
-  draining = other89.draining;
-  groups = other89.groups;
-  announcements = other89.announcements;
-  after_revision = other89.after_revision;
-  after_group = other89.after_group;
-  deployment_version = other89.deployment_version;
-  control_store = other89.control_store;
-  gateway = other89.gateway;
-  __isset = other89.__isset;
+renewal::renewal(const renewal& other119) {
+  vm = other119.vm;
+  incarnation = other119.incarnation;
+  address = other119.address;
+  availability_zone = other119.availability_zone;
+  region = other119.region;
+  applied_revision = other119.applied_revision;
+  sent_at_us = other119.sent_at_us;
+  draining = other119.draining;
+  groups = other119.groups;
+  announcements = other119.announcements;
+  after_revision = other119.after_revision;
+  after_group = other119.after_group;
+  deployment_version = other119.deployment_version;
+  control_store = other119.control_store;
+  gateway = other119.gateway;
+  accepts_patches = other119.accepts_patches;
+  __isset = other119.__isset;
 }
-renewal::renewal(renewal&& other90) noexcept {
-  vm = std::move(other90.vm);
-  incarnation = other90.incarnation;
-  address = std::move(other90.address);
-  availability_zone = std::move(other90.availability_zone);
-  region = std::move(other90.region);
-  applied_revision = other90.applied_revision;
-  sent_at_us = other90.sent_at_us;
-  draining = other90.draining;
-  groups = std::move(other90.groups);
-  announcements = std::move(other90.announcements);
-  after_revision = other90.after_revision;
-  after_group = std::move(other90.after_group);
-  deployment_version = other90.deployment_version;
-  control_store = other90.control_store;
-  gateway = other90.gateway;
-  __isset = other90.__isset;
+renewal::renewal(renewal&& other120) noexcept {
+  vm = std::move(other120.vm);
+  incarnation = other120.incarnation;
+  address = std::move(other120.address);
+  availability_zone = std::move(other120.availability_zone);
+  region = std::move(other120.region);
+  applied_revision = other120.applied_revision;
+  sent_at_us = other120.sent_at_us;
+  draining = other120.draining;
+  groups = std::move(other120.groups);
+  announcements = std::move(other120.announcements);
+  after_revision = other120.after_revision;
+  after_group = std::move(other120.after_group);
+  deployment_version = other120.deployment_version;
+  control_store = other120.control_store;
+  gateway = other120.gateway;
+  accepts_patches = other120.accepts_patches;
+  __isset = other120.__isset;
 }
-renewal& renewal::operator=(const renewal& other91) {
-  vm = other91.vm;
-  incarnation = other91.incarnation;
-  address = other91.address;
-  availability_zone = other91.availability_zone;
-  region = other91.region;
-  applied_revision = other91.applied_revision;
-  sent_at_us = other91.sent_at_us;
-  draining = other91.draining;
-  groups = other91.groups;
-  announcements = other91.announcements;
-  after_revision = other91.after_revision;
-  after_group = other91.after_group;
-  deployment_version = other91.deployment_version;
-  control_store = other91.control_store;
-  gateway = other91.gateway;
-  __isset = other91.__isset;
+renewal& renewal::operator=(const renewal& other121) {
+  vm = other121.vm;
+  incarnation = other121.incarnation;
+  address = other121.address;
+  availability_zone = other121.availability_zone;
+  region = other121.region;
+  applied_revision = other121.applied_revision;
+  sent_at_us = other121.sent_at_us;
+  draining = other121.draining;
+  groups = other121.groups;
+  announcements = other121.announcements;
+  after_revision = other121.after_revision;
+  after_group = other121.after_group;
+  deployment_version = other121.deployment_version;
+  control_store = other121.control_store;
+  gateway = other121.gateway;
+  accepts_patches = other121.accepts_patches;
+  __isset = other121.__isset;
   return *this;
 }
-renewal& renewal::operator=(renewal&& other92) noexcept {
-  vm = std::move(other92.vm);
-  incarnation = other92.incarnation;
-  address = std::move(other92.address);
-  availability_zone = std::move(other92.availability_zone);
-  region = std::move(other92.region);
-  applied_revision = other92.applied_revision;
-  sent_at_us = other92.sent_at_us;
-  draining = other92.draining;
-  groups = std::move(other92.groups);
-  announcements = std::move(other92.announcements);
-  after_revision = other92.after_revision;
-  after_group = std::move(other92.after_group);
-  deployment_version = other92.deployment_version;
-  control_store = other92.control_store;
-  gateway = other92.gateway;
-  __isset = other92.__isset;
+renewal& renewal::operator=(renewal&& other122) noexcept {
+  vm = std::move(other122.vm);
+  incarnation = other122.incarnation;
+  address = std::move(other122.address);
+  availability_zone = std::move(other122.availability_zone);
+  region = std::move(other122.region);
+  applied_revision = other122.applied_revision;
+  sent_at_us = other122.sent_at_us;
+  draining = other122.draining;
+  groups = std::move(other122.groups);
+  announcements = std::move(other122.announcements);
+  after_revision = other122.after_revision;
+  after_group = std::move(other122.after_group);
+  deployment_version = other122.deployment_version;
+  control_store = other122.control_store;
+  gateway = other122.gateway;
+  accepts_patches = other122.accepts_patches;
+  __isset = other122.__isset;
   return *this;
 }
 void renewal::printTo(std::ostream& out) const {
@@ -2871,6 +3365,7 @@
   out << ", " << "deployment_version=" << to_string(deployment_version);
   out << ", " << "control_store=" << to_string(control_store);
   out << ", " << "gateway=" << to_string(gateway);
+  out << ", " << "accepts_patches=" << to_string(accepts_patches);
   out << ")";
 }
 
@@ -2919,6 +3414,11 @@
 void renewal_reply::__set_control(const std::vector<std::string> & val) {
   this->control = val;
 }
+
+void renewal_reply::__set_deployment_patches(const std::string& val) {
+  this->deployment_patches = val;
+__isset.deployment_patches = true;
+}
 std::ostream& operator<<(std::ostream& out, const renewal_reply& obj)
 {
   obj.printTo(out);
@@ -2983,14 +3483,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->groups.clear();
-            uint32_t _size93;
-            ::apache::thrift::protocol::TType _etype96;
-            xfer += iprot->readListBegin(_etype96, _size93);
-            this->groups.resize(_size93);
-            uint32_t _i97;
-            for (_i97 = 0; _i97 < _size93; ++_i97)
+            uint32_t _size123;
+            ::apache::thrift::protocol::TType _etype126;
+            xfer += iprot->readListBegin(_etype126, _size123);
+            this->groups.resize(_size123);
+            uint32_t _i127;
+            for (_i127 = 0; _i127 < _size123; ++_i127)
             {
-              xfer += this->groups[_i97].read(iprot);
+              xfer += this->groups[_i127].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3035,14 +3535,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->control.clear();
-            uint32_t _size98;
-            ::apache::thrift::protocol::TType _etype101;
-            xfer += iprot->readListBegin(_etype101, _size98);
-            this->control.resize(_size98);
-            uint32_t _i102;
-            for (_i102 = 0; _i102 < _size98; ++_i102)
+            uint32_t _size128;
+            ::apache::thrift::protocol::TType _etype131;
+            xfer += iprot->readListBegin(_etype131, _size128);
+            this->control.resize(_size128);
+            uint32_t _i132;
+            for (_i132 = 0; _i132 < _size128; ++_i132)
             {
-              xfer += iprot->readString(this->control[_i102]);
+              xfer += iprot->readString(this->control[_i132]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3051,6 +3551,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->deployment_patches);
+          this->__isset.deployment_patches = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3087,10 +3595,10 @@
   xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
-    std::vector<group_view> ::const_iterator _iter103;
-    for (_iter103 = this->groups.begin(); _iter103 != this->groups.end(); ++_iter103)
+    std::vector<group_view> ::const_iterator _iter133;
+    for (_iter133 = this->groups.begin(); _iter133 != this->groups.end(); ++_iter133)
     {
-      xfer += (*_iter103).write(oprot);
+      xfer += (*_iter133).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3116,15 +3624,20 @@
   xfer += oprot->writeFieldBegin("control", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->control.size()));
-    std::vector<std::string> ::const_iterator _iter104;
-    for (_iter104 = this->control.begin(); _iter104 != this->control.end(); ++_iter104)
+    std::vector<std::string> ::const_iterator _iter134;
+    for (_iter134 = this->control.begin(); _iter134 != this->control.end(); ++_iter134)
     {
-      xfer += oprot->writeString((*_iter104));
+      xfer += oprot->writeString((*_iter134));
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.deployment_patches) {
+    xfer += oprot->writeFieldBegin("deployment_patches", ::apache::thrift::protocol::T_STRING, 11);
+    xfer += oprot->writeBinary(this->deployment_patches);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3142,61 +3655,66 @@
   swap(a.released, b.released);
   swap(a.newer_deployment, b.newer_deployment);
   swap(a.control, b.control);
+  swap(a.deployment_patches, b.deployment_patches);
   swap(a.__isset, b.__isset);
 }
 
-renewal_reply::renewal_reply(const renewal_reply& other105) {
-  granted = other105.granted;
-  sent_at_us = other105.sent_at_us;
-  lease_ms = other105.lease_ms;
-  leader_address = other105.leader_address;
-  groups = other105.groups;
-  revision = other105.revision;
-  more = other105.more;
-  released = other105.released;
-  newer_deployment = other105.newer_deployment;
-  control = other105.control;
-  __isset = other105.__isset;
+renewal_reply::renewal_reply(const renewal_reply& other135) {
+  granted = other135.granted;
+  sent_at_us = other135.sent_at_us;
+  lease_ms = other135.lease_ms;
+  leader_address = other135.leader_address;
+  groups = other135.groups;
+  revision = other135.revision;
+  more = other135.more;
+  released = other135.released;
+  newer_deployment = other135.newer_deployment;
+  control = other135.control;
+  deployment_patches = other135.deployment_patches;
+  __isset = other135.__isset;
 }
-renewal_reply::renewal_reply(renewal_reply&& other106) noexcept {
-  granted = other106.granted;
-  sent_at_us = other106.sent_at_us;
-  lease_ms = other106.lease_ms;
-  leader_address = std::move(other106.leader_address);
-  groups = std::move(other106.groups);
-  revision = other106.revision;
-  more = other106.more;
-  released = other106.released;
-  newer_deployment = std::move(other106.newer_deployment);
-  control = std::move(other106.control);
-  __isset = other106.__isset;
+renewal_reply::renewal_reply(renewal_reply&& other136) noexcept {
+  granted = other136.granted;
+  sent_at_us = other136.sent_at_us;
+  lease_ms = other136.lease_ms;
+  leader_address = std::move(other136.leader_address);
+  groups = std::move(other136.groups);
+  revision = other136.revision;
+  more = other136.more;
+  released = other136.released;
+  newer_deployment = std::move(other136.newer_deployment);
+  control = std::move(other136.control);
+  deployment_patches = std::move(other136.deployment_patches);
+  __isset = other136.__isset;
 }
-renewal_reply& renewal_reply::operator=(const renewal_reply& other107) {
-  granted = other107.granted;
-  sent_at_us = other107.sent_at_us;
-  lease_ms = other107.lease_ms;
-  leader_address = other107.leader_address;
-  groups = other107.groups;
-  revision = other107.revision;
-  more = other107.more;
-  released = other107.released;
-  newer_deployment = other107.newer_deployment;
-  control = other107.control;
-  __isset = other107.__isset;
+renewal_reply& renewal_reply::operator=(const renewal_reply& other137) {
+  granted = other137.granted;
+  sent_at_us = other137.sent_at_us;
+  lease_ms = other137.lease_ms;
+  leader_address = other137.leader_address;
+  groups = other137.groups;
+  revision = other137.revision;
+  more = other137.more;
+  released = other137.released;
+  newer_deployment = other137.newer_deployment;
+  control = other137.control;
+  deployment_patches = other137.deployment_patches;
+  __isset = other137.__isset;
   return *this;
 }
-renewal_reply& renewal_reply::operator=(renewal_reply&& other108) noexcept {
-  granted = other108.granted;
-  sent_at_us = other108.sent_at_us;
-  lease_ms = other108.lease_ms;
-  leader_address = std::move(other108.leader_address);
-  groups = std::move(other108.groups);
-  revision = other108.revision;
-  more = other108.more;
-  released = other108.released;
-  newer_deployment = std::move(other108.newer_deployment);
-  control = std::move(other108.control);
-  __isset = other108.__isset;
+renewal_reply& renewal_reply::operator=(renewal_reply&& other138) noexcept {
+  granted = other138.granted;
+  sent_at_us = other138.sent_at_us;
+  lease_ms = other138.lease_ms;
+  leader_address = std::move(other138.leader_address);
+  groups = std::move(other138.groups);
+  revision = other138.revision;
+  more = other138.more;
+  released = other138.released;
+  newer_deployment = std::move(other138.newer_deployment);
+  control = std::move(other138.control);
+  deployment_patches = std::move(other138.deployment_patches);
+  __isset = other138.__isset;
   return *this;
 }
 void renewal_reply::printTo(std::ostream& out) const {
@@ -3212,6 +3730,7 @@
   out << ", " << "released=" << to_string(released);
   out << ", " << "newer_deployment="; (__isset.newer_deployment ? (out << to_string(newer_deployment)) : (out << "<null>"));
   out << ", " << "control=" << to_string(control);
+  out << ", " << "deployment_patches="; (__isset.deployment_patches ? (out << to_string(deployment_patches)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3325,30 +3844,30 @@
   swap(a.__isset, b.__isset);
 }
 
-fence::fence(const fence& other109) {
-  group = other109.group;
-  term = other109.term;
-  pause_term = other109.pause_term;
-  __isset = other109.__isset;
+fence::fence(const fence& other139) {
+  group = other139.group;
+  term = other139.term;
+  pause_term = other139.pause_term;
+  __isset = other139.__isset;
 }
-fence::fence(fence&& other110) noexcept {
-  group = std::move(other110.group);
-  term = other110.term;
-  pause_term = other110.pause_term;
-  __isset = other110.__isset;
+fence::fence(fence&& other140) noexcept {
+  group = std::move(other140.group);
+  term = other140.term;
+  pause_term = other140.pause_term;
+  __isset = other140.__isset;
 }
-fence& fence::operator=(const fence& other111) {
-  group = other111.group;
-  term = other111.term;
-  pause_term = other111.pause_term;
-  __isset = other111.__isset;
+fence& fence::operator=(const fence& other141) {
+  group = other141.group;
+  term = other141.term;
+  pause_term = other141.pause_term;
+  __isset = other141.__isset;
   return *this;
 }
-fence& fence::operator=(fence&& other112) noexcept {
-  group = std::move(other112.group);
-  term = other112.term;
-  pause_term = other112.pause_term;
-  __isset = other112.__isset;
+fence& fence::operator=(fence&& other142) noexcept {
+  group = std::move(other142.group);
+  term = other142.term;
+  pause_term = other142.pause_term;
+  __isset = other142.__isset;
   return *this;
 }
 void fence::printTo(std::ostream& out) const {
@@ -3436,14 +3955,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->upstreams.clear();
-            uint32_t _size113;
-            ::apache::thrift::protocol::TType _etype116;
-            xfer += iprot->readListBegin(_etype116, _size113);
-            this->upstreams.resize(_size113);
-            uint32_t _i117;
-            for (_i117 = 0; _i117 < _size113; ++_i117)
+            uint32_t _size143;
+            ::apache::thrift::protocol::TType _etype146;
+            xfer += iprot->readListBegin(_etype146, _size143);
+            this->upstreams.resize(_size143);
+            uint32_t _i147;
+            for (_i147 = 0; _i147 < _size143; ++_i147)
             {
-              xfer += this->upstreams[_i117].read(iprot);
+              xfer += this->upstreams[_i147].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3484,10 +4003,10 @@
   xfer += oprot->writeFieldBegin("upstreams", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upstreams.size()));
-    std::vector<upstream_report> ::const_iterator _iter118;
-    for (_iter118 = this->upstreams.begin(); _iter118 != this->upstreams.end(); ++_iter118)
+    std::vector<upstream_report> ::const_iterator _iter148;
+    for (_iter148 = this->upstreams.begin(); _iter148 != this->upstreams.end(); ++_iter148)
     {
-      xfer += (*_iter118).write(oprot);
+      xfer += (*_iter148).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3507,34 +4026,34 @@
   swap(a.__isset, b.__isset);
 }
 
-fence_reply::fence_reply(const fence_reply& other119) {
-  group = other119.group;
-  term = other119.term;
-  acknowledged = other119.acknowledged;
-  upstreams = other119.upstreams;
-  __isset = other119.__isset;
-}
-fence_reply::fence_reply(fence_reply&& other120) noexcept {
-  group = std::move(other120.group);
-  term = other120.term;
-  acknowledged = std::move(other120.acknowledged);
-  upstreams = std::move(other120.upstreams);
-  __isset = other120.__isset;
-}
-fence_reply& fence_reply::operator=(const fence_reply& other121) {
-  group = other121.group;
-  term = other121.term;
-  acknowledged = other121.acknowledged;
-  upstreams = other121.upstreams;
-  __isset = other121.__isset;
+fence_reply::fence_reply(const fence_reply& other149) {
+  group = other149.group;
+  term = other149.term;
+  acknowledged = other149.acknowledged;
+  upstreams = other149.upstreams;
+  __isset = other149.__isset;
+}
+fence_reply::fence_reply(fence_reply&& other150) noexcept {
+  group = std::move(other150.group);
+  term = other150.term;
+  acknowledged = std::move(other150.acknowledged);
+  upstreams = std::move(other150.upstreams);
+  __isset = other150.__isset;
+}
+fence_reply& fence_reply::operator=(const fence_reply& other151) {
+  group = other151.group;
+  term = other151.term;
+  acknowledged = other151.acknowledged;
+  upstreams = other151.upstreams;
+  __isset = other151.__isset;
   return *this;
 }
-fence_reply& fence_reply::operator=(fence_reply&& other122) noexcept {
-  group = std::move(other122.group);
-  term = other122.term;
-  acknowledged = std::move(other122.acknowledged);
-  upstreams = std::move(other122.upstreams);
-  __isset = other122.__isset;
+fence_reply& fence_reply::operator=(fence_reply&& other152) noexcept {
+  group = std::move(other152.group);
+  term = other152.term;
+  acknowledged = std::move(other152.acknowledged);
+  upstreams = std::move(other152.upstreams);
+  __isset = other152.__isset;
   return *this;
 }
 void fence_reply::printTo(std::ostream& out) const {
@@ -3657,30 +4176,30 @@
   swap(a.__isset, b.__isset);
 }
 
-promote::promote(const promote& other123) {
-  group = other123.group;
-  upstream = other123.upstream;
-  term = other123.term;
-  __isset = other123.__isset;
+promote::promote(const promote& other153) {
+  group = other153.group;
+  upstream = other153.upstream;
+  term = other153.term;
+  __isset = other153.__isset;
 }
-promote::promote(promote&& other124) noexcept {
-  group = std::move(other124.group);
-  upstream = std::move(other124.upstream);
-  term = other124.term;
-  __isset = other124.__isset;
+promote::promote(promote&& other154) noexcept {
+  group = std::move(other154.group);
+  upstream = std::move(other154.upstream);
+  term = other154.term;
+  __isset = other154.__isset;
 }
-promote& promote::operator=(const promote& other125) {
-  group = other125.group;
-  upstream = other125.upstream;
-  term = other125.term;
-  __isset = other125.__isset;
+promote& promote::operator=(const promote& other155) {
+  group = other155.group;
+  upstream = other155.upstream;
+  term = other155.term;
+  __isset = other155.__isset;
   return *this;
 }
-promote& promote::operator=(promote&& other126) noexcept {
-  group = std::move(other126.group);
-  upstream = std::move(other126.upstream);
-  term = other126.term;
-  __isset = other126.__isset;
+promote& promote::operator=(promote&& other156) noexcept {
+  group = std::move(other156.group);
+  upstream = std::move(other156.upstream);
+  term = other156.term;
+  __isset = other156.__isset;
   return *this;
 }
 void promote::printTo(std::ostream& out) const {
@@ -3853,42 +4372,42 @@
   swap(a.__isset, b.__isset);
 }
 
-promote_reply::promote_reply(const promote_reply& other127) {
-  group = other127.group;
-  upstream = other127.upstream;
-  term = other127.term;
-  done = other127.done;
-  problem = other127.problem;
-  reached = other127.reached;
-  __isset = other127.__isset;
-}
-promote_reply::promote_reply(promote_reply&& other128) noexcept {
-  group = std::move(other128.group);
-  upstream = std::move(other128.upstream);
-  term = other128.term;
-  done = other128.done;
-  problem = std::move(other128.problem);
-  reached = std::move(other128.reached);
-  __isset = other128.__isset;
-}
-promote_reply& promote_reply::operator=(const promote_reply& other129) {
-  group = other129.group;
-  upstream = other129.upstream;
-  term = other129.term;
-  done = other129.done;
-  problem = other129.problem;
-  reached = other129.reached;
-  __isset = other129.__isset;
+promote_reply::promote_reply(const promote_reply& other157) {
+  group = other157.group;
+  upstream = other157.upstream;
+  term = other157.term;
+  done = other157.done;
+  problem = other157.problem;
+  reached = other157.reached;
+  __isset = other157.__isset;
+}
+promote_reply::promote_reply(promote_reply&& other158) noexcept {
+  group = std::move(other158.group);
+  upstream = std::move(other158.upstream);
+  term = other158.term;
+  done = other158.done;
+  problem = std::move(other158.problem);
+  reached = std::move(other158.reached);
+  __isset = other158.__isset;
+}
+promote_reply& promote_reply::operator=(const promote_reply& other159) {
+  group = other159.group;
+  upstream = other159.upstream;
+  term = other159.term;
+  done = other159.done;
+  problem = other159.problem;
+  reached = other159.reached;
+  __isset = other159.__isset;
   return *this;
 }
-promote_reply& promote_reply::operator=(promote_reply&& other130) noexcept {
-  group = std::move(other130.group);
-  upstream = std::move(other130.upstream);
-  term = other130.term;
-  done = other130.done;
-  problem = std::move(other130.problem);
-  reached = std::move(other130.reached);
-  __isset = other130.__isset;
+promote_reply& promote_reply::operator=(promote_reply&& other160) noexcept {
+  group = std::move(other160.group);
+  upstream = std::move(other160.upstream);
+  term = other160.term;
+  done = other160.done;
+  problem = std::move(other160.problem);
+  reached = std::move(other160.reached);
+  __isset = other160.__isset;
   return *this;
 }
 void promote_reply::printTo(std::ostream& out) const {
@@ -4013,30 +4532,30 @@
   swap(a.__isset, b.__isset);
 }
 
-operator_request::operator_request(const operator_request& other131) {
-  method = other131.method;
-  path = other131.path;
-  body = other131.body;
-  __isset = other131.__isset;
+operator_request::operator_request(const operator_request& other161) {
+  method = other161.method;
+  path = other161.path;
+  body = other161.body;
+  __isset = other161.__isset;
 }
-operator_request::operator_request(operator_request&& other132) noexcept {
-  method = std::move(other132.method);
-  path = std::move(other132.path);
-  body = std::move(other132.body);
-  __isset = other132.__isset;
+operator_request::operator_request(operator_request&& other162) noexcept {
+  method = std::move(other162.method);
+  path = std::move(other162.path);
+  body = std::move(other162.body);
+  __isset = other162.__isset;
 }
-operator_request& operator_request::operator=(const operator_request& other133) {
-  method = other133.method;
-  path = other133.path;
-  body = other133.body;
-  __isset = other133.__isset;
+operator_request& operator_request::operator=(const operator_request& other163) {
+  method = other163.method;
+  path = other163.path;
+  body = other163.body;
+  __isset = other163.__isset;
   return *this;
 }
-operator_request& operator_request::operator=(operator_request&& other134) noexcept {
-  method = std::move(other134.method);
-  path = std::move(other134.path);
-  body = std::move(other134.body);
-  __isset = other134.__isset;
+operator_request& operator_request::operator=(operator_request&& other164) noexcept {
+  method = std::move(other164.method);
+  path = std::move(other164.path);
+  body = std::move(other164.body);
+  __isset = other164.__isset;
   return *this;
 }
 void operator_request::printTo(std::ostream& out) const {
@@ -4141,26 +4660,26 @@
   swap(a.__isset, b.__isset);
 }
 
-operator_reply::operator_reply(const operator_reply& other135) {
-  status = other135.status;
-  body = other135.body;
-  __isset = other135.__isset;
+operator_reply::operator_reply(const operator_reply& other165) {
+  status = other165.status;
+  body = other165.body;
+  __isset = other165.__isset;
 }
-operator_reply::operator_reply(operator_reply&& other136) noexcept {
-  status = other136.status;
-  body = std::move(other136.body);
-  __isset = other136.__isset;
+operator_reply::operator_reply(operator_reply&& other166) noexcept {
+  status = other166.status;
+  body = std::move(other166.body);
+  __isset = other166.__isset;
 }
-operator_reply& operator_reply::operator=(const operator_reply& other137) {
-  status = other137.status;
-  body = other137.body;
-  __isset = other137.__isset;
+operator_reply& operator_reply::operator=(const operator_reply& other167) {
+  status = other167.status;
+  body = other167.body;
+  __isset = other167.__isset;
   return *this;
 }
-operator_reply& operator_reply::operator=(operator_reply&& other138) noexcept {
-  status = other138.status;
-  body = std::move(other138.body);
-  __isset = other138.__isset;
+operator_reply& operator_reply::operator=(operator_reply&& other168) noexcept {
+  status = other168.status;
+  body = std::move(other168.body);
+  __isset = other168.__isset;
   return *this;
 }
 void operator_reply::printTo(std::ostream& out) const {
@@ -4247,22 +4766,22 @@
   swap(a.__isset, b.__isset);
 }
 
-nudge::nudge(const nudge& other139) noexcept {
-  revision = other139.revision;
-  __isset = other139.__isset;
+nudge::nudge(const nudge& other169) noexcept {
+  revision = other169.revision;
+  __isset = other169.__isset;
 }
-nudge::nudge(nudge&& other140) noexcept {
-  revision = other140.revision;
-  __isset = other140.__isset;
+nudge::nudge(nudge&& other170) noexcept {
+  revision = other170.revision;
+  __isset = other170.__isset;
 }
-nudge& nudge::operator=(const nudge& other141) noexcept {
-  revision = other141.revision;
-  __isset = other141.__isset;
+nudge& nudge::operator=(const nudge& other171) noexcept {
+  revision = other171.revision;
+  __isset = other171.__isset;
   return *this;
 }
-nudge& nudge::operator=(nudge&& other142) noexcept {
-  revision = other142.revision;
-  __isset = other142.__isset;
+nudge& nudge::operator=(nudge&& other172) noexcept {
+  revision = other172.revision;
+  __isset = other172.__isset;
   return *this;
 }
 void nudge::printTo(std::ostream& out) const {
@@ -4348,22 +4867,22 @@
   swap(a.__isset, b.__isset);
 }
 
-resume::resume(const resume& other143) {
-  group = other143.group;
-  __isset = other143.__isset;
+resume::resume(const resume& other173) {
+  group = other173.group;
+  __isset = other173.__isset;
 }
-resume::resume(resume&& other144) noexcept {
-  group = std::move(other144.group);
-  __isset = other144.__isset;
+resume::resume(resume&& other174) noexcept {
+  group = std::move(other174.group);
+  __isset = other174.__isset;
 }
-resume& resume::operator=(const resume& other145) {
-  group = other145.group;
-  __isset = other145.__isset;
+resume& resume::operator=(const resume& other175) {
+  group = other175.group;
+  __isset = other175.__isset;
   return *this;
 }
-resume& resume::operator=(resume&& other146) noexcept {
-  group = std::move(other146.group);
-  __isset = other146.__isset;
+resume& resume::operator=(resume&& other176) noexcept {
+  group = std::move(other176.group);
+  __isset = other176.__isset;
   return *this;
 }
 void resume::printTo(std::ostream& out) const {
--- a/modules/control/gen/control_messages_types.h
+++ b/modules/control/gen/control_messages_types.h
@@ -45,6 +45,12 @@
 
 class deployment;
 
+class deployment_piece;
+
+class deployment_patch;
+
+class deployment_patches;
+
 class gateway_share;
 
 class group_view;
@@ -523,6 +529,173 @@
 
 std::ostream& operator<<(std::ostream& out, const deployment& obj);
 
+typedef struct _deployment_piece__isset {
+  _deployment_piece__isset() : first(false), count(false), added(false) {}
+  bool first :1;
+  bool count :1;
+  bool added :1;
+} _deployment_piece__isset;
+
+class deployment_piece : public virtual ::apache::thrift::TBase {
+ public:
+
+  deployment_piece(const deployment_piece&);
+  deployment_piece(deployment_piece&&) noexcept;
+  deployment_piece& operator=(const deployment_piece&);
+  deployment_piece& operator=(deployment_piece&&) noexcept;
+  deployment_piece() noexcept
+                   : first(0),
+                     count(0) {
+  }
+
+  virtual ~deployment_piece() noexcept;
+  int32_t first;
+  int32_t count;
+  std::vector<route>  added;
+
+  _deployment_piece__isset __isset;
+
+  void __set_first(const int32_t val);
+
+  void __set_count(const int32_t val);
+
+  void __set_added(const std::vector<route> & val);
+
+  bool operator == (const deployment_piece & rhs) const
+  {
+    if (!(first == rhs.first))
+      return false;
+    if (!(count == rhs.count))
+      return false;
+    if (!(added == rhs.added))
+      return false;
+    return true;
+  }
+  bool operator != (const deployment_piece &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const deployment_piece & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(deployment_piece &a, deployment_piece &b);
+
+std::ostream& operator<<(std::ostream& out, const deployment_piece& obj);
+
+typedef struct _deployment_patch__isset {
+  _deployment_patch__isset() : base_version(false), version(false), pieces(false), idle_transaction_ms(false) {}
+  bool base_version :1;
+  bool version :1;
+  bool pieces :1;
+  bool idle_transaction_ms :1;
+} _deployment_patch__isset;
+
+class deployment_patch : public virtual ::apache::thrift::TBase {
+ public:
+
+  deployment_patch(const deployment_patch&);
+  deployment_patch(deployment_patch&&) noexcept;
+  deployment_patch& operator=(const deployment_patch&);
+  deployment_patch& operator=(deployment_patch&&) noexcept;
+  deployment_patch() noexcept
+                   : base_version(0),
+                     version(0),
+                     idle_transaction_ms(0) {
+  }
+
+  virtual ~deployment_patch() noexcept;
+  int64_t base_version;
+  int64_t version;
+  std::vector<deployment_piece>  pieces;
+  int64_t idle_transaction_ms;
+
+  _deployment_patch__isset __isset;
+
+  void __set_base_version(const int64_t val);
+
+  void __set_version(const int64_t val);
+
+  void __set_pieces(const std::vector<deployment_piece> & val);
+
+  void __set_idle_transaction_ms(const int64_t val);
+
+  bool operator == (const deployment_patch & rhs) const
+  {
+    if (!(base_version == rhs.base_version))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(pieces == rhs.pieces))
+      return false;
+    if (!(idle_transaction_ms == rhs.idle_transaction_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const deployment_patch &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const deployment_patch & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(deployment_patch &a, deployment_patch &b);
+
+std::ostream& operator<<(std::ostream& out, const deployment_patch& obj);
+
+typedef struct _deployment_patches__isset {
+  _deployment_patches__isset() : patches(false) {}
+  bool patches :1;
+} _deployment_patches__isset;
+
+class deployment_patches : public virtual ::apache::thrift::TBase {
+ public:
+
+  deployment_patches(const deployment_patches&);
+  deployment_patches(deployment_patches&&) noexcept;
+  deployment_patches& operator=(const deployment_patches&);
+  deployment_patches& operator=(deployment_patches&&) noexcept;
+  deployment_patches() noexcept {
+  }
+
+  virtual ~deployment_patches() noexcept;
+  std::vector<deployment_patch>  patches;
+
+  _deployment_patches__isset __isset;
+
+  void __set_patches(const std::vector<deployment_patch> & val);
+
+  bool operator == (const deployment_patches & rhs) const
+  {
+    if (!(patches == rhs.patches))
+      return false;
+    return true;
+  }
+  bool operator != (const deployment_patches &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const deployment_patches & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(deployment_patches &a, deployment_patches &b);
+
+std::ostream& operator<<(std::ostream& out, const deployment_patches& obj);
+
 typedef struct _gateway_share__isset {
   _gateway_share__isset() : vm(false), incarnation(false), address(false), availability_zone(false), region(false), connections(false), slots(false), budget_epoch(false) {}
   bool vm :1;
@@ -899,7 +1072,7 @@
 std::ostream& operator<<(std::ostream& out, const group_report& obj);
 
 typedef struct _renewal__isset {
-  _renewal__isset() : vm(false), incarnation(false), address(false), availability_zone(false), region(false), applied_revision(false), sent_at_us(false), draining(false), groups(false), announcements(false), after_revision(false), after_group(false), deployment_version(false), control_store(false), gateway(true) {}
+  _renewal__isset() : vm(false), incarnation(false), address(false), availability_zone(false), region(false), applied_revision(false), sent_at_us(false), draining(false), groups(false), announcements(false), after_revision(false), after_group(false), deployment_version(false), control_store(false), gateway(true), accepts_patches(false) {}
   bool vm :1;
   bool incarnation :1;
   bool address :1;
@@ -915,6 +1088,7 @@
   bool deployment_version :1;
   bool control_store :1;
   bool gateway :1;
+  bool accepts_patches :1;
 } _renewal__isset;
 
 class renewal : public virtual ::apache::thrift::TBase {
@@ -937,7 +1111,8 @@
             after_group(),
             deployment_version(0),
             control_store(0),
-            gateway(true) {
+            gateway(true),
+            accepts_patches(0) {
   }
 
   virtual ~renewal() noexcept;
@@ -956,6 +1131,7 @@
   int64_t deployment_version;
   int64_t control_store;
   bool gateway;
+  bool accepts_patches;
 
   _renewal__isset __isset;
 
@@ -989,6 +1165,8 @@
 
   void __set_gateway(const bool val);
 
+  void __set_accepts_patches(const bool val);
+
   bool operator == (const renewal & rhs) const
   {
     if (!(vm == rhs.vm))
@@ -1021,6 +1199,8 @@
       return false;
     if (!(gateway == rhs.gateway))
       return false;
+    if (!(accepts_patches == rhs.accepts_patches))
+      return false;
     return true;
   }
   bool operator != (const renewal &rhs) const {
@@ -1040,7 +1220,7 @@
 std::ostream& operator<<(std::ostream& out, const renewal& obj);
 
 typedef struct _renewal_reply__isset {
-  _renewal_reply__isset() : granted(false), sent_at_us(false), lease_ms(false), leader_address(false), groups(false), revision(false), more(false), released(false), newer_deployment(false), control(false) {}
+  _renewal_reply__isset() : granted(false), sent_at_us(false), lease_ms(false), leader_address(false), groups(false), revision(false), more(false), released(false), newer_deployment(false), control(false), deployment_patches(false) {}
   bool granted :1;
   bool sent_at_us :1;
   bool lease_ms :1;
@@ -1051,6 +1231,7 @@
   bool released :1;
   bool newer_deployment :1;
   bool control :1;
+  bool deployment_patches :1;
 } _renewal_reply__isset;
 
 class renewal_reply : public virtual ::apache::thrift::TBase {
@@ -1067,7 +1248,8 @@
                   leader_address(),
                   revision(0),
                   more(0),
-                  released(0) {
+                  released(0),
+                  deployment_patches() {
   }
 
   virtual ~renewal_reply() noexcept;
@@ -1081,6 +1263,7 @@
   bool released;
   deployment newer_deployment;
   std::vector<std::string>  control;
+  std::string deployment_patches;
 
   _renewal_reply__isset __isset;
 
@@ -1104,6 +1287,8 @@
 
   void __set_control(const std::vector<std::string> & val);
 
+  void __set_deployment_patches(const std::string& val);
+
   bool operator == (const renewal_reply & rhs) const
   {
     if (!(granted == rhs.granted))
@@ -1128,6 +1313,10 @@
       return false;
     if (!(control == rhs.control))
       return false;
+    if (__isset.deployment_patches != rhs.__isset.deployment_patches)
+      return false;
+    else if (__isset.deployment_patches && !(deployment_patches == rhs.deployment_patches))
+      return false;
     return true;
   }
   bool operator != (const renewal_reply &rhs) const {
--- a/modules/deployment/deployment.cpp
+++ b/modules/deployment/deployment.cpp
@@ -28,32 +28,6 @@
   return consistency::Primary;
 }
 
-wire::route toWire(const route &Route) {
-  wire::route Result;
-  Result.name = Route.Name;
-  Result.database = Route.Database.Value;
-  Result.group = Route.Group.Value;
-  Result.reads = toWire(Route.Consistency);
-  Result.max_staleness_ms = toMilliseconds(Route.MaxStaleness);
-  Result.statement_ms = toMilliseconds(Route.StatementTimeout);
-  Result.target_ms = toMilliseconds(Route.TargetLatency);
-  Result.priority = static_cast<std::int32_t>(Route.Priority);
-  return Result;
-}
-
-route fromWire(const wire::route &Route) {
-  route Result;
-  Result.Name = Route.name;
-  Result.Database = database_id(Route.database);
-  Result.Group = group_id(Route.group);
-  Result.Consistency = fromWire(Route.reads);
-  Result.MaxStaleness = fromMilliseconds(Route.max_staleness_ms);
-  Result.StatementTimeout = fromMilliseconds(Route.statement_ms);
-  Result.TargetLatency = fromMilliseconds(Route.target_ms);
-  Result.Priority = static_cast<std::uint32_t>(std::max(0, Route.priority));
-  return Result;
-}
-
 void checkRoute(const route &Route, const std::set<group_id> &Groups,
                 std::vector<deployment_problem> &Problems) {
   std::string Location = "route " + Route.Name;
@@ -110,6 +84,32 @@
   return nullptr;
 }
 
+wire::route toWire(const route &Route) {
+  wire::route Result;
+  Result.name = Route.Name;
+  Result.database = Route.Database.Value;
+  Result.group = Route.Group.Value;
+  Result.reads = toWire(Route.Consistency);
+  Result.max_staleness_ms = toMilliseconds(Route.MaxStaleness);
+  Result.statement_ms = toMilliseconds(Route.StatementTimeout);
+  Result.target_ms = toMilliseconds(Route.TargetLatency);
+  Result.priority = static_cast<std::int32_t>(Route.Priority);
+  return Result;
+}
+
+route fromWire(const wire::route &Route) {
+  route Result;
+  Result.Name = Route.name;
+  Result.Database = database_id(Route.database);
+  Result.Group = group_id(Route.group);
+  Result.Consistency = fromWire(Route.reads);
+  Result.MaxStaleness = fromMilliseconds(Route.max_staleness_ms);
+  Result.StatementTimeout = fromMilliseconds(Route.statement_ms);
+  Result.TargetLatency = fromMilliseconds(Route.target_ms);
+  Result.Priority = static_cast<std::uint32_t>(std::max(0, Route.priority));
+  return Result;
+}
+
 wire::deployment toWire(const deployment &Deployment) {
   wire::deployment Result;
   Result.version = static_cast<std::int64_t>(Deployment.Version.Value);
--- a/modules/deployment/deployment.h
+++ b/modules/deployment/deployment.h
@@ -100,6 +100,8 @@
 const route *findRoute(const deployment &Deployment,
                        const database_id &Database);
 
+wire::route toWire(const route &Route);
+route fromWire(const wire::route &Route);
 wire::deployment toWire(const deployment &Deployment);
 deployment fromWire(const wire::deployment &Deployment);
 
--- a/modules/membership/member_agent.cpp
+++ b/modules/membership/member_agent.cpp
@@ -178,6 +178,7 @@
       static_cast<std::int64_t>(Member.Deployment.Version.Value);
   Renewal.control_store = static_cast<std::int64_t>(ControlStore.Value);
   Renewal.gateway = Settings.IsGateway;
+  Renewal.accepts_patches = true;
   if (Gateway.BuildReports)
     Renewal.groups = Gateway.BuildReports();
   removeVisibleAnnouncements();
--- a/modules/membership/member_state.cpp
+++ b/modules/membership/member_state.cpp
@@ -1,5 +1,9 @@
 #include "modules/membership/member_state.h"
 
+#include "core/compression.h"
+#include "modules/deployment/deployment_patch.h"
+#include "modules/link/codec.h"
+
 #include <algorithm>
 
 namespace teasellock {
@@ -22,6 +26,12 @@
 
 /// A deployment is valid by its version alone, also in an outdated reply.
 void applyDeployment(member_state &State, const wire::renewal_reply &Reply) {
+  if (Reply.__isset.deployment_patches) {
+    auto Encoded = decompress(Reply.deployment_patches, MaxFrameBytes);
+    auto Content = decode<wire::deployment_patches>(Encoded, "control");
+    for (const auto &Patch : Content.patches)
+      applyPatch(State.Deployment, Patch);
+  }
   if (!Reply.__isset.newer_deployment)
     return;
   auto Next = fromWire(Reply.newer_deployment);
--- a/modules/membership/tests/test_member_state.cpp
+++ b/modules/membership/tests/test_member_state.cpp
@@ -1,5 +1,9 @@
 #include "modules/membership/member_state.h"
 
+#include "core/compression.h"
+#include "modules/deployment/deployment_patch.h"
+#include "modules/link/codec.h"
+
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
@@ -137,3 +141,22 @@
   applyRenewalReply(State, Reply, Start);
   CHECK((State.Deployment.Version == deployment_version(4)));
 }
+
+TEST_CASE("membership: patches of the deployment are applied, and malformed "
+          "ones change nothing") {
+  member_state State;
+  deployment Deployment;
+  Deployment.Version = deployment_version(4);
+  Deployment.Routes.resize(3);
+  wire::deployment_patches Patches;
+  Patches.patches = {makePatch(deployment(), Deployment)};
+  auto Reply = replyAt(7);
+  Reply.__set_deployment_patches(compress(encode(Patches)));
+  Reply.deployment_patches.pop_back();
+  CHECK_THROWS_AS(applyRenewalReply(State, Reply, Start), error);
+  CHECK((State.Deployment == deployment()));
+  CHECK((State.Applied == revision()));
+  Reply.deployment_patches = compress(encode(Patches));
+  applyRenewalReply(State, Reply, Start);
+  CHECK((State.Deployment == Deployment));
+}
