Consensus: a request with data is not sent again while it is on its way

What callers saw: nothing yet. The postmortem listed this as suspected; it was looked for because a deployment was distributed in the same way.

Same class as the incident: retries on a timeout that keep the queue full which delays the replies.

A request with data counts as lost, and is sent again, only once the member has answered a later one.

Why it works: a slow link answers nothing later before the request itself; a connection that was lost, a member that was down or unreachable answers the next empty request. `consensus: entries that a lost connection did not deliver are sent again within 1 s of the next connection` guards that side.

--- a/modules/consensus/consensus_replication.cpp
+++ b/modules/consensus/consensus_replication.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-/// Heartbeat periods after which an unanswered request with data is sent again.
+/// Heartbeat periods after which a lost request with data is sent again.
 constexpr int ResendAfterHeartbeats = 4;
 /// Maximum number of rounds for which the send time is kept per follower.
 constexpr std::size_t MaxOpenRounds = 256;
@@ -67,9 +67,15 @@
   Effects.Send.push_back({To, makeAppend(State, To, Previous)});
 }
 
-bool canResend(const consensus_state &State, const follower_progress &Follower,
-               time_point Now) {
-  return Follower.PendingRound == 0 ||
+/// Reports whether data may be sent: none is pending, or the pending request is
+/// lost. Links deliver in order, so it is lost once a later request has been
+/// answered; until then it may be on its way, and copies would only fill the
+/// link.
+bool canSendData(const consensus_state &State,
+                 const follower_progress &Follower, time_point Now) {
+  if (Follower.PendingRound == 0)
+    return true;
+  return Follower.AnsweredRound > Follower.PendingRound &&
          Now - Follower.PendingSentAt >=
              State.Timing.HeartbeatPeriod * ResendAfterHeartbeats;
 }
@@ -86,6 +92,7 @@
 void recordRoundReply(follower_progress &Follower, std::uint64_t Round,
                       time_point Now) {
   Follower.LastReceivedAt = Now;
+  Follower.AnsweredRound = std::max(Follower.AnsweredRound, Round);
   auto Found = Follower.OpenRounds.find(Round);
   if (Found == Follower.OpenRounds.end())
     return;
@@ -197,7 +204,7 @@
     // A new member may need entries even if the leader has no new ones.
     bool IsBehind =
         Follower.MatchIndex < State.Log.lastIndex() || Follower.Snapshot;
-    if (IsBehind && canResend(State, Follower, Input.Now))
+    if (IsBehind && canSendData(State, Follower, Input.Now))
       sendEntries(State, Store, Follower, Input, Effects);
     else
       sendEmptyAppend(State, Store, Follower, Input, Effects);
--- a/modules/consensus/consensus_state.h
+++ b/modules/consensus/consensus_state.h
@@ -74,6 +74,8 @@
   /// request with data that is not answered yet; zero if there is none.
   std::uint64_t PendingRound = 0;
   time_point PendingSentAt;
+  /// The latest round that the member answered.
+  std::uint64_t AnsweredRound = 0;
   /// Send times of the rounds that are not answered yet, by round.
   std::map<std::uint64_t, time_point> OpenRounds;
   /// Latest send time of a request that the member answered.
