Membership: the choice of a control VM and forwarded requests are modules of their own

A time that was written and never read is gone, and an unused function of the simulated control group.

Found by reading: forwarding an operator's request also changed which control VM counted as not replying to a renewal, so a leader that had just been named could be skipped in place of the one that is down. The target of a renewal is now recorded by renew() alone.

--- a/modules/consensus/tests/simulated_group.cpp
+++ b/modules/consensus/tests/simulated_group.cpp
@@ -27,10 +27,6 @@
          Left.data == Right.data;
 }
 
-bool isReply(const consensus_message &Message) {
-  return Message.index() % 2 == 1;
-}
-
 } // namespace
 
 simulated_group::simulated_group(const simulation_rules &Rules,
--- a/modules/membership/member_agent.cpp
+++ b/modules/membership/member_agent.cpp
@@ -3,11 +3,11 @@
 #include "core/event_log.h"
 #include "modules/control/message_kinds.h"
 #include "modules/link/codec.h"
+#include "modules/membership/control_selection.h"
 #include "modules/membership/member_state.h"
+#include "modules/membership/operator_forwarding.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
-#include <optional>
 
 namespace teasellock {
 
@@ -20,7 +20,6 @@
 const duration AnnouncementTimeout = fromMilliseconds(3000);
 /// Timeout of a forwarded operator request.
 const duration ForwardTimeout = fromMilliseconds(10000);
-constexpr int MaxRedirects = 3;
 
 /// An announcement that the views don't reflect yet.
 struct pending_announcement {
@@ -28,32 +27,6 @@
   time_point ReceivedAt;
 };
 
-/// An operator's request that is being forwarded to the leader.
-struct forwarded_request {
-  wire::operator_request Request;
-  std::function<void(int, std::string)> Callback;
-  time_point Deadline;
-  int Redirects = 0;
-};
-
-std::string errorJson(const std::string &Reason) {
-  return nlohmann::json{{"error", Reason}}.dump();
-}
-
-/// Returns the address of the leader if the reply is a redirection: status 503
-/// with a field `leader`.
-std::optional<endpoint> parseLeader(const wire::operator_reply &Reply) {
-  auto Json = nlohmann::json::parse(Reply.body, nullptr, false);
-  if (Reply.status != 503 || !Json.is_object() || !Json.contains("leader") ||
-      !Json["leader"].is_string())
-    return std::nullopt;
-  try {
-    return parseEndpoint(Json["leader"].get<std::string>());
-  } catch (const error &) {
-    return std::nullopt;
-  }
-}
-
 } // namespace
 
 struct member_agent::state {
@@ -63,25 +36,16 @@
   gateway_hooks Gateway;
   member_state Member;
   std::vector<std::function<void(const group_view &)>> ViewListeners;
-  /// Index of the control VM to contact, in the endpoints of the settings
-  /// followed by NamedControl, unless the leader is known. Changed when the VM
-  /// does not reply or names no leader.
-  std::size_t NextControl = 0;
-  std::optional<endpoint> Leader;
+  control_selection Control;
   std::map<request_id, time_point> SentRenewals;
+  /// Where the last renewal was sent.
+  std::optional<endpoint> RenewalTarget;
   time_point LastRenewalAt;
-  time_point LastReplyAt;
   std::map<std::pair<group_id, upstream_id>, pending_announcement>
       PendingAnnouncements;
-  std::map<request_id, forwarded_request> ForwardedRequests;
+  forwarded_requests ForwardedRequests;
   bool Draining = false;
   store_id ControlStore;
-  /// Where the last renewal was sent, and the last control VM that did not
-  /// reply to one. The latter is skipped until another one replies.
-  std::optional<endpoint> RenewalTarget;
-  std::optional<endpoint> UnresponsiveTarget;
-  /// Control VMs named by the last reply, in addition to those of the settings.
-  std::vector<endpoint> NamedControl;
   std::function<void()> DrainCallback;
   timer_subscription RenewalTimer;
   timer_subscription EarlyRenewalTimer;
@@ -98,13 +62,13 @@
     Member.Self = Context.Self.Vm;
     Member.Incarnation = Context.Self.Incarnation;
     Member.InheritsShares = this->Settings.InheritsShares;
+    Control.Configured = this->Settings.ControlEndpoints;
   }
 
   time_point now() const { return Context.Timers.now(); }
 
   void start();
-  std::optional<link_id> controlLink();
-  void selectNextControl();
+  std::optional<endpoint> chooseControl();
   void renew();
   wire::renewal buildRenewal();
   void scheduleEarlyRenewal();
@@ -119,46 +83,16 @@
   void onPromote(link_id Link, link_message &&Message);
   void onOperatorReply(link_id Link, link_message &&Message);
   void forward(forwarded_request Request);
-  void expireForwardedRequests();
   void removeVisibleAnnouncements();
   template <typename Reply>
   void sendReply(link_id Link, request_id Request, std::int16_t Kind,
                  const Reply &Body);
 };
 
-std::optional<link_id> member_agent::state::controlLink() {
-  if (Leader) {
-    auto Link = Hub.linkTo(*Leader);
-    RenewalTarget = Leader;
-    if (Hub.isOpen(Link))
-      return Link;
-  }
-  std::size_t Count = Settings.ControlEndpoints.size() + NamedControl.size();
-  for (std::size_t I = 0; I < Count; ++I) {
-    std::size_t At = (NextControl + I) % Count;
-    bool FromSettings = At < Settings.ControlEndpoints.size();
-    auto Link = Hub.linkTo(
-        FromSettings ? Settings.ControlEndpoints[At]
-                     : NamedControl[At - Settings.ControlEndpoints.size()]);
-    const auto &Address =
-        FromSettings ? Settings.ControlEndpoints[At]
-                     : NamedControl[At - Settings.ControlEndpoints.size()];
-    if (!Hub.isOpen(Link) || (Count > 1 && Address == UnresponsiveTarget))
-      continue;
-    NextControl = At;
-    RenewalTarget = Address;
-    return Link;
-  }
-  // No other control VM is reachable, so the unresponsive one is tried again.
-  UnresponsiveTarget.reset();
-  return std::nullopt;
-}
-
-void member_agent::state::selectNextControl() {
-  Leader.reset();
-  if (std::size_t Count =
-          Settings.ControlEndpoints.size() + NamedControl.size())
-    NextControl = (NextControl + 1) % Count;
+std::optional<endpoint> member_agent::state::chooseControl() {
+  return teasellock::chooseControl(Control, [this](const endpoint &Address) {
+    return Hub.isOpen(Hub.linkTo(Address));
+  });
 }
 
 wire::renewal member_agent::state::buildRenewal() {
@@ -189,8 +123,8 @@
 }
 
 void member_agent::state::renew() {
-  auto Link = controlLink();
-  if (!Link) {
+  RenewalTarget = chooseControl();
+  if (!RenewalTarget) {
     LastRenewalAt = now();
     return;
   }
@@ -200,7 +134,7 @@
   Renewal.sent_at_us = SentAt.time_since_epoch().count();
   auto Request = Hub.nextRequest();
   LastRenewalAt = SentAt;
-  if (Hub.send(*Link,
+  if (Hub.send(Hub.linkTo(*RenewalTarget),
                {message_kind(RenewalKind), Request, encode(Renewal), ""}))
     SentRenewals[Request] = SentAt;
 }
@@ -215,14 +149,13 @@
 }
 
 void member_agent::state::checkTimeouts() {
-  expireForwardedRequests();
+  expireRequests(ForwardedRequests, now());
   if (SentRenewals.empty() ||
       now() - SentRenewals.begin()->second < Settings.RenewalTimeout)
     return;
   UnansweredRenewals.add(SentRenewals.size());
   SentRenewals.clear();
-  UnresponsiveTarget = RenewalTarget;
-  selectNextControl();
+  recordNoReply(Control, RenewalTarget);
   renew();
 }
 
@@ -236,9 +169,7 @@
   time_point SentAt = Known->second;
   // This reply also covers all earlier renewals.
   SentRenewals.erase(SentRenewals.begin(), std::next(Known));
-  LastReplyAt = now();
-  if (RenewalTarget != UnresponsiveTarget)
-    UnresponsiveTarget.reset();
+  recordReply(Control, RenewalTarget);
   if (Reply.granted)
     applyGrantedReply(Reply, SentAt);
   else
@@ -263,18 +194,18 @@
 void member_agent::state::handleRedirect(const std::string &Address) {
   try {
     if (Address.empty()) {
-      selectNextControl();
+      selectNextControl(Control);
       return;
     }
     auto NamedLeader = parseEndpoint(Address);
-    bool HasChanged = Leader != NamedLeader;
-    Leader = NamedLeader;
+    bool HasChanged = Control.Leader != NamedLeader;
+    Control.Leader = NamedLeader;
     if (HasChanged && Hub.isOpen(Hub.linkTo(NamedLeader)))
       scheduleEarlyRenewal();
   } catch (const error &Problem) {
     event("membership.bad_leader", severity::Warning)
         .with("problem", Problem.what());
-    selectNextControl();
+    selectNextControl(Control);
   }
 }
 
@@ -315,11 +246,11 @@
 
 void member_agent::state::updateControlEndpoints(
     const wire::renewal_reply &Reply) {
-  std::vector<endpoint> Control;
+  std::vector<endpoint> Named;
   for (const auto &Address : Reply.control)
-    Control.push_back(parseEndpoint(Address));
-  if (!Control.empty())
-    NamedControl = std::move(Control);
+    Named.push_back(parseEndpoint(Address));
+  if (!Named.empty())
+    Control.Named = std::move(Named);
 }
 
 void member_agent::state::onResume(link_id, link_message &&Message) {
@@ -388,15 +319,12 @@
 }
 
 void member_agent::state::forward(forwarded_request Request) {
-  auto Link = controlLink();
-  if (!Link) {
-    Request.Callback(503, errorJson("no control VM can be reached"));
-    return;
-  }
+  auto Target = chooseControl();
   auto Number = Hub.nextRequest();
-  if (!Hub.send(*Link, {message_kind(OperatorRequestKind), Number,
-                        encode(Request.Request), ""})) {
-    Request.Callback(503, errorJson("no control VM can be reached"));
+  if (!Target ||
+      !Hub.send(Hub.linkTo(*Target), {message_kind(OperatorRequestKind), Number,
+                                      encode(Request.Request), ""})) {
+    failUnreachable(Request);
     return;
   }
   ForwardedRequests[Number] = std::move(Request);
@@ -408,9 +336,8 @@
   if (Known.empty())
     return;
   auto &Request = Known.mapped();
-  auto NamedLeader = parseLeader(Reply);
-  if (NamedLeader && Request.Redirects < MaxRedirects) {
-    Leader = NamedLeader;
+  if (auto NamedLeader = redirectionOf(Request, Reply)) {
+    Control.Leader = NamedLeader;
     ++Request.Redirects;
     forward(std::move(Request));
     return;
@@ -418,21 +345,6 @@
   Request.Callback(Reply.status, Reply.body);
 }
 
-void member_agent::state::expireForwardedRequests() {
-  std::vector<forwarded_request> Expired;
-  for (auto It = ForwardedRequests.begin(); It != ForwardedRequests.end();) {
-    if (now() < It->second.Deadline) {
-      ++It;
-      continue;
-    }
-    Expired.push_back(std::move(It->second));
-    It = ForwardedRequests.erase(It);
-  }
-  for (auto &Request : Expired)
-    Request.Callback(504, errorJson("no answer from control; the outcome is "
-                                    "unknown"));
-}
-
 void member_agent::state::start() {
   auto Receive = [this](std::int16_t Kind, auto Handler) {
     Hub.registerReceiver(message_kind(Kind), message_kind(Kind),
@@ -455,8 +367,8 @@
   };
   Events.Closed = [](link_id, const error &) {};
   Hub.subscribe(std::move(Events));
-  for (const auto &Control : Settings.ControlEndpoints)
-    Hub.linkTo(Control);
+  for (const auto &Address : Control.Configured)
+    Hub.linkTo(Address);
   RenewalTimer =
       Context.Timers.every(Settings.RenewalPeriod, [this] { renew(); });
   TimeoutTimer = Context.Timers.every(Settings.RenewalTimeout / 8,
@@ -502,13 +414,14 @@
   State->ControlStore = Store;
 }
 
-void member_agent::setControlEndpoints(std::vector<endpoint> Control) {
-  if (State->Settings.ControlEndpoints == Control)
+void member_agent::setControlEndpoints(std::vector<endpoint> Endpoints) {
+  auto &Configured = State->Control.Configured;
+  if (Configured == Endpoints)
     return;
   event("membership.control_changed")
-      .with("count", static_cast<std::uint64_t>(Control.size()));
-  State->Settings.ControlEndpoints = std::move(Control);
-  for (const auto &Address : State->Settings.ControlEndpoints)
+      .with("count", static_cast<std::uint64_t>(Endpoints.size()));
+  Configured = std::move(Endpoints);
+  for (const auto &Address : Configured)
     State->Hub.linkTo(Address);
 }
 
--- a/modules/membership/member_agent.h
+++ b/modules/membership/member_agent.h
@@ -83,7 +83,7 @@
   void attachControlStore(store_id Store);
 
   /// Replaces the endpoints of the control VMs in the settings.
-  void setControlEndpoints(std::vector<endpoint> Control);
+  void setControlEndpoints(std::vector<endpoint> Endpoints);
 
   /// Returns the highest revision up to which all changes are applied here.
   revision appliedRevision() const;
