Control, Line: a primary that leaves is demoted before it is replaced

Cause: a new replica confirms writes from its start, but control heard of it 1.07 s later, as the control VM that it announced itself to first was down. The leaving primary was replaced in between: the three replicas that control knew were paused at 1/848, the unknown one confirmed 1/849 and later ones, and one of the three was promoted.

Ruled out: a resumed or restarted replica (no incarnation changed, no resume before the promotion).

Change: a leaving primary works, so gateways demote it first and wait 50 ms before they pause the replicas. The answer gives the end of its log; any replica with everything up to there is promoted without waiting for the others, else the former primary again. Without an answer within 1 s the rule of before is used.

Why it works: a demoted primary commits nothing more, so no acknowledged write lies beyond the position of its answer, whoever has confirmed it.

Fields added to stored and sent messages are optional.

--- a/modules/control/control_codec.cpp
+++ b/modules/control/control_codec.cpp
@@ -63,6 +63,7 @@
   Result.chosen = nameOf(Promotion.Chosen);
   Result.chosen_position = toWire(Promotion.ChosenPosition);
   Result.attempt = static_cast<std::int32_t>(Promotion.Attempt);
+  Result.planned = Promotion.Planned;
   return Result;
 }
 
@@ -78,6 +79,7 @@
   Result.Chosen = upstreamOf(Record.chosen);
   Result.ChosenPosition = teasellock::fromWire(Record.chosen_position);
   Result.Attempt = toCount(Record.attempt);
+  Result.Planned = Record.planned;
   return Result;
 }
 
@@ -123,6 +125,7 @@
   Result.watermark = toWire(Group.Watermark);
   Result.dirty = Group.Dirty;
   Result.dirty_since = toSigned(Group.DirtySince.Value);
+  Result.unsettled_orders = Group.HasUnsettledOrders;
   Result.least_ack_replicas = static_cast<std::int32_t>(Group.MinAckReplicas);
   Result.budget_epoch = toSigned(Group.BudgetEpoch);
   if (Group.Promotion)
@@ -153,6 +156,7 @@
   Result.Watermark = fromWire(Record.watermark);
   Result.Dirty = Record.dirty;
   Result.DirtySince = revision(toUnsigned(Record.dirty_since));
+  Result.HasUnsettledOrders = Record.unsettled_orders;
   Result.MinAckReplicas = toCount(Record.least_ack_replicas);
   Result.BudgetEpoch = toUnsigned(Record.budget_epoch);
   if (Record.__isset.promotion)
--- a/modules/control/control_commands.thrift
+++ b/modules/control/control_commands.thrift
@@ -41,6 +41,8 @@
   8: control_messages.position chosen_position;
   /// Number of orders committed for this promotion.
   9: i32 attempt;
+  /// The primary is replaced although it works.
+  10: bool planned;
 }
 
 /// An upstream incarnation that has left permanently.
@@ -68,6 +70,8 @@
   15: bool removed;
   /// Upstream incarnations that have left permanently, oldest first.
   16: list<departed_upstream> departed;
+  /// An order to promote an upstream may still be carried out.
+  17: bool unsettled_orders;
 }
 
 /// Replaces the whole table if its version is still the base version.
--- a/modules/control/control_decisions.cpp
+++ b/modules/control/control_decisions.cpp
@@ -94,7 +94,7 @@
   if (Decision.Proposal)
     DecisionProposals.push_back(*Decision.Proposal);
   if (!Decision.FenceTargets.empty())
-    sendFences(Group, Decision.FenceTargets, Decision.PauseTerm);
+    sendFences(Group, Decision);
   if (Decision.ShouldResume)
     sendResume(Group);
   if (Decision.Order)
@@ -161,24 +161,25 @@
   return Hub.send(Known->second, {Kind, Request, std::move(Body), ""});
 }
 
-void control_service::state::sendFences(
-    const group_state &Group, const std::vector<gateway_incarnation> &Gateways,
-    term PauseTerm) {
+void control_service::state::sendFences(const group_state &Group,
+                                        const group_decision &Decision) {
   wire::fence Fence;
-  Fence.pause_term = static_cast<std::int64_t>(PauseTerm.Value);
+  Fence.pause_term = static_cast<std::int64_t>(Decision.PauseTerm.Value);
   Fence.group = Group.Group.Value;
   Fence.term = static_cast<std::int64_t>(Group.Term.Value);
+  if (Decision.DemotionTarget)
+    Fence.demoted = Decision.DemotionTarget->Value;
   time_point At = now();
-  for (const auto &Gateway : Gateways) {
+  for (const auto &Gateway : Decision.FenceTargets) {
     auto Request = Hub.nextRequest();
     if (!sendTo(Gateway, message_kind(FenceKind), Request, encode(Fence)))
       continue;
     PendingFences[Request] = {Group.Group, Gateway, At};
   }
-  if (PauseTerm != term())
-    recordPausesSent(Group, Leader, Gateways, At);
+  if (Decision.PauseTerm != term())
+    recordPausesSent(Group, Leader, Decision.FenceTargets, At);
   else
-    recordFencesSent(Group, Leader, Gateways, At);
+    recordFencesSent(Group, Leader, Decision.FenceTargets, At);
 }
 
 void control_service::state::sendResume(const group_state &Group) {
--- a/modules/control/control_messages.thrift
+++ b/modules/control/control_messages.thrift
@@ -224,6 +224,9 @@
   2: i64 term;
   /// If not 0, replicas are paused under this term before they are probed.
   3: i64 pause_term;
+  /// If not empty, this primary is first demoted under the same term, and
+  /// reported as paused once it has answered.
+  4: string demoted;
 }
 
 /// Reply to a fence: the gateway acknowledges no more writes of that term. Kind
--- a/modules/control/control_service_state.h
+++ b/modules/control/control_service_state.h
@@ -166,9 +166,7 @@
 
   bool sendTo(const gateway_incarnation &Gateway, message_kind Kind,
               request_id Request, std::string Body);
-  void sendFences(const group_state &Group,
-                  const std::vector<gateway_incarnation> &Gateways,
-                  term PauseTerm);
+  void sendFences(const group_state &Group, const group_decision &Decision);
   void sendResume(const group_state &Group);
   void callPlatform(const group_state &Group, const promotion_order &Order);
   void sendOrder(const group_state &Group, const gateway_incarnation &Gateway);
--- a/modules/control/control_state.h
+++ b/modules/control/control_state.h
@@ -69,6 +69,8 @@
   term FencedTerm;
   /// The primary of that term.
   std::optional<upstream_id> Deposed;
+  /// That primary works and is to be demoted before it is replaced.
+  bool Planned = false;
   /// The upstream that an operator requested.
   std::optional<upstream_id> Requested;
   /// The operator accepts the loss of acknowledged writes.
@@ -118,6 +120,9 @@
   bool Dirty = false;
   /// The revision that last made the group dirty.
   revision DirtySince;
+  /// The platform has not answered the last order to promote an upstream, so it
+  /// may still carry out one.
+  bool HasUnsettledOrders = false;
   /// The smallest AckReplicas in effect during this term.
   std::uint32_t MinAckReplicas = 0;
   std::uint64_t BudgetEpoch = 0;
--- a/modules/control/gen/control_commands_types.cpp
+++ b/modules/control/gen/control_commands_types.cpp
@@ -519,6 +519,10 @@
 void promotion_record::__set_attempt(const int32_t val) {
   this->attempt = val;
 }
+
+void promotion_record::__set_planned(const bool val) {
+  this->planned = val;
+}
 std::ostream& operator<<(std::ostream& out, const promotion_record& obj)
 {
   obj.printTo(out);
@@ -619,6 +623,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->planned);
+          this->__isset.planned = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -672,6 +684,10 @@
   xfer += oprot->writeI32(this->attempt);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("planned", ::apache::thrift::protocol::T_BOOL, 10);
+  xfer += oprot->writeBool(this->planned);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -688,6 +704,7 @@
   swap(a.chosen, b.chosen);
   swap(a.chosen_position, b.chosen_position);
   swap(a.attempt, b.attempt);
+  swap(a.planned, b.planned);
   swap(a.__isset, b.__isset);
 }
 
@@ -701,6 +718,7 @@
   chosen = other8.chosen;
   chosen_position = other8.chosen_position;
   attempt = other8.attempt;
+  planned = other8.planned;
   __isset = other8.__isset;
 }
 promotion_record::promotion_record(promotion_record&& other9) noexcept {
@@ -713,6 +731,7 @@
   chosen = std::move(other9.chosen);
   chosen_position = std::move(other9.chosen_position);
   attempt = other9.attempt;
+  planned = other9.planned;
   __isset = other9.__isset;
 }
 promotion_record& promotion_record::operator=(const promotion_record& other10) {
@@ -725,6 +744,7 @@
   chosen = other10.chosen;
   chosen_position = other10.chosen_position;
   attempt = other10.attempt;
+  planned = other10.planned;
   __isset = other10.__isset;
   return *this;
 }
@@ -738,6 +758,7 @@
   chosen = std::move(other11.chosen);
   chosen_position = std::move(other11.chosen_position);
   attempt = other11.attempt;
+  planned = other11.planned;
   __isset = other11.__isset;
   return *this;
 }
@@ -753,6 +774,7 @@
   out << ", " << "chosen=" << to_string(chosen);
   out << ", " << "chosen_position=" << to_string(chosen_position);
   out << ", " << "attempt=" << to_string(attempt);
+  out << ", " << "planned=" << to_string(planned);
   out << ")";
 }
 
@@ -948,6 +970,10 @@
 void group_record::__set_departed(const std::vector<departed_upstream> & val) {
   this->departed = val;
 }
+
+void group_record::__set_unsettled_orders(const bool val) {
+  this->unsettled_orders = val;
+}
 std::ostream& operator<<(std::ostream& out, const group_record& obj)
 {
   obj.printTo(out);
@@ -1152,6 +1178,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->unsettled_orders);
+          this->__isset.unsettled_orders = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1266,6 +1300,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("unsettled_orders", ::apache::thrift::protocol::T_BOOL, 17);
+  xfer += oprot->writeBool(this->unsettled_orders);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1289,6 +1327,7 @@
   swap(a.promotion, b.promotion);
   swap(a.removed, b.removed);
   swap(a.departed, b.departed);
+  swap(a.unsettled_orders, b.unsettled_orders);
   swap(a.__isset, b.__isset);
 }
 
@@ -1309,6 +1348,7 @@
   promotion = other40.promotion;
   removed = other40.removed;
   departed = other40.departed;
+  unsettled_orders = other40.unsettled_orders;
   __isset = other40.__isset;
 }
 group_record::group_record(group_record&& other41) noexcept {
@@ -1328,6 +1368,7 @@
   promotion = std::move(other41.promotion);
   removed = other41.removed;
   departed = std::move(other41.departed);
+  unsettled_orders = other41.unsettled_orders;
   __isset = other41.__isset;
 }
 group_record& group_record::operator=(const group_record& other42) {
@@ -1347,6 +1388,7 @@
   promotion = other42.promotion;
   removed = other42.removed;
   departed = other42.departed;
+  unsettled_orders = other42.unsettled_orders;
   __isset = other42.__isset;
   return *this;
 }
@@ -1367,6 +1409,7 @@
   promotion = std::move(other43.promotion);
   removed = other43.removed;
   departed = std::move(other43.departed);
+  unsettled_orders = other43.unsettled_orders;
   __isset = other43.__isset;
   return *this;
 }
@@ -1389,6 +1432,7 @@
   out << ", " << "promotion="; (__isset.promotion ? (out << to_string(promotion)) : (out << "<null>"));
   out << ", " << "removed=" << to_string(removed);
   out << ", " << "departed=" << to_string(departed);
+  out << ", " << "unsettled_orders=" << to_string(unsettled_orders);
   out << ")";
 }
 
--- a/modules/control/gen/control_commands_types.h
+++ b/modules/control/gen/control_commands_types.h
@@ -217,7 +217,7 @@
 std::ostream& operator<<(std::ostream& out, const share_holder& obj);
 
 typedef struct _promotion_record__isset {
-  _promotion_record__isset() : ordering(false), reason(false), fenced_term(false), deposed(false), wanted(false), forced(false), chosen(false), chosen_position(false), attempt(false) {}
+  _promotion_record__isset() : ordering(false), reason(false), fenced_term(false), deposed(false), wanted(false), forced(false), chosen(false), chosen_position(false), attempt(false), planned(false) {}
   bool ordering :1;
   bool reason :1;
   bool fenced_term :1;
@@ -227,6 +227,7 @@
   bool chosen :1;
   bool chosen_position :1;
   bool attempt :1;
+  bool planned :1;
 } _promotion_record__isset;
 
 class promotion_record : public virtual ::apache::thrift::TBase {
@@ -244,7 +245,8 @@
                      wanted(),
                      forced(0),
                      chosen(),
-                     attempt(0) {
+                     attempt(0),
+                     planned(0) {
   }
 
   virtual ~promotion_record() noexcept;
@@ -257,6 +259,7 @@
   std::string chosen;
    ::teasellock::wire::position chosen_position;
   int32_t attempt;
+  bool planned;
 
   _promotion_record__isset __isset;
 
@@ -278,6 +281,8 @@
 
   void __set_attempt(const int32_t val);
 
+  void __set_planned(const bool val);
+
   bool operator == (const promotion_record & rhs) const
   {
     if (!(ordering == rhs.ordering))
@@ -298,6 +303,8 @@
       return false;
     if (!(attempt == rhs.attempt))
       return false;
+    if (!(planned == rhs.planned))
+      return false;
     return true;
   }
   bool operator != (const promotion_record &rhs) const {
@@ -369,7 +376,7 @@
 std::ostream& operator<<(std::ostream& out, const departed_upstream& obj);
 
 typedef struct _group_record__isset {
-  _group_record__isset() : group(false), revision(false), row(false), term(false), primary(false), upstreams(false), gateways(false), holders(false), watermark(false), dirty(false), dirty_since(false), least_ack_replicas(false), budget_epoch(false), promotion(false), removed(false), departed(false) {}
+  _group_record__isset() : group(false), revision(false), row(false), term(false), primary(false), upstreams(false), gateways(false), holders(false), watermark(false), dirty(false), dirty_since(false), least_ack_replicas(false), budget_epoch(false), promotion(false), removed(false), departed(false), unsettled_orders(false) {}
   bool group :1;
   bool revision :1;
   bool row :1;
@@ -386,6 +393,7 @@
   bool promotion :1;
   bool removed :1;
   bool departed :1;
+  bool unsettled_orders :1;
 } _group_record__isset;
 
 class group_record : public virtual ::apache::thrift::TBase {
@@ -404,7 +412,8 @@
                  dirty_since(0),
                  least_ack_replicas(0),
                  budget_epoch(0),
-                 removed(0) {
+                 removed(0),
+                 unsettled_orders(0) {
   }
 
   virtual ~group_record() noexcept;
@@ -424,6 +433,7 @@
   promotion_record promotion;
   bool removed;
   std::vector<departed_upstream>  departed;
+  bool unsettled_orders;
 
   _group_record__isset __isset;
 
@@ -459,6 +469,8 @@
 
   void __set_departed(const std::vector<departed_upstream> & val);
 
+  void __set_unsettled_orders(const bool val);
+
   bool operator == (const group_record & rhs) const
   {
     if (!(group == rhs.group))
@@ -495,6 +507,8 @@
       return false;
     if (!(departed == rhs.departed))
       return false;
+    if (!(unsettled_orders == rhs.unsettled_orders))
+      return false;
     return true;
   }
   bool operator != (const group_record &rhs) const {
--- a/modules/control/gen/control_messages_types.cpp
+++ b/modules/control/gen/control_messages_types.cpp
@@ -3794,6 +3794,10 @@
 void fence::__set_pause_term(const int64_t val) {
   this->pause_term = val;
 }
+
+void fence::__set_demoted(const std::string& val) {
+  this->demoted = val;
+}
 std::ostream& operator<<(std::ostream& out, const fence& obj)
 {
   obj.printTo(out);
@@ -3846,6 +3850,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->demoted);
+          this->__isset.demoted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3875,6 +3887,10 @@
   xfer += oprot->writeI64(this->pause_term);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("demoted", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->demoted);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3885,6 +3901,7 @@
   swap(a.group, b.group);
   swap(a.term, b.term);
   swap(a.pause_term, b.pause_term);
+  swap(a.demoted, b.demoted);
   swap(a.__isset, b.__isset);
 }
 
@@ -3892,18 +3909,21 @@
   group = other139.group;
   term = other139.term;
   pause_term = other139.pause_term;
+  demoted = other139.demoted;
   __isset = other139.__isset;
 }
 fence::fence(fence&& other140) noexcept {
   group = std::move(other140.group);
   term = other140.term;
   pause_term = other140.pause_term;
+  demoted = std::move(other140.demoted);
   __isset = other140.__isset;
 }
 fence& fence::operator=(const fence& other141) {
   group = other141.group;
   term = other141.term;
   pause_term = other141.pause_term;
+  demoted = other141.demoted;
   __isset = other141.__isset;
   return *this;
 }
@@ -3911,6 +3931,7 @@
   group = std::move(other142.group);
   term = other142.term;
   pause_term = other142.pause_term;
+  demoted = std::move(other142.demoted);
   __isset = other142.__isset;
   return *this;
 }
@@ -3920,6 +3941,7 @@
   out << "group=" << to_string(group);
   out << ", " << "term=" << to_string(term);
   out << ", " << "pause_term=" << to_string(pause_term);
+  out << ", " << "demoted=" << to_string(demoted);
   out << ")";
 }
 
--- a/modules/control/gen/control_messages_types.h
+++ b/modules/control/gen/control_messages_types.h
@@ -1350,10 +1350,11 @@
 std::ostream& operator<<(std::ostream& out, const renewal_reply& obj);
 
 typedef struct _fence__isset {
-  _fence__isset() : group(false), term(false), pause_term(false) {}
+  _fence__isset() : group(false), term(false), pause_term(false), demoted(false) {}
   bool group :1;
   bool term :1;
   bool pause_term :1;
+  bool demoted :1;
 } _fence__isset;
 
 class fence : public virtual ::apache::thrift::TBase {
@@ -1366,13 +1367,15 @@
   fence() noexcept
         : group(),
           term(0),
-          pause_term(0) {
+          pause_term(0),
+          demoted() {
   }
 
   virtual ~fence() noexcept;
   std::string group;
   int64_t term;
   int64_t pause_term;
+  std::string demoted;
 
   _fence__isset __isset;
 
@@ -1382,6 +1385,8 @@
 
   void __set_pause_term(const int64_t val);
 
+  void __set_demoted(const std::string& val);
+
   bool operator == (const fence & rhs) const
   {
     if (!(group == rhs.group))
@@ -1390,6 +1395,8 @@
       return false;
     if (!(pause_term == rhs.pause_term))
       return false;
+    if (!(demoted == rhs.demoted))
+      return false;
     return true;
   }
   bool operator != (const fence &rhs) const {
--- a/modules/control/leader_state.h
+++ b/modules/control/leader_state.h
@@ -253,6 +253,8 @@
   /// The term under which these gateways pause the replicas; zero if they pause
   /// none.
   term PauseTerm;
+  /// The primary that the gateways demote before that.
+  std::optional<upstream_id> DemotionTarget;
   /// Gateways are asked to resume replication to paused replicas.
   bool ShouldResume = false;
   /// The order to send to the platform.
--- a/modules/control/pause_promotion.cpp
+++ b/modules/control/pause_promotion.cpp
@@ -17,6 +17,9 @@
 /// platform accepts tens of calls per second. After a refusal the replicas are
 /// paused again at once.
 const duration FailedOrderDelay = fromMilliseconds(200);
+/// A primary that no gateway could demote within this time is replaced like one
+/// that has failed.
+const duration DemotionTimeout = fromMilliseconds(1000);
 
 /// Returns the upstream that is primary in the highest term, or null.
 const upstream_observation *
@@ -29,12 +32,36 @@
   return Best;
 }
 
-group_decision adopt(const group_state &Group, const upstream_id &Primary,
-                     term Term, const std::string &Reason) {
+const pause_progress *progressOf(const group_state &Group,
+                                 const leader_state &Leader) {
+  auto Found = Leader.PausePromotions.find(Group.Group);
+  return Found == Leader.PausePromotions.end() ? nullptr : &Found->second;
+}
+
+/// Reports whether the platform may still carry out an order once this upstream
+/// is primary. It refuses all earlier orders once it has answered the last one.
+bool hasUnsettledOrders(const group_state &Group, const leader_state &Leader,
+                        const upstream_id &Primary) {
+  // The first primary of a group needs no order; its term is not known before.
+  if (!Group.Promotion)
+    return Group.Term != term() || Group.HasUnsettledOrders;
+  const auto &Promotion = *Group.Promotion;
+  if (Promotion.Attempt == 0)
+    return Promotion.Deposed != Primary || Group.HasUnsettledOrders;
+  const auto *Progress = progressOf(Group, Leader);
+  return !Progress || Progress->SentAttempt != Promotion.Attempt ||
+         Progress->Answer != promotion_answer::Accepted ||
+         Promotion.Chosen != Primary;
+}
+
+group_decision adopt(const group_state &Group, const leader_state &Leader,
+                     const upstream_id &Primary, term Term,
+                     const std::string &Reason) {
   group_state Next = Group;
   Next.Primary = Primary;
   Next.Term = std::max(Term, Group.Term);
   Next.MinAckReplicas = Group.Row.AckReplicas;
+  Next.HasUnsettledOrders = hasUnsettledOrders(Group, Leader, Primary);
   Next.Promotion.reset();
   return changeTo(std::move(Next), "promoted", Reason);
 }
@@ -42,7 +69,7 @@
 /// Adopts an upstream that is primary already: the first one of a group without
 /// a primary, or one that a late order has promoted to a higher term.
 std::optional<group_decision> adoptExistingPrimary(
-    const group_state &Group,
+    const group_state &Group, const leader_state &Leader,
     const std::map<upstream_id, upstream_observation> &Probes) {
   const auto *Leading = findLeadingUpstream(Probes);
   if (!Leading || !Group.Upstreams.contains(Leading->Upstream))
@@ -51,13 +78,22 @@
   bool Missing = !Group.Primary && !Group.Promotion;
   if (!Newer && !(Missing && Leading->Replayed.Term == Group.Term))
     return std::nullopt;
-  return adopt(Group, Leading->Upstream, Leading->Replayed.Term,
+  return adopt(Group, Leader, Leading->Upstream, Leading->Replayed.Term,
                Leading->Upstream.Value + " is primary of term " +
                    toString(Leading->Replayed.Term));
 }
 
-bool isReplica(const group_state &Group, const upstream_id &Upstream) {
-  return !Group.Promotion || Group.Promotion->Deposed != Upstream;
+/// Returns the primary that is to be demoted before it is replaced, if any.
+std::optional<upstream_id> demotionTarget(const group_state &Group) {
+  return Group.Promotion->Planned ? Group.Promotion->Deposed : std::nullopt;
+}
+
+/// Reports whether the upstream counts as a replica while the primary is
+/// replaced: all but the former primary do, unless that was demoted.
+bool isReplica(const group_state &Group, const pause_progress &Progress,
+               const upstream_id &Upstream) {
+  return Group.Promotion->Deposed != Upstream ||
+         (demotionTarget(Group) && Progress.PausedReplicas.contains(Upstream));
 }
 
 //===----------------------------------------------------------------------===//
@@ -110,7 +146,7 @@
 group_decision decideWithPrimary(const group_state &Group,
                                  const leader_state &Leader,
                                  const decision_settings &Settings,
-                                 time_point Now) {
+                                 time_point Now, const pause_rules &Rules) {
   auto Probes = latestProbes(Group, Leader, Settings, Now);
   auto Known = Group.Upstreams.find(*Group.Primary);
   if (Known == Group.Upstreams.end()) {
@@ -125,7 +161,12 @@
   }
   if (Known->second.Leaving && !Group.Dirty && hasSuccessor(Group, Probes)) {
     std::string Reason = "primary " + Group.Primary->Value + " is leaving";
-    return changeTo(beginFencing(Group, Reason), "handover", Reason);
+    group_state Next = beginFencing(Group, Reason);
+    // An unsettled order for the primary would take effect once it is demoted.
+    Next.Promotion->Planned =
+        Rules.DemoteFirst &&
+        !(Rules.CheckUnsettledOrders && Group.HasUnsettledOrders);
+    return changeTo(std::move(Next), "handover", Reason);
   }
   if (auto Lost = findLostReplica(Group, Leader, Probes, Settings, Now))
     return removeLostReplica(Group, *Lost);
@@ -143,10 +184,11 @@
 /// Decides on a group without a primary and without a promotion. Adopts an
 /// upstream that claims to be primary, so that it is monitored and replaced if
 /// it fails.
-group_decision decideWithoutPrimary(const group_state &Group) {
+group_decision decideWithoutPrimary(const group_state &Group,
+                                    const leader_state &Leader) {
   for (const auto &[Name, Upstream] : Group.Upstreams)
     if (Upstream.ClaimsPrimary)
-      return adopt(Group, Name, Group.Term,
+      return adopt(Group, Leader, Name, Group.Term,
                    Name.Value + " claims to be the primary");
   return waitingFor("no upstream is primary");
 }
@@ -155,12 +197,6 @@
 // Pausing
 //===----------------------------------------------------------------------===//
 
-const pause_progress *progressOf(const group_state &Group,
-                                 const leader_state &Leader) {
-  auto Found = Leader.PausePromotions.find(Group.Group);
-  return Found == Leader.PausePromotions.end() ? nullptr : &Found->second;
-}
-
 /// Reports whether the paused replica is of the incarnation that control knows.
 /// This holds if that incarnation announced itself after the connection was
 /// opened.
@@ -202,6 +238,19 @@
   return Highest;
 }
 
+/// Returns the end of the log of a primary that was demoted for its
+/// replacement. No acknowledged write lies beyond it.
+std::optional<position> demotedPosition(const group_state &Group,
+                                        const pause_progress *Progress) {
+  auto Target = demotionTarget(Group);
+  if (!Target || !Progress)
+    return std::nullopt;
+  auto Answer = Progress->PausedReplicas.find(*Target);
+  if (Answer == Progress->PausedReplicas.end())
+    return std::nullopt;
+  return Answer->second.Received;
+}
+
 /// Returns the replicas that are paused and confirmed, by upstream; adds the
 /// others to Missing.
 std::map<upstream_id, paused_replica>
@@ -210,7 +259,7 @@
                   std::string &Missing) {
   std::map<upstream_id, paused_replica> Result;
   for (const auto &[Name, Upstream] : Group.Upstreams) {
-    if (!isReplica(Group, Name))
+    if (!isReplica(Group, Progress, Name))
       continue;
     auto Answer = Progress.PausedReplicas.find(Name);
     if (Answer == Progress.PausedReplicas.end()) {
@@ -250,8 +299,9 @@
                 const std::map<upstream_id, upstream_observation> &Probes,
                 const decision_settings &Settings, time_point Now) {
   const auto &Promotion = *Group.Promotion;
+  // An order to demote the former primary may still be carried out.
   if (!Progress || Now - Progress->StartedAt < Settings.StuckPromotionTimeout ||
-      !Promotion.Deposed || Promotion.Attempt > 0 ||
+      !Promotion.Deposed || Promotion.Planned || Promotion.Attempt > 0 ||
       !Group.Upstreams.contains(*Promotion.Deposed))
     return false;
   auto Former = Probes.find(*Promotion.Deposed);
@@ -259,6 +309,32 @@
          Former->second.Replayed.Term == Promotion.FencedTerm;
 }
 
+/// Decides on the order to promote a replica.
+group_decision
+decideCandidate(const group_state &Group,
+                const std::pair<const upstream_id, paused_replica> &Candidate) {
+  group_state Next = Group;
+  Next.Promotion->Phase = promotion_phase::Ordering;
+  Next.Promotion->Chosen = Candidate.first;
+  Next.Promotion->ChosenPosition = Candidate.second.Received;
+  ++Next.Promotion->Attempt;
+  std::string Reason = Group.Promotion->Reason + " -> " +
+                       Candidate.first.Value + " at " +
+                       toString(Candidate.second.Received);
+  return changeTo(std::move(Next), "promote", Reason);
+}
+
+/// Returns the upstream to promote after the primary was demoted at a position:
+/// any that has everything up to there, preferably one that is not leaving. The
+/// former primary is one of them.
+const std::pair<const upstream_id, paused_replica> *
+candidateAfterDemotion(const group_state &Group,
+                       const std::map<upstream_id, paused_replica> &Answers,
+                       position End) {
+  const auto *Best = highestReplica(Group, Answers);
+  return Best && Best->second.Received >= End ? Best : nullptr;
+}
+
 group_decision decidePausing(const group_state &Group,
                              const leader_state &Leader,
                              const decision_settings &Settings, time_point Now,
@@ -272,26 +348,34 @@
   std::map<upstream_id, paused_replica> Answers;
   if (Progress)
     Answers = confirmedReplicas(Group, Leader, *Progress, Rules, Missing);
-  const auto *Best = highestReplica(Group, Answers);
-  if (!Best || (Rules.RequireAllReplicas && !Missing.empty()) ||
-      (Rules.CheckDirty && Group.Dirty)) {
-    if (canAbandon(Group, Progress, Probes, Settings, Now))
-      return adopt(
-          Group, *Group.Promotion->Deposed, Group.Term,
-          "promotion abandoned: the former primary is reachable again");
+  bool MayWait = !Progress || Now - Progress->StartedAt < DemotionTimeout;
+  if (auto End = demotedPosition(Group, Progress)) {
+    Decision.WaitingReason = "waiting for a replica with all writes of the "
+                             "demoted primary, up to " +
+                             toString(*End) + ": " + Missing;
+    const auto *Best = candidateAfterDemotion(Group, Answers, *End);
+    bool IsFormer = Best && Best->first == Group.Promotion->Deposed;
+    if (Best && !(IsFormer && MayWait && !Missing.empty()))
+      return decideCandidate(Group, *Best);
+  } else if (demotionTarget(Group)) {
     Decision.WaitingReason =
-        "waiting for replicas to be paused: " + Missing +
-        (Group.Dirty ? "(writes of a lost replica are not covered yet)" : "");
+        "waiting for " + Group.Promotion->Deposed->Value + " to be demoted";
+  }
+  if (demotionTarget(Group) && MayWait) {
+    Decision.DemotionTarget = demotionTarget(Group);
     return Decision;
   }
-  group_state Next = Group;
-  Next.Promotion->Phase = promotion_phase::Ordering;
-  Next.Promotion->Chosen = Best->first;
-  Next.Promotion->ChosenPosition = Best->second.Received;
-  ++Next.Promotion->Attempt;
-  std::string Reason = Group.Promotion->Reason + " -> " + Best->first.Value +
-                       " at " + toString(Best->second.Received);
-  return changeTo(std::move(Next), "promote", Reason);
+  const auto *Best = highestReplica(Group, Answers);
+  if (Best && !(Rules.RequireAllReplicas && !Missing.empty()) &&
+      !(Rules.CheckDirty && Group.Dirty))
+    return decideCandidate(Group, *Best);
+  if (canAbandon(Group, Progress, Probes, Settings, Now))
+    return adopt(Group, Leader, *Group.Promotion->Deposed, Group.Term,
+                 "promotion abandoned: the former primary is reachable again");
+  Decision.WaitingReason =
+      "waiting for replicas to be paused: " + Missing +
+      (Group.Dirty ? "(writes of a lost replica are not covered yet)" : "");
+  return Decision;
 }
 
 //===----------------------------------------------------------------------===//
@@ -358,11 +442,12 @@
   if (Group.Removed)
     return {};
   if (auto Adopted = adoptExistingPrimary(
-          Group, latestProbes(Group, Leader, Settings, Now)))
+          Group, Leader, latestProbes(Group, Leader, Settings, Now)))
     return std::move(*Adopted);
   if (!Group.Promotion)
-    return Group.Primary ? decideWithPrimary(Group, Leader, Settings, Now)
-                         : decideWithoutPrimary(Group);
+    return Group.Primary
+               ? decideWithPrimary(Group, Leader, Settings, Now, Rules)
+               : decideWithoutPrimary(Group, Leader);
   if (Group.Promotion->Phase == promotion_phase::Fencing)
     return decidePausing(Group, Leader, Settings, Now, Rules);
   return decideOrder(Group, Leader, Settings, Now);
--- a/modules/control/pause_promotion.h
+++ b/modules/control/pause_promotion.h
@@ -4,8 +4,11 @@
 ///
 /// A write is acknowledged once a replica has received it. Once replication to
 /// all replicas is paused, no more writes are acknowledged, and the replica
-/// with the highest position holds all acknowledged ones. A replica that left
-/// or restarted may have been the only one to hold a write. The group is
+/// with the highest position holds all acknowledged ones. If the primary works
+/// and is only to be replaced, it is demoted first: a replica that control does
+/// not know yet may have confirmed writes that the known ones lack, but none
+/// lies beyond the position at which the primary was demoted. A replica that
+/// left or restarted may have been the only one to hold a write. The group is
 /// therefore marked dirty until another replica has reached a position of the
 /// primary that was read after the loss was committed.
 #pragma once
@@ -26,6 +29,10 @@
   bool RequireSameIncarnation = true;
   /// No promotion while the group is dirty.
   bool CheckDirty = true;
+  /// A primary that works is demoted before it is replaced.
+  bool DemoteFirst = true;
+  /// But not while an order to promote it again may still be carried out.
+  bool CheckUnsettledOrders = true;
 };
 
 /// Returns the next step towards a primary, if one is due.
--- a/modules/line/line_group_probes.cpp
+++ b/modules/line/line_group_probes.cpp
@@ -21,6 +21,9 @@
 /// How long a fence waits for replicas to confirm their pause before it reports
 /// those that did.
 constexpr duration PauseTimeout = std::chrono::milliseconds(250);
+/// Time in which replicas receive what a demoted primary had sent them before
+/// they are paused.
+constexpr duration CatchUpTime = std::chrono::milliseconds(50);
 /// A primary that has answered no write for this long counts as unable to
 /// commit: about twice as long as callers wait for a statement.
 constexpr duration WriteStallTimeout = std::chrono::milliseconds(1500);
@@ -372,14 +375,23 @@
   Pause->FencedTerm = Fence.term;
   Pause->PauseTerm = term(static_cast<std::uint64_t>(Fence.pause_term));
   Pause->Answer = std::move(Answer);
+  if (!Fence.demoted.empty())
+    Pause->Demoted = upstream_id(Fence.demoted);
   for (const auto &[Id, Upstream] : Upstreams)
-    if (!Upstream.IsPrimary)
+    if (!Upstream.IsPrimary || Id == Pause->Demoted)
       Pause->Unanswered.insert(Id);
   Pause->Timeout =
       Context.Timers.after(PauseTimeout, [Weak = weak_from_this(), Pause] {
         if (auto Self = Weak.lock())
           Self->finishPause(*Pause);
       });
+  if (Pause->Demoted && Pause->Unanswered.contains(*Pause->Demoted))
+    sendPause(*Pause->Demoted, Pause);
+  else
+    sendPauses(Pause);
+}
+
+void line_group::sendPauses(const std::shared_ptr<pending_pause> &Pause) {
   for (const auto &Id : std::set<upstream_id>(Pause->Unanswered))
     sendPause(Id, Pause);
 }
@@ -387,7 +399,9 @@
 void line_group::sendPause(const upstream_id &Id,
                            const std::shared_ptr<pending_pause> &Pause) {
   line_probe_request Request;
-  protocol().AppendPause(Request.Bytes, Pause->PauseTerm);
+  auto Append =
+      Id == Pause->Demoted ? protocol().AppendDemote : protocol().AppendPause;
+  Append(Request.Bytes, Pause->PauseTerm);
   Request.OnResult = [Weak = weak_from_this(), Id,
                       Pause](const line_batch_result &Result) {
     if (auto Self = Weak.lock())
@@ -404,7 +418,7 @@
     return;
   const auto &Answer = Result.Answers.front();
   std::string Row = Answer.Rows.empty() ? "" : Answer.Rows.front();
-  event("gateway.paused")
+  event(Id == Pause->Demoted ? "gateway.demoted" : "gateway.paused")
       .with("group", View.Group.Value)
       .with("upstream", Id.Value)
       .with("term", Pause->PauseTerm.Value)
@@ -413,14 +427,23 @@
   if (Answer.Failure && Answer.Failure->Code == line_error::Busy)
     return sendPause(Id, Pause);
   auto Status = protocol().ParseStatus(Row);
-  if (!Status || Status->IsPrimary || Status->PauseTerm < Pause->PauseTerm)
+  bool IsDemoted = Id == Pause->Demoted;
+  if (!Status || Status->IsPrimary ||
+      (!IsDemoted && Status->PauseTerm < Pause->PauseTerm))
     return;
-  Upstream->Paused = true;
+  Upstream->Paused = !IsDemoted;
   Upstream->Received = Status->Received;
+  handleLeadership(Id, false, term());
   Pause->Paused.insert(Id);
   Pause->Unanswered.erase(Id);
   if (Pause->Unanswered.empty())
     finishPause(*Pause);
+  else if (IsDemoted)
+    Pause->CatchUp =
+        Context.Timers.after(CatchUpTime, [Weak = weak_from_this(), Pause] {
+          if (auto Self = Weak.lock())
+            Self->sendPauses(Pause);
+        });
 }
 
 void line_group::finishPause(pending_pause &Pause) {
--- a/modules/line/line_group_state.h
+++ b/modules/line/line_group_state.h
@@ -200,16 +200,21 @@
   std::size_t inFlight() const override;
 
 private:
-  /// A fence order whose replicas have not all answered yet.
+  /// A fence order whose upstreams have not all answered yet.
   struct pending_pause {
     std::int64_t FencedTerm = 0;
-    /// The term that the pause orders carry.
+    /// The term that the orders to demote and to pause carry.
     term PauseTerm;
+    /// The primary to demote before the replicas are paused.
+    std::optional<upstream_id> Demoted;
     std::set<upstream_id> Unanswered;
+    /// The replicas that are paused, and the primary once it is demoted.
     std::set<upstream_id> Paused;
     /// Empty once it has been called.
     std::function<void(wire::fence_reply)> Answer;
     timer_subscription Timeout;
+    /// Runs between the demotion and the pauses.
+    timer_subscription CatchUp;
   };
 
   time_point now() const { return Context.Timers.now(); }
@@ -301,6 +306,7 @@
   void applyStatus(const upstream_id &Id, const line_batch_result &Result);
   void probeUpstreams();
   void recordPositionSample(time_point RequestedAt, const position &Position);
+  void sendPauses(const std::shared_ptr<pending_pause> &Pause);
   void sendPause(const upstream_id &Id,
                  const std::shared_ptr<pending_pause> &Pause);
   void onPaused(const upstream_id &Id,
--- a/modules/line/line_protocol.h
+++ b/modules/line/line_protocol.h
@@ -177,6 +177,7 @@
                         const std::string &Shape);
   void (*AppendStatus)(std::string &Out);
   void (*AppendPause)(std::string &Out, term Term);
+  void (*AppendDemote)(std::string &Out, term Term);
   void (*AppendResume)(std::string &Out);
   /// Appends a row of the answer to a caller's statement.
   void (*AppendRow)(std::string &Out, const std::string &Text);
