Control: answers and dirty clearing of paused promotions have files of their own

What a leader records is in pause_progress, when writes of a lost replica are covered in pause_dirty_clearing, and the candidates of the two rules are functions of their own.

The template parameters in transfers.h have the linter's case; the lint of the whole tree reported them. The load of rolling_update lasts 50 s, as long as its restarts.

--- a/modules/control/control_service.cpp
+++ b/modules/control/control_service.cpp
@@ -4,7 +4,7 @@
 #include "modules/control/assignment.h"
 #include "modules/control/leases.h"
 #include "modules/control/operator_json.h"
-#include "modules/control/pause_promotion.h"
+#include "modules/control/pause_progress.h"
 #include "modules/control/promotion.h"
 #include "modules/control/promotion_orders.h"
 #include "modules/control/renewal_reply.h"
--- a/modules/control/pause_promotion.cpp
+++ b/modules/control/pause_promotion.cpp
@@ -2,6 +2,7 @@
 
 #include "modules/control/group_reports.h"
 #include "modules/control/leases.h"
+#include "modules/control/pause_progress.h"
 #include "modules/control/primary_health.h"
 #include "modules/control/promotion_steps.h"
 
@@ -11,8 +12,6 @@
 
 namespace {
 
-/// Ages are reported in whole milliseconds, rounded down.
-const duration AgeResolution = fromMilliseconds(1);
 /// An order that failed without being refused is sent again after this: the
 /// platform accepts tens of calls per second. After a refusal the replicas are
 /// paused again at once.
@@ -32,12 +31,6 @@
   return Best;
 }
 
-const pause_progress *progressOf(const group_state &Group,
-                                 const leader_state &Leader) {
-  auto Found = Leader.PausePromotions.find(Group.Group);
-  return Found == Leader.PausePromotions.end() ? nullptr : &Found->second;
-}
-
 /// Reports whether the platform may still carry out an order once this upstream
 /// is primary. It refuses all earlier orders once it has answered the last one.
 bool hasUnsettledOrders(const group_state &Group, const leader_state &Leader,
@@ -276,12 +269,15 @@
   return Result;
 }
 
+/// An upstream that may be promoted, and its answer.
+using candidate = std::pair<const upstream_id, paused_replica>;
+
 /// Returns the replica with the highest position, or null; of equal ones, one
 /// that is not leaving.
-const std::pair<const upstream_id, paused_replica> *
+const candidate *
 highestReplica(const group_state &Group,
                const std::map<upstream_id, paused_replica> &Answers) {
-  const std::pair<const upstream_id, paused_replica> *Best = nullptr;
+  const candidate *Best = nullptr;
   auto Rank = [&](const auto &Entry) {
     return std::pair(Entry.second.Received,
                      !Group.Upstreams.at(Entry.first).Leaving);
@@ -310,9 +306,8 @@
 }
 
 /// Decides on the order to promote a replica.
-group_decision
-decideCandidate(const group_state &Group,
-                const std::pair<const upstream_id, paused_replica> &Candidate) {
+group_decision decideCandidate(const group_state &Group,
+                               const candidate &Candidate) {
   group_state Next = Group;
   Next.Promotion->Phase = promotion_phase::Ordering;
   Next.Promotion->Chosen = Candidate.first;
@@ -324,15 +319,55 @@
   return changeTo(std::move(Next), "promote", Reason);
 }
 
-/// Returns the upstream to promote after the primary was demoted at a position:
-/// any that has everything up to there, preferably one that is not leaving. The
-/// former primary is one of them.
-const std::pair<const upstream_id, paused_replica> *
-candidateAfterDemotion(const group_state &Group,
-                       const std::map<upstream_id, paused_replica> &Answers,
-                       position End) {
-  const auto *Best = highestReplica(Group, Answers);
-  return Best && Best->second.Received >= End ? Best : nullptr;
+/// What the upstreams of a group have answered so far.
+struct pause_answers {
+  /// Null before gateways were first asked.
+  const pause_progress *Progress = nullptr;
+  /// The replicas that are paused and confirmed, and the former primary once it
+  /// is demoted.
+  std::map<upstream_id, paused_replica> Confirmed;
+  /// The others, for the reason to wait.
+  std::string Missing;
+
+  bool isOlderThan(duration Span, time_point Now) const {
+    return Progress && Now - Progress->StartedAt >= Span;
+  }
+};
+
+pause_answers collectAnswers(const group_state &Group,
+                             const leader_state &Leader,
+                             const pause_rules &Rules) {
+  pause_answers Answers;
+  Answers.Progress = progressOf(Group, Leader);
+  if (Answers.Progress)
+    Answers.Confirmed = confirmedReplicas(Group, Leader, *Answers.Progress,
+                                          Rules, Answers.Missing);
+  return Answers;
+}
+
+/// Returns the upstream to promote if all replicas are paused, or null.
+const candidate *candidateOfPauses(const group_state &Group,
+                                   const pause_answers &Answers,
+                                   const pause_rules &Rules) {
+  if ((Rules.RequireAllReplicas && !Answers.Missing.empty()) ||
+      (Rules.CheckDirty && Group.Dirty))
+    return nullptr;
+  return highestReplica(Group, Answers.Confirmed);
+}
+
+/// Returns the upstream to promote if the primary was demoted, or null: any
+/// that has the primary's whole log. The former primary itself has, but
+/// replicas that have not answered yet are preferred for a while.
+const candidate *candidateAfterDemotion(const group_state &Group,
+                                        const pause_answers &Answers,
+                                        time_point Now) {
+  auto End = demotedPosition(Group, Answers.Progress);
+  const auto *Best = highestReplica(Group, Answers.Confirmed);
+  if (!End || !Best || Best->second.Received < *End)
+    return nullptr;
+  bool MayWait =
+      !Answers.Missing.empty() && !Answers.isOlderThan(DemotionTimeout, Now);
+  return Best->first == Group.Promotion->Deposed && MayWait ? nullptr : Best;
 }
 
 group_decision decidePausing(const group_state &Group,
@@ -340,40 +375,29 @@
                              const decision_settings &Settings, time_point Now,
                              const pause_rules &Rules) {
   auto Probes = latestProbes(Group, Leader, Settings, Now);
-  const auto *Progress = progressOf(Group, Leader);
+  auto Answers = collectAnswers(Group, Leader, Rules);
   group_decision Decision;
-  Decision.FenceTargets = duePauses(Group, Progress, Settings, Now);
+  Decision.FenceTargets = duePauses(Group, Answers.Progress, Settings, Now);
   Decision.PauseTerm = term(highestTerm(Group, Probes).Value + 1);
-  std::string Missing;
-  std::map<upstream_id, paused_replica> Answers;
-  if (Progress)
-    Answers = confirmedReplicas(Group, Leader, *Progress, Rules, Missing);
-  bool MayWait = !Progress || Now - Progress->StartedAt < DemotionTimeout;
-  if (auto End = demotedPosition(Group, Progress)) {
-    Decision.WaitingReason = "waiting for a replica with all writes of the "
-                             "demoted primary, up to " +
-                             toString(*End) + ": " + Missing;
-    const auto *Best = candidateAfterDemotion(Group, Answers, *End);
-    bool IsFormer = Best && Best->first == Group.Promotion->Deposed;
-    if (Best && !(IsFormer && MayWait && !Missing.empty()))
+  if (auto Target = demotionTarget(Group)) {
+    if (const auto *Best = candidateAfterDemotion(Group, Answers, Now))
       return decideCandidate(Group, *Best);
-  } else if (demotionTarget(Group)) {
-    Decision.WaitingReason =
-        "waiting for " + Group.Promotion->Deposed->Value + " to be demoted";
-  }
-  if (demotionTarget(Group) && MayWait) {
-    Decision.DemotionTarget = demotionTarget(Group);
-    return Decision;
+    Decision.WaitingReason = "waiting for " + Target->Value +
+                             " to be demoted, and for replicas with all its "
+                             "writes: " +
+                             Answers.Missing;
+    if (!Answers.isOlderThan(DemotionTimeout, Now)) {
+      Decision.DemotionTarget = Target;
+      return Decision;
+    }
   }
-  const auto *Best = highestReplica(Group, Answers);
-  if (Best && !(Rules.RequireAllReplicas && !Missing.empty()) &&
-      !(Rules.CheckDirty && Group.Dirty))
+  if (const auto *Best = candidateOfPauses(Group, Answers, Rules))
     return decideCandidate(Group, *Best);
-  if (canAbandon(Group, Progress, Probes, Settings, Now))
+  if (canAbandon(Group, Answers.Progress, Probes, Settings, Now))
     return adopt(Group, Leader, *Group.Promotion->Deposed, Group.Term,
                  "promotion abandoned: the former primary is reachable again");
   Decision.WaitingReason =
-      "waiting for replicas to be paused: " + Missing +
+      "waiting for replicas to be paused: " + Answers.Missing +
       (Group.Dirty ? "(writes of a lost replica are not covered yet)" : "");
   return Decision;
 }
@@ -453,114 +477,4 @@
   return decideOrder(Group, Leader, Settings, Now);
 }
 
-group_decision decidePauseDirtyClearing(const group_state &Group,
-                                        const leader_state &Leader) {
-  if (!Group.Dirty || !Group.Primary)
-    return {};
-  auto Orders = Leader.Orders.find(Group.Group);
-  if (Orders == Leader.Orders.end() ||
-      Orders->second.DirtySince != Group.DirtySince)
-    return {};
-  // The lowest position of the primary that was read after the group was marked
-  // dirty.
-  std::optional<position> Primary;
-  position Replica;
-  for (const auto &Share : Group.Gateways) {
-    const auto *Report = reportOf(Group, Leader, Share);
-    if (!Report)
-      continue;
-    auto DirtyApplied = Orders->second.DirtyAppliedAtUs.find(
-        gateway_incarnation(Share.Vm, Share.Incarnation));
-    for (const auto &[Name, Probe] : Report->Upstreams) {
-      if (!Probe.Reachable)
-        continue;
-      if (Name != *Group.Primary) {
-        if (Probe.IsReplica && Group.Upstreams.contains(Name))
-          Replica = std::max({Replica, Probe.Replayed, Probe.Received});
-        continue;
-      }
-      std::int64_t ProbedAtUs =
-          Report->SentAtUs - (Probe.Age + AgeResolution).count();
-      if (Probe.IsReplica ||
-          DirtyApplied == Orders->second.DirtyAppliedAtUs.end() ||
-          ProbedAtUs <= DirtyApplied->second)
-        continue;
-      // Received is the end of the primary's log; Replayed has the term in
-      // which it is primary.
-      if (!Primary || Probe.Received < *Primary)
-        Primary = Probe.Received;
-    }
-  }
-  if (!Primary || Replica < *Primary)
-    return {};
-  group_state Next = Group;
-  Next.Dirty = false;
-  return changeTo(std::move(Next), "covered",
-                  "a replica at " + toString(Replica) +
-                      " has reached the primary's " + toString(*Primary));
-}
-
-void recordPausesSent(const group_state &Group, leader_state &Leader,
-                      const std::vector<gateway_incarnation> &Gateways,
-                      time_point Now) {
-  auto Known = Leader.PausePromotions.find(Group.Group);
-  if (Known == Leader.PausePromotions.end()) {
-    Known = Leader.PausePromotions.emplace(Group.Group, pause_progress()).first;
-    Known->second.StartedAt = Now;
-  }
-  for (const auto &Gateway : Gateways)
-    Known->second.FenceSentAt[Gateway] = Now;
-}
-
-void recordPauseReply(const group_state &Group, leader_state &Leader,
-                      const wire::fence_reply &Reply, time_point Now) {
-  auto Progress = Leader.PausePromotions.find(Group.Group);
-  if (!Group.Promotion || Progress == Leader.PausePromotions.end() ||
-      static_cast<std::uint64_t>(Reply.term) != Group.Term.Value)
-    return;
-  for (const auto &[Name, Probe] : parseReports(Reply.upstreams)) {
-    auto Known = Group.Upstreams.find(Name);
-    if (!Probe.Reachable || !Probe.Paused || Known == Group.Upstreams.end())
-      continue;
-    paused_replica Answer;
-    Answer.Incarnation = Known->second.Incarnation;
-    Answer.Received = Probe.Received;
-    Answer.ConnectedBy = Now - Probe.ConnectionAge;
-    Progress->second.PausedReplicas[Name] = Answer;
-  }
-}
-
-void recordAttempt(const group_state &Next, leader_state &Leader) {
-  if (!Next.Promotion) {
-    Leader.PausePromotions.erase(Next.Group);
-    return;
-  }
-  if (Next.Promotion->Phase == promotion_phase::Fencing) {
-    // Replies to earlier pause requests do not count for new ones.
-    Leader.PausePromotions.erase(Next.Group);
-    return;
-  }
-  auto &Progress = Leader.PausePromotions[Next.Group];
-  Progress.DecidedAttempt = Next.Promotion->Attempt;
-  Progress.Answer.reset();
-}
-
-void recordPlatformOrderSent(const group_state &Group, leader_state &Leader,
-                             time_point Now) {
-  auto &Progress = Leader.PausePromotions[Group.Group];
-  Progress.SentAttempt = Group.Promotion->Attempt;
-  Progress.OrderSentAt = Now;
-  Progress.Answer.reset();
-}
-
-void recordPlatformAnswer(const group_state &Group, leader_state &Leader,
-                          std::uint32_t Attempt, promotion_answer Answer) {
-  auto Progress = Leader.PausePromotions.find(Group.Group);
-  if (!Group.Promotion || Progress == Leader.PausePromotions.end() ||
-      Progress->second.SentAttempt != Attempt ||
-      Group.Promotion->Attempt != Attempt)
-    return;
-  Progress->second.Answer = Answer;
-}
-
 } // namespace teasellock
--- a/modules/control/tests/test_pause_promotion.cpp
+++ b/modules/control/tests/test_pause_promotion.cpp
@@ -1,3 +1,4 @@
+#include "modules/control/pause_progress.h"
 #include "modules/control/pause_promotion.h"
 
 #include <algorithm>
--- a/modules/control/transfers.h
+++ b/modules/control/transfers.h
@@ -21,30 +21,30 @@
 const duration MaxResendDelay = fromMilliseconds(60000);
 
 /// What a renewal says that a VM has applied, and the link that it came on.
-template <typename version> struct applied_report {
+template <typename Version> struct applied_report {
   vm_id Vm;
   link_id Link;
-  version Applied;
+  Version Applied;
 };
 
 /// The last part that was sent to a VM.
-template <typename version> struct transfer {
+template <typename Version> struct transfer {
   link_id Link;
   /// What the VM had applied then. The part is of no use if this has changed.
-  version Base;
+  Version Base;
   time_point SentAt;
   duration ResendDelay{};
 };
 
 /// The parts that VMs have not reported as applied.
-template <typename version>
-using transfer_map = std::map<vm_id, transfer<version>>;
+template <typename Version>
+using transfer_map = std::map<vm_id, transfer<Version>>;
 
 /// Reports whether the part after what the VM has applied was sent on this
 /// link, which may still deliver it. A link that has ended has lost its parts.
-template <typename version>
-bool wasSent(const transfer_map<version> &Transfers,
-             const applied_report<version> &Report) {
+template <typename Version>
+bool wasSent(const transfer_map<Version> &Transfers,
+             const applied_report<Version> &Report) {
   auto Last = Transfers.find(Report.Vm);
   return Last != Transfers.end() && Last->second.Link == Report.Link &&
          Last->second.Base == Report.Applied;
@@ -52,9 +52,9 @@
 
 /// Reports whether that part is on its way, so that it must not be sent again
 /// now.
-template <typename version>
-bool isOnItsWay(const transfer_map<version> &Transfers,
-                const applied_report<version> &Report, time_point Now) {
+template <typename Version>
+bool isOnItsWay(const transfer_map<Version> &Transfers,
+                const applied_report<Version> &Report, time_point Now) {
   if (!wasSent(Transfers, Report))
     return false;
   const auto &Last = Transfers.at(Report.Vm);
@@ -62,9 +62,9 @@
 }
 
 /// Records that the part after what the VM has applied is sent now.
-template <typename version>
-void recordTransfer(transfer_map<version> &Transfers,
-                    const applied_report<version> &Report, time_point Now) {
+template <typename Version>
+void recordTransfer(transfer_map<Version> &Transfers,
+                    const applied_report<Version> &Report, time_point Now) {
   duration ResendDelay = MinResendDelay;
   if (wasSent(Transfers, Report))
     ResendDelay =
--- a/tests/cluster/failures.sh
+++ b/tests/cluster/failures.sh
@@ -186,7 +186,7 @@
 # Every VM but the load's entries goes back to the earlier build, control's leader
 # among them, and forward again, on the data that the other build has written.
 rolling_update() {
-  load_start "${UPDATE_SECONDS:-40}"
+  load_start "${UPDATE_SECONDS:-50}"
   for n in 4 1 7 2; do restart_as "$n" "$OLD_BUILD"; done
   replace_primary 1
   edit_table 2500
