Soak: the stand-in's primaries can be demoted

Cause: the daemon demotes a leaving primary, which the soak's upstreams did not know; they took the order for a data statement that no caller had sent.

Change: DEMOTE with a higher term makes a primary a replica, as the platform's protocol says. What it has sent still arrives; it never replies to commits that no replica has received, as after a promotion. The oracle is unchanged.

--- a/tests/soak/upstream_group.cpp
+++ b/tests/soak/upstream_group.cpp
@@ -106,6 +106,27 @@
   }
 }
 
+/// Makes a primary a replica. It never replies to commits that no replica has
+/// received.
+void upstream_group::state::endLeadership(server &Server) {
+  if (!std::exchange(Server.Node.IsPrimary, false))
+    return;
+  std::erase_if(Server.Sessions, [](const auto &Session) {
+    bool Awaits = Session->AwaitedOffset != 0;
+    Session->IsClosed = Session->IsClosed || Awaits;
+    return Awaits;
+  });
+}
+
+/// Demotes a primary of a lower term. What it has sent still arrives.
+void upstream_group::state::demote(server &Server, term Term) {
+  if (!Server.Node.IsPrimary || Server.Node.Term >= Term)
+    return;
+  replicate();
+  endLeadership(Server);
+  event("soak.demoted").with("upstream", Server.Node.Id);
+}
+
 void upstream_group::state::becomePrimary(std::size_t Index) {
   auto &Server = Servers[Index];
   if (!Server.Node.IsRunning || Server.Node.IsSilent || Server.Node.IsPrimary)
@@ -113,13 +134,7 @@
   NewestTerm = term(NewestTerm.Value + 1);
   ++Promotions;
   for (auto &Other : Servers) {
-    // A former primary never replies to commits that no replica received.
-    if (std::exchange(Other.Node.IsPrimary, false))
-      std::erase_if(Other.Sessions, [](const auto &Session) {
-        bool Awaits = Session->AwaitedOffset != 0;
-        Session->IsClosed = Session->IsClosed || Awaits;
-        return Awaits;
-      });
+    endLeadership(Other);
     Other.Node.PausedTerm = term();
   }
   Server.Node.IsPrimary = true;
--- a/tests/soak/upstream_group_state.h
+++ b/tests/soak/upstream_group_state.h
@@ -66,6 +66,8 @@
   void replicate();
   void copyLog(server &Replica, const server &Primary);
   void completeCommits(server &Primary);
+  void endLeadership(server &Server);
+  void demote(server &Server, term Term);
   void becomePrimary(std::size_t Index);
 };
 
--- a/tests/soak/upstream_statements.cpp
+++ b/tests/soak/upstream_statements.cpp
@@ -224,6 +224,9 @@
     if (!Node.IsPrimary && RequestedTerm > Node.Term)
       Node.PausedTerm = std::max(Node.PausedTerm, RequestedTerm);
     Rows.push_back(status(Server));
+  } else if (Verb == "DEMOTE") {
+    demote(Server, term(std::stoull(Fields.at(0))));
+    Rows.push_back(status(Server));
   } else if (Verb == "RESUME") {
     Node.PausedTerm = term();
     Rows.push_back(status(Server));
