Link: frames between zones are compressed and counted by kind and distance

Cause: bytes between regions are the largest price at 300 VMs; nothing said which messages they were, and links sent names and ids again with each message. Change: one raw DEFLATE stream for each direction of a link to another zone (core/stream_compression, link_frames); it ends when the link is idle, so idle links need no memory for it. Negotiated in hello: an earlier build gets plain frames. Counters by kind and distance (link_traffic), distances in core/distance. Links can be retained and released by users (retainLink, releaseLink); closeLink had no user and goes.

--- a/modules/link/gen/link_messages_types.cpp
+++ b/modules/link/gen/link_messages_types.cpp
@@ -198,6 +198,18 @@
 void hello::__set_protocol(const int32_t val) {
   this->protocol = val;
 }
+
+void hello::__set_availability_zone(const std::string& val) {
+  this->availability_zone = val;
+}
+
+void hello::__set_region(const std::string& val) {
+  this->region = val;
+}
+
+void hello::__set_accepts_compression(const bool val) {
+  this->accepts_compression = val;
+}
 std::ostream& operator<<(std::ostream& out, const hello& obj)
 {
   obj.printTo(out);
@@ -250,6 +262,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->availability_zone);
+          this->__isset.availability_zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->region);
+          this->__isset.region = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->accepts_compression);
+          this->__isset.accepts_compression = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -279,6 +315,18 @@
   xfer += oprot->writeI32(this->protocol);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("availability_zone", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->availability_zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("region", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->region);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("accepts_compression", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->accepts_compression);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -289,6 +337,9 @@
   swap(a.vm, b.vm);
   swap(a.incarnation, b.incarnation);
   swap(a.protocol, b.protocol);
+  swap(a.availability_zone, b.availability_zone);
+  swap(a.region, b.region);
+  swap(a.accepts_compression, b.accepts_compression);
   swap(a.__isset, b.__isset);
 }
 
@@ -296,18 +347,27 @@
   vm = other4.vm;
   incarnation = other4.incarnation;
   protocol = other4.protocol;
+  availability_zone = other4.availability_zone;
+  region = other4.region;
+  accepts_compression = other4.accepts_compression;
   __isset = other4.__isset;
 }
 hello::hello(hello&& other5) noexcept {
   vm = std::move(other5.vm);
   incarnation = other5.incarnation;
   protocol = other5.protocol;
+  availability_zone = std::move(other5.availability_zone);
+  region = std::move(other5.region);
+  accepts_compression = other5.accepts_compression;
   __isset = other5.__isset;
 }
 hello& hello::operator=(const hello& other6) {
   vm = other6.vm;
   incarnation = other6.incarnation;
   protocol = other6.protocol;
+  availability_zone = other6.availability_zone;
+  region = other6.region;
+  accepts_compression = other6.accepts_compression;
   __isset = other6.__isset;
   return *this;
 }
@@ -315,6 +375,9 @@
   vm = std::move(other7.vm);
   incarnation = other7.incarnation;
   protocol = other7.protocol;
+  availability_zone = std::move(other7.availability_zone);
+  region = std::move(other7.region);
+  accepts_compression = other7.accepts_compression;
   __isset = other7.__isset;
   return *this;
 }
@@ -324,6 +387,9 @@
   out << "vm=" << to_string(vm);
   out << ", " << "incarnation=" << to_string(incarnation);
   out << ", " << "protocol=" << to_string(protocol);
+  out << ", " << "availability_zone=" << to_string(availability_zone);
+  out << ", " << "region=" << to_string(region);
+  out << ", " << "accepts_compression=" << to_string(accepts_compression);
   out << ")";
 }
 
--- a/modules/link/gen/link_messages_types.h
+++ b/modules/link/gen/link_messages_types.h
@@ -94,10 +94,13 @@
 std::ostream& operator<<(std::ostream& out, const envelope& obj);
 
 typedef struct _hello__isset {
-  _hello__isset() : vm(false), incarnation(false), protocol(false) {}
+  _hello__isset() : vm(false), incarnation(false), protocol(false), availability_zone(false), region(false), accepts_compression(false) {}
   bool vm :1;
   bool incarnation :1;
   bool protocol :1;
+  bool availability_zone :1;
+  bool region :1;
+  bool accepts_compression :1;
 } _hello__isset;
 
 class hello : public virtual ::apache::thrift::TBase {
@@ -110,13 +113,19 @@
   hello() noexcept
         : vm(),
           incarnation(0),
-          protocol(0) {
+          protocol(0),
+          availability_zone(),
+          region(),
+          accepts_compression(0) {
   }
 
   virtual ~hello() noexcept;
   std::string vm;
   int64_t incarnation;
   int32_t protocol;
+  std::string availability_zone;
+  std::string region;
+  bool accepts_compression;
 
   _hello__isset __isset;
 
@@ -126,6 +135,12 @@
 
   void __set_protocol(const int32_t val);
 
+  void __set_availability_zone(const std::string& val);
+
+  void __set_region(const std::string& val);
+
+  void __set_accepts_compression(const bool val);
+
   bool operator == (const hello & rhs) const
   {
     if (!(vm == rhs.vm))
@@ -134,6 +149,12 @@
       return false;
     if (!(protocol == rhs.protocol))
       return false;
+    if (!(availability_zone == rhs.availability_zone))
+      return false;
+    if (!(region == rhs.region))
+      return false;
+    if (!(accepts_compression == rhs.accepts_compression))
+      return false;
     return true;
   }
   bool operator != (const hello &rhs) const {
--- a/modules/link/link_connections.cpp
+++ b/modules/link/link_connections.cpp
@@ -15,17 +15,8 @@
 namespace {
 
 constexpr std::int32_t ProtocolVersion = 1;
-constexpr std::size_t LengthBytes = 4;
 constexpr std::size_t ReadBufferBytes = 64 * 1024;
 
-std::string encodeEnvelope(const wire::envelope &Envelope) {
-  std::string Body = encode(Envelope);
-  std::uint32_t Length = htonl(static_cast<std::uint32_t>(Body.size()));
-  std::string Frame(reinterpret_cast<const char *>(&Length), LengthBytes);
-  Frame += Body;
-  return Frame;
-}
-
 int createSocket(const std::string &Step, const std::string &Peer) {
   int Socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (Socket < 0)
@@ -109,6 +100,9 @@
   Hello.vm = Context.Self.Vm.Value;
   Hello.incarnation = static_cast<std::int64_t>(Context.Self.Incarnation.Value);
   Hello.protocol = ProtocolVersion;
+  Hello.availability_zone = Context.Self.AvailabilityZone.Value;
+  Hello.region = Context.Self.Region.Value;
+  Hello.accepts_compression = true;
   wire::envelope Envelope;
   Envelope.kind = HelloKind;
   Envelope.body = encode(Hello);
@@ -145,7 +139,7 @@
   for (;;) {
     ssize_t Count = ::recv(Link.Socket, Buffer, sizeof(Buffer), 0);
     if (Count > 0) {
-      Link.ReadBuffer.append(Buffer, static_cast<std::size_t>(Count));
+      addReceived(Link.Decoder, {Buffer, static_cast<std::size_t>(Count)});
       Link.Heartbeat.LastReceivedAt = Context.Timers.now();
       BytesIn.add(static_cast<std::uint64_t>(Count));
       if (static_cast<std::size_t>(Count) < sizeof(Buffer))
@@ -162,58 +156,49 @@
 }
 
 void link_hub::state::processFrames(link_id Id) {
-  std::size_t Start = 0;
   for (;;) {
     // A receiver may have closed the link, so it is looked up again each time.
     auto *Link = find(Id);
     if (!Link || Link->Socket < 0)
       return;
-    if (Link->ReadBuffer.size() - Start < LengthBytes) {
-      Link->ReadBuffer.erase(0, Start);
-      return;
-    }
-    std::uint32_t Length;
-    std::memcpy(&Length, Link->ReadBuffer.data() + Start, LengthBytes);
-    Length = ntohl(Length);
-    if (Length > MaxFrameBytes)
-      throw error("link.read", Link->PeerName,
-                  "frame of " + std::to_string(Length) + " bytes is too long");
-    if (Link->ReadBuffer.size() - Start - LengthBytes < Length) {
-      Link->ReadBuffer.erase(0, Start);
+    auto Envelope = nextFrame(Link->Decoder, Link->PeerName);
+    if (!Envelope)
       return;
-    }
-    std::string_view Bytes(Link->ReadBuffer.data() + Start + LengthBytes,
-                           Length);
-    auto Envelope = decode<wire::envelope>(Bytes, Link->PeerName);
-    Start += LengthBytes + Length;
-    deliver(*Link, std::move(Envelope));
+    deliver(*Link, std::move(*Envelope));
   }
 }
 
+void link_hub::state::onHello(link &Link, const wire::hello &Hello) {
+  if (Hello.protocol != ProtocolVersion)
+    throw error("link.hello", Link.PeerName,
+                "unsupported protocol version " +
+                    std::to_string(Hello.protocol));
+  Link.Peer.Vm = vm_id(Hello.vm);
+  Link.Peer.Incarnation =
+      incarnation(static_cast<std::uint64_t>(Hello.incarnation));
+  Link.Distance =
+      distanceTo(Context.Self, availability_zone_id(Hello.availability_zone),
+                 region_id(Hello.region));
+  Link.Encoder.Compresses = Hello.accepts_compression &&
+                            Settings.CompressBetweenZones &&
+                            Link.Distance > distance::SameZone;
+  Link.IsOpen = true;
+  resetDialSchedule(Link.Schedule);
+  event("link.opened", severity::Debug)
+      .with("peer", Link.PeerName)
+      .with("vm", Hello.vm);
+  auto Id = Link.Id;
+  auto Peer = Link.Peer;
+  for (auto &Watcher : Watchers)
+    if (Watcher.Opened)
+      Watcher.Opened(Id, Peer);
+}
+
 void link_hub::state::deliver(link &Link, wire::envelope &&Envelope) {
   if (Envelope.kind == HeartbeatKind)
     return;
-  if (Envelope.kind == HelloKind) {
-    auto Hello = decode<wire::hello>(Envelope.body, Link.PeerName);
-    if (Hello.protocol != ProtocolVersion)
-      throw error("link.hello", Link.PeerName,
-                  "unsupported protocol version " +
-                      std::to_string(Hello.protocol));
-    Link.Peer.Vm = vm_id(Hello.vm);
-    Link.Peer.Incarnation =
-        incarnation(static_cast<std::uint64_t>(Hello.incarnation));
-    Link.IsOpen = true;
-    resetDialSchedule(Link.Schedule);
-    event("link.opened", severity::Debug)
-        .with("peer", Link.PeerName)
-        .with("vm", Hello.vm);
-    auto Id = Link.Id;
-    auto Peer = Link.Peer;
-    for (auto &Watcher : Watchers)
-      if (Watcher.Opened)
-        Watcher.Opened(Id, Peer);
-    return;
-  }
+  if (Envelope.kind == HelloKind)
+    return onHello(Link, decode<wire::hello>(Envelope.body, Link.PeerName));
   if (!Link.IsOpen)
     throw error("link.hello", Link.PeerName, "message before hello");
   recordMessage(Link.Heartbeat, Settings.Heartbeat, Context.Timers.now());
@@ -232,17 +217,23 @@
 
 void link_hub::state::queue(link &Link, const wire::envelope &Envelope) {
   Link.Heartbeat.LastSentAt = Context.Timers.now();
-  Link.WriteBuffer += encodeEnvelope(Envelope);
-  if (Link.WriteBuffer.size() - Link.WriteOffset > Settings.MaxBacklogBytes) {
-    Context.Loop.post([this, Guard = std::weak_ptr<bool>(Alive), Id = Link.Id,
-                       Peer = Link.PeerName] {
-      if (!Guard.expired())
-        breakLink(Id, error("link.write", Peer,
-                            "peer takes no data: write buffer limit exceeded"));
-    });
-    return;
-  }
-  // All frames of this turn of the event loop are sent by one write.
+  bool IsMessage = Envelope.kind > LastInternalKind;
+  std::size_t Bytes = addFrame(Link.Encoder, Envelope, IsMessage);
+  Traffic.countMessage(Envelope.kind, Link.Distance, Bytes);
+  std::size_t Backlog =
+      Link.Encoder.Pending.size() + Link.WriteBuffer.size() - Link.WriteOffset;
+  if (Backlog <= Settings.MaxBacklogBytes)
+    return scheduleFlush(Link);
+  Context.Loop.post([this, Guard = std::weak_ptr<bool>(Alive), Id = Link.Id,
+                     Peer = Link.PeerName] {
+    if (!Guard.expired())
+      breakLink(Id, error("link.write", Peer,
+                          "peer takes no data: write buffer limit exceeded"));
+  });
+}
+
+/// All frames of this turn of the event loop are sent by one write.
+void link_hub::state::scheduleFlush(link &Link) {
   if (Link.FlushPosted)
     return;
   Link.FlushPosted = true;
@@ -262,6 +253,7 @@
 
 void link_hub::state::flush(link &Link) {
   Link.FlushPosted = false;
+  Link.WriteBuffer += takeFrames(Link.Encoder);
   while (Link.WriteOffset < Link.WriteBuffer.size()) {
     ssize_t Count =
         ::send(Link.Socket, Link.WriteBuffer.data() + Link.WriteOffset,
@@ -269,6 +261,7 @@
     if (Count > 0) {
       Link.WriteOffset += static_cast<std::size_t>(Count);
       BytesOut.add(static_cast<std::uint64_t>(Count));
+      Traffic.countSent(Link.Distance, static_cast<std::size_t>(Count));
       continue;
     }
     if (errno == EAGAIN || errno == EWOULDBLOCK) {
--- a/modules/link/link_hub.cpp
+++ b/modules/link/link_hub.cpp
@@ -26,7 +26,8 @@
   Link->IsOpen = false;
   Link->IsConnecting = false;
   Link->FlushPosted = false;
-  Link->ReadBuffer.clear();
+  Link->Decoder = frame_decoder();
+  Link->Encoder = frame_encoder();
   Link->WriteBuffer.clear();
   Link->WriteOffset = 0;
   event(WasOpen ? "link.broken" : "link.failed",
@@ -67,9 +68,17 @@
   }
 }
 
+void link_hub::state::endIdleStreams(time_point Now) {
+  for (auto &[Id, Link] : Links)
+    if (Link->IsOpen && isIdle(Link->Heartbeat, Settings.Heartbeat, Now) &&
+        endStream(Link->Encoder))
+      scheduleFlush(*Link);
+}
+
 void link_hub::state::checkHeartbeats() {
   auto Now = Context.Timers.now();
   activateIdleLinks(Now);
+  endIdleStreams(Now);
   std::vector<std::pair<link_id, std::string>> TimedOutLinks;
   for (auto &[Id, Link] : Links) {
     // A dial has its own timeout.
@@ -117,27 +126,37 @@
   return Bound;
 }
 
-link_id link_hub::linkTo(const endpoint &Endpoint) {
-  auto Found = State->DialledLinks.find(Endpoint);
-  if (Found != State->DialledLinks.end())
-    return Found->second;
-  auto &Link = State->addLink(true);
+link_hub::state::link &link_hub::state::dialledLink(const endpoint &Endpoint) {
+  auto Found = DialledLinks.find(Endpoint);
+  if (Found != DialledLinks.end())
+    return *Links.at(Found->second);
+  auto &Link = addLink(true);
   Link.Target = Endpoint;
-  State->DialledLinks[Endpoint] = Link.Id;
-  State->dial(Link);
+  DialledLinks[Endpoint] = Link.Id;
+  dial(Link);
+  return Link;
+}
+
+link_id link_hub::linkTo(const endpoint &Endpoint) {
+  auto &Link = State->dialledLink(Endpoint);
+  Link.IsPermanent = true;
   return Link.Id;
 }
 
-void link_hub::closeLink(link_id Id) {
+link_id link_hub::retainLink(const endpoint &Endpoint) {
+  auto &Link = State->dialledLink(Endpoint);
+  ++Link.Users;
+  return Link.Id;
+}
+
+void link_hub::releaseLink(link_id Id) {
   auto *Link = State->find(Id);
-  if (!Link || !Link->IsDialled)
+  if (!Link || Link->Users == 0 || --Link->Users > 0 || Link->IsPermanent)
     return;
+  if (Link->Socket >= 0)
+    ::close(Link->Socket);
   State->DialledLinks.erase(Link->Target);
-  Link->IsDialled = false;
-  if (Link->Socket < 0)
-    State->Links.erase(Id);
-  else
-    State->breakLink(Id, error("link.release", Link->PeerName, "released"));
+  State->Links.erase(Id);
 }
 
 void link_hub::closeConnection(link_id Id, const std::string &Reason) {
--- a/modules/link/link_hub.h
+++ b/modules/link/link_hub.h
@@ -48,6 +48,8 @@
   /// Maximum bytes that wait to be written to a peer; beyond that the
   /// connection is closed.
   std::size_t MaxBacklogBytes = 256 * 1024 * 1024;
+  /// Whether messages to other availability zones are compressed.
+  bool CompressBetweenZones = true;
 };
 
 /// Callbacks for changes of links. Either may be empty.
@@ -72,11 +74,17 @@
   endpoint listen();
 
   /// Returns the link to a VM's endpoint. It is dialled on first use and again
-  /// whenever its connection ends, until release(). It may not be open yet.
+  /// whenever its connection ends, for as long as the process runs. It may not
+  /// be open yet.
   link_id linkTo(const endpoint &Endpoint);
 
-  /// Closes a dialled link for good. Does nothing for an accepted link.
-  void closeLink(link_id Link);
+  /// Returns the link to a VM's endpoint as linkTo() does, but only until the
+  /// same number of calls of releaseLink().
+  link_id retainLink(const endpoint &Endpoint);
+
+  /// Ends the use of a retained link. The last user's call closes it for good,
+  /// without the event Closed, unless linkTo() has returned it too.
+  void releaseLink(link_id Link);
 
   /// Closes the current connection of a link. A dialled link reconnects.
   void closeConnection(link_id Link, const std::string &Reason);
--- a/modules/link/link_hub_state.h
+++ b/modules/link/link_hub_state.h
@@ -4,7 +4,9 @@
 #include "core/error.h"
 #include "modules/link/dial_schedule.h"
 #include "modules/link/gen/link_messages_types.h"
+#include "modules/link/link_frames.h"
 #include "modules/link/link_hub.h"
+#include "modules/link/link_traffic.h"
 
 #include <map>
 
@@ -16,12 +18,18 @@
 /// Makes the link active at the peer too, as any message does; see
 /// link_heartbeat.h. It has no body.
 constexpr std::int16_t WakeKind = 3;
+/// The highest kind that links use themselves.
+constexpr std::int16_t LastInternalKind = 99;
 
 struct link_hub::state {
   /// A link. Socket is -1 while a dialled link has no connection.
   struct link {
     link_id Id;
     bool IsDialled = false;
+    /// Dialled for as long as the process runs, whatever the number of users.
+    bool IsPermanent = false;
+    /// Calls of retainLink() that have not been released.
+    std::uint32_t Users = 0;
     endpoint Target;
     std::string PeerName;
     int Socket = -1;
@@ -29,9 +37,11 @@
     bool IsOpen = false;
     link_peer Peer;
     descriptor_watch Watch;
-    /// Received bytes that are not a complete frame yet.
-    std::string ReadBuffer;
-    /// Frames to write, of which WriteOffset bytes have been written.
+    /// How far the peer is according to its hello.
+    distance Distance = distance::OtherRegion;
+    frame_decoder Decoder;
+    frame_encoder Encoder;
+    /// Encoded frames, of which WriteOffset bytes have been written.
     std::string WriteBuffer;
     std::size_t WriteOffset = 0;
     heartbeat_state Heartbeat;
@@ -64,6 +74,7 @@
   counter &BytesIn;
   counter &BytesOut;
   counter &BrokenLinks;
+  link_traffic Traffic;
 
   state(daemon_context &Context, link_settings Settings)
       : Context(Context), Settings(Settings),
@@ -71,8 +82,8 @@
                                           {{"direction", "in"}})),
         BytesOut(Context.Metrics.counterOf("teasellock_link_bytes_total",
                                            {{"direction", "out"}})),
-        BrokenLinks(Context.Metrics.counterOf("teasellock_link_broken_total")) {
-  }
+        BrokenLinks(Context.Metrics.counterOf("teasellock_link_broken_total")),
+        Traffic(Context.Metrics) {}
 
   link *find(link_id Id) {
     auto Found = Links.find(Id);
@@ -80,6 +91,7 @@
   }
 
   link &addLink(bool IsDialled);
+  link &dialledLink(const endpoint &Endpoint);
   void accept();
   void dial(link &Link);
   void scheduleRedial(link &Link);
@@ -89,7 +101,10 @@
   void readFrom(link &Link);
   void processFrames(link_id Id);
   void deliver(link &Link, wire::envelope &&Envelope);
+  void onHello(link &Link, const wire::hello &Hello);
   void queue(link &Link, const wire::envelope &Envelope);
+  void scheduleFlush(link &Link);
+  void endIdleStreams(time_point Now);
   void flush(link &Link);
   void breakLink(link_id Id, const error &Problem);
   void activateIdleLinks(time_point Now);
--- a/modules/link/link_messages.thrift
+++ b/modules/link/link_messages.thrift
@@ -13,4 +13,8 @@
   1: string vm;
   2: i64 incarnation;
   3: i32 protocol;
+  4: string availability_zone;
+  5: string region;
+  /// The sender of the hello reads compressed frames; see link_frames.h.
+  6: bool accepts_compression;
 }
--- a/modules/link/tests/test_link_hub.cpp
+++ b/modules/link/tests/test_link_hub.cpp
@@ -133,3 +133,30 @@
   link_id Link = Other.Hub.linkTo(Address);
   CHECK(runUntil(Loop, [&] { return Other.Hub.isOpen(Link); }));
 }
+
+TEST_CASE("link: a retained link ends with its last user, a permanent one does "
+          "not") {
+  event_loop Loop;
+  timer_service Timers(Loop);
+  test_vm Left(Loop, Timers, "left");
+  test_vm Right(Loop, Timers, "right");
+  endpoint Address = Right.Hub.listen();
+  int Closed = 0;
+  link_events Events;
+  Events.Closed = [&](link_id, const error &) { ++Closed; };
+  Right.Hub.subscribe(std::move(Events));
+  link_id Link = Left.Hub.retainLink(Address);
+  CHECK((Left.Hub.retainLink(Address) == Link));
+  REQUIRE(runUntil(Loop, [&] { return Left.Hub.isOpen(Link); }));
+  Left.Hub.releaseLink(Link);
+  CHECK(Left.Hub.isOpen(Link));
+  Left.Hub.releaseLink(Link);
+  CHECK_FALSE(Left.Hub.isOpen(Link));
+  REQUIRE(runUntil(Loop, [&] { return Closed == 1; }));
+  // A new user dials again.
+  link_id Again = Left.Hub.retainLink(Address);
+  CHECK((Left.Hub.linkTo(Address) == Again));
+  REQUIRE(runUntil(Loop, [&] { return Left.Hub.isOpen(Again); }));
+  Left.Hub.releaseLink(Again);
+  CHECK(Left.Hub.isOpen(Again));
+}
