Routing: the primary's statements go to gateways in its region; links to needed gateways only

Cause: (split queue) six gateways divided the three slots of a primary, three of them another region away: two round trips of 24 ms for each read of a primary. (cost that grows) Each entry had a link with heartbeats to each gateway: 120 at 300 VMs, most never used. Change: primaryGateways() and needsPrimary() (gateway/primary_gateways) decide at entries and gateways alike; gateway_choice ranks, gateway_links keeps at most three links for a group: nearest, spare, best for the primary.

--- a/modules/line/line_group.cpp
+++ b/modules/line/line_group.cpp
@@ -1,6 +1,7 @@
 #include "modules/line/line_group_state.h"
 
 #include "core/event_log.h"
+#include "modules/gateway/primary_gateways.h"
 #include "modules/gateway/refusals.h"
 
 #include <algorithm>
@@ -61,8 +62,10 @@
 }
 
 std::uint32_t line_group::maxInFlightOn(const line_upstream &Upstream) const {
+  std::size_t Gateways =
+      Upstream.IsPrimary ? PrimaryGatewayCount : View.Gateways.size();
   return maxInFlight(Upstream.LatencyTrend, Upstream.Announcement.Slots,
-                     View.Gateways.size());
+                     Gateways);
 }
 
 bool line_group::canConnect(const line_upstream &Upstream) const {
@@ -86,6 +89,7 @@
 
 void line_group::apply(const group_view &NewView) {
   View = NewView;
+  PrimaryGatewayCount = primaryGateways(View).size();
   const auto *OwnShare = findOwnShare(View, Context.Self);
   IsAssigned = OwnShare && !View.Removed;
   Share = OwnShare ? *OwnShare : gateway_share();
--- a/modules/line/line_group_state.h
+++ b/modules/line/line_group_state.h
@@ -322,6 +322,8 @@
   group_view View;
   bool IsAssigned = false;
   gateway_share Share;
+  /// See primaryGateways().
+  std::size_t PrimaryGatewayCount = 0;
   std::map<upstream_id, line_upstream> Upstreams;
   std::map<std::uint64_t, std::unique_ptr<line_pending_statement>>
       PendingStatements;
--- a/modules/line/line_group_statements.cpp
+++ b/modules/line/line_group_statements.cpp
@@ -1,3 +1,5 @@
+#include "core/distance.h"
+#include "modules/gateway/primary_gateways.h"
 #include "modules/gateway/refusals.h"
 #include "modules/line/line_group_state.h"
 
@@ -25,9 +27,16 @@
 
 duration distanceCostTo(const vm_identity &Self,
                         const upstream_announcement &Upstream) {
-  if (Upstream.AvailabilityZone == Self.AvailabilityZone)
+  switch (distanceTo(Self, Upstream.AvailabilityZone, Upstream.Region)) {
+  case distance::SameVm:
+  case distance::SameZone:
     return SameZoneCost;
-  return Upstream.Region == Self.Region ? SameRegionCost : InterRegionCost;
+  case distance::SameRegion:
+    return SameRegionCost;
+  case distance::OtherRegion:
+    break;
+  }
+  return InterRegionCost;
 }
 
 /// Returns the name of a prepared statement at upstreams. It depends only on
@@ -42,16 +51,11 @@
 }
 
 line_destination destinationOf(const wire::statement_request &Request) {
-  bool Write = Request.access == wire::statement_access::write;
-  if (Request.opens_transaction) {
-    bool AllowsReplica = Request.read_only && Request.max_staleness_ms >= 0;
-    return AllowsReplica ? line_destination::AnyUpstream
-                         : line_destination::Primary;
-  }
-  if (Write)
-    return line_destination::Primary;
-  return Request.max_staleness_ms < 0 ? line_destination::PrimaryRead
-                                      : line_destination::AnyUpstream;
+  if (!needsPrimary(Request))
+    return line_destination::AnyUpstream;
+  bool Read = Request.access == wire::statement_access::read;
+  return Read && !Request.opens_transaction ? line_destination::PrimaryRead
+                                            : line_destination::Primary;
 }
 
 } // namespace
--- a/modules/routing/routing_state.cpp
+++ b/modules/routing/routing_state.cpp
@@ -1,9 +1,10 @@
 #include "modules/routing/routing_state.h"
 #include "modules/gateway/refusals.h"
+#include "modules/routing/gateway_choice.h"
+#include "modules/routing/gateway_links.h"
 
 #include <algorithm>
 #include <array>
-#include <tuple>
 
 namespace teasellock {
 
@@ -138,26 +139,6 @@
   return Statement.Traits.InTransaction && !Statement.Traits.OpensTransaction;
 }
 
-/// Returns the best open gateway of a group, if any: not recently failed, then
-/// nearest, then with the fewest statements in flight.
-std::optional<vm_id> chooseGateway(const routing_state &State,
-                                   const group_routes &Routes, time_point Now) {
-  std::optional<vm_id> Best;
-  std::tuple<bool, int, std::uint32_t> BestRank;
-  for (const auto &Vm : Routes.Gateways) {
-    const auto &Gateway = State.Gateways.at(Vm);
-    if (!Gateway.IsOpen)
-      continue;
-    std::tuple Rank(Gateway.AvoidUntil > Now, Gateway.Distance,
-                    Gateway.InFlight);
-    if (!Best || Rank < BestRank) {
-      Best = Vm;
-      BestRank = Rank;
-    }
-  }
-  return Best;
-}
-
 void emitSend(routing_state &State, request_id Id, const vm_id &Gateway,
               routing_effects &Effects) {
   removeFromWaiting(State, Id);
@@ -203,7 +184,8 @@
   const auto &Routes = State.Groups[Statement.Group];
   if (Statement.Traits.Write && !Routes.HasPrimary)
     return wait(State, Id, "the group has no primary", Effects);
-  auto Gateway = chooseGateway(State, Routes, Now);
+  auto Options = gatewayOptions(State, Routes, Now);
+  const auto *Gateway = chooseGateway(Options, Statement.Traits.NeedsPrimary);
   if (!Gateway)
     return wait(State, Id, "no gateway of the group can be reached", Effects);
   if (Now >= Statement.NotBefore && Statement.NeedsBudget) {
@@ -219,7 +201,7 @@
              std::min(Statement.NotBefore, Statement.Deadline));
     return;
   }
-  emitSend(State, Id, *Gateway, Effects);
+  emitSend(State, Id, Gateway->Vm, Effects);
 }
 
 void trySendAll(routing_state &State, time_point Now,
@@ -311,23 +293,6 @@
   Effects.push_back(effectOf(effect_kind::Forward, Id));
 }
 
-int distanceTo(const vm_identity &Self, const gateway_share &Share) {
-  if (Share.Vm == Self.Vm)
-    return 0;
-  if (Share.AvailabilityZone == Self.AvailabilityZone)
-    return 1;
-  return Share.Region == Self.Region ? 2 : 3;
-}
-
-void applyGateway(routing_state &State, const gateway_share &Share) {
-  auto &Gateway = State.Gateways[Share.Vm];
-  Gateway.Address = Share.Address;
-  Gateway.Distance = distanceTo(State.Self, Share);
-  if (Share.Vm == State.Self.Vm)
-    Gateway.IsOpen =
-        State.LocalGateway && Share.Incarnation == State.Self.Incarnation;
-}
-
 /// Allows the waiting statements of a group to be sent without a retry delay
 /// and without a token.
 void clearRetryDelays(routing_state &State, const group_id &Group,
@@ -341,6 +306,25 @@
   }
 }
 
+/// Ends or retries all statements that were sent to a gateway: their answers
+/// are lost.
+void loseGateway(routing_state &State, const vm_id &Gateway, time_point Now,
+                 routing_effects &Effects) {
+  for (auto &[Id, Transaction] : State.Transactions)
+    if (Transaction.Gateway == Gateway)
+      Transaction.Lost = true;
+  std::vector<request_id> Lost;
+  for (auto &[Id, Statement] : State.Statements)
+    if (Statement.Progress == statement_progress::Sent &&
+        Statement.Gateway == Gateway)
+      Lost.push_back(Id);
+  for (auto Id : Lost)
+    handleLostAnswer(State, Id,
+                     "the connection to its gateway " + toString(Gateway) +
+                         " was lost",
+                     Now, Effects);
+}
+
 /// Ends a sent statement that was not answered within the grace period after
 /// its deadline.
 void handleTimeout(routing_state &State, request_id Id,
@@ -368,39 +352,23 @@
   Routes.HasPrimary = View.Primary.has_value();
   Routes.Term = std::max(Routes.Term, View.Term);
   Routes.WaitingLimit = View.Row.QueueLimit;
-  Routes.Gateways.clear();
-  if (!View.Removed)
-    for (const auto &Share : View.Gateways) {
-      applyGateway(State, Share);
-      Routes.Gateways.push_back(Share.Vm);
-    }
+  for (const auto &Vm : applyGateways(State, View, Now, Effects))
+    loseGateway(State, Vm, Now, Effects);
   clearRetryDelays(State, View.Group, Now);
   trySendAll(State, Now, Effects);
 }
 
 void handleGatewayOpened(routing_state &State, const vm_id &Gateway,
                          time_point Now, routing_effects &Effects) {
-  State.Gateways[Gateway].IsOpen = true;
   State.Gateways[Gateway].AvoidUntil = {};
+  recordLinkOpened(State, Gateway, Now, Effects);
   trySendAll(State, Now, Effects);
 }
 
 void handleGatewayClosed(routing_state &State, const vm_id &Gateway,
                          time_point Now, routing_effects &Effects) {
-  State.Gateways[Gateway].IsOpen = false;
-  for (auto &[Id, Transaction] : State.Transactions)
-    if (Transaction.Gateway == Gateway)
-      Transaction.Lost = true;
-  std::vector<request_id> Lost;
-  for (auto &[Id, Statement] : State.Statements)
-    if (Statement.Progress == statement_progress::Sent &&
-        Statement.Gateway == Gateway)
-      Lost.push_back(Id);
-  for (auto Id : Lost)
-    handleLostAnswer(State, Id,
-                     "the connection to its gateway " + toString(Gateway) +
-                         " was lost",
-                     Now, Effects);
+  recordLinkFailed(State, Gateway, Now, Effects);
+  loseGateway(State, Gateway, Now, Effects);
 }
 
 void submitStatement(routing_state &State, request_id Id,
@@ -430,7 +398,7 @@
 void handleSendFailure(routing_state &State, request_id Id,
                        const vm_id &Gateway, time_point Now,
                        routing_effects &Effects) {
-  State.Gateways[Gateway].IsOpen = false;
+  recordLinkFailed(State, Gateway, Now, Effects);
   auto Found = State.Statements.find(Id);
   if (Found == State.Statements.end())
     return;
--- a/modules/routing/routing_state.h
+++ b/modules/routing/routing_state.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "core/daemon_context.h"
+#include "core/distance.h"
 #include "core/ids.h"
 #include "core/position.h"
 #include "core/time.h"
@@ -43,20 +44,34 @@
 /// The state of a gateway as known to the entry.
 struct gateway_state {
   endpoint Address;
-  /// Distance class: 0 this VM, 1 same availability zone, 2 same region,
-  /// 3 elsewhere.
-  int Distance = 0;
+  distance Distance = distance::SameVm;
   /// Whether requests can be sent to it: its link is open.
   bool IsOpen = false;
   /// Statements sent to it and not answered.
   std::uint32_t InFlight = 0;
   /// Until then it is only chosen if no other gateway is available.
   time_point AvoidUntil;
+  /// See spreadRank().
+  std::uint64_t SpreadRank = 0;
+
+  /// The groups that it is a gateway of, and those that need a link to it.
+  std::set<group_id> Groups;
+  std::set<group_id> NeededBy;
+  /// Whether the router has a link to it, open or not.
+  bool HasLink = false;
+  /// The link has ended or has not opened in time.
+  bool HasFailed = false;
+  /// Since when the link has been opening, or has not been needed.
+  time_point LinkChangedAt;
 };
 
 /// The routing state of a group.
 struct group_routes {
   std::vector<vm_id> Gateways;
+  /// See primaryGateways().
+  std::set<vm_id> PrimaryGateways;
+  /// See neededLinks().
+  std::set<vm_id> NeededLinks;
   bool HasPrimary = false;
   /// The highest term received in a view or an answer.
   term Term;
@@ -106,6 +121,8 @@
   bool LocalGateway = false;
   std::map<group_id, group_routes> Groups;
   std::map<vm_id, gateway_state> Gateways;
+  /// Gateways whose link is opening or no longer needed; see reviewLinks().
+  std::set<vm_id> UnsettledLinks;
   std::map<request_id, routed_statement> Statements;
   /// The statements of the attempts whose answer is awaited.
   std::map<request_id, request_id> Attempts;
@@ -144,6 +161,9 @@
     Release,
     /// Drops and counts an answer that is no longer awaited.
     DropLateReply,
+    /// Opens a link to Gateway, or closes it for good.
+    OpenLink,
+    CloseLink,
   };
   kind Kind;
   request_id Statement;
--- a/modules/routing/statement_router.cpp
+++ b/modules/routing/statement_router.cpp
@@ -1,7 +1,9 @@
 #include "modules/routing/statement_router.h"
 
 #include "core/event_log.h"
+#include "modules/gateway/primary_gateways.h"
 #include "modules/link/codec.h"
+#include "modules/routing/gateway_links.h"
 
 #include <deque>
 
@@ -13,6 +15,8 @@
 const message_kind ReplyKind(301);
 const message_kind CancelKind(302);
 const message_kind ReleaseKind(303);
+/// Interval of the reviews of links to gateways.
+constexpr duration LinkReviewInterval = std::chrono::milliseconds(200);
 
 reply_summary summarize(const wire::statement_reply &Reply) {
   reply_summary Facts;
@@ -42,6 +46,7 @@
   routed_statement Statement;
   Statement.Group = group_id(Request.group);
   Statement.Traits.Write = Request.access == wire::statement_access::write;
+  Statement.Traits.NeedsPrimary = needsPrimary(Request);
   Statement.Traits.InTransaction = Request.transaction != 0;
   Statement.Traits.OpensTransaction = Request.opens_transaction;
   Statement.Traits.MayCommit = Request.may_commit;
@@ -82,10 +87,10 @@
   std::map<request_id, pending> Pending;
   std::map<link_id, vm_id> VmOfLink;
   std::map<vm_id, link_id> LinkOfVm;
-  std::map<vm_id, endpoint> AddressOfVm;
   std::uint64_t LastTransaction = 0;
   timer_subscription Timer;
   std::optional<time_point> TimerAt;
+  timer_subscription LinkReviewTimer;
   /// Callbacks hold a weak reference to it, as they may be called after this
   /// object has been destroyed.
   std::shared_ptr<state *> Self = std::make_shared<state *>(this);
@@ -122,7 +127,8 @@
   void onReply(const vm_id &Vm, request_id Attempt,
                wire::statement_reply Reply);
   void onView(const group_view &View);
-  void openLink(const vm_id &Vm, const endpoint &Address);
+  void openLink(const vm_id &Vm);
+  void closeLink(const vm_id &Vm);
   void sendMessage(const vm_id &Vm, message_kind Kind, request_id Request,
                    std::string Body);
   void cancelAt(const vm_id &Vm, request_id Attempt);
@@ -163,6 +169,10 @@
     return releaseAt(Effect.Gateway, Effect.Transaction);
   case routing_effect::kind::DropLateReply:
     return LateReplies.add();
+  case routing_effect::kind::OpenLink:
+    return openLink(Effect.Gateway);
+  case routing_effect::kind::CloseLink:
+    return closeLink(Effect.Gateway);
   case routing_effect::kind::Forward:
     return;
   }
@@ -251,33 +261,28 @@
   executeEffects(std::move(Effects), &Reply);
 }
 
-void statement_router::state::openLink(const vm_id &Vm,
-                                       const endpoint &Address) {
-  auto Link = Hub.linkTo(Address);
-  AddressOfVm[Vm] = Address;
+void statement_router::state::openLink(const vm_id &Vm) {
+  auto Gateway = Routing.Gateways.find(Vm);
+  if (Gateway == Routing.Gateways.end() || LinkOfVm.contains(Vm))
+    return;
+  auto Link = Hub.retainLink(Gateway->second.Address);
   LinkOfVm[Vm] = Link;
   VmOfLink[Link] = Vm;
+  if (Hub.isOpen(Link))
+    decide([&](routing_effects &Effects) {
+      handleGatewayOpened(Routing, Vm, Context.Timers.now(), Effects);
+    });
+}
+
+void statement_router::state::closeLink(const vm_id &Vm) {
+  auto Link = LinkOfVm.extract(Vm);
+  if (Link.empty())
+    return;
+  VmOfLink.erase(Link.mapped());
+  Hub.releaseLink(Link.mapped());
 }
 
 void statement_router::state::onView(const group_view &View) {
-  for (const auto &Share : View.Gateways) {
-    if (Share.Vm == Context.Self.Vm)
-      continue;
-    auto Known = AddressOfVm.find(Share.Vm);
-    if (Known != AddressOfVm.end() && Known->second == Share.Address)
-      continue;
-    if (Known != AddressOfVm.end()) {
-      VmOfLink.erase(LinkOfVm[Share.Vm]);
-      decide([&](routing_effects &Effects) {
-        handleGatewayClosed(Routing, Share.Vm, Context.Timers.now(), Effects);
-      });
-    }
-    openLink(Share.Vm, Share.Address);
-    if (Hub.isOpen(LinkOfVm[Share.Vm]))
-      decide([&](routing_effects &Effects) {
-        handleGatewayOpened(Routing, Share.Vm, Context.Timers.now(), Effects);
-      });
-  }
   decide([&](routing_effects &Effects) {
     applyView(Routing, View, Context.Timers.now(), Effects);
   });
@@ -359,6 +364,16 @@
   });
   for (const auto &[Group, View] : State->Member.views())
     State->onView(View);
+  State->LinkReviewTimer =
+      State->Context.Timers.every(LinkReviewInterval, [Weak] {
+        auto Alive = Weak.lock();
+        if (!Alive || (*Alive)->Routing.UnsettledLinks.empty())
+          return;
+        (*Alive)->decide([&](routing_effects &Effects) {
+          reviewLinks((*Alive)->Routing, (*Alive)->Context.Timers.now(),
+                      Effects);
+        });
+      });
 }
 
 request_id
--- a/modules/routing/statement_state.h
+++ b/modules/routing/statement_state.h
@@ -17,10 +17,12 @@
   Answered,
 };
 
-/// The properties of a statement that decide what happens when its answer is
-/// lost.
+/// The properties of a statement that decide where it is sent, and what happens
+/// when its answer is lost.
 struct statement_traits {
   bool Write = false;
+  /// Only the primary may execute it; see needsPrimary().
+  bool NeedsPrimary = false;
   bool InTransaction = false;
   bool OpensTransaction = false;
   /// It may commit a transaction that wrote.
