Core, Link: an unexpected error ends one callback or one link, not the process

A receiver's exception other than error ended the process too. Change: callGuarded() around descriptors', timers', signals' and posted callbacks, with a log line; a dial that can't start is repeated; any exception of a receiver closes the link on which the message came.

--- a/core/event_loop.cpp
+++ b/core/event_loop.cpp
@@ -1,5 +1,7 @@
 #include "core/event_loop.h"
 
+#include "core/guarded_call.h"
+
 #include <deque>
 #include <ev.h>
 #include <list>
@@ -34,7 +36,10 @@
       &State->Watcher,
       [](struct ev_loop *, ev_io *Watcher, int Events) {
         auto Callback = static_cast<state *>(Watcher->data)->Callback;
-        (*Callback)({(Events & EV_READ) != 0, (Events & EV_WRITE) != 0});
+        readiness Ready;
+        Ready.Readable = (Events & EV_READ) != 0;
+        Ready.Writable = (Events & EV_WRITE) != 0;
+        callGuarded("descriptor", [&] { (*Callback)(Ready); });
       },
       Descriptor, toEventMask(Interest));
   State->Watcher.data = State.get();
@@ -98,7 +103,7 @@
   std::deque<std::function<void()>> Current;
   Current.swap(Tasks);
   for (auto &Task : Current)
-    Task();
+    callGuarded("task", Task);
   if (Tasks.empty())
     ev_idle_stop(Loop, &QueuedTasksIdle);
 }
@@ -149,7 +154,8 @@
   ev_signal_init(
       &Watch.Watcher,
       [](struct ev_loop *, ev_signal *Watcher, int) {
-        static_cast<state::signal_watch *>(Watcher->data)->Callback();
+        auto *Watch = static_cast<state::signal_watch *>(Watcher->data);
+        callGuarded("signal", Watch->Callback);
       },
       Signal);
   ev_signal_start(State->Loop, &Watch.Watcher);
--- a/core/event_loop.h
+++ b/core/event_loop.h
@@ -34,6 +34,7 @@
 };
 
 /// The event loop of the process, based on libev. All tasks run on its thread.
+/// Exceptions of callbacks are logged; see guarded_call.h.
 class event_loop {
 public:
   event_loop();
--- a/core/tests/test_core.cpp
+++ b/core/tests/test_core.cpp
@@ -101,6 +101,33 @@
   CHECK(Order == "abc");
 }
 
+TEST_CASE("core: an exception of a task, a timer or a descriptor's callback "
+          "does not end the loop") {
+  event_loop Loop;
+  timer_service Timers(Loop);
+  int Called = 0;
+  auto Fail = [&] {
+    ++Called;
+    throw std::out_of_range("map::at");
+  };
+  Loop.post(Fail);
+  Loop.post(Fail);
+  auto Timer = Timers.after(fromMilliseconds(1), Fail);
+  int Pipe[2];
+  REQUIRE(::pipe(Pipe) == 0);
+  descriptor_watch Watch;
+  Watch = Loop.watch(Pipe[0], {true, false}, [&](readiness) {
+    Watch = descriptor_watch();
+    Fail();
+  });
+  REQUIRE(::write(Pipe[1], "x", 1) == 1);
+  for (int Turn = 0; Turn < 100 && Called < 4; ++Turn)
+    Loop.runOnce();
+  CHECK(Called == 4);
+  ::close(Pipe[0]);
+  ::close(Pipe[1]);
+}
+
 TEST_CASE("core: compression round-trips and malformed input is rejected") {
   rc::check("compress and decompress", [](const std::string &Text) {
     RC_ASSERT(decompress(compress(Text), Text.size()) == Text);
--- a/core/timer_service.cpp
+++ b/core/timer_service.cpp
@@ -1,5 +1,7 @@
 #include "core/timer_service.h"
 
+#include "core/guarded_call.h"
+
 #include <ev.h>
 
 namespace teasellock {
@@ -67,7 +69,7 @@
       [](struct ev_loop *, ev_timer *Watcher, int) {
         auto Callback =
             static_cast<timer_subscription::state *>(Watcher->data)->Callback;
-        (*Callback)();
+        callGuarded("timer", *Callback);
       },
       seconds(InitialDelay).count(), seconds(Period).count());
   ev_timer_start(State.Loop, &State.Watcher);
--- a/modules/link/link_connections.cpp
+++ b/modules/link/link_connections.cpp
@@ -60,6 +60,18 @@
 
 void link_hub::state::dial(link &Link) {
   Link.PeerName = toString(Link.Target);
+  try {
+    startDial(Link);
+  } catch (const error &Problem) {
+    // Without a free descriptor, say. The caller must not fail for it.
+    event("link.dial_failed", severity::Warning)
+        .with("peer", Link.PeerName)
+        .with("reason", Problem.reason());
+    scheduleRedial(Link);
+  }
+}
+
+void link_hub::state::startDial(link &Link) {
   Link.Socket = createSocket("link.dial", Link.PeerName);
   sockaddr_in Address = toSocketAddress(Link.Target);
   int Status = ::connect(Link.Socket, reinterpret_cast<sockaddr *>(&Address),
@@ -121,6 +133,11 @@
       flush(*Link);
   } catch (const error &Problem) {
     breakLink(Id, Problem);
+  } catch (const std::exception &Problem) {
+    // A message that its receiver can't handle ends its own link only.
+    const auto *Link = find(Id);
+    breakLink(
+        Id, error("link.receive", Link ? Link->PeerName : "", Problem.what()));
   }
 }
 
--- a/modules/link/link_hub.h
+++ b/modules/link/link_hub.h
@@ -100,8 +100,8 @@
   const link_peer *peerOf(link_id Link) const;
 
   /// Registers the receiver of messages of kinds First to Last. Throws error if
-  /// one of them has a receiver already. If the receiver throws error, the
-  /// connection on which the message arrived is closed.
+  /// one of them has a receiver already. If the receiver throws an exception,
+  /// the connection on which the message arrived is closed.
   void registerReceiver(message_kind First, message_kind Last,
                         std::function<void(link_id, link_message &&)> Receiver);
 
--- a/modules/link/link_hub_state.h
+++ b/modules/link/link_hub_state.h
@@ -94,6 +94,7 @@
   link &dialledLink(const endpoint &Endpoint);
   void accept();
   void dial(link &Link);
+  void startDial(link &Link);
   void scheduleRedial(link &Link);
   void startHandshake(link &Link);
   void onReady(link_id Id, readiness Ready);
--- a/modules/link/tests/test_link_hub.cpp
+++ b/modules/link/tests/test_link_hub.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <doctest/doctest.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -160,3 +161,50 @@
   Left.Hub.releaseLink(Again);
   CHECK(Left.Hub.isOpen(Again));
 }
+
+TEST_CASE("link: without a free descriptor a dial is repeated, not fatal") {
+  event_loop Loop;
+  timer_service Timers(Loop);
+  test_vm Left(Loop, Timers, "left");
+  test_vm Right(Loop, Timers, "right");
+  endpoint Address = Right.Hub.listen();
+  rlimit Before = {};
+  REQUIRE(::getrlimit(RLIMIT_NOFILE, &Before) == 0);
+  // No descriptor above those in use can be opened.
+  int Highest = ::dup(0);
+  ::close(Highest);
+  rlimit Low = Before;
+  Low.rlim_cur = static_cast<rlim_t>(Highest);
+  REQUIRE(::setrlimit(RLIMIT_NOFILE, &Low) == 0);
+  link_id Link;
+  CHECK_NOTHROW(Link = Left.Hub.linkTo(Address));
+  for (int Turn = 0; Turn < 20; ++Turn)
+    Loop.runOnce();
+  REQUIRE(::setrlimit(RLIMIT_NOFILE, &Before) == 0);
+  CHECK(runUntil(Loop, [&] { return Left.Hub.isOpen(Link); }));
+}
+
+TEST_CASE("link: a receiver that fails on a message ends that link only") {
+  event_loop Loop;
+  timer_service Timers(Loop);
+  test_vm Left(Loop, Timers, "left");
+  test_vm Right(Loop, Timers, "right");
+  endpoint Address = Right.Hub.listen();
+  int Received = 0;
+  Right.Hub.registerReceiver(message_kind(100), message_kind(100),
+                             [&](link_id, link_message &&) {
+                               if (++Received == 1)
+                                 throw std::out_of_range("map::at");
+                             });
+  int Closed = 0;
+  link_events Events;
+  Events.Closed = [&](link_id, const error &) { ++Closed; };
+  Left.Hub.subscribe(std::move(Events));
+  link_id Link = Left.Hub.linkTo(Address);
+  REQUIRE(runUntil(Loop, [&] { return Left.Hub.isOpen(Link); }));
+  CHECK(Left.Hub.send(Link, {message_kind(100), {}, "bad", ""}));
+  REQUIRE(runUntil(Loop, [&] { return Closed == 1; }));
+  REQUIRE(runUntil(Loop, [&] { return Left.Hub.isOpen(Link); }));
+  CHECK(Left.Hub.send(Link, {message_kind(100), {}, "good", ""}));
+  CHECK(runUntil(Loop, [&] { return Received == 2; }));
+}
