Admin: a planned stop waits for requests that have been accepted

Change: http_server counts requests until their response is written and the stop waits for them, within the drain timeout; 400 only for errors of the request, else 500 and a log line. Result: two tests that fail without the change.

--- a/main/daemon_process.cpp
+++ b/main/daemon_process.cpp
@@ -220,8 +220,9 @@
 
 void daemon_process::finishDraining() {
   DrainCheckTimer = Timers.every(DrainCheckPeriod, [this] {
-    std::size_t Remaining =
-        Router->inFlight() + (Gateway ? Gateway->inFlight() : 0);
+    std::size_t Remaining = Router->inFlight() +
+                            (Gateway ? Gateway->inFlight() : 0) +
+                            Admin->inFlight();
     if (Remaining == 0)
       Loop.stop();
   });
--- a/modules/admin/admin_service.cpp
+++ b/modules/admin/admin_service.cpp
@@ -106,6 +106,10 @@
 
 void admin_service::startDraining() { State->IsDraining = true; }
 
+std::size_t admin_service::inFlight() const {
+  return State->Server->inFlight();
+}
+
 endpoint admin_service::boundEndpoint() const {
   return State->Server->boundEndpoint();
 }
--- a/modules/admin/admin_service.h
+++ b/modules/admin/admin_service.h
@@ -41,6 +41,9 @@
   /// The endpoint that is listened at, with the actual port if it was set to 0.
   endpoint boundEndpoint() const;
 
+  /// Requests whose response has not been written completely.
+  std::size_t inFlight() const;
+
 private:
   struct state;
   std::unique_ptr<state> State;
--- a/modules/admin/http_server.cpp
+++ b/modules/admin/http_server.cpp
@@ -1,6 +1,7 @@
 #include "modules/admin/http_server.h"
 
 #include "core/error.h"
+#include "core/event_log.h"
 
 #include <arpa/inet.h>
 #include <microhttpd.h>
@@ -13,7 +14,9 @@
 constexpr std::size_t MaxBodyBytes = 16 * 1024 * 1024;
 constexpr unsigned MaxConnections = 256;
 constexpr unsigned IdleTimeoutSeconds = 30;
+constexpr int StatusBadRequest = 400;
 constexpr int StatusTooLarge = 413;
+constexpr int StatusInternalError = 500;
 constexpr std::string_view BearerPrefix = "Bearer ";
 
 } // namespace
@@ -36,6 +39,7 @@
   MHD_Daemon *Daemon = nullptr;
   descriptor_watch Watch;
   timer_subscription TimeoutTimer;
+  std::size_t InFlight = 0;
 
   explicit state(daemon_context &Context) : Context(Context) {}
 
@@ -76,10 +80,17 @@
     MHD_resume_connection(Exchange->Connection);
     Context.Loop.post([this] { runDaemon(); });
   };
+  std::string Path = Exchange->Request.Path;
   try {
     Handler(std::move(Exchange->Request), Reply);
+  } catch (const error &Problem) {
+    Reply({StatusBadRequest, "text/plain", std::string(Problem.what()) + "\n"});
   } catch (const std::exception &Problem) {
-    Reply({400, "text/plain", std::string(Problem.what()) + "\n"});
+    event("http.handler_failed", severity::Error)
+        .with("path", Path)
+        .with("reason", Problem.what());
+    Reply({StatusInternalError, "text/plain",
+           std::string(Problem.what()) + "\n"});
   }
 }
 
@@ -97,6 +108,7 @@
     if (Header && std::string_view(Header).starts_with(BearerPrefix))
       Exchange->Request.BearerToken = Header + BearerPrefix.size();
     *RequestContext = new std::shared_ptr<exchange>(std::move(Exchange));
+    ++InFlight;
     return MHD_YES;
   }
   auto Exchange = *static_cast<std::shared_ptr<exchange> *>(*RequestContext);
@@ -145,15 +157,20 @@
     return static_cast<state *>(Self)->handleAccess(Connection, Url, Method,
                                                     Data, Size, RequestContext);
   };
-  auto OnCompleted = [](void *, MHD_Connection *, void **RequestContext,
+  auto OnCompleted = [](void *Self, MHD_Connection *, void **RequestContext,
                         MHD_RequestTerminationCode) {
-    delete static_cast<std::shared_ptr<state::exchange> *>(*RequestContext);
+    auto *Exchange =
+        static_cast<std::shared_ptr<state::exchange> *>(*RequestContext);
+    if (!Exchange)
+      return;
+    delete Exchange;
     *RequestContext = nullptr;
+    --static_cast<state *>(Self)->InFlight;
   };
   State->Daemon = MHD_start_daemon(
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, Listen.Port, nullptr, nullptr,
       +OnAccess, State.get(), MHD_OPTION_SOCK_ADDR, &Address,
-      MHD_OPTION_NOTIFY_COMPLETED, +OnCompleted, nullptr,
+      MHD_OPTION_NOTIFY_COMPLETED, +OnCompleted, State.get(),
       MHD_OPTION_CONNECTION_LIMIT, MaxConnections,
       MHD_OPTION_CONNECTION_TIMEOUT, IdleTimeoutSeconds, MHD_OPTION_END);
   if (!State->Daemon)
@@ -168,6 +185,8 @@
   MHD_stop_daemon(State->Daemon);
 }
 
+std::size_t http_server::inFlight() const { return State->InFlight; }
+
 endpoint http_server::boundEndpoint() const {
   auto *Info = MHD_get_daemon_info(State->Daemon, MHD_DAEMON_INFO_LISTEN_FD);
   sockaddr_in Address = {};
--- a/modules/admin/http_server.h
+++ b/modules/admin/http_server.h
@@ -33,9 +33,9 @@
 /// with status 413.
 class http_server {
 public:
-  /// Handler is called for each request; if it throws, the response has status
-  /// 400. Throws error with step "http.listen" when the endpoint can't be
-  /// bound.
+  /// Handler is called for each request. If it throws error, the response has
+  /// status 400: the request is at fault; after any other exception it has 500.
+  /// Throws error with step "http.listen" when the endpoint can't be bound.
   http_server(daemon_context &Context, const endpoint &Listen,
               std::function<void(http_request, http_reply)> Handler);
   ~http_server();
@@ -43,6 +43,9 @@
   /// The endpoint that is listened at, with the actual port if it was set to 0.
   endpoint boundEndpoint() const;
 
+  /// Requests whose response has not been written completely.
+  std::size_t inFlight() const;
+
 private:
   struct state;
   std::unique_ptr<state> State;
--- a/modules/admin/tests/test_admin.cpp
+++ b/modules/admin/tests/test_admin.cpp
@@ -121,3 +121,53 @@
   CHECK(exchangeBytes(Loop, "\x16\x03\x01 no request\r\n\r\n", Throwing)
             .find("200") == std::string::npos);
 }
+
+TEST_CASE("admin: an unexpected exception of a handler is the server's fault "
+          "and does not end it") {
+  event_loop Loop;
+  std::string Get = "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+  auto Throwing = [](http_request, http_reply) {
+    throw std::out_of_range("map::at");
+  };
+  CHECK(exchangeBytes(Loop, Get, Throwing).find("500 Internal Server Error") !=
+        std::string::npos);
+}
+
+TEST_CASE("admin: a request counts as in flight until its response is "
+          "written, so that a planned stop waits for it") {
+  event_loop Loop;
+  timer_service Timers(Loop);
+  metrics Metrics;
+  tracer Tracer;
+  daemon_context Context{Loop, Timers, Metrics, Tracer, {}};
+  http_reply Reply;
+  http_server Server(
+      Context, {"127.0.0.1", 0},
+      [&](http_request, http_reply Callback) { Reply = std::move(Callback); });
+  CHECK(Server.inFlight() == 0u);
+  int Socket = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in Address = toSocketAddress(Server.boundEndpoint());
+  REQUIRE(::connect(Socket, reinterpret_cast<sockaddr *>(&Address),
+                    sizeof(Address)) == 0);
+  std::string Post = "POST /y HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+                     "Content-Length: 4\r\n\r\nbody";
+  REQUIRE(::send(Socket, Post.data(), Post.size(), 0) ==
+          static_cast<ssize_t>(Post.size()));
+  auto KeepAwake = Timers.every(fromMilliseconds(5), [] {});
+  for (int Turn = 0; Turn < 400 && !Reply; ++Turn)
+    Loop.runOnce();
+  REQUIRE(Reply);
+  CHECK(Server.inFlight() == 1u);
+  Reply({200, "text/plain", "done"});
+  CHECK(Server.inFlight() == 1u);
+  std::string Response;
+  for (int Turn = 0; Turn < 400 && Server.inFlight() > 0; ++Turn)
+    Loop.runOnce();
+  CHECK(Server.inFlight() == 0u);
+  char Buffer[4096];
+  ssize_t Count = ::recv(Socket, Buffer, sizeof(Buffer), MSG_DONTWAIT);
+  REQUIRE(Count > 0);
+  CHECK(std::string(Buffer, static_cast<std::size_t>(Count)).find("done") !=
+        std::string::npos);
+  ::close(Socket);
+}
