--- a/modules/control/assignment.cpp
+++ b/modules/control/assignment.cpp
@@ -21,6 +21,10 @@
 /// Connections that a gateway needs to be useful.
 constexpr std::uint32_t MinGatewayConnections = 6;
 
+/// The first gateways of a group are chosen this long after the election of the
+/// leader at the latest.
+constexpr duration MaxRegistrationTime = std::chrono::seconds(2);
+
 /// Two gateways must remain after the loss of one.
 constexpr std::size_t MinAutomaticGateways = 3;
 
@@ -286,7 +290,17 @@
   return Classes;
 }
 
+/// Reports whether VMs are still registering for the first time. Gateways that
+/// were chosen among the first few would have to move to others at once.
+bool areVmsRegistering(const assignment_input &Input) {
+  return Input.Now - Input.Leader.LastNewVmAt <
+             Input.Settings.RegistrationPause &&
+         Input.Now - Input.Leader.LeadingSince < MaxRegistrationTime;
+}
+
 void assignGateways(const assignment_input &Input, group_state &Group) {
+  if (Group.Gateways.empty() && areVmsRegistering(Input))
+    return;
   if (Input.Settings.Method == promotion_method::Pause)
     inheritShares(Input, Group);
   else
--- a/modules/control/control_decisions.cpp
+++ b/modules/control/control_decisions.cpp
@@ -1,5 +1,6 @@
 #include "modules/control/control_service_state.h"
 
+#include "core/compression.h"
 #include "core/event_log.h"
 #include "modules/control/assignment.h"
 #include "modules/control/leases.h"
@@ -18,10 +19,11 @@
 
 /// Minimum interval between two nudges of one VM.
 const duration NudgeInterval = fromMilliseconds(40);
-/// Minimum interval between two rounds of nudges to all outdated VMs: with
-/// 1,700 VMs a round takes 20 ms, and a series of commits must not use up the
-/// time that heartbeats of the log need.
-const duration NudgeRoundInterval = fromMilliseconds(25);
+/// Minimum interval between two updates of all outdated VMs.
+const duration MinUpdateInterval = fromMilliseconds(25);
+/// The interval is at least this many times the duration of the last update: a
+/// series of commits must not use up the time that heartbeats of the log need.
+constexpr int UpdatePauseFactor = 5;
 /// A reply to a fence is accepted no later than this.
 const duration FenceReplyTimeout = fromMilliseconds(10000);
 
@@ -239,25 +241,66 @@
            {message_kind(NudgeKind), Hub.nextRequest(), encode(Nudge), ""});
 }
 
-void control_service::state::scheduleNudges() {
-  if (NudgeTimer.isActive())
+void control_service::state::scheduleUpdate() {
+  if (UpdateTimer.isActive())
     return;
-  duration Since = now() - LastNudgeRoundAt;
-  NudgeTimer = Context.Timers.after(
-      std::max(duration::zero(), NudgeRoundInterval - Since), [this] {
-        LastNudgeRoundAt = now();
+  duration Interval =
+      std::max(MinUpdateInterval, LastUpdateDuration * UpdatePauseFactor);
+  UpdateTimer = Context.Timers.after(
+      std::max(duration::zero(), Interval - (now() - LastUpdateAt)), [this] {
         if (Leading)
-          nudgeOutdatedVms();
+          updateOutdatedVms();
       });
 }
 
-void control_service::state::nudgeOutdatedVms() {
+void control_service::state::updateOutdatedVms() {
+  LastUpdateAt = now();
+  push_bodies Bodies;
   for (const auto &[Name, Vm] : Leader.Vms)
-    if (Vm.AppliedRevision < Replicated.Index.LatestRevision) {
-      // An earlier nudge must not delay this one.
-      LastNudgeAt.erase(Name);
-      nudge(Name);
-    }
+    if (Vm.AppliedRevision < Replicated.Index.LatestRevision)
+      updateVm(Name, Vm, Bodies);
+  LastUpdateDuration = now() - LastUpdateAt;
+}
+
+void control_service::state::updateVm(const vm_id &Name,
+                                      const vm_observation &Vm,
+                                      push_bodies &Bodies) {
+  auto Link = Links.find(Name);
+  if (Link == Links.end())
+    return;
+  bool HasDeployment =
+      Vm.Deployment >= Replicated.Deployment.Deployment.Version;
+  bool AcceptsPush =
+      Vm.AcceptsPushes && HasDeployment && Vm.AppliedRevision != revision();
+  revision Base =
+      expectedRevision(Pushes, Name, Link->second, Vm.AppliedRevision, now());
+  if (AcceptsPush && Base >= Replicated.Index.LatestRevision)
+    return;
+  std::string Body = AcceptsPush ? pushBody(Base, Bodies) : "";
+  if (Body.empty()) {
+    // An earlier nudge must not delay this one.
+    LastNudgeAt.erase(Name);
+    return nudge(Name);
+  }
+  if (Hub.send(Link->second, {message_kind(ViewPushKind), Hub.nextRequest(),
+                              std::move(Body), ""}))
+    Pushes[Name] = {Link->second, Replicated.AppliedRevision, now()};
+}
+
+const std::string &control_service::state::pushBody(revision Base,
+                                                    push_bodies &Bodies) {
+  auto [Known, IsNew] = Bodies.try_emplace(Base);
+  if (!IsNew)
+    return Known->second;
+  auto Changes = changesSince(Replicated, Base, {});
+  if (Changes.more)
+    return Known->second;
+  wire::view_push Push;
+  Push.base_revision = static_cast<std::int64_t>(Base.Value);
+  Push.revision = Changes.revision;
+  Push.groups = std::move(Changes.groups);
+  Known->second = compress(encode(Push));
+  return Known->second;
 }
 
 } // namespace teasellock
--- a/modules/control/control_messages.thrift
+++ b/modules/control/control_messages.thrift
@@ -187,6 +187,8 @@
   16: bool accepts_patches;
   /// The VM reads views_pending in the reply.
   17: bool accepts_pending_views;
+  /// The VM applies view_push, and reads base_revision in the reply.
+  18: bool accepts_pushes;
 }
 
 /// Reply to a renewal. Kind 101.
@@ -216,6 +218,19 @@
   /// The groups and the lease are in an earlier reply on this link, which the VM
   /// had not received when it sent the renewal.
   12: bool views_pending;
+  /// The reply is of use only if the VM has all changes up to this revision.
+  13: i64 base_revision;
+}
+
+/// Views that have changed, sent without a renewal. Kind 110; the message is
+/// this struct, compressed.
+struct view_push {
+  /// The push is of use only if the VM has all changes up to this revision.
+  1: i64 base_revision;
+  /// The revision up to which the VM has all changes then.
+  2: i64 revision;
+  /// Groups changed in between, oldest first.
+  3: list<group_view> groups;
 }
 
 /// Asks a gateway to stop acknowledging in a term. Kind 102.
--- a/modules/control/control_service.cpp
+++ b/modules/control/control_service.cpp
@@ -30,6 +30,7 @@
   Result.LeaseMargin = Settings.LeaseMargin;
   Result.OrderTimeout = Settings.OrderTimeout;
   Result.VmTimeout = Settings.VmTimeout;
+  Result.RegistrationPause = Settings.RegistrationPause;
   Result.Method = Settings.Method;
   return Result;
 }
@@ -77,7 +78,7 @@
   try {
     applyCommand(Replicated, Index,
                  decode<wire::control_command>(Command, "log"));
-  } catch (const error &Problem) {
+  } catch (const std::exception &Problem) {
     // Every member rejects the entry in the same way, so it changes nothing.
     Replicated.AppliedRevision = Index;
     event("control.bad_command", severity::Error)
@@ -90,7 +91,7 @@
   for (const auto &[Name, Group] : Replicated.Groups)
     if (Group.Revision == Index)
       scheduleDecision(Name);
-  scheduleNudges();
+  scheduleUpdate();
 }
 
 void control_service::state::leadershipChanged(bool IsLeading) {
@@ -232,6 +233,10 @@
   applied_views Applied{
       revision(static_cast<std::uint64_t>(Renewal.applied_revision)),
       cursorOf(Renewal)};
+  bool IsPartial = Applied.After != change_cursor();
+  revision Base = IsPartial ? Applied.Applied
+                            : expectedRevision(Pushes, vm_id(Renewal.vm), Link,
+                                               Applied.Applied, now());
   applied_report<applied_views> Report{vm_id(Renewal.vm), Link, Applied};
   if (isOnItsWay(ViewTransfers, Report, now())) {
     wire::renewal_reply Reply;
@@ -239,7 +244,8 @@
     Reply.views_pending = true;
     return Reply;
   }
-  auto Reply = changesSince(Replicated, Applied.Applied, Applied.After);
+  auto Reply = changesSince(Replicated, Base, Applied.After);
+  Reply.base_revision = static_cast<std::int64_t>(Base.Value);
   if (Renewal.accepts_pending_views && Reply.groups.size() > MaxRepeatedViews)
     recordTransfer(ViewTransfers, Report, now());
   else
--- a/modules/control/control_service.h
+++ b/modules/control/control_service.h
@@ -23,6 +23,8 @@
   duration OrderTimeout = fromMilliseconds(300);
   /// A VM without a renewal for this long loses its gateway assignments.
   duration VmTimeout = fromMilliseconds(3000);
+  /// See decision_settings.
+  duration RegistrationPause = fromMilliseconds(200);
   promotion_method Method = promotion_method::Fence;
   /// With promotion_method::Pause: sends an order to the platform and calls
   /// back with its answer.
--- a/modules/control/control_service_state.h
+++ b/modules/control/control_service_state.h
@@ -11,6 +11,7 @@
 #include "modules/control/message_kinds.h"
 #include "modules/control/renewal_reply.h"
 #include "modules/deployment/deployment_patch.h"
+#include "modules/control/view_pushes.h"
 
 #include <set>
 #include <string>
@@ -53,6 +54,7 @@
   std::uint64_t LeadershipEpoch = 0;
   std::map<vm_id, link_id> Links;
   std::map<vm_id, time_point> LastNudgeAt;
+  sent_pushes Pushes;
   /// Kept when the leadership changes: the links still deliver the copies.
   deployment_transfers Transfers;
   transfer_map<applied_views> ViewTransfers;
@@ -74,9 +76,11 @@
   /// When the announcements that are not committed yet were proposed.
   std::map<std::pair<group_id, upstream_id>, time_point> Announcing;
   std::map<request_id, sent_fence> PendingFences;
-  /// Timer of the next nudge to all outdated VMs, and when the last one ran.
-  timer_subscription NudgeTimer;
-  time_point LastNudgeRoundAt;
+  /// Timer of the next update of all outdated VMs, when the last one ran and
+  /// how long it took.
+  timer_subscription UpdateTimer;
+  time_point LastUpdateAt;
+  duration LastUpdateDuration{};
   bool IsDecisionPosted = false;
   timer_subscription TickTimer;
   counter &Promotions;
@@ -171,8 +175,16 @@
   void callPlatform(const group_state &Group, const promotion_order &Order);
   void sendOrder(const group_state &Group, const gateway_incarnation &Gateway);
   void nudge(const vm_id &Vm);
-  void scheduleNudges();
-  void nudgeOutdatedVms();
+  void scheduleUpdate();
+  /// Sends the changed views to all VMs that lack them, or a nudge where they
+  /// lack more.
+  void updateOutdatedVms();
+  /// Bodies of pushes by the revision that they are based on.
+  using push_bodies = std::map<revision, std::string>;
+  void updateVm(const vm_id &Name, const vm_observation &Vm,
+                push_bodies &Bodies);
+  /// Returns the body of a push, empty if the changes are too many for one.
+  const std::string &pushBody(revision Base, push_bodies &Bodies);
 
   void handle(const std::string &Method, const std::string &Path,
               const std::string &Body, const answer_callback &Answer);
--- a/modules/control/gen/control_messages_types.cpp
+++ b/modules/control/gen/control_messages_types.cpp
@@ -2970,6 +2970,10 @@
 void renewal::__set_accepts_pending_views(const bool val) {
   this->accepts_pending_views = val;
 }
+
+void renewal::__set_accepts_pushes(const bool val) {
+  this->accepts_pushes = val;
+}
 std::ostream& operator<<(std::ostream& out, const renewal& obj)
 {
   obj.printTo(out);
@@ -3158,6 +3162,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->accepts_pushes);
+          this->__isset.accepts_pushes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3259,6 +3271,10 @@
   xfer += oprot->writeBool(this->accepts_pending_views);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("accepts_pushes", ::apache::thrift::protocol::T_BOOL, 18);
+  xfer += oprot->writeBool(this->accepts_pushes);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3283,6 +3299,7 @@
   swap(a.gateway, b.gateway);
   swap(a.accepts_patches, b.accepts_patches);
   swap(a.accepts_pending_views, b.accepts_pending_views);
+  swap(a.accepts_pushes, b.accepts_pushes);
   swap(a.__isset, b.__isset);
 }
 
@@ -3304,6 +3321,7 @@
   gateway = other119.gateway;
   accepts_patches = other119.accepts_patches;
   accepts_pending_views = other119.accepts_pending_views;
+  accepts_pushes = other119.accepts_pushes;
   __isset = other119.__isset;
 }
 renewal::renewal(renewal&& other120) noexcept {
@@ -3324,6 +3342,7 @@
   gateway = other120.gateway;
   accepts_patches = other120.accepts_patches;
   accepts_pending_views = other120.accepts_pending_views;
+  accepts_pushes = other120.accepts_pushes;
   __isset = other120.__isset;
 }
 renewal& renewal::operator=(const renewal& other121) {
@@ -3344,6 +3363,7 @@
   gateway = other121.gateway;
   accepts_patches = other121.accepts_patches;
   accepts_pending_views = other121.accepts_pending_views;
+  accepts_pushes = other121.accepts_pushes;
   __isset = other121.__isset;
   return *this;
 }
@@ -3365,6 +3385,7 @@
   gateway = other122.gateway;
   accepts_patches = other122.accepts_patches;
   accepts_pending_views = other122.accepts_pending_views;
+  accepts_pushes = other122.accepts_pushes;
   __isset = other122.__isset;
   return *this;
 }
@@ -3388,6 +3409,7 @@
   out << ", " << "gateway=" << to_string(gateway);
   out << ", " << "accepts_patches=" << to_string(accepts_patches);
   out << ", " << "accepts_pending_views=" << to_string(accepts_pending_views);
+  out << ", " << "accepts_pushes=" << to_string(accepts_pushes);
   out << ")";
 }
 
@@ -3445,6 +3467,10 @@
 void renewal_reply::__set_views_pending(const bool val) {
   this->views_pending = val;
 }
+
+void renewal_reply::__set_base_revision(const int64_t val) {
+  this->base_revision = val;
+}
 std::ostream& operator<<(std::ostream& out, const renewal_reply& obj)
 {
   obj.printTo(out);
@@ -3593,6 +3619,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->base_revision);
+          this->__isset.base_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3676,6 +3710,10 @@
   xfer += oprot->writeBool(this->views_pending);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("base_revision", ::apache::thrift::protocol::T_I64, 13);
+  xfer += oprot->writeI64(this->base_revision);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3695,6 +3733,7 @@
   swap(a.control, b.control);
   swap(a.deployment_patches, b.deployment_patches);
   swap(a.views_pending, b.views_pending);
+  swap(a.base_revision, b.base_revision);
   swap(a.__isset, b.__isset);
 }
 
@@ -3711,6 +3750,7 @@
   control = other135.control;
   deployment_patches = other135.deployment_patches;
   views_pending = other135.views_pending;
+  base_revision = other135.base_revision;
   __isset = other135.__isset;
 }
 renewal_reply::renewal_reply(renewal_reply&& other136) noexcept {
@@ -3726,6 +3766,7 @@
   control = std::move(other136.control);
   deployment_patches = std::move(other136.deployment_patches);
   views_pending = other136.views_pending;
+  base_revision = other136.base_revision;
   __isset = other136.__isset;
 }
 renewal_reply& renewal_reply::operator=(const renewal_reply& other137) {
@@ -3741,6 +3782,7 @@
   control = other137.control;
   deployment_patches = other137.deployment_patches;
   views_pending = other137.views_pending;
+  base_revision = other137.base_revision;
   __isset = other137.__isset;
   return *this;
 }
@@ -3757,6 +3799,7 @@
   control = std::move(other138.control);
   deployment_patches = std::move(other138.deployment_patches);
   views_pending = other138.views_pending;
+  base_revision = other138.base_revision;
   __isset = other138.__isset;
   return *this;
 }
@@ -3775,6 +3818,172 @@
   out << ", " << "control=" << to_string(control);
   out << ", " << "deployment_patches="; (__isset.deployment_patches ? (out << to_string(deployment_patches)) : (out << "<null>"));
   out << ", " << "views_pending=" << to_string(views_pending);
+  out << ", " << "base_revision=" << to_string(base_revision);
+  out << ")";
+}
+
+
+view_push::~view_push() noexcept {
+}
+
+
+void view_push::__set_base_revision(const int64_t val) {
+  this->base_revision = val;
+}
+
+void view_push::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void view_push::__set_groups(const std::vector<group_view> & val) {
+  this->groups = val;
+}
+std::ostream& operator<<(std::ostream& out, const view_push& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t view_push::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->base_revision);
+          this->__isset.base_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->groups.clear();
+            uint32_t _size139;
+            ::apache::thrift::protocol::TType _etype142;
+            xfer += iprot->readListBegin(_etype142, _size139);
+            this->groups.resize(_size139);
+            uint32_t _i143;
+            for (_i143 = 0; _i143 < _size139; ++_i143)
+            {
+              xfer += this->groups[_i143].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.groups = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t view_push::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("view_push");
+
+  xfer += oprot->writeFieldBegin("base_revision", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->base_revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
+    std::vector<group_view> ::const_iterator _iter144;
+    for (_iter144 = this->groups.begin(); _iter144 != this->groups.end(); ++_iter144)
+    {
+      xfer += (*_iter144).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(view_push &a, view_push &b) {
+  using ::std::swap;
+  swap(a.base_revision, b.base_revision);
+  swap(a.revision, b.revision);
+  swap(a.groups, b.groups);
+  swap(a.__isset, b.__isset);
+}
+
+view_push::view_push(const view_push& other145) {
+  base_revision = other145.base_revision;
+  revision = other145.revision;
+  groups = other145.groups;
+  __isset = other145.__isset;
+}
+view_push::view_push(view_push&& other146) noexcept {
+  base_revision = other146.base_revision;
+  revision = other146.revision;
+  groups = std::move(other146.groups);
+  __isset = other146.__isset;
+}
+view_push& view_push::operator=(const view_push& other147) {
+  base_revision = other147.base_revision;
+  revision = other147.revision;
+  groups = other147.groups;
+  __isset = other147.__isset;
+  return *this;
+}
+view_push& view_push::operator=(view_push&& other148) noexcept {
+  base_revision = other148.base_revision;
+  revision = other148.revision;
+  groups = std::move(other148.groups);
+  __isset = other148.__isset;
+  return *this;
+}
+void view_push::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "view_push(";
+  out << "base_revision=" << to_string(base_revision);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "groups=" << to_string(groups);
   out << ")";
 }
 
@@ -3905,34 +4114,34 @@
   swap(a.__isset, b.__isset);
 }
 
-fence::fence(const fence& other139) {
-  group = other139.group;
-  term = other139.term;
-  pause_term = other139.pause_term;
-  demoted = other139.demoted;
-  __isset = other139.__isset;
-}
-fence::fence(fence&& other140) noexcept {
-  group = std::move(other140.group);
-  term = other140.term;
-  pause_term = other140.pause_term;
-  demoted = std::move(other140.demoted);
-  __isset = other140.__isset;
-}
-fence& fence::operator=(const fence& other141) {
-  group = other141.group;
-  term = other141.term;
-  pause_term = other141.pause_term;
-  demoted = other141.demoted;
-  __isset = other141.__isset;
+fence::fence(const fence& other149) {
+  group = other149.group;
+  term = other149.term;
+  pause_term = other149.pause_term;
+  demoted = other149.demoted;
+  __isset = other149.__isset;
+}
+fence::fence(fence&& other150) noexcept {
+  group = std::move(other150.group);
+  term = other150.term;
+  pause_term = other150.pause_term;
+  demoted = std::move(other150.demoted);
+  __isset = other150.__isset;
+}
+fence& fence::operator=(const fence& other151) {
+  group = other151.group;
+  term = other151.term;
+  pause_term = other151.pause_term;
+  demoted = other151.demoted;
+  __isset = other151.__isset;
   return *this;
 }
-fence& fence::operator=(fence&& other142) noexcept {
-  group = std::move(other142.group);
-  term = other142.term;
-  pause_term = other142.pause_term;
-  demoted = std::move(other142.demoted);
-  __isset = other142.__isset;
+fence& fence::operator=(fence&& other152) noexcept {
+  group = std::move(other152.group);
+  term = other152.term;
+  pause_term = other152.pause_term;
+  demoted = std::move(other152.demoted);
+  __isset = other152.__isset;
   return *this;
 }
 void fence::printTo(std::ostream& out) const {
@@ -4021,14 +4230,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->upstreams.clear();
-            uint32_t _size143;
-            ::apache::thrift::protocol::TType _etype146;
-            xfer += iprot->readListBegin(_etype146, _size143);
-            this->upstreams.resize(_size143);
-            uint32_t _i147;
-            for (_i147 = 0; _i147 < _size143; ++_i147)
+            uint32_t _size153;
+            ::apache::thrift::protocol::TType _etype156;
+            xfer += iprot->readListBegin(_etype156, _size153);
+            this->upstreams.resize(_size153);
+            uint32_t _i157;
+            for (_i157 = 0; _i157 < _size153; ++_i157)
             {
-              xfer += this->upstreams[_i147].read(iprot);
+              xfer += this->upstreams[_i157].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4069,10 +4278,10 @@
   xfer += oprot->writeFieldBegin("upstreams", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upstreams.size()));
-    std::vector<upstream_report> ::const_iterator _iter148;
-    for (_iter148 = this->upstreams.begin(); _iter148 != this->upstreams.end(); ++_iter148)
+    std::vector<upstream_report> ::const_iterator _iter158;
+    for (_iter158 = this->upstreams.begin(); _iter158 != this->upstreams.end(); ++_iter158)
     {
-      xfer += (*_iter148).write(oprot);
+      xfer += (*_iter158).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4092,34 +4301,34 @@
   swap(a.__isset, b.__isset);
 }
 
-fence_reply::fence_reply(const fence_reply& other149) {
-  group = other149.group;
-  term = other149.term;
-  acknowledged = other149.acknowledged;
-  upstreams = other149.upstreams;
-  __isset = other149.__isset;
+fence_reply::fence_reply(const fence_reply& other159) {
+  group = other159.group;
+  term = other159.term;
+  acknowledged = other159.acknowledged;
+  upstreams = other159.upstreams;
+  __isset = other159.__isset;
 }
-fence_reply::fence_reply(fence_reply&& other150) noexcept {
-  group = std::move(other150.group);
-  term = other150.term;
-  acknowledged = std::move(other150.acknowledged);
-  upstreams = std::move(other150.upstreams);
-  __isset = other150.__isset;
+fence_reply::fence_reply(fence_reply&& other160) noexcept {
+  group = std::move(other160.group);
+  term = other160.term;
+  acknowledged = std::move(other160.acknowledged);
+  upstreams = std::move(other160.upstreams);
+  __isset = other160.__isset;
 }
-fence_reply& fence_reply::operator=(const fence_reply& other151) {
-  group = other151.group;
-  term = other151.term;
-  acknowledged = other151.acknowledged;
-  upstreams = other151.upstreams;
-  __isset = other151.__isset;
+fence_reply& fence_reply::operator=(const fence_reply& other161) {
+  group = other161.group;
+  term = other161.term;
+  acknowledged = other161.acknowledged;
+  upstreams = other161.upstreams;
+  __isset = other161.__isset;
   return *this;
 }
-fence_reply& fence_reply::operator=(fence_reply&& other152) noexcept {
-  group = std::move(other152.group);
-  term = other152.term;
-  acknowledged = std::move(other152.acknowledged);
-  upstreams = std::move(other152.upstreams);
-  __isset = other152.__isset;
+fence_reply& fence_reply::operator=(fence_reply&& other162) noexcept {
+  group = std::move(other162.group);
+  term = other162.term;
+  acknowledged = std::move(other162.acknowledged);
+  upstreams = std::move(other162.upstreams);
+  __isset = other162.__isset;
   return *this;
 }
 void fence_reply::printTo(std::ostream& out) const {
@@ -4242,30 +4451,30 @@
   swap(a.__isset, b.__isset);
 }
 
-promote::promote(const promote& other153) {
-  group = other153.group;
-  upstream = other153.upstream;
-  term = other153.term;
-  __isset = other153.__isset;
+promote::promote(const promote& other163) {
+  group = other163.group;
+  upstream = other163.upstream;
+  term = other163.term;
+  __isset = other163.__isset;
 }
-promote::promote(promote&& other154) noexcept {
-  group = std::move(other154.group);
-  upstream = std::move(other154.upstream);
-  term = other154.term;
-  __isset = other154.__isset;
+promote::promote(promote&& other164) noexcept {
+  group = std::move(other164.group);
+  upstream = std::move(other164.upstream);
+  term = other164.term;
+  __isset = other164.__isset;
 }
-promote& promote::operator=(const promote& other155) {
-  group = other155.group;
-  upstream = other155.upstream;
-  term = other155.term;
-  __isset = other155.__isset;
+promote& promote::operator=(const promote& other165) {
+  group = other165.group;
+  upstream = other165.upstream;
+  term = other165.term;
+  __isset = other165.__isset;
   return *this;
 }
-promote& promote::operator=(promote&& other156) noexcept {
-  group = std::move(other156.group);
-  upstream = std::move(other156.upstream);
-  term = other156.term;
-  __isset = other156.__isset;
+promote& promote::operator=(promote&& other166) noexcept {
+  group = std::move(other166.group);
+  upstream = std::move(other166.upstream);
+  term = other166.term;
+  __isset = other166.__isset;
   return *this;
 }
 void promote::printTo(std::ostream& out) const {
@@ -4438,42 +4647,42 @@
   swap(a.__isset, b.__isset);
 }
 
-promote_reply::promote_reply(const promote_reply& other157) {
-  group = other157.group;
-  upstream = other157.upstream;
-  term = other157.term;
-  done = other157.done;
-  problem = other157.problem;
-  reached = other157.reached;
-  __isset = other157.__isset;
-}
-promote_reply::promote_reply(promote_reply&& other158) noexcept {
-  group = std::move(other158.group);
-  upstream = std::move(other158.upstream);
-  term = other158.term;
-  done = other158.done;
-  problem = std::move(other158.problem);
-  reached = std::move(other158.reached);
-  __isset = other158.__isset;
-}
-promote_reply& promote_reply::operator=(const promote_reply& other159) {
-  group = other159.group;
-  upstream = other159.upstream;
-  term = other159.term;
-  done = other159.done;
-  problem = other159.problem;
-  reached = other159.reached;
-  __isset = other159.__isset;
+promote_reply::promote_reply(const promote_reply& other167) {
+  group = other167.group;
+  upstream = other167.upstream;
+  term = other167.term;
+  done = other167.done;
+  problem = other167.problem;
+  reached = other167.reached;
+  __isset = other167.__isset;
+}
+promote_reply::promote_reply(promote_reply&& other168) noexcept {
+  group = std::move(other168.group);
+  upstream = std::move(other168.upstream);
+  term = other168.term;
+  done = other168.done;
+  problem = std::move(other168.problem);
+  reached = std::move(other168.reached);
+  __isset = other168.__isset;
+}
+promote_reply& promote_reply::operator=(const promote_reply& other169) {
+  group = other169.group;
+  upstream = other169.upstream;
+  term = other169.term;
+  done = other169.done;
+  problem = other169.problem;
+  reached = other169.reached;
+  __isset = other169.__isset;
   return *this;
 }
-promote_reply& promote_reply::operator=(promote_reply&& other160) noexcept {
-  group = std::move(other160.group);
-  upstream = std::move(other160.upstream);
-  term = other160.term;
-  done = other160.done;
-  problem = std::move(other160.problem);
-  reached = std::move(other160.reached);
-  __isset = other160.__isset;
+promote_reply& promote_reply::operator=(promote_reply&& other170) noexcept {
+  group = std::move(other170.group);
+  upstream = std::move(other170.upstream);
+  term = other170.term;
+  done = other170.done;
+  problem = std::move(other170.problem);
+  reached = std::move(other170.reached);
+  __isset = other170.__isset;
   return *this;
 }
 void promote_reply::printTo(std::ostream& out) const {
@@ -4598,30 +4807,30 @@
   swap(a.__isset, b.__isset);
 }
 
-operator_request::operator_request(const operator_request& other161) {
-  method = other161.method;
-  path = other161.path;
-  body = other161.body;
-  __isset = other161.__isset;
+operator_request::operator_request(const operator_request& other171) {
+  method = other171.method;
+  path = other171.path;
+  body = other171.body;
+  __isset = other171.__isset;
 }
-operator_request::operator_request(operator_request&& other162) noexcept {
-  method = std::move(other162.method);
-  path = std::move(other162.path);
-  body = std::move(other162.body);
-  __isset = other162.__isset;
+operator_request::operator_request(operator_request&& other172) noexcept {
+  method = std::move(other172.method);
+  path = std::move(other172.path);
+  body = std::move(other172.body);
+  __isset = other172.__isset;
 }
-operator_request& operator_request::operator=(const operator_request& other163) {
-  method = other163.method;
-  path = other163.path;
-  body = other163.body;
-  __isset = other163.__isset;
+operator_request& operator_request::operator=(const operator_request& other173) {
+  method = other173.method;
+  path = other173.path;
+  body = other173.body;
+  __isset = other173.__isset;
   return *this;
 }
-operator_request& operator_request::operator=(operator_request&& other164) noexcept {
-  method = std::move(other164.method);
-  path = std::move(other164.path);
-  body = std::move(other164.body);
-  __isset = other164.__isset;
+operator_request& operator_request::operator=(operator_request&& other174) noexcept {
+  method = std::move(other174.method);
+  path = std::move(other174.path);
+  body = std::move(other174.body);
+  __isset = other174.__isset;
   return *this;
 }
 void operator_request::printTo(std::ostream& out) const {
@@ -4726,26 +4935,26 @@
   swap(a.__isset, b.__isset);
 }
 
-operator_reply::operator_reply(const operator_reply& other165) {
-  status = other165.status;
-  body = other165.body;
-  __isset = other165.__isset;
+operator_reply::operator_reply(const operator_reply& other175) {
+  status = other175.status;
+  body = other175.body;
+  __isset = other175.__isset;
 }
-operator_reply::operator_reply(operator_reply&& other166) noexcept {
-  status = other166.status;
-  body = std::move(other166.body);
-  __isset = other166.__isset;
+operator_reply::operator_reply(operator_reply&& other176) noexcept {
+  status = other176.status;
+  body = std::move(other176.body);
+  __isset = other176.__isset;
 }
-operator_reply& operator_reply::operator=(const operator_reply& other167) {
-  status = other167.status;
-  body = other167.body;
-  __isset = other167.__isset;
+operator_reply& operator_reply::operator=(const operator_reply& other177) {
+  status = other177.status;
+  body = other177.body;
+  __isset = other177.__isset;
   return *this;
 }
-operator_reply& operator_reply::operator=(operator_reply&& other168) noexcept {
-  status = other168.status;
-  body = std::move(other168.body);
-  __isset = other168.__isset;
+operator_reply& operator_reply::operator=(operator_reply&& other178) noexcept {
+  status = other178.status;
+  body = std::move(other178.body);
+  __isset = other178.__isset;
   return *this;
 }
 void operator_reply::printTo(std::ostream& out) const {
@@ -4832,22 +5041,22 @@
   swap(a.__isset, b.__isset);
 }
 
-nudge::nudge(const nudge& other169) noexcept {
-  revision = other169.revision;
-  __isset = other169.__isset;
+nudge::nudge(const nudge& other179) noexcept {
+  revision = other179.revision;
+  __isset = other179.__isset;
 }
-nudge::nudge(nudge&& other170) noexcept {
-  revision = other170.revision;
-  __isset = other170.__isset;
+nudge::nudge(nudge&& other180) noexcept {
+  revision = other180.revision;
+  __isset = other180.__isset;
 }
-nudge& nudge::operator=(const nudge& other171) noexcept {
-  revision = other171.revision;
-  __isset = other171.__isset;
+nudge& nudge::operator=(const nudge& other181) noexcept {
+  revision = other181.revision;
+  __isset = other181.__isset;
   return *this;
 }
-nudge& nudge::operator=(nudge&& other172) noexcept {
-  revision = other172.revision;
-  __isset = other172.__isset;
+nudge& nudge::operator=(nudge&& other182) noexcept {
+  revision = other182.revision;
+  __isset = other182.__isset;
   return *this;
 }
 void nudge::printTo(std::ostream& out) const {
@@ -4933,22 +5142,22 @@
   swap(a.__isset, b.__isset);
 }
 
-resume::resume(const resume& other173) {
-  group = other173.group;
-  __isset = other173.__isset;
+resume::resume(const resume& other183) {
+  group = other183.group;
+  __isset = other183.__isset;
 }
-resume::resume(resume&& other174) noexcept {
-  group = std::move(other174.group);
-  __isset = other174.__isset;
+resume::resume(resume&& other184) noexcept {
+  group = std::move(other184.group);
+  __isset = other184.__isset;
 }
-resume& resume::operator=(const resume& other175) {
-  group = other175.group;
-  __isset = other175.__isset;
+resume& resume::operator=(const resume& other185) {
+  group = other185.group;
+  __isset = other185.__isset;
   return *this;
 }
-resume& resume::operator=(resume&& other176) noexcept {
-  group = std::move(other176.group);
-  __isset = other176.__isset;
+resume& resume::operator=(resume&& other186) noexcept {
+  group = std::move(other186.group);
+  __isset = other186.__isset;
   return *this;
 }
 void resume::printTo(std::ostream& out) const {
--- a/modules/control/gen/control_messages_types.h
+++ b/modules/control/gen/control_messages_types.h
@@ -63,6 +63,8 @@
 
 class renewal_reply;
 
+class view_push;
+
 class fence;
 
 class fence_reply;
@@ -1072,7 +1074,7 @@
 std::ostream& operator<<(std::ostream& out, const group_report& obj);
 
 typedef struct _renewal__isset {
-  _renewal__isset() : vm(false), incarnation(false), address(false), availability_zone(false), region(false), applied_revision(false), sent_at_us(false), draining(false), groups(false), announcements(false), after_revision(false), after_group(false), deployment_version(false), control_store(false), gateway(true), accepts_patches(false), accepts_pending_views(false) {}
+  _renewal__isset() : vm(false), incarnation(false), address(false), availability_zone(false), region(false), applied_revision(false), sent_at_us(false), draining(false), groups(false), announcements(false), after_revision(false), after_group(false), deployment_version(false), control_store(false), gateway(true), accepts_patches(false), accepts_pending_views(false), accepts_pushes(false) {}
   bool vm :1;
   bool incarnation :1;
   bool address :1;
@@ -1090,6 +1092,7 @@
   bool gateway :1;
   bool accepts_patches :1;
   bool accepts_pending_views :1;
+  bool accepts_pushes :1;
 } _renewal__isset;
 
 class renewal : public virtual ::apache::thrift::TBase {
@@ -1114,7 +1117,8 @@
             control_store(0),
             gateway(true),
             accepts_patches(0),
-            accepts_pending_views(0) {
+            accepts_pending_views(0),
+            accepts_pushes(0) {
   }
 
   virtual ~renewal() noexcept;
@@ -1135,6 +1139,7 @@
   bool gateway;
   bool accepts_patches;
   bool accepts_pending_views;
+  bool accepts_pushes;
 
   _renewal__isset __isset;
 
@@ -1172,6 +1177,8 @@
 
   void __set_accepts_pending_views(const bool val);
 
+  void __set_accepts_pushes(const bool val);
+
   bool operator == (const renewal & rhs) const
   {
     if (!(vm == rhs.vm))
@@ -1208,6 +1215,8 @@
       return false;
     if (!(accepts_pending_views == rhs.accepts_pending_views))
       return false;
+    if (!(accepts_pushes == rhs.accepts_pushes))
+      return false;
     return true;
   }
   bool operator != (const renewal &rhs) const {
@@ -1227,7 +1236,7 @@
 std::ostream& operator<<(std::ostream& out, const renewal& obj);
 
 typedef struct _renewal_reply__isset {
-  _renewal_reply__isset() : granted(false), sent_at_us(false), lease_ms(false), leader_address(false), groups(false), revision(false), more(false), released(false), newer_deployment(false), control(false), deployment_patches(false), views_pending(false) {}
+  _renewal_reply__isset() : granted(false), sent_at_us(false), lease_ms(false), leader_address(false), groups(false), revision(false), more(false), released(false), newer_deployment(false), control(false), deployment_patches(false), views_pending(false), base_revision(false) {}
   bool granted :1;
   bool sent_at_us :1;
   bool lease_ms :1;
@@ -1240,6 +1249,7 @@
   bool control :1;
   bool deployment_patches :1;
   bool views_pending :1;
+  bool base_revision :1;
 } _renewal_reply__isset;
 
 class renewal_reply : public virtual ::apache::thrift::TBase {
@@ -1258,7 +1268,8 @@
                   more(0),
                   released(0),
                   deployment_patches(),
-                  views_pending(0) {
+                  views_pending(0),
+                  base_revision(0) {
   }
 
   virtual ~renewal_reply() noexcept;
@@ -1274,6 +1285,7 @@
   std::vector<std::string>  control;
   std::string deployment_patches;
   bool views_pending;
+  int64_t base_revision;
 
   _renewal_reply__isset __isset;
 
@@ -1301,6 +1313,8 @@
 
   void __set_views_pending(const bool val);
 
+  void __set_base_revision(const int64_t val);
+
   bool operator == (const renewal_reply & rhs) const
   {
     if (!(granted == rhs.granted))
@@ -1331,6 +1345,8 @@
       return false;
     if (!(views_pending == rhs.views_pending))
       return false;
+    if (!(base_revision == rhs.base_revision))
+      return false;
     return true;
   }
   bool operator != (const renewal_reply &rhs) const {
@@ -1349,6 +1365,64 @@
 
 std::ostream& operator<<(std::ostream& out, const renewal_reply& obj);
 
+typedef struct _view_push__isset {
+  _view_push__isset() : base_revision(false), revision(false), groups(false) {}
+  bool base_revision :1;
+  bool revision :1;
+  bool groups :1;
+} _view_push__isset;
+
+class view_push : public virtual ::apache::thrift::TBase {
+ public:
+
+  view_push(const view_push&);
+  view_push(view_push&&) noexcept;
+  view_push& operator=(const view_push&);
+  view_push& operator=(view_push&&) noexcept;
+  view_push() noexcept
+            : base_revision(0),
+              revision(0) {
+  }
+
+  virtual ~view_push() noexcept;
+  int64_t base_revision;
+  int64_t revision;
+  std::vector<group_view>  groups;
+
+  _view_push__isset __isset;
+
+  void __set_base_revision(const int64_t val);
+
+  void __set_revision(const int64_t val);
+
+  void __set_groups(const std::vector<group_view> & val);
+
+  bool operator == (const view_push & rhs) const
+  {
+    if (!(base_revision == rhs.base_revision))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(groups == rhs.groups))
+      return false;
+    return true;
+  }
+  bool operator != (const view_push &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const view_push & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(view_push &a, view_push &b);
+
+std::ostream& operator<<(std::ostream& out, const view_push& obj);
+
 typedef struct _fence__isset {
   _fence__isset() : group(false), term(false), pause_term(false), demoted(false) {}
   bool group :1;
--- a/modules/control/leader_state.h
+++ b/modules/control/leader_state.h
@@ -61,6 +61,8 @@
   time_point LastReceivedAt;
   revision AppliedRevision;
   deployment_version Deployment;
+  /// Views may be sent to it without a renewal.
+  bool AcceptsPushes = false;
   /// In microseconds of the VM's own clock.
   std::int64_t SentAtUs = 0;
   std::map<group_id, group_observation> Groups;
@@ -160,6 +162,8 @@
 /// The leader's in-memory state.
 struct leader_state {
   time_point LeadingSince;
+  /// When a VM last sent its first renewal to this leader.
+  time_point LastNewVmAt;
   /// When each granted lease has ended for certain: the lease time and the
   /// margin for clock drift after it was granted.
   std::map<gateway_incarnation, time_point> LeaseEnds;
@@ -217,6 +221,9 @@
   duration OrderTimeout = fromMilliseconds(300);
   /// A VM without a renewal for this long loses its gateway assignments.
   duration VmTimeout = fromMilliseconds(3000);
+  /// The first gateways of a group are chosen once no new VM has appeared for
+  /// this long.
+  duration RegistrationPause{};
   /// A VM whose last renewal is no older than this counts as alive for failure
   /// detection.
   duration AliveTimeout = fromMilliseconds(900);
--- a/modules/control/leases.cpp
+++ b/modules/control/leases.cpp
@@ -156,6 +156,8 @@
     Leader.LeaseEnds[Gateway] = Now + Settings.LeaseTime + Settings.LeaseMargin;
   auto Verdict =
       Released ? renewal_verdict::HoldsLostGroup : renewal_verdict::Granted;
+  if (!Leader.Vms.contains(Gateway.first))
+    Leader.LastNewVmAt = Now;
   auto &Vm = Leader.Vms[Gateway.first];
   if (Vm.Incarnation != Gateway.second)
     Vm = vm_observation();
@@ -165,6 +167,7 @@
   Vm.Incarnation = Gateway.second;
   Vm.LastReceivedAt = Now;
   Vm.AppliedRevision = std::max(Vm.AppliedRevision, appliedOf(Renewal));
+  Vm.AcceptsPushes = Renewal.accepts_pushes;
   Vm.Deployment = deployment_version(
       static_cast<std::uint64_t>(Renewal.deployment_version));
   Vm.SentAtUs = Renewal.sent_at_us;
--- a/modules/control/message_kinds.h
+++ b/modules/control/message_kinds.h
@@ -16,5 +16,6 @@
 constexpr std::int16_t OperatorReplyKind = 107;
 constexpr std::int16_t NudgeKind = 108;
 constexpr std::int16_t ResumeKind = 109;
+constexpr std::int16_t ViewPushKind = 110;
 
 } // namespace teasellock
--- a/modules/control/tests/test_assignment.cpp
+++ b/modules/control/tests/test_assignment.cpp
@@ -259,3 +259,37 @@
     CHECK(Covered.size() == Zones);
   }
 }
+
+TEST_CASE("control: the first gateways are chosen once VMs have registered") {
+  // All VMs of a deployment start at once. Gateways chosen among the first few
+  // would all have to move.
+  control_state State;
+  leader_state Leader;
+  time_point Now(fromMilliseconds(100000));
+  Leader.LeadingSince = Now;
+  Leader.LastNewVmAt = Now;
+  for (int Number = 0; Number < 3; ++Number) {
+    vm_record Vm;
+    Vm.Vm = vm_id("vm" + std::to_string(Number));
+    Vm.Incarnation = incarnation(1);
+    State.Vms[Vm.Vm] = Vm;
+    Leader.Vms[Vm.Vm].LastReceivedAt = Now;
+  }
+  auto &Group = State.Groups[group_id("g")];
+  Group.Group = group_id("g");
+  Group.Removed = false;
+  Group.Row.MaxConnections = 45;
+  Group.Upstreams[upstream_id("u")].Connections = 0;
+  State.Index = buildGroupIndex(State);
+  decision_settings Settings;
+  Settings.RegistrationPause = fromMilliseconds(200);
+  auto DecidedAt = [&](duration After) {
+    return decideAssignment(State, Group, Leader, Settings, Now + After)
+        .Next.has_value();
+  };
+  CHECK_FALSE(DecidedAt(fromMilliseconds(100)));
+  CHECK(DecidedAt(fromMilliseconds(250)));
+  // VMs that keep appearing do not delay it for good.
+  Leader.LastNewVmAt = Now + fromMilliseconds(2100);
+  CHECK(DecidedAt(fromMilliseconds(2150)));
+}
--- /dev/null
+++ b/modules/control/view_pushes.cpp
@@ -0,0 +1,24 @@
+#include "modules/control/view_pushes.h"
+
+#include <algorithm>
+
+namespace teasellock {
+
+namespace {
+
+/// A VM that reports an older revision for longer than this has discarded the
+/// push.
+constexpr duration PushTimeout = std::chrono::milliseconds(1500);
+
+} // namespace
+
+revision expectedRevision(const sent_pushes &Pushes, const vm_id &Vm,
+                          link_id Link, revision Reported, time_point Now) {
+  auto Last = Pushes.find(Vm);
+  if (Last == Pushes.end() || Last->second.Link != Link ||
+      Now - Last->second.SentAt > PushTimeout)
+    return Reported;
+  return std::max(Reported, Last->second.Revision);
+}
+
+} // namespace teasellock
--- a/modules/gateway/gateway_service.cpp
+++ b/modules/gateway/gateway_service.cpp
@@ -101,7 +101,7 @@
     if (Message.Kind == StatementKind) {
       request_id Request = Message.Request;
       auto Reply = [this, Link, Request](wire::statement_reply Answer) {
-        Hub.send(Link, {ReplyKind, Request, encode(Answer), ""});
+        Hub.send(Link, {ReplyKind, Request, encode(Answer), "", true});
       };
       return submit({{Link, Request},
                      decode<wire::statement_request>(Message.Body, Peer),
--- a/modules/link/link_connections.cpp
+++ b/modules/link/link_connections.cpp
@@ -232,10 +232,10 @@
               "unknown message kind " + std::to_string(Envelope.kind));
 }
 
-void link_hub::state::queue(link &Link, const wire::envelope &Envelope) {
+void link_hub::state::queue(link &Link, const wire::envelope &Envelope,
+                            bool IsCompressible) {
   Link.Heartbeat.LastSentAt = Context.Timers.now();
-  bool IsMessage = Envelope.kind > LastInternalKind;
-  std::size_t Bytes = addFrame(Link.Encoder, Envelope, IsMessage);
+  std::size_t Bytes = addFrame(Link.Encoder, Envelope, IsCompressible);
   Traffic.countMessage(Envelope.kind, Link.Distance, Bytes);
   std::size_t Backlog =
       Link.Encoder.Pending.size() + Link.WriteBuffer.size() - Link.WriteOffset;
--- a/modules/link/link_frames.cpp
+++ b/modules/link/link_frames.cpp
@@ -105,21 +105,21 @@
 } // namespace
 
 std::size_t addFrame(frame_encoder &Encoder, const wire::envelope &Envelope,
-                     bool IsMessage) {
+                     bool IsCompressible) {
   std::string Frame = encodeFrame(Envelope);
   Encoder.Pending += Frame;
-  Encoder.HasPendingMessage = Encoder.HasPendingMessage || IsMessage;
+  Encoder.HasCompressible = Encoder.HasCompressible || IsCompressible;
   return Frame.size();
 }
 
 std::string takeFrames(frame_encoder &Encoder) {
   std::string Frames = std::exchange(Encoder.Pending, {});
-  bool IsMessage = std::exchange(Encoder.HasPendingMessage, false);
+  bool IsCompressible = std::exchange(Encoder.HasCompressible, false);
   std::string Result;
   // Outside of the block, which may start the next stream.
   if (std::exchange(Encoder.EndsStream, false))
     Result = encodeFrame(streamEnd());
-  if (!Encoder.Compresses || !IsMessage || Frames.size() > MaxFrameBytes)
+  if (!Encoder.Compresses || !IsCompressible || Frames.size() > MaxFrameBytes)
     return Result + Frames;
   std::uint32_t Bits = CompressedBit;
   if (!Encoder.Stream) {
--- a/modules/link/link_frames.h
+++ b/modules/link/link_frames.h
@@ -23,8 +23,8 @@
   bool Compresses = false;
   /// Encoded frames that takeFrames() has not returned yet.
   std::string Pending;
-  /// Whether one of them is a message, not a heartbeat.
-  bool HasPendingMessage = false;
+  /// Whether one of them is worth compressing.
+  bool HasCompressible = false;
   std::unique_ptr<stream_compressor> Stream;
   /// The peer has not been told yet that the last stream has ended.
   bool EndsStream = false;
@@ -41,10 +41,10 @@
   std::unique_ptr<stream_decompressor> Stream;
 };
 
-/// Adds a frame. IsMessage: it is neither a heartbeat nor one of the first
-/// frames. Returns its size in bytes before compression.
+/// Adds a frame. IsCompressible: it is worth the processor time of compressing
+/// the pending frames. Returns its size in bytes before compression.
 std::size_t addFrame(frame_encoder &Encoder, const wire::envelope &Envelope,
-                     bool IsMessage);
+                     bool IsCompressible);
 
 /// Returns the bytes to send for all frames added since the last call.
 std::string takeFrames(frame_encoder &Encoder);
--- a/modules/link/link_hub.cpp
+++ b/modules/link/link_hub.cpp
@@ -176,7 +176,7 @@
     Envelope.__set_trace_parent(Message.TraceParent);
   recordMessage(Link->Heartbeat, State->Settings.Heartbeat,
                 State->Context.Timers.now());
-  State->queue(*Link, Envelope);
+  State->queue(*Link, Envelope, Message.IsCompressible);
   return true;
 }
 
--- a/modules/link/link_hub.h
+++ b/modules/link/link_hub.h
@@ -40,6 +40,8 @@
   std::string Body;
   /// The W3C `traceparent` of the request; empty if it is not traced.
   std::string TraceParent;
+  /// Whether compression between zones is worth its processor time.
+  bool IsCompressible = false;
 };
 
 /// Timeouts and limits of links.
--- a/modules/link/link_hub_state.h
+++ b/modules/link/link_hub_state.h
@@ -18,8 +18,6 @@
 /// Makes the link active at the peer too, as any message does; see
 /// link_heartbeat.h. It has no body.
 constexpr std::int16_t WakeKind = 3;
-/// The highest kind that links use themselves.
-constexpr std::int16_t LastInternalKind = 99;
 
 struct link_hub::state {
   /// A link. Socket is -1 while a dialled link has no connection.
@@ -103,7 +101,8 @@
   void processFrames(link_id Id);
   void deliver(link &Link, wire::envelope &&Envelope);
   void onHello(link &Link, const wire::hello &Hello);
-  void queue(link &Link, const wire::envelope &Envelope);
+  void queue(link &Link, const wire::envelope &Envelope,
+             bool IsCompressible = false);
   void scheduleFlush(link &Link);
   void endIdleStreams(time_point Now);
   void flush(link &Link);
--- a/modules/link/tests/test_link_frames.cpp
+++ b/modules/link/tests/test_link_frames.cpp
@@ -156,7 +156,7 @@
   frame_encoder Outer;
   Outer.Compresses = true;
   Outer.Pending = First;
-  Outer.HasPendingMessage = true;
+  Outer.HasCompressible = true;
   frame_decoder Nested;
   addReceived(Nested, takeFrames(Outer));
   CHECK_THROWS_AS(nextFrame(Nested, Peer), error);
--- a/modules/membership/member_agent.cpp
+++ b/modules/membership/member_agent.cpp
@@ -1,11 +1,13 @@
 #include "modules/membership/member_agent.h"
 
+#include "core/compression.h"
 #include "core/event_log.h"
 #include "modules/control/message_kinds.h"
 #include "modules/link/codec.h"
 #include "modules/membership/control_selection.h"
 #include "modules/membership/member_state.h"
 #include "modules/membership/operator_forwarding.h"
+#include "modules/membership/renewal_schedule.h"
 
 #include <algorithm>
 
@@ -37,7 +39,7 @@
   member_state Member;
   std::vector<std::function<void(const group_view &)>> ViewListeners;
   control_selection Control;
-  std::map<request_id, time_point> SentRenewals;
+  renewal_schedule Renewals;
   /// Where the last renewal was sent.
   std::optional<endpoint> RenewalTarget;
   time_point LastRenewalAt;
@@ -63,6 +65,8 @@
     Member.Incarnation = Context.Self.Incarnation;
     Member.InheritsShares = this->Settings.InheritsShares;
     Control.Configured = this->Settings.ControlEndpoints;
+    Renewals.MinTimeout = this->Settings.RenewalTimeout;
+    Renewals.Timeout = this->Settings.RenewalTimeout;
   }
 
   time_point now() const { return Context.Timers.now(); }
@@ -78,6 +82,8 @@
   void handleLateReply(const wire::renewal_reply &Reply, std::size_t Bytes);
   void handleRedirect(const std::string &Address);
   void updateControlEndpoints(const wire::renewal_reply &Reply);
+  void onViewPush(link_id Link, link_message &&Message);
+  void notifyViewListeners(const std::vector<group_id> &Changed);
   void onFence(link_id Link, link_message &&Message);
   void onResume(link_id Link, link_message &&Message);
   void onPromote(link_id Link, link_message &&Message);
@@ -114,6 +120,7 @@
   Renewal.gateway = Settings.IsGateway;
   Renewal.accepts_patches = true;
   Renewal.accepts_pending_views = true;
+  Renewal.accepts_pushes = true;
   if (Gateway.BuildReports)
     Renewal.groups = Gateway.BuildReports();
   removeVisibleAnnouncements();
@@ -123,6 +130,8 @@
 }
 
 void member_agent::state::renew() {
+  if (!maySendRenewal(Renewals))
+    return;
   RenewalTarget = chooseControl();
   if (!RenewalTarget) {
     LastRenewalAt = now();
@@ -135,8 +144,8 @@
   auto Request = Hub.nextRequest();
   LastRenewalAt = SentAt;
   if (Hub.send(Hub.linkTo(*RenewalTarget),
-               {message_kind(RenewalKind), Request, encode(Renewal), ""}))
-    SentRenewals[Request] = SentAt;
+               {message_kind(RenewalKind), Request, encode(Renewal), "", true}))
+    recordRenewal(Renewals, Request, SentAt);
 }
 
 void member_agent::state::scheduleEarlyRenewal() {
@@ -150,30 +159,28 @@
 
 void member_agent::state::checkTimeouts() {
   expireRequests(ForwardedRequests, now());
-  if (SentRenewals.empty() ||
-      now() - SentRenewals.begin()->second < Settings.RenewalTimeout)
+  std::size_t Expired = expireRenewals(Renewals, now());
+  if (Expired == 0)
     return;
-  UnansweredRenewals.add(SentRenewals.size());
-  SentRenewals.clear();
+  UnansweredRenewals.add(Expired);
   recordNoReply(Control, RenewalTarget);
   renew();
 }
 
 void member_agent::state::onRenewalReply(link_id, link_message &&Message) {
   auto Reply = decode<wire::renewal_reply>(Message.Body, "control");
-  auto Known = SentRenewals.find(Message.Request);
-  if (Known == SentRenewals.end()) {
+  auto SentAt = recordRenewalReply(Renewals, Message.Request);
+  if (!SentAt) {
     handleLateReply(Reply, Message.Body.size());
     return;
   }
-  time_point SentAt = Known->second;
-  // This reply also covers all earlier renewals.
-  SentRenewals.erase(SentRenewals.begin(), std::next(Known));
   recordReply(Control, RenewalTarget);
   if (Reply.granted)
-    applyGrantedReply(Reply, SentAt);
+    applyGrantedReply(Reply, *SentAt);
   else
     handleRedirect(Reply.leader_address);
+  if (takePostponed(Renewals))
+    scheduleEarlyRenewal();
 }
 
 /// Handles a reply that came after its timeout. Its content is as valid as that
@@ -211,20 +218,11 @@
 
 void member_agent::state::applyGrantedReply(const wire::renewal_reply &Reply,
                                             time_point SentAt) {
-  revision PreviousRevision = Member.Applied;
+  bool ConcernsOwnGateways = concernsOwnGateways(Member, Reply.groups);
   auto Version = Member.Deployment.Version;
   updateControlEndpoints(Reply);
   auto Changed = applyRenewalReply(Member, Reply, SentAt);
-  for (const auto &Group : Changed) {
-    const auto &View = Member.Views.at(Group);
-    event("membership.view")
-        .with("group", Group.Value)
-        .with("revision", View.Revision.Value)
-        .with("term", View.Term.Value)
-        .with("primary", View.Primary ? View.Primary->Value : std::string());
-    for (const auto &Listener : ViewListeners)
-      Listener(View);
-  }
+  notifyViewListeners(Changed);
   bool IsDeploymentNew = Member.Deployment.Version != Version;
   if (IsDeploymentNew)
     event("membership.deployment")
@@ -232,10 +230,11 @@
         .with("before", Version.Value)
         .with("routes",
               static_cast<std::uint64_t>(Member.Deployment.Routes.size()));
-  // Reports to control at once that its change is applied, or requests the rest
-  // of an incomplete reply. Control sends a newer deployment only then.
+  // Reports to control at once that a change is applied that it waits for, or
+  // requests the rest of an incomplete reply. Control sends a newer deployment
+  // only then.
   if (Reply.more || IsDeploymentNew ||
-      (!Changed.empty() && Member.Applied > PreviousRevision))
+      (!Changed.empty() && ConcernsOwnGateways))
     scheduleEarlyRenewal();
   if (Reply.released && DrainCallback) {
     auto Callback = std::move(DrainCallback);
@@ -244,6 +243,30 @@
   }
 }
 
+void member_agent::state::onViewPush(link_id, link_message &&Message) {
+  auto Push = decode<wire::view_push>(decompress(Message.Body, MaxFrameBytes),
+                                      "control");
+  bool ConcernsOwnGateways = concernsOwnGateways(Member, Push.groups);
+  auto Changed = applyViewPush(Member, Push);
+  notifyViewListeners(Changed);
+  if (!Changed.empty() && ConcernsOwnGateways)
+    scheduleEarlyRenewal();
+}
+
+void member_agent::state::notifyViewListeners(
+    const std::vector<group_id> &Changed) {
+  for (const auto &Group : Changed) {
+    const auto &View = Member.Views.at(Group);
+    event("membership.view")
+        .with("group", Group.Value)
+        .with("revision", View.Revision.Value)
+        .with("term", View.Term.Value)
+        .with("primary", View.Primary ? View.Primary->Value : std::string());
+    for (const auto &Listener : ViewListeners)
+      Listener(View);
+  }
+}
+
 void member_agent::state::updateControlEndpoints(
     const wire::renewal_reply &Reply) {
   std::vector<endpoint> Named;
@@ -353,6 +376,7 @@
                          });
   };
   Receive(RenewalReplyKind, &state::onRenewalReply);
+  Receive(ViewPushKind, &state::onViewPush);
   Receive(FenceKind, &state::onFence);
   Receive(PromoteKind, &state::onPromote);
   Receive(ResumeKind, &state::onResume);
--- a/modules/membership/member_state.cpp
+++ b/modules/membership/member_state.cpp
@@ -24,6 +24,22 @@
   });
 }
 
+/// Replaces views by ones of a higher revision. Returns the changed groups.
+std::vector<group_id> applyViews(member_state &State,
+                                 const std::vector<wire::group_view> &Views) {
+  std::vector<group_id> Changed;
+  for (const auto &Wire : Views) {
+    auto View = fromWire(Wire);
+    auto Known = State.Views.find(View.Group);
+    if (Known != State.Views.end() && Known->second.Revision >= View.Revision)
+      continue;
+    handleEarlierIncarnation(State, View);
+    Changed.push_back(View.Group);
+    State.Views[View.Group] = std::move(View);
+  }
+  return Changed;
+}
+
 /// A deployment is valid by its version alone, also in an outdated reply.
 void applyDeployment(member_state &State, const wire::renewal_reply &Reply) {
   if (Reply.__isset.deployment_patches) {
@@ -53,19 +69,12 @@
   // The lease is valid only for the views of its reply, which are outdated
   // here.
   revision ReplyRevision(static_cast<std::uint64_t>(Reply.revision));
-  if (ReplyRevision < State.Applied)
+  revision Base(static_cast<std::uint64_t>(Reply.base_revision));
+  if (ReplyRevision < State.Applied || Base > State.Applied)
     return Changed;
   State.LeaseEnd =
       std::max(State.LeaseEnd, SentAt + fromMilliseconds(Reply.lease_ms));
-  for (const auto &Wire : Reply.groups) {
-    auto View = fromWire(Wire);
-    auto Known = State.Views.find(View.Group);
-    if (Known != State.Views.end() && Known->second.Revision >= View.Revision)
-      continue;
-    handleEarlierIncarnation(State, View);
-    Changed.push_back(View.Group);
-    State.Views[View.Group] = std::move(View);
-  }
+  Changed = applyViews(State, Reply.groups);
   State.Applied = ReplyRevision;
   bool IsPartial = Reply.more && !Reply.groups.empty();
   State.AfterRevision = revision(
@@ -74,6 +83,37 @@
   return Changed;
 }
 
+std::vector<group_id> applyViewPush(member_state &State,
+                                    const wire::view_push &Push) {
+  revision Base(static_cast<std::uint64_t>(Push.base_revision));
+  revision Revision(static_cast<std::uint64_t>(Push.revision));
+  bool IsPartial = State.AfterRevision != revision();
+  if (IsPartial || Base > State.Applied || Revision <= State.Applied)
+    return {};
+  auto Changed = applyViews(State, Push.groups);
+  State.Applied = Revision;
+  return Changed;
+}
+
+bool concernsOwnGateways(const member_state &State,
+                         const std::vector<wire::group_view> &Groups) {
+  return std::any_of(
+      Groups.begin(), Groups.end(), [&](const wire::group_view &Group) {
+        auto IsOwn = [&](const wire::gateway_share &Share) {
+          return Share.vm == State.Self.Value;
+        };
+        if (std::any_of(Group.gateways.begin(), Group.gateways.end(), IsOwn))
+          return true;
+        auto Known = State.Views.find(group_id(Group.group));
+        return Known != State.Views.end() &&
+               std::any_of(Known->second.Gateways.begin(),
+                           Known->second.Gateways.end(),
+                           [&](const gateway_share &Share) {
+                             return Share.Vm == State.Self;
+                           });
+      });
+}
+
 bool isLeaseValid(const member_state &State, time_point Now) {
   return Now < State.LeaseEnd;
 }
--- a/modules/membership/member_state.h
+++ b/modules/membership/member_state.h
@@ -33,13 +33,25 @@
 /// Applies the reply to a renewal that was sent at SentAt; the lease counts
 /// from then. Views are only replaced by ones of a higher revision. A reply
 /// that is not granted changes nothing; one that is older than the applied
-/// revision, or whose views are pending, changes only the deployment, if it
-/// contains a newer version. Throws error if the reply's deployment is
-/// malformed. Returns the groups whose views have changed.
+/// revision or based on changes that the VM lacks, or whose views are pending,
+/// changes only the deployment, if it contains a newer version. Throws error if
+/// the reply's deployment is malformed. Returns the groups whose views have
+/// changed.
 std::vector<group_id> applyRenewalReply(member_state &State,
                                         const wire::renewal_reply &Reply,
                                         time_point SentAt);
 
+/// Applies views that control sent without a renewal. Changes nothing if the VM
+/// lacks earlier changes, or has later ones. Returns the groups whose views
+/// have changed.
+std::vector<group_id> applyViewPush(member_state &State,
+                                    const wire::view_push &Push);
+
+/// Reports whether this VM is a gateway of one of the groups according to the
+/// new or the current views, so that control waits for its report.
+bool concernsOwnGateways(const member_state &State,
+                         const std::vector<wire::group_view> &Groups);
+
 /// Reports whether the lease is valid at an instant.
 bool isLeaseValid(const member_state &State, time_point Now);
 
--- a/modules/routing/statement_router.cpp
+++ b/modules/routing/statement_router.cpp
@@ -211,7 +211,7 @@
   auto Link = LinkOfVm.find(Vm);
   if (Link != LinkOfVm.end() &&
       Hub.send(Link->second, {RequestKind, Attempt, encode(Request),
-                              Found->second.TraceParent})) {
+                              Found->second.TraceParent, true})) {
     teasellock::recordSent(Routing, Id, Vm, Attempt);
     return;
   }
