Daemon: only entries keep links to gateways

Cause: control processes kept links to gateways although no statement passes through them. Change: the router is started only in a process that accepts callers.

--- a/main/daemon_process.cpp
+++ b/main/daemon_process.cpp
@@ -153,7 +153,9 @@
   if (Gateway)
     Gateway->start();
   Member.start();
-  Router->start();
+  // Only an entry needs links to gateways.
+  if (CallerServer || LineListener)
+    Router->start();
   if (CallerServer)
     CallerServer->start();
   if (LineListener)
