--- a/modules/control/control_service_state.h
+++ b/modules/control/control_service_state.h
@@ -10,8 +10,8 @@
 #include "modules/control/leader_state.h"
 #include "modules/control/message_kinds.h"
 #include "modules/control/renewal_reply.h"
-#include "modules/deployment/deployment_patch.h"
 #include "modules/control/view_pushes.h"
+#include "modules/deployment/deployment_patch.h"
 
 #include <set>
 #include <string>
