Control: an upstream that was only silent is in use again when it returns

Change: departed_upstream says whether it was given up for silence. Those that left or were replaced stay out.

--- a/modules/control/control_codec.cpp
+++ b/modules/control/control_codec.cpp
@@ -135,6 +135,7 @@
     wire::departed_upstream Record;
     Record.upstream = Departed.Upstream.Value;
     Record.incarnation = toSigned(Departed.Incarnation.Value);
+    Record.was_silent = Departed.WasSilent;
     Result.departed.push_back(std::move(Record));
   }
   return Result;
@@ -164,7 +165,8 @@
   Result.Removed = Record.removed;
   for (const auto &Departed : Record.departed)
     Result.Departed.push_back({upstream_id(Departed.upstream),
-                               incarnation(toUnsigned(Departed.incarnation))});
+                               incarnation(toUnsigned(Departed.incarnation)),
+                               Departed.was_silent});
   return Result;
 }
 
--- a/modules/control/control_commands.thrift
+++ b/modules/control/control_commands.thrift
@@ -45,10 +45,12 @@
   10: bool planned;
 }
 
-/// An upstream incarnation that has left permanently.
+/// An upstream incarnation that has left.
 struct departed_upstream {
   1: string upstream;
   2: i64 incarnation;
+  /// It was given up after a long silence and may still run.
+  3: bool was_silent;
 }
 
 /// The replicated state of a group.
--- a/modules/control/control_deployment.cpp
+++ b/modules/control/control_deployment.cpp
@@ -1,4 +1,5 @@
 #include "modules/control/control_service_state.h"
+#include "modules/control/returning_upstreams.h"
 
 #include "core/compression.h"
 #include "core/event_log.h"
@@ -194,7 +195,11 @@
     return;
   }
   auto Announcement = fromWire(Wire);
-  if (isKnownAnnouncement(Announcement)) {
+  auto Group = Replicated.Groups.find(Announcement.Group);
+  bool HasReturned = Group != Replicated.Groups.end() && !Announcement.Gone &&
+                     mayReturn(Group->second, Announcement) &&
+                     hasReturned(Leader, Announcement, now());
+  if (!HasReturned && isKnownAnnouncement(Announcement)) {
     Answer(Done, "");
     return;
   }
@@ -205,8 +210,9 @@
       .with("incarnation", Wire.incarnation)
       .with("primary", Wire.primary)
       .with("leaving", Wire.leaving)
-      .with("gone", Wire.gone);
-  propose(makeAnnouncementCommand(Announcement),
+      .with("gone", Wire.gone)
+      .with("returned", HasReturned);
+  propose(makeAnnouncementCommand(Announcement, HasReturned),
           [Answer](proposal_outcome Outcome) {
             bool Committed = Outcome == proposal_outcome::Committed;
             Answer(Committed ? Done : ServiceUnavailable, "");
--- a/modules/control/control_messages.thrift
+++ b/modules/control/control_messages.thrift
@@ -40,6 +40,9 @@
   10: bool primary;
   /// It has left permanently.
   11: bool gone;
+  /// It was given up after a long silence and announces itself again. Set by the
+  /// leader for its log only.
+  12: bool returned;
 }
 
 /// The writes that reads of a database are guaranteed to see.
--- a/modules/control/control_state.cpp
+++ b/modules/control/control_state.cpp
@@ -80,6 +80,12 @@
   State.Vms[Vm.Vm] = Vm;
 }
 
+bool isSameIncarnation(const departed_upstream &Departed,
+                       const upstream_announcement &Announcement) {
+  return Departed.Upstream == Announcement.Upstream &&
+         Departed.Incarnation == Announcement.Incarnation;
+}
+
 /// Records the departure. A departed replica may have been the only one to hold
 /// a write that it had confirmed, so the group becomes dirty: no promotion
 /// takes place until another replica is known to hold it.
@@ -95,8 +101,13 @@
 }
 
 void applyAnnouncement(control_state &State, revision Index,
-                       const upstream_announcement &Announcement) {
+                       const upstream_announcement &Announcement,
+                       bool HasReturned) {
   auto &Group = groupOf(State, Announcement.Group);
+  if (HasReturned && mayReturn(Group, Announcement))
+    std::erase_if(Group.Departed, [&](const departed_upstream &Departed) {
+      return isSameIncarnation(Departed, Announcement);
+    });
   if (isOutdated(Group, Announcement))
     return;
   auto Known = Group.Upstreams.find(Announcement.Upstream);
@@ -181,7 +192,8 @@
   if (Command.__isset.vm)
     applyVm(State, fromWire(Command.vm));
   if (Command.__isset.announcement)
-    applyAnnouncement(State, Index, fromWire(Command.announcement));
+    applyAnnouncement(State, Index, fromWire(Command.announcement),
+                      Command.announcement.returned);
   if (Command.__isset.group)
     applyGroup(State, Index, fromWire(Command.group));
   if (Command.__isset.change)
@@ -208,9 +220,11 @@
 }
 
 wire::control_command
-makeAnnouncementCommand(const upstream_announcement &Announcement) {
+makeAnnouncementCommand(const upstream_announcement &Announcement,
+                        bool HasReturned) {
   wire::control_command Result;
   Result.__set_announcement(toWire(Announcement));
+  Result.announcement.returned = HasReturned;
   return Result;
 }
 
@@ -244,6 +258,16 @@
                      });
 }
 
+bool mayReturn(const group_state &Group,
+               const upstream_announcement &Announcement) {
+  group_state Others = Group;
+  std::size_t Silent =
+      std::erase_if(Others.Departed, [&](const departed_upstream &Departed) {
+        return Departed.WasSilent && isSameIncarnation(Departed, Announcement);
+      });
+  return Silent > 0 && !isOutdated(Others, Announcement);
+}
+
 wire::control_command makeGroupCommand(const group_state &Next) {
   wire::control_command Result;
   Result.__set_group(toWire(Next));
--- a/modules/control/control_state.h
+++ b/modules/control/control_state.h
@@ -85,10 +85,12 @@
   bool operator==(const promotion_state &) const = default;
 };
 
-/// An upstream incarnation that has left permanently.
+/// An upstream incarnation that has left.
 struct departed_upstream {
   upstream_id Upstream;
   incarnation Incarnation;
+  /// It was given up after a long silence and may still run.
+  bool WasSilent = false;
 
   bool operator==(const departed_upstream &) const = default;
 };
@@ -210,7 +212,13 @@
                                       const std::vector<table_row> &Rows);
 wire::control_command makeVmCommand(const vm_record &Vm);
 wire::control_command
-makeAnnouncementCommand(const upstream_announcement &Announcement);
+makeAnnouncementCommand(const upstream_announcement &Announcement,
+                        bool HasReturned = false);
+
+/// Reports whether an announcement is outdated only because its incarnation was
+/// given up after a long silence.
+bool mayReturn(const group_state &Group,
+               const upstream_announcement &Announcement);
 /// Puts a deployment in force unless its version or a higher one already is.
 wire::control_command
 makeDeploymentCommand(const deployment_proposal &Proposal);
--- a/modules/control/gen/control_commands_types.cpp
+++ b/modules/control/gen/control_commands_types.cpp
@@ -790,6 +790,10 @@
 void departed_upstream::__set_incarnation(const int64_t val) {
   this->incarnation = val;
 }
+
+void departed_upstream::__set_was_silent(const bool val) {
+  this->was_silent = val;
+}
 std::ostream& operator<<(std::ostream& out, const departed_upstream& obj)
 {
   obj.printTo(out);
@@ -834,6 +838,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->was_silent);
+          this->__isset.was_silent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -859,6 +871,10 @@
   xfer += oprot->writeI64(this->incarnation);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("was_silent", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->was_silent);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -868,28 +884,33 @@
   using ::std::swap;
   swap(a.upstream, b.upstream);
   swap(a.incarnation, b.incarnation);
+  swap(a.was_silent, b.was_silent);
   swap(a.__isset, b.__isset);
 }
 
 departed_upstream::departed_upstream(const departed_upstream& other12) {
   upstream = other12.upstream;
   incarnation = other12.incarnation;
+  was_silent = other12.was_silent;
   __isset = other12.__isset;
 }
 departed_upstream::departed_upstream(departed_upstream&& other13) noexcept {
   upstream = std::move(other13.upstream);
   incarnation = other13.incarnation;
+  was_silent = other13.was_silent;
   __isset = other13.__isset;
 }
 departed_upstream& departed_upstream::operator=(const departed_upstream& other14) {
   upstream = other14.upstream;
   incarnation = other14.incarnation;
+  was_silent = other14.was_silent;
   __isset = other14.__isset;
   return *this;
 }
 departed_upstream& departed_upstream::operator=(departed_upstream&& other15) noexcept {
   upstream = std::move(other15.upstream);
   incarnation = other15.incarnation;
+  was_silent = other15.was_silent;
   __isset = other15.__isset;
   return *this;
 }
@@ -898,6 +919,7 @@
   out << "departed_upstream(";
   out << "upstream=" << to_string(upstream);
   out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "was_silent=" << to_string(was_silent);
   out << ")";
 }
 
--- a/modules/control/gen/control_commands_types.h
+++ b/modules/control/gen/control_commands_types.h
@@ -324,9 +324,10 @@
 std::ostream& operator<<(std::ostream& out, const promotion_record& obj);
 
 typedef struct _departed_upstream__isset {
-  _departed_upstream__isset() : upstream(false), incarnation(false) {}
+  _departed_upstream__isset() : upstream(false), incarnation(false), was_silent(false) {}
   bool upstream :1;
   bool incarnation :1;
+  bool was_silent :1;
 } _departed_upstream__isset;
 
 class departed_upstream : public virtual ::apache::thrift::TBase {
@@ -338,12 +339,14 @@
   departed_upstream& operator=(departed_upstream&&) noexcept;
   departed_upstream() noexcept
                     : upstream(),
-                      incarnation(0) {
+                      incarnation(0),
+                      was_silent(0) {
   }
 
   virtual ~departed_upstream() noexcept;
   std::string upstream;
   int64_t incarnation;
+  bool was_silent;
 
   _departed_upstream__isset __isset;
 
@@ -351,12 +354,16 @@
 
   void __set_incarnation(const int64_t val);
 
+  void __set_was_silent(const bool val);
+
   bool operator == (const departed_upstream & rhs) const
   {
     if (!(upstream == rhs.upstream))
       return false;
     if (!(incarnation == rhs.incarnation))
       return false;
+    if (!(was_silent == rhs.was_silent))
+      return false;
     return true;
   }
   bool operator != (const departed_upstream &rhs) const {
--- a/modules/control/gen/control_messages_types.cpp
+++ b/modules/control/gen/control_messages_types.cpp
@@ -628,6 +628,10 @@
 void announcement::__set_gone(const bool val) {
   this->gone = val;
 }
+
+void announcement::__set_returned(const bool val) {
+  this->returned = val;
+}
 std::ostream& operator<<(std::ostream& out, const announcement& obj)
 {
   obj.printTo(out);
@@ -744,6 +748,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->returned);
+          this->__isset.returned = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -805,6 +817,10 @@
   xfer += oprot->writeBool(this->gone);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("returned", ::apache::thrift::protocol::T_BOOL, 12);
+  xfer += oprot->writeBool(this->returned);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -823,6 +839,7 @@
   swap(a.incarnation, b.incarnation);
   swap(a.primary, b.primary);
   swap(a.gone, b.gone);
+  swap(a.returned, b.returned);
   swap(a.__isset, b.__isset);
 }
 
@@ -838,6 +855,7 @@
   incarnation = other24.incarnation;
   primary = other24.primary;
   gone = other24.gone;
+  returned = other24.returned;
   __isset = other24.__isset;
 }
 announcement::announcement(announcement&& other25) noexcept {
@@ -852,6 +870,7 @@
   incarnation = other25.incarnation;
   primary = other25.primary;
   gone = other25.gone;
+  returned = other25.returned;
   __isset = other25.__isset;
 }
 announcement& announcement::operator=(const announcement& other26) {
@@ -866,6 +885,7 @@
   incarnation = other26.incarnation;
   primary = other26.primary;
   gone = other26.gone;
+  returned = other26.returned;
   __isset = other26.__isset;
   return *this;
 }
@@ -881,6 +901,7 @@
   incarnation = other27.incarnation;
   primary = other27.primary;
   gone = other27.gone;
+  returned = other27.returned;
   __isset = other27.__isset;
   return *this;
 }
@@ -898,6 +919,7 @@
   out << ", " << "incarnation=" << to_string(incarnation);
   out << ", " << "primary=" << to_string(primary);
   out << ", " << "gone=" << to_string(gone);
+  out << ", " << "returned=" << to_string(returned);
   out << ")";
 }
 
--- a/modules/control/gen/control_messages_types.h
+++ b/modules/control/gen/control_messages_types.h
@@ -261,7 +261,7 @@
 std::ostream& operator<<(std::ostream& out, const table_row& obj);
 
 typedef struct _announcement__isset {
-  _announcement__isset() : group(false), upstream(false), address(false), availability_zone(false), region(false), slots(false), connections(false), leaving(false), incarnation(false), primary(false), gone(false) {}
+  _announcement__isset() : group(false), upstream(false), address(false), availability_zone(false), region(false), slots(false), connections(false), leaving(false), incarnation(false), primary(false), gone(false), returned(false) {}
   bool group :1;
   bool upstream :1;
   bool address :1;
@@ -273,6 +273,7 @@
   bool incarnation :1;
   bool primary :1;
   bool gone :1;
+  bool returned :1;
 } _announcement__isset;
 
 class announcement : public virtual ::apache::thrift::TBase {
@@ -293,7 +294,8 @@
                  leaving(0),
                  incarnation(0),
                  primary(0),
-                 gone(0) {
+                 gone(0),
+                 returned(0) {
   }
 
   virtual ~announcement() noexcept;
@@ -308,6 +310,7 @@
   int64_t incarnation;
   bool primary;
   bool gone;
+  bool returned;
 
   _announcement__isset __isset;
 
@@ -333,6 +336,8 @@
 
   void __set_gone(const bool val);
 
+  void __set_returned(const bool val);
+
   bool operator == (const announcement & rhs) const
   {
     if (!(group == rhs.group))
@@ -357,6 +362,8 @@
       return false;
     if (!(gone == rhs.gone))
       return false;
+    if (!(returned == rhs.returned))
+      return false;
     return true;
   }
   bool operator != (const announcement &rhs) const {
--- a/modules/control/leader_state.h
+++ b/modules/control/leader_state.h
@@ -172,6 +172,9 @@
   std::map<group_id, pause_progress> PausePromotions;
   std::map<std::pair<group_id, upstream_id>, received_announcement>
       LastAnnouncements;
+  /// The first announcements of upstreams that were given up.
+  std::map<std::pair<group_id, upstream_id>, received_announcement>
+      ReturningUpstreams;
   /// Open proposals by id.
   std::map<std::string, operator_proposal> Proposals;
   /// Ids of the proposals that operators have approved or rejected.
--- a/modules/control/pause_promotion.cpp
+++ b/modules/control/pause_promotion.cpp
@@ -127,7 +127,7 @@
 group_decision removeLostReplica(const group_state &Group,
                                  const upstream_id &Lost) {
   group_state Next = Group;
-  Next.Departed.push_back({Lost, Group.Upstreams.at(Lost).Incarnation});
+  Next.Departed.push_back({Lost, Group.Upstreams.at(Lost).Incarnation, true});
   Next.Upstreams.erase(Lost);
   Next.Dirty = true;
   Next.DirtySince = revision(CommandRevision);
