Control: a frozen update delays the next one by half a second at most

Cause: found on reading: the pause after an update of all VMs was five times its duration without a limit; a leader that is suspended for 3 s during one would send no changes for 15 s. Change: nextUpdateInterval(), 25 to 500 ms.

--- a/modules/control/control_decisions.cpp
+++ b/modules/control/control_decisions.cpp
@@ -19,11 +19,6 @@
 
 /// Minimum interval between two nudges of one VM.
 const duration NudgeInterval = fromMilliseconds(40);
-/// Minimum interval between two updates of all outdated VMs.
-const duration MinUpdateInterval = fromMilliseconds(25);
-/// The interval is at least this many times the duration of the last update: a
-/// series of commits must not use up the time that heartbeats of the log need.
-constexpr int UpdatePauseFactor = 5;
 /// A reply to a fence is accepted no later than this.
 const duration FenceReplyTimeout = fromMilliseconds(10000);
 
@@ -244,13 +239,12 @@
 void control_service::state::scheduleUpdate() {
   if (UpdateTimer.isActive())
     return;
-  duration Interval =
-      std::max(MinUpdateInterval, LastUpdateDuration * UpdatePauseFactor);
-  UpdateTimer = Context.Timers.after(
-      std::max(duration::zero(), Interval - (now() - LastUpdateAt)), [this] {
-        if (Leading)
-          updateOutdatedVms();
-      });
+  duration Wait =
+      nextUpdateInterval(LastUpdateDuration) - (now() - LastUpdateAt);
+  UpdateTimer = Context.Timers.after(std::max(duration::zero(), Wait), [this] {
+    if (Leading)
+      updateOutdatedVms();
+  });
 }
 
 void control_service::state::updateOutdatedVms() {
--- a/modules/control/view_pushes.h
+++ b/modules/control/view_pushes.h
@@ -30,4 +30,9 @@
 revision expectedRevision(const sent_pushes &Pushes, const vm_id &Vm,
                           link_id Link, revision Reported, time_point Now);
 
+/// Returns the time from the start of an update of all outdated VMs to the next
+/// one, from how long it took: a series of commits must not use up the time
+/// that the log's heartbeats need.
+duration nextUpdateInterval(duration LastDuration);
+
 } // namespace teasellock
--- a/modules/link/link_hub.cpp
+++ b/modules/link/link_hub.cpp
@@ -153,6 +153,7 @@
   auto *Link = State->find(Id);
   if (!Link || Link->Users == 0 || --Link->Users > 0 || Link->IsPermanent)
     return;
+  Link->Watch = descriptor_watch();
   if (Link->Socket >= 0)
     ::close(Link->Socket);
   State->DialledLinks.erase(Link->Target);
--- a/modules/membership/tests/test_view_push.cpp
+++ b/modules/membership/tests/test_view_push.cpp
@@ -154,6 +154,13 @@
     CHECK(Message.Push.groups.size() == 1u);
 }
 
+TEST_CASE("control: updates take a fifth of the leader's time at most, and a "
+          "frozen one delays the next by half a second at most") {
+  CHECK((nextUpdateInterval(duration::zero()) == fromMilliseconds(25)));
+  CHECK((nextUpdateInterval(fromMilliseconds(20)) == fromMilliseconds(100)));
+  CHECK((nextUpdateInterval(std::chrono::seconds(7)) == fromMilliseconds(500)));
+}
+
 TEST_CASE("membership: only gateways of a changed group report at once") {
   member_state State;
   State.Self = vm_id("me");
