--- a/modules/link/link_heartbeat.h
+++ b/modules/link/link_heartbeat.h
@@ -1,8 +1,8 @@
 /// Heartbeats and failure detection of a link.
 ///
 /// Designed for thousands of links of which many are idle, such as those to
-/// spare gateways: heartbeats four times a second on all of them would need more
-/// bytes than the statements. Links without recent messages therefore have
+/// spare gateways: heartbeats four times a second on all of them would need
+/// more bytes than the statements. Links without recent messages therefore have
 /// longer heartbeat intervals and timeouts.
 #pragma once
 
