--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -8,7 +8,9 @@
 namespace {
 
 constexpr int PromoteMs = 1000;
-constexpr int PrimaryDownMs = 400;
+/// The primary is back this long after the platform was called.
+constexpr int PrimaryBackMs = 50;
+constexpr int FailoverTimeoutMs = 5000;
 constexpr int ClientsPerMachine = 4;
 
 struct acknowledged_write {
@@ -103,7 +105,9 @@
   };
   if (Arguments.Trouble) {
     Service.crash(0);
-    sleepMs(PrimaryDownMs);
+    if (!waitUntil(FailoverTimeoutMs, [&] { return IsReplaced.load(); }))
+      finish(Deployment, Record, CouldNotRun, "no failover began");
+    sleepMs(PrimaryBackMs);
     Service.startBackend(0);
     if (!waitUntil(15000, [&] { return IsPromoted.load(); }))
       finish(Deployment, Record, CouldNotRun, "no backend was promoted");
