--- a/review/stand_in/service.h
+++ b/review/stand_in/service.h
@@ -223,15 +223,6 @@
 
   const std::string &name() const { return Settings.Name; }
 
-  /// Returns the index of the backend that has this id now.
-  std::size_t indexOf(const std::string &Id) {
-    std::lock_guard Lock(Mutex);
-    for (std::size_t Index = 0; Index < Backends.size(); ++Index)
-      if (Backends[Index]->Id == Id)
-        return Index;
-    return 0;
-  }
-
   /// Called with the id when a backend has become primary, and the ids of the
   /// writes that its log holds at that moment.
   std::function<void(const std::string &, const std::set<std::string> &)>
