Line, Control: gateways do not write to a primary that is being replaced

Cause: control pauses the replicas that it knows, then takes the highest position for final. A replica that starts later isn't paused; if the failed primary is back before another upstream leads, it still leads its term, gateways send it transactions that begin with a read, and the new replica confirms their commits.

Change: a write fence at the gateways. It closes with the order to pause or with the view that names no primary. Nothing that changes data is sent while it is closed; a commit in flight is acknowledged only if a paused replica has it. Control pauses replicas that join while an order is carried out.

--- a/modules/control/control_decisions.cpp
+++ b/modules/control/control_decisions.cpp
@@ -165,6 +165,7 @@
   Fence.pause_term = static_cast<std::int64_t>(Decision.PauseTerm.Value);
   Fence.group = Group.Group.Value;
   Fence.term = static_cast<std::int64_t>(Group.Term.Value);
+  Fence.revision = static_cast<std::int64_t>(Group.Revision.Value);
   if (Decision.DemotionTarget)
     Fence.demoted = Decision.DemotionTarget->Value;
   time_point At = now();
--- a/modules/control/control_messages.thrift
+++ b/modules/control/control_messages.thrift
@@ -245,6 +245,9 @@
   /// If not empty, this primary is first demoted under the same term, and
   /// reported as paused once it has answered.
   4: string demoted;
+  /// Revision of the group's state without a primary that the fence belongs to.
+  /// 0: not known, sent by an earlier build.
+  5: i64 revision;
 }
 
 /// Reply to a fence: the gateway acknowledges no more writes of that term. Kind
--- a/modules/control/gen/control_messages_types.cpp
+++ b/modules/control/gen/control_messages_types.cpp
@@ -4029,6 +4029,10 @@
 void fence::__set_demoted(const std::string& val) {
   this->demoted = val;
 }
+
+void fence::__set_revision(const int64_t val) {
+  this->revision = val;
+}
 std::ostream& operator<<(std::ostream& out, const fence& obj)
 {
   obj.printTo(out);
@@ -4089,6 +4093,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4122,6 +4134,10 @@
   xfer += oprot->writeString(this->demoted);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4133,6 +4149,7 @@
   swap(a.term, b.term);
   swap(a.pause_term, b.pause_term);
   swap(a.demoted, b.demoted);
+  swap(a.revision, b.revision);
   swap(a.__isset, b.__isset);
 }
 
@@ -4141,6 +4158,7 @@
   term = other149.term;
   pause_term = other149.pause_term;
   demoted = other149.demoted;
+  revision = other149.revision;
   __isset = other149.__isset;
 }
 fence::fence(fence&& other150) noexcept {
@@ -4148,6 +4166,7 @@
   term = other150.term;
   pause_term = other150.pause_term;
   demoted = std::move(other150.demoted);
+  revision = other150.revision;
   __isset = other150.__isset;
 }
 fence& fence::operator=(const fence& other151) {
@@ -4155,6 +4174,7 @@
   term = other151.term;
   pause_term = other151.pause_term;
   demoted = other151.demoted;
+  revision = other151.revision;
   __isset = other151.__isset;
   return *this;
 }
@@ -4163,6 +4183,7 @@
   term = other152.term;
   pause_term = other152.pause_term;
   demoted = std::move(other152.demoted);
+  revision = other152.revision;
   __isset = other152.__isset;
   return *this;
 }
@@ -4173,6 +4194,7 @@
   out << ", " << "term=" << to_string(term);
   out << ", " << "pause_term=" << to_string(pause_term);
   out << ", " << "demoted=" << to_string(demoted);
+  out << ", " << "revision=" << to_string(revision);
   out << ")";
 }
 
--- a/modules/control/gen/control_messages_types.h
+++ b/modules/control/gen/control_messages_types.h
@@ -1431,11 +1431,12 @@
 std::ostream& operator<<(std::ostream& out, const view_push& obj);
 
 typedef struct _fence__isset {
-  _fence__isset() : group(false), term(false), pause_term(false), demoted(false) {}
+  _fence__isset() : group(false), term(false), pause_term(false), demoted(false), revision(false) {}
   bool group :1;
   bool term :1;
   bool pause_term :1;
   bool demoted :1;
+  bool revision :1;
 } _fence__isset;
 
 class fence : public virtual ::apache::thrift::TBase {
@@ -1449,7 +1450,8 @@
         : group(),
           term(0),
           pause_term(0),
-          demoted() {
+          demoted(),
+          revision(0) {
   }
 
   virtual ~fence() noexcept;
@@ -1457,6 +1459,7 @@
   int64_t term;
   int64_t pause_term;
   std::string demoted;
+  int64_t revision;
 
   _fence__isset __isset;
 
@@ -1468,6 +1471,8 @@
 
   void __set_demoted(const std::string& val);
 
+  void __set_revision(const int64_t val);
+
   bool operator == (const fence & rhs) const
   {
     if (!(group == rhs.group))
@@ -1478,6 +1483,8 @@
       return false;
     if (!(demoted == rhs.demoted))
       return false;
+    if (!(revision == rhs.revision))
+      return false;
     return true;
   }
   bool operator != (const fence &rhs) const {
--- a/modules/control/pause_promotion.cpp
+++ b/modules/control/pause_promotion.cpp
@@ -421,8 +421,12 @@
   return changeTo(std::move(Next), "promotion_refused", Reason);
 }
 
-group_decision decideOrder(const group_state &Group, const leader_state &Leader,
-                           const decision_settings &Settings, time_point Now) {
+/// Returns the next step of an order that was decided: to send it, to wait for
+/// the platform, to send it again, or to pause the replicas again.
+group_decision decideOrderProgress(const group_state &Group,
+                                   const leader_state &Leader,
+                                   const decision_settings &Settings,
+                                   time_point Now) {
   const auto &Promotion = *Group.Promotion;
   const auto *Progress = progressOf(Group, Leader);
   if (!Progress || Progress->DecidedAttempt != Promotion.Attempt)
@@ -457,6 +461,20 @@
                     " to become primary");
 }
 
+/// Pauses replicas that have joined or come back since the order was decided.
+group_decision decideOrder(const group_state &Group, const leader_state &Leader,
+                           const decision_settings &Settings, time_point Now,
+                           const pause_rules &Rules) {
+  auto Decision = decideOrderProgress(Group, Leader, Settings, Now);
+  auto Answers = collectAnswers(Group, Leader, Rules);
+  if (Decision.Next || Answers.Missing.empty())
+    return Decision;
+  auto Probes = latestProbes(Group, Leader, Settings, Now);
+  Decision.FenceTargets = duePauses(Group, Answers.Progress, Settings, Now);
+  Decision.PauseTerm = term(highestTerm(Group, Probes).Value + 1);
+  return Decision;
+}
+
 } // namespace
 
 group_decision decidePausePromotion(const group_state &Group,
@@ -474,7 +492,7 @@
                : decideWithoutPrimary(Group, Leader);
   if (Group.Promotion->Phase == promotion_phase::Fencing)
     return decidePausing(Group, Leader, Settings, Now, Rules);
-  return decideOrder(Group, Leader, Settings, Now);
+  return decideOrder(Group, Leader, Settings, Now, Rules);
 }
 
 } // namespace teasellock
--- a/modules/control/pause_promotion.h
+++ b/modules/control/pause_promotion.h
@@ -4,13 +4,16 @@
 ///
 /// A write is acknowledged once a replica has received it. Once replication to
 /// all replicas is paused, no more writes are acknowledged, and the replica
-/// with the highest position holds all acknowledged ones. If the primary works
-/// and is only to be replaced, it is demoted first: a replica that control does
-/// not know yet may have confirmed writes that the known ones lack, but none
-/// lies beyond the position at which the primary was demoted. A replica that
-/// left or restarted may have been the only one to hold a write. The group is
-/// therefore marked dirty until another replica has reached a position of the
-/// primary that was read after the loss was committed.
+/// with the highest position holds all acknowledged ones. A replica that starts
+/// later isn't paused, and the primary may be back before another one leads: so
+/// from the first pause on gateways don't write to the primary (see
+/// modules/line/write_fence.h), and replicas that join are paused as well. If
+/// the primary works and is only to be replaced, it is demoted first: a replica
+/// that control does not know yet may have confirmed writes that the known ones
+/// lack, but none lies beyond the position at which the primary was demoted. A
+/// replica that left or restarted may have been the only one to hold a write.
+/// The group is therefore marked dirty until another replica has reached a
+/// position of the primary that was read after the loss was committed.
 #pragma once
 
 #include "modules/control/leader_state.h"
@@ -33,6 +36,9 @@
   bool DemoteFirst = true;
   /// But not while an order to promote it again may still be carried out.
   bool CheckUnsettledOrders = true;
+  /// Gateways neither write to the primary nor acknowledge its commits once the
+  /// replicas are being paused. Evaluated only by the tests' simulation.
+  bool FenceGateways = true;
 };
 
 /// Returns the next step towards a primary, if one is due.
--- a/modules/control/tests/test_pause_promotion.cpp
+++ b/modules/control/tests/test_pause_promotion.cpp
@@ -1,5 +1,6 @@
 #include "modules/control/pause_progress.h"
 #include "modules/control/pause_promotion.h"
+#include "modules/line/write_fence.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
@@ -18,6 +19,8 @@
   bool PrimaryLeaves = false;
   /// A further replica receives and confirms commits before control knows it.
   bool HasUnknownReplica = false;
+  /// A further replica starts while the primary is replaced.
+  bool ReplicaJoins = false;
 };
 
 /// A primary that works leaves while a replica that control does not know
@@ -25,6 +28,9 @@
 constexpr scenario Handover{false, true, true};
 /// Primaries leave and crash, and orders are carried out late.
 constexpr scenario CrashDuringHandover{true, true, false};
+/// A primary crashes and may be back before another upstream leads, while a
+/// replica joins.
+constexpr scenario JoinDuringFailover{true, false, false, true};
 
 /// Simulates upstreams with logs, a platform that executes orders late, and a
 /// control leader that uses the real decisions. The oracle is the log of
@@ -34,7 +40,7 @@
   pause_simulation(std::uint64_t Seed, const pause_rules &Rules,
                    const scenario &Scenario = {})
       : Random(Seed), Rules(Rules), Scenario(Scenario),
-        Upstreams(Scenario.HasUnknownReplica ? 4 : 3) {
+        Upstreams(Scenario.HasUnknownReplica || Scenario.ReplicaJoins ? 4 : 3) {
     Group.Group = group_id("g");
     Group.Removed = false;
     Group.Row.AckReplicas = 1;
@@ -49,6 +55,8 @@
       Upstreams[Id].Incarnation = 1;
     for (std::size_t Id = 0; Id < KnownCount; ++Id)
       announce(Id);
+    if (Scenario.ReplicaJoins)
+      Upstreams[KnownCount].Alive = false;
     report();
   }
 
@@ -174,7 +182,8 @@
 
   void commit() {
     auto &Primary = Upstreams[PrimaryNumber];
-    if (Primary.Alive && !PrimaryDemoted)
+    if (Primary.Alive && !PrimaryDemoted &&
+        mayWrite(WriteFence, term(PrimaryTerm)))
       Primary.Log.push_back({PrimaryTerm, Primary.Log.size() + 1});
   }
 
@@ -192,7 +201,9 @@
     // them. Nobody waits for entries of earlier terms; the first commit of its
     // own term covers them.
     if (Replica.Log.size() > Acknowledged.size() &&
-        Replica.Log.back().first == PrimaryTerm)
+        Replica.Log.back().first == PrimaryTerm &&
+        judgeCommit(WriteFence, lastPosition(Replica)) ==
+            commit_verdict::Acknowledge)
       Acknowledged = Replica.Log;
   }
 
@@ -208,15 +219,22 @@
     Upstream.ConnectedAt = Now;
   }
 
-  void pause(const std::optional<upstream_id> &DemotionTarget) {
+  void pause(const std::optional<upstream_id> &DemotionTarget, term PauseTerm) {
+    // Upstreams accept only a term above the newest one, and tell it otherwise.
+    PauseTerm = std::max(PauseTerm, term(ReportedTerm + 1));
+    bool IsAccepted = PauseTerm.Value > PrimaryTerm;
+    ReportedTerm = PrimaryTerm;
+    if (Rules.FenceGateways)
+      closeWriteFence(WriteFence, term(PauseTerm.Value - 1), Group.Revision);
+    position Covered;
     wire::fence_reply Reply;
     Reply.group = Group.Group.Value;
     Reply.term = static_cast<std::int64_t>(Group.Term.Value);
-    if (DemotionTarget == name(PrimaryNumber))
+    if (IsAccepted && DemotionTarget == name(PrimaryNumber))
       PrimaryDemoted = true;
     for (std::size_t Id = 0; Id < Upstreams.size(); ++Id) {
       auto &Upstream = Upstreams[Id];
-      if (!Group.Upstreams.contains(name(Id)))
+      if (!Group.Upstreams.contains(name(Id)) || !IsAccepted)
         continue;
       bool IsDemoted = DemotionTarget == name(Id);
       if (!IsDemoted &&
@@ -231,8 +249,10 @@
       Seen.connection_age_ms = toMilliseconds(Now - Upstream.ConnectedAt);
       // Without the rule, the position was read before the pause.
       Upstream.Paused = Rules.RequirePause && !IsDemoted;
+      Covered = std::max(Covered, lastPosition(Upstream));
       Reply.upstreams.push_back(Seen);
     }
+    recordPauses(WriteFence, Covered);
     recordPauseReply(Group, Leader, Reply, Now);
   }
 
@@ -269,7 +289,7 @@
       Decision.Next = Cleaning.Next;
     if (!Decision.FenceTargets.empty()) {
       recordPausesSent(Group, Leader, Decision.FenceTargets, Now);
-      pause(Decision.DemotionTarget);
+      pause(Decision.DemotionTarget, Decision.PauseTerm);
     }
     if (Decision.Order) {
       recordPlatformOrderSent(Group, Leader, Now);
@@ -284,9 +304,17 @@
       return;
     recordAttempt(*Decision.Next, Leader);
     apply(makeGroupCommand(*Decision.Next));
+    if (Rules.FenceGateways)
+      applyView(WriteFence, viewOf(Group));
   }
 
   void step() {
+    // While no upstream is being replaced, control hears of a replica before
+    // that has confirmed a commit.
+    if (Scenario.ReplicaJoins && !Group.Promotion &&
+        Upstreams[KnownCount].Alive &&
+        !Group.Upstreams.contains(name(KnownCount)))
+      announce(KnownCount);
     advanceTime(static_cast<std::int64_t>(pick(30)));
     std::size_t Id = pick(Upstreams.size());
     switch (pick(14)) {
@@ -301,7 +329,8 @@
       return pick(40) == 0 ? restart(Id) : replicate(Id);
     case 6:
       // Control hears of the further replica late, if at all.
-      if (Group.Upstreams.contains(name(Id)) || pick(20) == 0)
+      if (Group.Upstreams.contains(name(Id)) ||
+          (Upstreams[Id].Alive && pick(20) == 0))
         announce(Id);
       return;
     case 7:
@@ -309,7 +338,8 @@
         Upstreams[Id].Alive = false;
       return;
     case 8:
-      Upstreams[Id].Alive = true;
+      if (Id < KnownCount || Scenario.HasUnknownReplica || Group.Promotion)
+        Upstreams[Id].Alive = true;
       return;
     case 9:
       if (Orders.empty())
@@ -347,9 +377,12 @@
   std::size_t PrimaryNumber = 0;
   bool PrimaryDemoted = false;
   std::uint64_t PrimaryTerm = 1;
+  /// The newest term that an upstream has told the gateway.
+  std::uint64_t ReportedTerm = 0;
   std::vector<entry> Acknowledged;
   std::vector<order> Orders;
   std::uint64_t Fence = 0;
+  write_fence WriteFence;
   bool Lost = false;
   int Promotions = 0;
 };
@@ -398,6 +431,10 @@
     Rules.CheckUnsettledOrders = false;
     Scenario = CrashDuringHandover;
   }
+  SUBCASE("no writes while replicas are paused") {
+    Rules.FenceGateways = false;
+    Scenario = JoinDuringFailover;
+  }
   auto Seed = firstLoss(Rules, 40000, Scenario);
   REQUIRE(Seed);
   MESSAGE("lost with seed " << *Seed);
@@ -417,6 +454,21 @@
   CHECK(Promotions > static_cast<int>(Seeds) / 2);
 }
 
+// Guards against the loss of writes that a replica confirms which joined after
+// the others had been paused, when the failed primary is back before another
+// upstream leads.
+TEST_CASE("control: no acknowledged commit is lost when a replica joins during "
+          "a failover") {
+  int Promotions = 0;
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    pause_simulation Simulation(Seed, {}, JoinDuringFailover);
+    CAPTURE(Seed);
+    REQUIRE_FALSE(Simulation.losesCommit(Steps));
+    Promotions += Simulation.promotions();
+  }
+  CHECK(Promotions > static_cast<int>(Seeds) / 2);
+}
+
 // Guards against an order that takes effect late because the primary that it
 // names has been demoted meanwhile.
 TEST_CASE(
--- a/modules/line/line_group.cpp
+++ b/modules/line/line_group.cpp
@@ -93,7 +93,9 @@
   const auto *OwnShare = findOwnShare(View, Context.Self);
   IsAssigned = OwnShare && !View.Removed;
   Share = OwnShare ? *OwnShare : gateway_share();
+  applyView(WriteFence, View);
   applyUpstreams();
+  handleHeldCommits();
   if (!IsAssigned)
     refuseQueued();
   if (!IsAssigned && !isActive()) {
--- a/modules/line/line_group_probes.cpp
+++ b/modules/line/line_group_probes.cpp
@@ -264,8 +264,11 @@
                  (Status->IsPrimary && Upstream->Term != Status->Term);
   Upstream->Term = Status->Term;
   handleLeadership(Id, Status->IsPrimary, Status->Term);
-  if (Changed)
-    Member.RenewEarly();
+  if (!Changed)
+    return;
+  Member.RenewEarly();
+  // Statements may wait for a primary of a later term.
+  startQueued();
 }
 
 void line_group::probeUpstreams() {
@@ -369,11 +372,27 @@
   return Report;
 }
 
+/// Returns the term after the newest one that any upstream has reported.
+/// Upstreams reject orders of earlier terms, and control doesn't know the term
+/// of a primary that failed before its first commit.
+term line_group::nextTerm() const {
+  term Newest;
+  for (const auto &[Id, Upstream] : Upstreams)
+    Newest = std::max(Newest, Upstream.Term);
+  return term(Newest.Value + 1);
+}
+
 void line_group::fence(const wire::fence &Fence,
                        std::function<void(wire::fence_reply)> Answer) {
   auto Pause = std::make_shared<pending_pause>();
   Pause->FencedTerm = Fence.term;
-  Pause->PauseTerm = term(static_cast<std::uint64_t>(Fence.pause_term));
+  Pause->PauseTerm =
+      std::max(term(static_cast<std::uint64_t>(Fence.pause_term)), nextTerm());
+  revision Revision(static_cast<std::uint64_t>(Fence.revision));
+  // A fence that arrives after the end of its promotion closes nothing.
+  bool IsLate = View.Primary && Revision < View.Revision;
+  if (!IsLate)
+    closeWriteFence(WriteFence, term(Pause->PauseTerm.Value - 1), Revision);
   Pause->Answer = std::move(Answer);
   if (!Fence.demoted.empty())
     Pause->Demoted = upstream_id(Fence.demoted);
@@ -428,6 +447,8 @@
     return sendPause(Id, Pause);
   auto Status = protocol().ParseStatus(Row);
   bool IsDemoted = Id == Pause->Demoted;
+  if (Status)
+    Upstream->Term = std::max(Upstream->Term, Status->Term);
   if (!Status || Status->IsPrimary ||
       (!IsDemoted && Status->PauseTerm < Pause->PauseTerm))
     return;
@@ -450,6 +471,7 @@
   auto Answer = std::exchange(Pause.Answer, nullptr);
   if (!Answer)
     return;
+  recordPausedPositions(Pause);
   wire::fence_reply Reply;
   Reply.group = View.Group.Value;
   Reply.term = Pause.FencedTerm;
@@ -463,6 +485,15 @@
   Answer(std::move(Reply));
 }
 
+void line_group::recordPausedPositions(const pending_pause &Pause) {
+  position Covered;
+  for (const auto &Id : Pause.Paused)
+    if (const auto *Upstream = findUpstream(Id))
+      Covered = std::max(Covered, Upstream->Received);
+  recordPauses(WriteFence, Covered);
+  handleHeldCommits();
+}
+
 void line_group::resume() {
   std::vector<upstream_id> Ids;
   for (const auto &[Id, Upstream] : Upstreams)
--- a/modules/line/line_group_state.h
+++ b/modules/line/line_group_state.h
@@ -9,6 +9,7 @@
 #include "modules/line/line_group.h"
 #include "modules/line/queue_order.h"
 #include "modules/line/read_choice.h"
+#include "modules/line/write_fence.h"
 
 #include <deque>
 #include <map>
@@ -176,6 +177,13 @@
   bool HasWrites = false;
 };
 
+/// The answer to a commit that is not forwarded before the replicas have been
+/// paused.
+struct line_held_commit {
+  line_attempt_key Attempt;
+  line_answer Answer;
+};
+
 /// The gateway of one group: queues statements, executes them on the group's
 /// upstreams, and probes the upstreams. Used by one event loop thread.
 class line_group : public group_handler,
@@ -256,6 +264,8 @@
   void onSessionPrepared(line_attempt_key Key, const line_batch_result &Result);
   void execute(line_pending_statement &Statement);
   void onExecuted(line_attempt_key Key, line_batch_result Result);
+  bool hasWrittenTransaction(const line_pending_statement &Statement) const;
+  bool isFenced(const line_pending_statement &Statement) const;
   bool handleDetachedAnswer(line_attempt_key Key,
                             const line_batch_result &Result);
   void detachAttempt(line_pending_statement &Statement);
@@ -273,6 +283,10 @@
                      const line_answer &Answer);
   void handleSuccess(line_pending_statement &Statement,
                      const line_answer &Answer);
+  void handleConfirmedCommit(line_pending_statement &Statement,
+                             const line_answer &Answer);
+  void handleHeldCommits();
+  void handleFenced(line_pending_statement &Statement);
   void recordAnswer(line_pending_statement &Statement,
                     const line_answer &Answer);
   void handleFailure(line_pending_statement &Statement,
@@ -306,6 +320,7 @@
   void applyStatus(const upstream_id &Id, const line_batch_result &Result);
   void probeUpstreams();
   void recordPositionSample(time_point RequestedAt, const position &Position);
+  term nextTerm() const;
   void sendPauses(const std::shared_ptr<pending_pause> &Pause);
   void sendPause(const upstream_id &Id,
                  const std::shared_ptr<pending_pause> &Pause);
@@ -313,6 +328,7 @@
                 const std::shared_ptr<pending_pause> &Pause,
                 const line_batch_result &Result);
   void finishPause(pending_pause &Pause);
+  void recordPausedPositions(const pending_pause &Pause);
   wire::upstream_report reportOf(const upstream_id &Id,
                                  const line_upstream &Upstream) const;
 
@@ -332,6 +348,8 @@
   execution_estimates Estimates;
   std::map<transaction_key, line_transaction> Transactions;
   std::map<line_attempt_key, line_detached_attempt> DetachedAttempts;
+  write_fence WriteFence;
+  std::vector<line_held_commit> HeldCommits;
   /// Rates of the reads that any upstream may serve, and of the statements that
   /// only the primary may.
   queue_rate ReadRate;
--- a/modules/line/line_group_statements.cpp
+++ b/modules/line/line_group_statements.cpp
@@ -143,7 +143,7 @@
 bool line_group::refuseIfWaitTooLong(line_pending_statement &Statement) {
   auto Primary = findPrimary();
   // During a failover the rate of the queue says nothing about the wait.
-  if (!Primary)
+  if (!Primary || isFenced(Statement))
     return false;
   wait_budget Budget;
   Budget.Target = fromMilliseconds(Statement.request().target_ms);
@@ -189,6 +189,11 @@
     Statement.Reason = "the group has no primary";
     return false;
   }
+  if (Statement.Destination == line_destination::Primary &&
+      !mayWrite(WriteFence, Upstreams.at(*Primary).Term)) {
+    Statement.Reason = PrimaryReplacedMessage;
+    return false;
+  }
   return tryStartOn(Statement, *Primary, std::nullopt);
 }
 
@@ -365,7 +370,34 @@
   execute(*Statement);
 }
 
+/// Reports whether the statement belongs to a transaction that has written.
+bool line_group::hasWrittenTransaction(
+    const line_pending_statement &Statement) const {
+  auto Found = Transactions.find(Statement.transactionKey());
+  return Found != Transactions.end() && Found->second.HasWrites;
+}
+
+/// Reports whether the statement changes data and must not be sent because the
+/// primary is being replaced.
+bool line_group::isFenced(const line_pending_statement &Statement) const {
+  bool Writes = Statement.isCommit() ? hasWrittenTransaction(Statement)
+                                     : Statement.request().access ==
+                                           wire::statement_access::write;
+  bool OpensPlain = Statement.Destination == line_destination::Primary &&
+                    Statement.Phase == line_phase::Queued;
+  if (!Writes && !OpensPlain)
+    return false;
+  auto Id = Statement.Phase == line_phase::Queued
+                ? findPrimary()
+                : std::optional(Statement.Upstream);
+  auto Upstream = Id ? Upstreams.find(*Id) : Upstreams.end();
+  return !mayWrite(
+      WriteFence, Upstream == Upstreams.end() ? term() : Upstream->second.Term);
+}
+
 void line_group::execute(line_pending_statement &Statement) {
+  if (isFenced(Statement))
+    return handleFenced(Statement);
   Statement.Phase = line_phase::Executing;
   Statement.SentAt = now();
   const auto &Step = Statement.step();
@@ -420,6 +452,9 @@
   recordAnswer(*Statement, Answer);
   if (Answer.Failure)
     return handleFailure(*Statement, *Answer.Failure);
+  if (Statement->isCommit() ? hasWrittenTransaction(*Statement)
+                            : Statement->changesData())
+    return handleConfirmedCommit(*Statement, Answer);
   handleSuccess(*Statement, Answer);
 }
 
--- a/tests/soak/upstream_group.cpp
+++ b/tests/soak/upstream_group.cpp
@@ -27,7 +27,8 @@
     Server.Node.Term = NewestTerm;
     Server.Node.Incarnation = 1;
     Server.Address = Settings.Address;
-    Server.Address.Port += static_cast<std::uint16_t>(Index);
+    if (Settings.Address.Port != 0)
+      Server.Address.Port += static_cast<std::uint16_t>(Index);
     listen(Index);
   }
   ReplicationTimer =
--- a/tests/soak/upstream_group.h
+++ b/tests/soak/upstream_group.h
@@ -24,6 +24,8 @@
 /// Size and timing of a group.
 struct group_settings {
   group_id Group;
+  /// Address of the first upstream; the others use the ports after it. With
+  /// port zero each listens on a free one.
   endpoint Address;
   std::size_t Upstreams = 3;
   std::size_t MaxConnections = 24;
--- a/tests/soak/upstream_statements.cpp
+++ b/tests/soak/upstream_statements.cpp
@@ -19,6 +19,7 @@
 void upstream_group::state::listen(std::size_t Index) {
   auto &Server = Servers[Index];
   Server.Listener = stand_in::listenOn(Server.Address);
+  Server.Address = stand_in::boundEndpoint(Server.Listener);
   Server.Watch = Loop.watch(Server.Listener, {true, false},
                             [this, Index](readiness) { accept(Index); });
 }
--- /dev/null
+++ b/tests/test_line_group_failover.cpp
@@ -0,0 +1,106 @@
+#include "tests/line_group_fixture.h"
+
+using namespace teasellock;
+
+namespace {
+
+constexpr std::size_t Primary = 0;
+constexpr std::size_t KnownReplica = 1;
+constexpr std::size_t UnknownReplica = 2;
+
+} // namespace
+
+// Guards against commits that only a replica confirms which joined after the
+// others had been paused: the promoted one lacks them.
+TEST_CASE("line: nothing is written to a primary that is being replaced") {
+  line_group_fixture Fixture(2);
+  REQUIRE(Fixture.succeeded(
+      Fixture.finish({"r1", wire::line_verb::read, "READ item", 5, true, {}})));
+  REQUIRE(Fixture.succeeded(Fixture.finish(
+      {"w1", wire::line_verb::write, "WRITE item a", 5, false, {}})));
+  auto Reply = Fixture.fence();
+  REQUIRE(Reply.upstreams.size() == 2);
+
+  auto Commit =
+      Fixture.finish({"c1", wire::line_verb::commit, "COMMIT", 5, false, {}});
+  CHECK(Commit.outcome == wire::statement_outcome::not_run);
+  auto Opening = Fixture.start({"r2",
+                                wire::line_verb::read,
+                                "READ item",
+                                6,
+                                true,
+                                {},
+                                fromMilliseconds(100)});
+  auto Single = Fixture.start({"w2",
+                               wire::line_verb::write,
+                               "WRITE item b",
+                               0,
+                               false,
+                               {},
+                               fromMilliseconds(100)});
+  REQUIRE(Fixture.runUntil([&] { return Opening->Done && Single->Done; }));
+  CHECK(Opening->Reply.outcome == wire::statement_outcome::not_run);
+  CHECK(Single->Reply.outcome == wire::statement_outcome::not_run);
+  CHECK(Fixture.Upstreams.primaryLog().empty());
+
+  // Reads go on, and writes do once another upstream leads.
+  CHECK(Fixture.succeeded(Fixture.finish(
+      {"r3", wire::line_verb::read, "READ item", 0, false, {}})));
+  REQUIRE(Fixture.Upstreams.promote("g-2"));
+  CHECK(Fixture.succeeded(Fixture.finish(
+      {"w3", wire::line_verb::write, "WRITE item c", 0, false, {}})));
+  CHECK(Fixture.Oracle.violations().empty());
+}
+
+TEST_CASE("line: a commit that only an unknown replica confirms during a "
+          "promotion is not acknowledged") {
+  line_group_fixture Fixture(2);
+  Fixture.Upstreams.cutReplication(KnownReplica, true);
+  Fixture.Upstreams.cutReplication(UnknownReplica, true);
+  auto Write = Fixture.start(
+      {"w1", wire::line_verb::write, "WRITE item a", 0, false, {}});
+  REQUIRE(Fixture.runUntil(
+      [&] { return Fixture.Upstreams.primaryLog().size() == 1; }));
+  Fixture.fence();
+  CHECK_FALSE(Write->Done);
+  Fixture.Upstreams.cutReplication(UnknownReplica, false);
+  REQUIRE(Fixture.runUntil([&] { return Write->Done; }));
+  CHECK(Write->Reply.outcome == wire::statement_outcome::unknown);
+}
+
+TEST_CASE("line: a commit that a paused replica has is acknowledged during a "
+          "promotion") {
+  line_group_fixture Fixture(2);
+  Fixture.Upstreams.cutReplication(KnownReplica, true);
+  Fixture.Upstreams.cutReplication(UnknownReplica, true);
+  auto Write = Fixture.start(
+      {"w1", wire::line_verb::write, "WRITE item a", 0, false, {}});
+  REQUIRE(Fixture.runUntil(
+      [&] { return Fixture.Upstreams.primaryLog().size() == 1; }));
+  // The view that begins the promotion arrives before the order to pause.
+  Fixture.View.Primary.reset();
+  Fixture.View.Revision = revision(line_group_fixture::PromotionRevision);
+  Fixture.Gateway->apply(Fixture.View);
+  Fixture.Upstreams.cutReplication(KnownReplica, false);
+  Fixture.run(fromMilliseconds(50));
+  CHECK_FALSE(Write->Done);
+  Fixture.fence();
+  REQUIRE(Fixture.runUntil([&] { return Write->Done; }));
+  CHECK(Fixture.succeeded(Write->Reply));
+}
+
+TEST_CASE(
+    "line: an abandoned promotion lets the former primary be written to") {
+  line_group_fixture Fixture;
+  Fixture.fence();
+  auto Write = Fixture.start(
+      {"w1", wire::line_verb::write, "WRITE item a", 0, false, {}});
+  Fixture.run(fromMilliseconds(50));
+  CHECK_FALSE(Write->Done);
+  Fixture.Gateway->resume();
+  Fixture.View.Revision = revision(line_group_fixture::PromotionRevision + 1);
+  Fixture.Gateway->apply(Fixture.View);
+  REQUIRE(Fixture.runUntil([&] { return Write->Done; }));
+  CHECK(Fixture.succeeded(Write->Reply));
+  CHECK(Fixture.Upstreams.statusOf(Primary).IsPrimary);
+}
