Line: a session's values count once the upstream has confirmed them

Cause: prepareSession() recorded settings and prepared names while it encoded the batch. An upstream rejects every statement of a transaction once it has lost the lead, SET and PREPARE too; the session survives the rollback, with a record of what had been asked for, and is even preferred for the next statement with these settings.

Change: modules/line/session_values plans the batch and applies each change with its own successful answer, for attempts that nobody waits for as well; a change that failed after it was executed closes the session. The soak's stand-in rejects SET, RESET, PREPARE and DEALLOC like upstreams do.

--- a/modules/line/line_group.cpp
+++ b/modules/line/line_group.cpp
@@ -240,6 +240,10 @@
   auto *Upstream = findUpstream(Id);
   if (!Upstream)
     return;
+  if (Session->Values.AreUnknown) {
+    closeSession(Id, std::move(Session));
+    return startQueued();
+  }
   --Upstream->ConnectionsInUse;
   if (!Session->Connection->isOpen())
     return startQueued();
--- a/modules/line/line_group_outcomes.cpp
+++ b/modules/line/line_group_outcomes.cpp
@@ -186,7 +186,7 @@
   bool CanRetry = isNotExecuted(Failure.Code) ||
                   (Read && Failure.Code == line_error::Failed);
   if (Failure.Code == line_error::NoStatement && Statement.Session)
-    Statement.Session->Prepared.clear();
+    Statement.Session->Values.Prepared.clear();
   releaseFailedSession(Statement);
   if (!ContinuesTransaction && CanRetry && !Statement.isCommit()) {
     if (Failure.Code != line_error::Busy)
--- a/modules/line/line_group_state.h
+++ b/modules/line/line_group_state.h
@@ -9,6 +9,7 @@
 #include "modules/line/line_group.h"
 #include "modules/line/queue_order.h"
 #include "modules/line/read_choice.h"
+#include "modules/line/session_values.h"
 #include "modules/line/write_fence.h"
 
 #include <deque>
@@ -21,10 +22,9 @@
 /// A connection for statements and the state of its session at the upstream.
 struct line_session {
   std::unique_ptr<line_connection> Connection;
-  /// Session settings in force, by name.
-  std::map<std::string, std::string> Settings;
-  /// Names of the prepared statements that the session has.
-  std::set<std::string> Prepared;
+  session_values Values;
+  /// The changes of the batch in flight, in its order.
+  std::vector<session_change> PendingChanges;
   time_point LastUsedAt;
 };
 
@@ -261,6 +261,7 @@
   std::vector<read_candidate> readCandidates() const;
   bool tryStartRead(line_pending_statement &Statement);
   void prepareSession(line_pending_statement &Statement);
+  line_session *findSession(line_attempt_key Key);
   void onSessionPrepared(line_attempt_key Key, const line_batch_result &Result);
   void execute(line_pending_statement &Statement);
   void onExecuted(line_attempt_key Key, line_batch_result Result);
--- a/modules/line/line_group_statements.cpp
+++ b/modules/line/line_group_statements.cpp
@@ -39,17 +39,6 @@
   return InterRegionCost;
 }
 
-/// Returns the name of a prepared statement at upstreams. It depends only on
-/// the shape, so all callers' sessions share it.
-std::string preparedName(const wire::line_step &Step) {
-  constexpr char Digits[] = "0123456789abcdef";
-  std::uint64_t Hash = std::hash<std::string>()(Step.shape);
-  std::string Name = Step.writes ? "tw" : "tr";
-  for (int Shift = 60; Shift >= 0; Shift -= 4)
-    Name += Digits[(Hash >> Shift) & 15];
-  return Name;
-}
-
 line_destination destinationOf(const wire::statement_request &Request) {
   if (!needsPrimary(Request))
     return line_destination::AnyUpstream;
@@ -259,11 +248,11 @@
     return false;
   }
   // A connection with the same session settings saves messages.
-  auto Best =
-      std::find_if(Upstream.IdleSessions.begin(), Upstream.IdleSessions.end(),
-                   [&](const auto &Idle) {
-                     return Idle->Settings == Statement.request().settings;
-                   });
+  auto Best = std::find_if(Upstream.IdleSessions.begin(),
+                           Upstream.IdleSessions.end(), [&](const auto &Idle) {
+                             return Idle->Values.Settings ==
+                                    Statement.request().settings;
+                           });
   if (Best == Upstream.IdleSessions.end())
     Best = std::prev(Upstream.IdleSessions.end());
   Statement.Session = std::move(*Best);
@@ -292,36 +281,11 @@
 void line_group::prepareSession(line_pending_statement &Statement) {
   Statement.Phase = line_phase::Preparing;
   auto &Session = *Statement.Session;
-  const auto &RequestedSettings = Statement.request().settings;
-  std::string Bytes;
-  std::size_t Count = 0;
-  bool NeedsReset = std::any_of(
-      Session.Settings.begin(), Session.Settings.end(), [&](const auto &Entry) {
-        return !RequestedSettings.contains(Entry.first);
-      });
-  if (NeedsReset) {
-    protocol().AppendReset(Bytes);
-    ++Count;
-    Session.Settings.clear();
-    Session.Prepared.clear();
-  }
-  for (const auto &[Name, Value] : RequestedSettings) {
-    auto Known = Session.Settings.find(Name);
-    if (Known != Session.Settings.end() && Known->second == Value)
-      continue;
-    protocol().AppendSet(Bytes, Name, Value);
-    ++Count;
-    Session.Settings[Name] = Value;
-  }
-  if (Statement.step().verb == wire::line_verb::execute) {
-    auto [Name, IsNew] =
-        Session.Prepared.insert(preparedName(Statement.step()));
-    if (IsNew) {
-      protocol().AppendPrepare(Bytes, *Name, Statement.step().writes,
-                               Statement.step().shape);
-      ++Count;
-    }
-  }
+  auto Plan = planPreparation(protocol(), Session.Values,
+                              Statement.request().settings, Statement.step());
+  Session.PendingChanges = std::move(Plan.Changes);
+  std::string Bytes = std::move(Plan.Bytes);
+  std::size_t Count = Session.PendingChanges.size();
   // The statement is not sent together with BEGIN: if BEGIN failed, it would be
   // executed outside of a transaction.
   if (Statement.opensTransaction() ||
@@ -344,8 +308,21 @@
       });
 }
 
+/// Returns the session that executes the attempt, or null.
+line_session *line_group::findSession(line_attempt_key Key) {
+  auto Detached = DetachedAttempts.find(Key);
+  if (Detached != DetachedAttempts.end())
+    return Detached->second.Session.get();
+  auto *Statement = findStatement(Key.Statement);
+  return Statement && Statement->key() == Key ? Statement->Session.get()
+                                              : nullptr;
+}
+
 void line_group::onSessionPrepared(line_attempt_key Key,
                                    const line_batch_result &Result) {
+  if (auto *Session = findSession(Key))
+    confirmChanges(Session->Values, std::exchange(Session->PendingChanges, {}),
+                   Result.Answers);
   auto *Statement = findStatement(Key.Statement);
   // The caller's own statement has not been sent yet, so there is no answer to
   // forward.
--- a/tests/line_group_fixture.h
+++ b/tests/line_group_fixture.h
@@ -123,6 +123,10 @@
     bool OpensTransaction = false;
     std::map<std::string, std::string> Settings;
     duration Timeout = fromMilliseconds(2000);
+    /// Of a prepared statement; its shape is Text.
+    std::string Arguments = "";
+    /// Negative: reads see every acknowledged write.
+    duration MaxStaleness = fromMilliseconds(-1);
   };
 
   struct collected_reply {
@@ -132,10 +136,17 @@
 
   std::shared_ptr<collected_reply> start(const statement &Statement) {
     bool Writes = Statement.Verb == wire::line_verb::write;
-    Oracle.recordSent({Statement.Id, Statement.Text, 1,
+    bool IsPrepared = Statement.Verb == wire::line_verb::execute;
+    std::string Text = Statement.Text;
+    if (IsPrepared)
+      Text += " " + Statement.Arguments;
+    Oracle.recordSent({Statement.Id, Text, 1,
                        static_cast<std::uint64_t>(Statement.Transaction),
                        Statement.Settings, Writes});
-    Oracle.recordReadStart(Statement.Id, 1, {View.Group, {}}, Timers.now());
+    Oracle.recordReadStart(
+        Statement.Id, 1,
+        {View.Group, std::max(Statement.MaxStaleness, duration())},
+        Timers.now());
     incoming_statement Arrived;
     Arrived.Key = {link_id(1), request_id(++LastRequest)};
     auto &Request = Arrived.Statement;
@@ -147,10 +158,12 @@
     Request.opens_transaction = Statement.OpensTransaction;
     Request.settings = Statement.Settings;
     Request.timeout_ms = toMilliseconds(Statement.Timeout);
-    Request.max_staleness_ms = -1;
+    Request.max_staleness_ms = toMilliseconds(Statement.MaxStaleness);
     Request.line.verb = Statement.Verb;
     Request.line.id = Statement.Id;
-    Request.line.text = Statement.Text;
+    Request.line.text = IsPrepared ? "" : Statement.Text;
+    Request.line.shape = IsPrepared ? Statement.Text : "";
+    Request.line.arguments = Statement.Arguments;
     Request.__isset.line = true;
     auto Answer = std::make_shared<collected_reply>();
     Arrived.Reply = [Answer](wire::statement_reply Reply) {
--- a/tests/soak/upstream_group.cpp
+++ b/tests/soak/upstream_group.cpp
@@ -255,4 +255,8 @@
 
 std::uint64_t upstream_group::promotions() const { return State->Promotions; }
 
+std::uint64_t upstream_group::unknownNames() const {
+  return State->UnknownNames;
+}
+
 } // namespace teasellock::soak
--- a/tests/soak/upstream_group.h
+++ b/tests/soak/upstream_group.h
@@ -81,6 +81,9 @@
   /// Returns the log of the primary.
   const commit_log &primaryLog() const;
   std::uint64_t promotions() const;
+  /// Returns how often a prepared statement was executed under a name that its
+  /// session did not have.
+  std::uint64_t unknownNames() const;
 
 private:
   struct state;
--- a/tests/soak/upstream_group_state.h
+++ b/tests/soak/upstream_group_state.h
@@ -24,6 +24,7 @@
   std::vector<server> Servers;
   std::uint64_t LastSignature = 0;
   std::uint64_t Promotions = 0;
+  std::uint64_t UnknownNames = 0;
   term NewestTerm{1};
   timer_subscription ReplicationTimer;
   std::vector<timer_subscription> PendingPromotions;
--- a/tests/soak/upstream_statements.cpp
+++ b/tests/soak/upstream_statements.cpp
@@ -206,6 +206,16 @@
   const auto &Verb = Statement.Verb;
   const auto &Fields = Statement.Fields;
   std::vector<std::string> Rows;
+  bool ChangesSession = Verb == "SET" || Verb == "RESET" || Verb == "PREPARE" ||
+                        Verb == "DEALLOC";
+  if (ChangesSession && Session.TransactionFailed) {
+    sendError(Server, Session, "MALFORMED");
+    return true;
+  }
+  if (ChangesSession && !isTransactionAllowed(Server, Session)) {
+    sendError(Server, Session, "READONLY");
+    return true;
+  }
   if (Verb == "SET") {
     Session.Settings[Fields.at(0)] = Fields.at(1);
   } else if (Verb == "RESET") {
@@ -298,8 +308,10 @@
   auto Fields = Statement.Fields;
   if (Statement.Verb == "EXEC") {
     auto Found = Session.Prepared.find(Fields.at(0));
-    if (Found == Session.Prepared.end())
+    if (Found == Session.Prepared.end()) {
+      ++UnknownNames;
       return sendError(Server, Session, "NOSTMT");
+    }
     Writes = Found->second.IsWrite;
     Fields.erase(Fields.begin());
     Text = Found->second.Text;
--- /dev/null
+++ b/tests/test_line_group_session.cpp
@@ -0,0 +1,86 @@
+#include "tests/line_group_fixture.h"
+
+using namespace teasellock;
+
+namespace {
+
+constexpr std::int64_t Transaction = 5;
+/// Reads tolerate this, so that the former primary may execute them.
+const duration MaxStaleness = fromMilliseconds(5000);
+/// Enough to use every open connection of both upstreams.
+constexpr int ConcurrentReads = 6;
+
+/// A transaction at a primary that has lost the lead since it was opened.
+struct lost_transaction_fixture : line_group_fixture {
+  lost_transaction_fixture() : line_group_fixture(2) {
+    // Reads of replicas need a known position of the primary.
+    REQUIRE(succeeded(
+        finish({"w0", wire::line_verb::write, "WRITE item a", 0, false, {}})));
+    run(fromMilliseconds(100));
+    REQUIRE(succeeded(finish(read("r1", Transaction, {{"tag", "v1"}}))));
+    REQUIRE(Upstreams.promote("g-2"));
+    REQUIRE(runUntil([&] { return !Upstreams.statusOf(0).IsPrimary; }));
+  }
+
+  static statement read(const std::string &Id, std::int64_t InTransaction,
+                        std::map<std::string, std::string> Settings) {
+    statement Statement{Id,          wire::line_verb::read,
+                        "READ item", InTransaction,
+                        Id == "r1",  std::move(Settings)};
+    Statement.MaxStaleness = MaxStaleness;
+    return Statement;
+  }
+
+  static statement prepared(const std::string &Id, std::int64_t InTransaction) {
+    statement Statement{Id,        wire::line_verb::execute,
+                        "booking", InTransaction,
+                        false,     {{"tag", "v1"}}};
+    Statement.Arguments = "item";
+    Statement.MaxStaleness = MaxStaleness;
+    return Statement;
+  }
+
+  /// Executes a statement several times at once; returns how many failed.
+  int countFailures(std::function<statement(const std::string &)> Make) {
+    std::vector<std::shared_ptr<collected_reply>> Replies;
+    for (int Number = 0; Number < ConcurrentReads; ++Number)
+      Replies.push_back(start(Make("s" + std::to_string(Number))));
+    int Failures = 0;
+    for (const auto &Reply : Replies) {
+      REQUIRE(runUntil([&] { return Reply->Done; }));
+      CAPTURE(Reply->Reply.problem);
+      Failures += succeeded(Reply->Reply) ? 0 : 1;
+    }
+    return Failures;
+  }
+};
+
+} // namespace
+
+// Guards against statements that run with an earlier value of a session
+// setting: SET was rejected because the primary of its transaction had lost the
+// lead, but counted as executed.
+TEST_CASE("line: a setting that an upstream rejected is set again") {
+  lost_transaction_fixture Fixture;
+  std::map<std::string, std::string> Changed{{"tag", "v2"}};
+  auto Rejected = Fixture.finish(Fixture.read("r2", Transaction, Changed));
+  CHECK_FALSE(Fixture.succeeded(Rejected));
+  CHECK(Fixture.countFailures([&](const std::string &Id) {
+    return Fixture.read(Id, 0, Changed);
+  }) == 0);
+  CHECK(Fixture.Oracle.violations().empty());
+}
+
+// The same for PREPARE: the name would be unknown where it is executed.
+TEST_CASE("line: a statement whose preparation was rejected is prepared "
+          "again") {
+  lost_transaction_fixture Fixture;
+  auto Rejected = Fixture.finish(Fixture.prepared("e1", Transaction));
+  CHECK_FALSE(Fixture.succeeded(Rejected));
+  auto UnknownNames = Fixture.Upstreams.unknownNames();
+  CHECK(Fixture.countFailures([&](const std::string &Id) {
+    return Fixture.prepared(Id, 0);
+  }) == 0);
+  CHECK(Fixture.Upstreams.unknownNames() == UnknownNames);
+  CHECK(Fixture.Oracle.violations().empty());
+}
