Control: promotions do not wait for upstreams that cannot come back

Cause: an upstream comes back under another id. The former id stayed among the group's upstreams, and the promotion waited for it to confirm its pause; only a group with a primary removed it, after 20 s. Removing it would have marked the group dirty, which blocked a promotion without end too.

Change: an upstream whose address a later process announces under another id has departed; if it was the primary, or the one being replaced, and the later one claims to be primary, that takes its place. Lost replicas aren't waited for during a promotion, a dirty group promotes after UpstreamLossTimeout, a former primary that still leads ends a promotion after a refused order too, and gateways prefer a primary that they reach.

Ruled out: gateways that fail to pause a running replica (gateway.paused of both every 300 ms).

--- a/modules/control/pause_promotion.cpp
+++ b/modules/control/pause_promotion.cpp
@@ -1,5 +1,6 @@
 #include "modules/control/pause_promotion.h"
 
+#include "modules/control/departed_upstreams.h"
 #include "modules/control/group_reports.h"
 #include "modules/control/leases.h"
 #include "modules/control/pause_progress.h"
@@ -19,6 +20,8 @@
 /// A primary that no gateway could demote within this time is replaced like one
 /// that has failed.
 const duration DemotionTimeout = fromMilliseconds(1000);
+constexpr const char *FormerPrimaryReason =
+    "promotion abandoned: the former primary is reachable again";
 
 /// Returns the upstream that is primary in the highest term, or null.
 const upstream_observation *
@@ -104,38 +107,6 @@
   });
 }
 
-/// Returns a replica that has neither announced itself within
-/// UpstreamLossTimeout nor is reached by any gateway.
-std::optional<upstream_id>
-findLostReplica(const group_state &Group, const leader_state &Leader,
-                const std::map<upstream_id, upstream_observation> &Probes,
-                const decision_settings &Settings, time_point Now) {
-  if (Now - Leader.LeadingSince < Settings.UpstreamLossTimeout)
-    return std::nullopt;
-  for (const auto &[Name, Upstream] : Group.Upstreams) {
-    if (Name == Group.Primary || Probes.contains(Name))
-      continue;
-    auto LastAnnouncement = Leader.LastAnnouncements.find({Group.Group, Name});
-    if (LastAnnouncement == Leader.LastAnnouncements.end() ||
-        Now - LastAnnouncement->second.ReceivedAt >
-            Settings.UpstreamLossTimeout)
-      return Name;
-  }
-  return std::nullopt;
-}
-
-group_decision removeLostReplica(const group_state &Group,
-                                 const upstream_id &Lost) {
-  group_state Next = Group;
-  Next.Departed.push_back({Lost, Group.Upstreams.at(Lost).Incarnation, true});
-  Next.Upstreams.erase(Lost);
-  Next.Dirty = true;
-  Next.DirtySince = revision(CommandRevision);
-  return changeTo(std::move(Next), "upstream_lost",
-                  Lost.Value +
-                      " has neither announced itself nor been reached");
-}
-
 group_decision decideWithPrimary(const group_state &Group,
                                  const leader_state &Leader,
                                  const decision_settings &Settings,
@@ -161,8 +132,9 @@
         !(Rules.CheckUnsettledOrders && Group.HasUnsettledOrders);
     return changeTo(std::move(Next), "handover", Reason);
   }
-  if (auto Lost = findLostReplica(Group, Leader, Probes, Settings, Now))
-    return removeLostReplica(Group, *Lost);
+  if (auto Lost = decideLostReplica(Group, Leader, Probes, Settings, Now);
+      Lost.Next)
+    return Lost;
   group_decision Decision;
   Decision.NudgeTargets = std::move(Health.NudgeTargets);
   if (!Health.Summary.empty())
@@ -245,16 +217,21 @@
 }
 
 /// Returns the replicas that are paused and confirmed, by upstream; adds the
-/// others to Missing.
+/// others to Missing, except for those that are lost.
 std::map<upstream_id, paused_replica>
 confirmedReplicas(const group_state &Group, const leader_state &Leader,
-                  const pause_progress &Progress, const pause_rules &Rules,
-                  std::string &Missing) {
+                  const pause_progress &Progress,
+                  const decision_settings &Settings, time_point Now,
+                  const pause_rules &Rules, std::string &Missing) {
   std::map<upstream_id, paused_replica> Result;
+  auto Probes = latestProbes(Group, Leader, Settings, Now);
   for (const auto &[Name, Upstream] : Group.Upstreams) {
     if (!isReplica(Group, Progress, Name))
       continue;
     auto Answer = Progress.PausedReplicas.find(Name);
+    if (Answer == Progress.PausedReplicas.end() &&
+        isLost(Group, Leader, Probes, Settings, Now, Name))
+      continue;
     if (Answer == Progress.PausedReplicas.end()) {
       Missing += Name.Value + " (no answer) ";
       continue;
@@ -288,21 +265,20 @@
   return Best;
 }
 
-/// Reports whether the promotion can be abandoned: it has lasted longer than
-/// StuckPromotionTimeout, no order was made, and the former primary is
-/// reachable and still primary of its term.
-bool canAbandon(const group_state &Group, const pause_progress *Progress,
-                const std::map<upstream_id, upstream_observation> &Probes,
-                const decision_settings &Settings, time_point Now) {
+/// Returns the former primary if it is reachable and still primary of its term,
+/// so that it may go on instead of being replaced; otherwise null.
+const upstream_observation *
+findFormerPrimary(const group_state &Group,
+                  const std::map<upstream_id, upstream_observation> &Probes) {
   const auto &Promotion = *Group.Promotion;
   // An order to demote the former primary may still be carried out.
-  if (!Progress || Now - Progress->StartedAt < Settings.StuckPromotionTimeout ||
-      !Promotion.Deposed || Promotion.Planned || Promotion.Attempt > 0 ||
+  if (!Promotion.Deposed || Promotion.Planned ||
       !Group.Upstreams.contains(*Promotion.Deposed))
-    return false;
+    return nullptr;
   auto Former = Probes.find(*Promotion.Deposed);
-  return Former != Probes.end() && !Former->second.IsReplica &&
-         Former->second.Replayed.Term == Promotion.FencedTerm;
+  bool Leads = Former != Probes.end() && !Former->second.IsReplica &&
+               Former->second.Replayed.Term == Promotion.FencedTerm;
+  return Leads ? &Former->second : nullptr;
 }
 
 /// Decides on the order to promote a replica.
@@ -319,6 +295,20 @@
   return changeTo(std::move(Next), "promote", Reason);
 }
 
+/// Lets the former primary go on. Earlier orders to promote another upstream
+/// may still be carried out, so it is ordered to be promoted itself: that
+/// changes nothing, but the platform then refuses the earlier orders.
+group_decision decideAbandonment(const group_state &Group,
+                                 const leader_state &Leader,
+                                 const upstream_observation &Former) {
+  if (Group.Promotion->Attempt == 0)
+    return adopt(Group, Leader, Former.Upstream, Group.Term,
+                 FormerPrimaryReason);
+  paused_replica Position;
+  Position.Received = Former.Received;
+  return decideCandidate(Group, {Former.Upstream, Position});
+}
+
 /// What the upstreams of a group have answered so far.
 struct pause_answers {
   /// Null before gateways were first asked.
@@ -336,21 +326,27 @@
 
 pause_answers collectAnswers(const group_state &Group,
                              const leader_state &Leader,
+                             const decision_settings &Settings, time_point Now,
                              const pause_rules &Rules) {
   pause_answers Answers;
   Answers.Progress = progressOf(Group, Leader);
   if (Answers.Progress)
-    Answers.Confirmed = confirmedReplicas(Group, Leader, *Answers.Progress,
-                                          Rules, Answers.Missing);
+    Answers.Confirmed =
+        confirmedReplicas(Group, Leader, *Answers.Progress, Settings, Now,
+                          Rules, Answers.Missing);
   return Answers;
 }
 
-/// Returns the upstream to promote if all replicas are paused, or null.
+/// Returns the upstream to promote if all replicas are paused, or null. The
+/// writes of a lost replica are waited for as long as that or the former
+/// primary may still come back.
 const candidate *candidateOfPauses(const group_state &Group,
                                    const pause_answers &Answers,
-                                   const pause_rules &Rules) {
+                                   const decision_settings &Settings,
+                                   time_point Now, const pause_rules &Rules) {
+  bool MayCoverWrites = !Answers.isOlderThan(Settings.UpstreamLossTimeout, Now);
   if ((Rules.RequireAllReplicas && !Answers.Missing.empty()) ||
-      (Rules.CheckDirty && Group.Dirty))
+      (Rules.CheckDirty && Group.Dirty && MayCoverWrites))
     return nullptr;
   return highestReplica(Group, Answers.Confirmed);
 }
@@ -375,7 +371,7 @@
                              const decision_settings &Settings, time_point Now,
                              const pause_rules &Rules) {
   auto Probes = latestProbes(Group, Leader, Settings, Now);
-  auto Answers = collectAnswers(Group, Leader, Rules);
+  auto Answers = collectAnswers(Group, Leader, Settings, Now, Rules);
   group_decision Decision;
   Decision.FenceTargets = duePauses(Group, Answers.Progress, Settings, Now);
   Decision.PauseTerm = term(highestTerm(Group, Probes).Value + 1);
@@ -391,11 +387,13 @@
       return Decision;
     }
   }
-  if (const auto *Best = candidateOfPauses(Group, Answers, Rules))
+  if (const auto *Best =
+          candidateOfPauses(Group, Answers, Settings, Now, Rules))
     return decideCandidate(Group, *Best);
-  if (canAbandon(Group, Answers.Progress, Probes, Settings, Now))
-    return adopt(Group, Leader, *Group.Promotion->Deposed, Group.Term,
-                 "promotion abandoned: the former primary is reachable again");
+  bool IsStuck =
+      Group.Dirty || Answers.isOlderThan(Settings.StuckPromotionTimeout, Now);
+  if (const auto *Former = findFormerPrimary(Group, Probes); Former && IsStuck)
+    return decideAbandonment(Group, Leader, *Former);
   Decision.WaitingReason =
       "waiting for replicas to be paused: " + Answers.Missing +
       (Group.Dirty ? "(writes of a lost replica are not covered yet)" : "");
@@ -453,6 +451,10 @@
       return retryOrder(Group, "the call to the platform failed");
     break;
   case promotion_answer::Accepted:
+    if (findFormerPrimary(Group, latestProbes(Group, Leader, Settings, Now)) &&
+        Promotion.Chosen == Promotion.Deposed)
+      return adopt(Group, Leader, *Promotion.Chosen, Group.Term,
+                   FormerPrimaryReason);
     if (Since >= Settings.PromotionTimeout)
       return retryOrder(Group, "accepted, but it has not become primary");
     break;
@@ -466,7 +468,7 @@
                            const decision_settings &Settings, time_point Now,
                            const pause_rules &Rules) {
   auto Decision = decideOrderProgress(Group, Leader, Settings, Now);
-  auto Answers = collectAnswers(Group, Leader, Rules);
+  auto Answers = collectAnswers(Group, Leader, Settings, Now, Rules);
   if (Decision.Next || Answers.Missing.empty())
     return Decision;
   auto Probes = latestProbes(Group, Leader, Settings, Now);
@@ -486,6 +488,8 @@
   if (auto Adopted = adoptExistingPrimary(
           Group, Leader, latestProbes(Group, Leader, Settings, Now)))
     return std::move(*Adopted);
+  if (auto Succession = decideSuccession(Group); Succession.Next)
+    return Succession;
   if (!Group.Promotion)
     return Group.Primary
                ? decideWithPrimary(Group, Leader, Settings, Now, Rules)
--- a/modules/control/tests/test_pause_promotion.cpp
+++ b/modules/control/tests/test_pause_promotion.cpp
@@ -21,6 +21,11 @@
   bool HasUnknownReplica = false;
   /// A further replica starts while the primary is replaced.
   bool ReplicaJoins = false;
+  /// Any upstream crashes, and comes back with its log under another id. None
+  /// loses its log.
+  bool ChangesIds = false;
+  /// The primary is lost for good at the end.
+  bool PrimaryIsLost = false;
 };
 
 /// A primary that works leaves while a replica that control does not know
@@ -31,6 +36,9 @@
 /// A primary crashes and may be back before another upstream leads, while a
 /// replica joins.
 constexpr scenario JoinDuringFailover{true, false, false, true};
+/// Upstreams come back under other ids.
+constexpr scenario ChangedIds{true, false, false, false, true};
+constexpr scenario ChangedIdsThenLoss{true, false, false, false, true, true};
 
 /// Simulates upstreams with logs, a platform that executes orders late, and a
 /// control leader that uses the real decisions. The oracle is the log of
@@ -70,7 +78,52 @@
 
   int promotions() const { return Promotions; }
 
+  /// Ends all disturbances; returns how long the group takes to acknowledge a
+  /// commit again, or nothing if it does not within maxSettlingTime().
+  std::optional<duration> settlingTime() {
+    for (std::size_t Id = 0; Id < Upstreams.size(); ++Id)
+      if (!Upstreams[Id].Alive)
+        revive(Id);
+    if (Scenario.PrimaryIsLost)
+      Upstreams[PrimaryNumber].Alive = false;
+    time_point Begin = Now;
+    std::size_t Before = Acknowledged.size();
+    for (int Turn = 0; Now - Begin < maxSettlingTime() && !Lost; ++Turn) {
+      settle(Turn % TurnsPerHeartbeat == 0);
+      if (Acknowledged.size() > Before && Group.Primary &&
+          Group.Primary == name(PrimaryNumber))
+        return Now - Begin;
+    }
+    return std::nullopt;
+  }
+
+  bool hasLost() const { return Lost; }
+
 private:
+  static constexpr int TurnsPerHeartbeat = 100;
+
+  /// A promotion, and what it may have to wait for before.
+  duration maxSettlingTime() const {
+    return Settings.PromotionTimeout + (Scenario.PrimaryIsLost
+                                            ? Settings.UpstreamLossTimeout
+                                            : Settings.StuckPromotionTimeout);
+  }
+
+  /// One turn without disturbances.
+  void settle(bool Announces) {
+    advanceTime(10);
+    for (std::size_t Id = 0; Id < Upstreams.size(); ++Id) {
+      if (Announces && Upstreams[Id].Alive)
+        announce(Id);
+      replicate(Id);
+    }
+    for (const auto &Order : std::exchange(Orders, {}))
+      execute(Order);
+    decide();
+    if (Group.Primary == name(PrimaryNumber))
+      commit();
+  }
+
   /// Not covered by the rule: commits that only an unknown replica confirms
   /// while the primary is replaced without being demoted.
   bool isCovered() const {
@@ -87,16 +140,20 @@
     bool Paused = false;
     bool Alive = true;
     time_point ConnectedAt;
+    /// How often it came back under another id.
+    int Life = 0;
   };
 
   struct order {
     std::size_t Upstream = 0;
     std::uint64_t Token = 0;
     std::uint32_t Attempt = 0;
+    upstream_id Name;
   };
 
-  static upstream_id name(std::size_t Id) {
-    return upstream_id("u" + std::to_string(Id));
+  upstream_id name(std::size_t Id) const {
+    return upstream_id("u" + std::to_string(Id) + "." +
+                       std::to_string(Upstreams[Id].Life));
   }
 
   static std::size_t numberOf(const upstream_id &Id) {
@@ -123,6 +180,7 @@
     Announcement.Address = {"10.0.0." + std::to_string(Id + 1), 5432};
     Announcement.Incarnation = incarnation(Upstreams[Id].Incarnation);
     Announcement.Leaving = Scenario.PrimaryLeaves && Id == PrimaryNumber;
+    Announcement.ClaimsPrimary = Scenario.ChangesIds && Id == PrimaryNumber;
     apply(makeAnnouncementCommand(Announcement));
     Leader.LastAnnouncements[{Group.Group, name(Id)}] = {
         Announcement.Incarnation, Now};
@@ -160,6 +218,12 @@
         Seen.Replayed.Term = term(PrimaryTerm);
       Report.Upstreams[Seen.Upstream] = Seen;
     }
+    for (const auto &[Id, Upstream] : Group.Upstreams)
+      if (Id != name(numberOf(Id))) {
+        auto &Former = Report.Upstreams[Id];
+        Former.Upstream = Id;
+        Former.UnreachableTime = fromMilliseconds(5000);
+      }
     auto &Orders = Leader.Orders[Group.Group];
     if (Orders.DirtySince != Group.DirtySince) {
       Orders.DirtySince = Group.DirtySince;
@@ -207,11 +271,25 @@
       Acknowledged = Replica.Log;
   }
 
+  /// A crashed upstream comes back with its log.
+  void revive(std::size_t Id) {
+    auto &Upstream = Upstreams[Id];
+    if (Upstream.Alive)
+      return;
+    Upstream.Alive = true;
+    if (!Scenario.ChangesIds)
+      return;
+    ++Upstream.Life;
+    ++Upstream.Incarnation;
+    Upstream.Paused = false;
+    Upstream.ConnectedAt = Now;
+  }
+
   void restart(std::size_t Id) {
     auto &Upstream = Upstreams[Id];
     // Not covered by the rule: a paused replica restarts before the order is
-    // executed.
-    if (Id == PrimaryNumber || Group.Promotion)
+    // executed, and more logs are lost than replicas are waited for.
+    if (Id == PrimaryNumber || Group.Promotion || Scenario.ChangesIds)
       return;
     Upstream.Log.clear();
     Upstream.Paused = false;
@@ -261,7 +339,7 @@
     if (Order.Token < Fence)
       return;
     Fence = Order.Token;
-    if (!Upstreams[Id].Alive) {
+    if (!Upstreams[Id].Alive || Order.Name != name(Id)) {
       recordPlatformAnswer(Group, Leader,
                            Group.Promotion ? Group.Promotion->Attempt : 0,
                            promotion_answer::Refused);
@@ -295,7 +373,7 @@
       recordPlatformOrderSent(Group, Leader, Now);
       Orders.push_back({numberOf(Decision.Order->Upstream),
                         Decision.Order->FencingToken.Value,
-                        Group.Promotion->Attempt});
+                        Group.Promotion->Attempt, Decision.Order->Upstream});
     }
     if (Decision.ShouldResume)
       for (auto &Upstream : Upstreams)
@@ -334,12 +412,13 @@
         announce(Id);
       return;
     case 7:
-      if (pick(6) == 0 && Id == PrimaryNumber && Scenario.PrimaryCrashes)
+      if (pick(6) == 0 && Scenario.PrimaryCrashes &&
+          (Id == PrimaryNumber || Scenario.ChangesIds))
         Upstreams[Id].Alive = false;
       return;
     case 8:
       if (Id < KnownCount || Scenario.HasUnknownReplica || Group.Promotion)
-        Upstreams[Id].Alive = true;
+        revive(Id);
       return;
     case 9:
       if (Orders.empty())
@@ -389,6 +468,7 @@
 
 constexpr int Steps = 1200;
 constexpr std::uint64_t Seeds = 3000;
+constexpr std::uint64_t ProgressSeeds = 1000;
 
 /// Returns the first seed that loses a commit.
 std::optional<std::uint64_t> firstLoss(const pause_rules &Rules,
@@ -469,6 +549,28 @@
   CHECK(Promotions > static_cast<int>(Seeds) / 2);
 }
 
+// Guards against promotions that wait without end for an upstream that came
+// back under another id, or for a lost one.
+TEST_CASE("control: writes are possible again once disturbances end") {
+  scenario Scenario;
+  SUBCASE("crashes") {}
+  SUBCASE("handovers") { Scenario = CrashDuringHandover; }
+  SUBCASE("a replica joins") { Scenario = JoinDuringFailover; }
+  SUBCASE("changed ids") { Scenario = ChangedIds; }
+  SUBCASE("changed ids, primary lost") { Scenario = ChangedIdsThenLoss; }
+  duration Longest{};
+  for (std::uint64_t Seed = 1; Seed <= ProgressSeeds; ++Seed) {
+    pause_simulation Simulation(Seed, {}, Scenario);
+    CAPTURE(Seed);
+    REQUIRE_FALSE(Simulation.losesCommit(Steps));
+    auto Time = Simulation.settlingTime();
+    REQUIRE(Time);
+    REQUIRE_FALSE(Simulation.hasLost());
+    Longest = std::max(Longest, *Time);
+  }
+  MESSAGE("longest " << toMilliseconds(Longest) << " ms");
+}
+
 // Guards against an order that takes effect late because the primary that it
 // names has been demoted meanwhile.
 TEST_CASE(
--- a/modules/line/line_group_probes.cpp
+++ b/modules/line/line_group_probes.cpp
@@ -37,8 +37,12 @@
 std::optional<upstream_id> line_group::findPrimary() const {
   const line_upstream *Best = nullptr;
   std::optional<upstream_id> Result;
+  // A primary that crashed is known under its former id as well for a while.
+  auto Rank = [](const line_upstream &Upstream) {
+    return std::pair(Upstream.Term, !Upstream.UnreachableSince);
+  };
   for (const auto &[Id, Upstream] : Upstreams)
-    if (Upstream.IsPrimary && (!Best || Upstream.Term > Best->Term)) {
+    if (Upstream.IsPrimary && (!Best || Rank(Upstream) > Rank(*Best))) {
       Best = &Upstream;
       Result = Id;
     }
