Line: transactions that nobody continues are rolled back

Cause: a gateway records a transaction with the answer to its first statement. Cancel dropped only the reply of that statement and release found no transaction; the answer then recorded one that nobody ends. The same when a link closes, and for a release alone. A rollback without an answer was waited for without end.

Change: a statement whose caller has left, or whose transaction was released, is marked, and its success ends in a rollback; a rollback is waited for like a statement that nobody waits for. Gauges of open transactions and of connections in use. The PostgreSQL interface was read: its release ends opening statements.

Ruled out: an entry that sends no release; upstreams that keep connections of killed processes.

--- a/modules/line/line_group.cpp
+++ b/modules/line/line_group.cpp
@@ -38,7 +38,11 @@
       QueueSeconds(Context.Metrics.histogramOf(
           "teasellock_gateway_queue_seconds", {{"group", Group.Value}})),
       StatementSeconds(Context.Metrics.histogramOf(
-          "teasellock_upstream_statement_seconds", {{"group", Group.Value}})) {
+          "teasellock_upstream_statement_seconds", {{"group", Group.Value}})),
+      OpenTransactions(Context.Metrics.gaugeOf(
+          "teasellock_gateway_open_transactions", {{"group", Group.Value}})),
+      ConnectionsInUse(Context.Metrics.gaugeOf(
+          "teasellock_gateway_connections_in_use", {{"group", Group.Value}})) {
   View.Group = std::move(Group);
 }
 
@@ -199,7 +203,8 @@
   ++Upstream.ConnectionsOpening;
   line_target Target{Upstream.Announcement.Address, View.Group.Value,
                      Settings.User, Id, Settings.ConnectTimeout};
-  Connecting[Attempt] = std::make_unique<line_connection>(
+  Connecting[Attempt].Upstream = Id;
+  Connecting[Attempt].Connection = std::make_unique<line_connection>(
       Context, protocol(), std::move(Target),
       [Weak = weak_from_this(), Id,
        Attempt](const line_connect_result &Opening) {
@@ -215,7 +220,7 @@
   auto *Upstream = findUpstream(Id);
   if (Extracted.empty() || !Upstream)
     return;
-  Session->Connection = std::move(Extracted.mapped());
+  Session->Connection = std::move(Extracted.mapped().Connection);
   --Upstream->ConnectionsOpening;
   if (!Opening.Problem) {
     Upstream->ConnectDelay = duration::zero();
@@ -268,27 +273,6 @@
   startQueued();
 }
 
-void line_group::rollBack(const upstream_id &Id,
-                          std::unique_ptr<line_session> Session) {
-  std::string Bytes;
-  protocol().AppendRollback(Bytes);
-  auto Shared =
-      std::make_shared<std::unique_ptr<line_session>>(std::move(Session));
-  (*Shared)->Connection->executeBatch(
-      std::move(Bytes), 1,
-      [Weak = weak_from_this(), Id, Shared](const line_batch_result &Result) {
-        auto Self = Weak.lock();
-        if (!Self)
-          return;
-        bool IsReusable =
-            !Result.ConnectionLost && Result.Answers.back().Ready.State == 'I';
-        if (IsReusable)
-          Self->releaseSession(Id, std::move(*Shared));
-        else
-          Self->closeSession(Id, std::move(*Shared));
-      });
-}
-
 void line_group::closeSession(const upstream_id &Id,
                               std::unique_ptr<line_session> Session) {
   if (Session) {
@@ -336,6 +320,7 @@
   hedgeSlowReads();
   refuseOverlongWaits();
   closeExpiredAttempts();
+  updateGauges();
   for (auto &[Id, Upstream] : Upstreams)
     trimIdleSessions(Upstream);
   startQueued();
@@ -388,6 +373,14 @@
   }
 }
 
+void line_group::updateGauges() {
+  std::uint32_t InUse = 0;
+  for (const auto &[Id, Upstream] : Upstreams)
+    InUse += Upstream.ConnectionsInUse;
+  ConnectionsInUse.set(InUse);
+  OpenTransactions.set(static_cast<double>(Transactions.size()));
+}
+
 //===----------------------------------------------------------------------===//
 // Cancellation
 //===----------------------------------------------------------------------===//
@@ -396,6 +389,7 @@
   for (const auto &[Id, Statement] : PendingStatements)
     if (Statement->Arrived.Key == Key) {
       Statement->Arrived.Reply = [](wire::statement_reply) {};
+      Statement->IsAbandoned = true;
       if (Statement->Phase == line_phase::Queued)
         refuseStatement(*Statement, line_error::Aborted,
                         "the caller disconnected");
@@ -404,7 +398,12 @@
 }
 
 void line_group::release(link_id Link, transaction_id Transaction) {
-  auto Found = Transactions.find({Link, Transaction});
+  transaction_key Key{Link, Transaction};
+  // A statement that opens the transaction may still be executed.
+  for (const auto &[Id, Statement] : PendingStatements)
+    if (Statement->opensTransaction() && Statement->transactionKey() == Key)
+      Statement->IsAbandoned = true;
+  auto Found = Transactions.find(Key);
   if (Found == Transactions.end())
     return;
   auto Extracted = std::move(Found->second);
--- a/modules/line/line_group_outcomes.cpp
+++ b/modules/line/line_group_outcomes.cpp
@@ -38,17 +38,43 @@
   if (Extracted.empty())
     return false;
   auto &Detached = Extracted.mapped();
-  if (auto *Upstream = findUpstream(Detached.Upstream))
-    --Upstream->InFlight;
-  if (Result.ConnectionLost)
-    closeSession(Detached.Upstream, std::move(Detached.Session));
-  else if (Result.Answers.back().Ready.State == 'I')
+  endDetachedAttempt(Detached);
+  bool IsIdle =
+      !Result.ConnectionLost && Result.Answers.back().Ready.State == 'I';
+  if (IsIdle)
     releaseSession(Detached.Upstream, std::move(Detached.Session));
+  else if (Result.ConnectionLost || Detached.IsRollback)
+    closeSession(Detached.Upstream, std::move(Detached.Session));
   else
     rollBack(Detached.Upstream, std::move(Detached.Session));
   return true;
 }
 
+/// Updates the upstream's counters for a detached attempt that has ended.
+void line_group::endDetachedAttempt(line_detached_attempt &Detached) {
+  auto *Upstream = findUpstream(Detached.Upstream);
+  if (Upstream && !Detached.IsRollback)
+    --Upstream->InFlight;
+}
+
+/// Rolls back the session's transaction and returns the session to the idle
+/// ones.
+void line_group::rollBack(const upstream_id &Id,
+                          std::unique_ptr<line_session> Session) {
+  std::string Bytes;
+  protocol().AppendRollback(Bytes);
+  line_attempt_key Key{++LastId, 0};
+  auto *Connection = Session->Connection.get();
+  DetachedAttempts[Key] = {Id, std::move(Session),
+                           now() + DetachedAttemptTimeout, true};
+  Connection->executeBatch(
+      std::move(Bytes), 1,
+      [Weak = weak_from_this(), Key](const line_batch_result &Result) {
+        if (auto Self = Weak.lock())
+          Self->handleDetachedAnswer(Key, Result);
+      });
+}
+
 /// Detaches the current attempt from its statement. Its connection stays open
 /// for a while, as a replacement would have to be opened first.
 void line_group::detachAttempt(line_pending_statement &Statement) {
@@ -56,7 +82,7 @@
     return;
   DetachedAttempts[Statement.key()] = {Statement.Upstream,
                                        std::move(Statement.Session),
-                                       now() + DetachedAttemptTimeout};
+                                       now() + DetachedAttemptTimeout, false};
 }
 
 /// Sends reads that take much longer than usual to another upstream as well:
@@ -95,8 +121,7 @@
   for (const auto &Key : Expired) {
     auto Extracted = DetachedAttempts.extract(Key);
     auto &Detached = Extracted.mapped();
-    if (auto *Upstream = findUpstream(Detached.Upstream))
-      --Upstream->InFlight;
+    endDetachedAttempt(Detached);
     closeSession(Detached.Upstream, std::move(Detached.Session));
   }
 }
@@ -137,9 +162,10 @@
   if (auto *Upstream = findUpstream(Id))
     --Upstream->InFlight;
   auto Key = Statement.transactionKey();
-  bool HasTransactionEnded = Statement.isInTransaction() &&
-                             !Statement.opensTransaction() &&
-                             !Transactions.contains(Key);
+  bool HasTransactionEnded =
+      Statement.isInTransaction() &&
+      (Statement.opensTransaction() ? Statement.IsAbandoned
+                                    : !Transactions.contains(Key));
   if (!Statement.isInTransaction()) {
     finishStatement(Statement, std::move(Reply));
     return releaseSession(Id, std::move(Session));
--- a/modules/line/line_group_state.h
+++ b/modules/line/line_group_state.h
@@ -133,6 +133,8 @@
   std::unique_ptr<line_session> Session;
   /// Why it has not been executed so far.
   std::string Reason;
+  /// Its caller has disconnected, or ended the transaction that it opens.
+  bool IsAbandoned = false;
   span Span;
 
   const wire::statement_request &request() const { return Arrived.Statement; }
@@ -160,13 +162,21 @@
 };
 
 /// An attempt that its statement no longer waits for, or not for it alone: a
-/// read that was sent to another upstream as well, or a statement that timed
-/// out. Its connection is kept open for the answer.
+/// read that was sent to another upstream as well, a statement that timed out,
+/// or the rollback of a transaction that nobody continues. Its connection is
+/// kept open for the answer.
 struct line_detached_attempt {
   upstream_id Upstream;
   std::unique_ptr<line_session> Session;
   /// The connection is closed if there is no answer by then.
   time_point ExpiresAt;
+  bool IsRollback = false;
+};
+
+/// A connection that is being opened.
+struct line_opening {
+  upstream_id Upstream;
+  std::unique_ptr<line_connection> Connection;
 };
 
 /// An open transaction and the connection that it is pinned to.
@@ -272,6 +282,8 @@
   void detachAttempt(line_pending_statement &Statement);
   void hedgeSlowReads();
   void closeExpiredAttempts();
+  void endDetachedAttempt(line_detached_attempt &Detached);
+  void updateGauges();
   std::string describeUpstreams() const;
   bool refuseIfWaitTooLong(line_pending_statement &Statement);
   queue_rate &rateOf(const line_pending_statement &Statement);
@@ -356,7 +368,7 @@
   queue_rate ReadRate;
   queue_rate PrimaryRate;
   /// Connections that are being opened, by attempt.
-  std::map<std::uint64_t, std::unique_ptr<line_connection>> Connecting;
+  std::map<std::uint64_t, line_opening> Connecting;
   position_history PositionHistory;
   std::uint64_t LastId = 0;
   bool StartingQueued = false;
@@ -366,6 +378,10 @@
   std::optional<time_point> DeadlineAt;
   latency_histogram &QueueSeconds;
   latency_histogram &StatementSeconds;
+  /// Transactions that callers have open at upstreams.
+  gauge &OpenTransactions;
+  /// Connections that execute a statement or hold a transaction.
+  gauge &ConnectionsInUse;
 };
 
 } // namespace teasellock
--- a/tests/line_group_fixture.h
+++ b/tests/line_group_fixture.h
@@ -121,7 +121,7 @@
     std::string Text;
     std::int64_t Transaction = 0;
     bool OpensTransaction = false;
-    std::map<std::string, std::string> Settings;
+    std::map<std::string, std::string> Settings = {};
     duration Timeout = fromMilliseconds(2000);
     /// Of a prepared statement; its shape is Text.
     std::string Arguments = "";
--- a/tests/soak/upstream_group.cpp
+++ b/tests/soak/upstream_group.cpp
@@ -255,6 +255,14 @@
 
 std::uint64_t upstream_group::promotions() const { return State->Promotions; }
 
+std::size_t upstream_group::openTransactions() const {
+  std::size_t Count = 0;
+  for (const auto &Server : State->Servers)
+    for (const auto &Session : Server.Sessions)
+      Count += Session->Transaction ? 1 : 0;
+  return Count;
+}
+
 std::uint64_t upstream_group::unknownNames() const {
   return State->UnknownNames;
 }
--- a/tests/soak/upstream_group.h
+++ b/tests/soak/upstream_group.h
@@ -84,6 +84,8 @@
   /// Returns how often a prepared statement was executed under a name that its
   /// session did not have.
   std::uint64_t unknownNames() const;
+  /// Returns the number of transactions that are open at the upstreams.
+  std::size_t openTransactions() const;
 
 private:
   struct state;
