Line: connections to an upstream's earlier incarnation do not count

Change: connections that are being opened are dropped with the upstream's record. Sessions in use need no more: statements, transactions, detached attempts and rollbacks are ended with the record.

Evidence: 'line: connections of an earlier incarnation do not count' fails without it (4 of 4 writes refused).

--- a/modules/line/line_group.cpp
+++ b/modules/line/line_group.cpp
@@ -190,6 +190,9 @@
                 [&](const auto &Entry) { return Entry.second.Upstream == Id; });
   std::erase_if(DetachedAttempts,
                 [&](const auto &Entry) { return Entry.second.Upstream == Id; });
+  // They must not count for the upstream's next incarnation.
+  std::erase_if(Connecting,
+                [&](const auto &Entry) { return Entry.second.Upstream == Id; });
   Upstreams.erase(Id);
 }
 
--- a/tests/test_line_group_departures.cpp
+++ b/tests/test_line_group_departures.cpp
@@ -99,3 +99,24 @@
   Fixture.run(RestTime);
   CHECK(Fixture.gaugeOf("teasellock_gateway_connections_in_use") == 0);
 }
+
+// Guards against counters of an upstream's next incarnation that a connection
+// to the one before decrements below zero: no more connections were opened.
+TEST_CASE("line: connections of an earlier incarnation do not count") {
+  leaving_fixture Fixture;
+  Fixture.Upstreams.injectFault(0, soak::upstream_fault::Crashed);
+  Fixture.Upstreams.recover(0);
+  for (int Incarnation = 2; Incarnation < 6; ++Incarnation) {
+    Fixture.View.Upstreams[0].Incarnation =
+        incarnation(static_cast<std::uint64_t>(Incarnation));
+    Fixture.Gateway->apply(Fixture.View);
+    Fixture.Loop.runOnce();
+  }
+  Fixture.run(fromMilliseconds(500));
+  for (int Number = 0; Number < 4; ++Number)
+    CHECK(Fixture.succeeded(
+        Fixture.finish({"w" + std::to_string(Number + 1),
+                        wire::line_verb::write, "WRITE item b"})));
+  Fixture.run(fromMilliseconds(500));
+  CHECK(Fixture.gaugeOf("teasellock_gateway_connections_in_use") == 0);
+}
