Control: a new leader waits for announcements before it replaces a failed primary

Cause: the rule needs all replicas, and a leader that has just been elected takes those that it has heard of for all.

Change: an order for a failed primary is made once the leader has led for the upstreams' interval of announcements (setting announcement-ms, from the platform's settings file) and 300 ms. A planned replacement doesn't wait, as the demoted primary tells the end of its log. Cost: up to 1.5 s for a primary that fails within 1.5 s of a change of leader.

--- a/main/daemon_settings.cpp
+++ b/main/daemon_settings.cpp
@@ -336,6 +336,13 @@
       "vm-timeout-ms", "a VM without renewals loses its assignments after this",
       "3000",
       [](daemon_settings &S) -> duration & { return S.Control.VmTimeout; }));
+  Definitions.push_back(makeDurationSetting(
+      "announcement-ms",
+      "how often upstreams announce themselves; a new control leader waits for "
+      "it before it replaces a failed primary through the platform",
+      "1200", [](daemon_settings &S) -> duration & {
+        return S.Control.AnnouncementInterval;
+      }));
   Definitions.push_back(makeDurationSetting(
       "election-ms", "minimum election timeout of the control group", "500",
       [](daemon_settings &S) -> duration & {
--- a/modules/control/control_service.cpp
+++ b/modules/control/control_service.cpp
@@ -24,6 +24,10 @@
 /// views have about 6 KB, which a link of 2 Mbit/s delivers in 25 ms.
 constexpr std::size_t MaxRepeatedViews = 16;
 
+/// Upstreams keep their interval only roughly, and an announcement takes a
+/// while to reach the leader.
+const duration AnnouncementMargin = fromMilliseconds(300);
+
 decision_settings decisionSettings(const control_settings &Settings) {
   decision_settings Result;
   Result.LeaseTime = Settings.LeaseTime;
@@ -31,6 +35,8 @@
   Result.OrderTimeout = Settings.OrderTimeout;
   Result.VmTimeout = Settings.VmTimeout;
   Result.RegistrationPause = Settings.RegistrationPause;
+  Result.AnnouncementInterval =
+      Settings.AnnouncementInterval + AnnouncementMargin;
   Result.Method = Settings.Method;
   return Result;
 }
--- a/modules/control/control_service.h
+++ b/modules/control/control_service.h
@@ -25,6 +25,8 @@
   duration VmTimeout = fromMilliseconds(3000);
   /// See decision_settings.
   duration RegistrationPause = fromMilliseconds(200);
+  /// How often upstreams announce themselves, about.
+  duration AnnouncementInterval = fromMilliseconds(1200);
   promotion_method Method = promotion_method::Fence;
   /// With promotion_method::Pause: sends an order to the platform and calls
   /// back with its answer.
--- a/modules/control/leader_state.h
+++ b/modules/control/leader_state.h
@@ -249,6 +249,9 @@
   /// for this long counts as lost: well beyond the longest partition after
   /// which a replica comes back.
   duration UpstreamLossTimeout = fromMilliseconds(20000);
+  /// Maximum interval between two announcements of an upstream, also while no
+  /// leader answers them.
+  duration AnnouncementInterval = fromMilliseconds(1500);
 };
 
 /// The actions that are due for a group.
--- a/modules/control/pause_promotion.cpp
+++ b/modules/control/pause_promotion.cpp
@@ -341,9 +341,15 @@
 /// writes of a lost replica are waited for as long as that or the former
 /// primary may still come back.
 const candidate *candidateOfPauses(const group_state &Group,
+                                   const leader_state &Leader,
                                    const pause_answers &Answers,
                                    const decision_settings &Settings,
                                    time_point Now, const pause_rules &Rules) {
+  // A replica that started while there was no leader may have confirmed writes
+  // and is heard with its next announcement.
+  bool HasHeardAll = Now - Leader.LeadingSince >= Settings.AnnouncementInterval;
+  if (Rules.AwaitAnnouncements && !HasHeardAll)
+    return nullptr;
   bool MayCoverWrites = !Answers.isOlderThan(Settings.UpstreamLossTimeout, Now);
   if ((Rules.RequireAllReplicas && !Answers.Missing.empty()) ||
       (Rules.CheckDirty && Group.Dirty && MayCoverWrites))
@@ -388,7 +394,7 @@
     }
   }
   if (const auto *Best =
-          candidateOfPauses(Group, Answers, Settings, Now, Rules))
+          candidateOfPauses(Group, Leader, Answers, Settings, Now, Rules))
     return decideCandidate(Group, *Best);
   bool IsStuck =
       Group.Dirty || Answers.isOlderThan(Settings.StuckPromotionTimeout, Now);
--- a/modules/control/pause_promotion.h
+++ b/modules/control/pause_promotion.h
@@ -36,6 +36,8 @@
   bool DemoteFirst = true;
   /// But not while an order to promote it again may still be carried out.
   bool CheckUnsettledOrders = true;
+  /// A new leader waits until it must have heard of every replica.
+  bool AwaitAnnouncements = true;
   /// Gateways neither write to the primary nor acknowledge its commits once the
   /// replicas are being paused. Evaluated only by the tests' simulation.
   bool FenceGateways = true;
--- a/modules/control/tests/test_pause_promotion.cpp
+++ b/modules/control/tests/test_pause_promotion.cpp
@@ -26,6 +26,10 @@
   bool ChangesIds = false;
   /// The primary is lost for good at the end.
   bool PrimaryIsLost = false;
+  /// Control is down for a while now and then, and a further replica starts at
+  /// any time. Upstreams announce themselves when they start and then once per
+  /// AnnouncementInterval.
+  bool ControlRestarts = false;
 };
 
 /// A primary that works leaves while a replica that control does not know
@@ -39,6 +43,9 @@
 /// Upstreams come back under other ids.
 constexpr scenario ChangedIds{true, false, false, false, true};
 constexpr scenario ChangedIdsThenLoss{true, false, false, false, true, true};
+/// A replica starts while control is down, and the primary crashes.
+constexpr scenario ControlRestart{true,  false, false, false,
+                                  false, false, true};
 
 /// Simulates upstreams with logs, a platform that executes orders late, and a
 /// control leader that uses the real decisions. The oracle is the log of
@@ -48,7 +55,10 @@
   pause_simulation(std::uint64_t Seed, const pause_rules &Rules,
                    const scenario &Scenario = {})
       : Random(Seed), Rules(Rules), Scenario(Scenario),
-        Upstreams(Scenario.HasUnknownReplica || Scenario.ReplicaJoins ? 4 : 3) {
+        Upstreams(Scenario.HasUnknownReplica || Scenario.ReplicaJoins ||
+                          Scenario.ControlRestarts
+                      ? 4
+                      : 3) {
     Group.Group = group_id("g");
     Group.Removed = false;
     Group.Row.AckReplicas = 1;
@@ -63,7 +73,7 @@
       Upstreams[Id].Incarnation = 1;
     for (std::size_t Id = 0; Id < KnownCount; ++Id)
       announce(Id);
-    if (Scenario.ReplicaJoins)
+    if (Scenario.ReplicaJoins || Scenario.ControlRestarts)
       Upstreams[KnownCount].Alive = false;
     report();
   }
@@ -132,6 +142,7 @@
   }
 
   static constexpr std::size_t KnownCount = 3;
+  static constexpr std::uint64_t MaxControlDownMs = 1500;
   using entry = std::pair<std::uint64_t, std::uint64_t>;
 
   struct upstream {
@@ -142,6 +153,7 @@
     time_point ConnectedAt;
     /// How often it came back under another id.
     int Life = 0;
+    time_point NextAnnouncementAt;
   };
 
   struct order {
@@ -271,12 +283,40 @@
       Acknowledged = Replica.Log;
   }
 
+  /// Sends an announcement, which is lost while control is down.
+  void announceInTime(std::size_t Id) {
+    Upstreams[Id].NextAnnouncementAt = Now + Settings.AnnouncementInterval;
+    if (Now >= ControlUpAt)
+      announce(Id);
+  }
+
+  /// Sends the announcements that are due.
+  void announceAll() {
+    for (std::size_t Id = 0; Id < Upstreams.size(); ++Id)
+      if (Upstreams[Id].Alive && Now >= Upstreams[Id].NextAnnouncementAt)
+        announceInTime(Id);
+  }
+
+  /// Another leader takes over with the replicated state and the announcements.
+  void changeLeader() {
+    auto Announced = Leader.LastAnnouncements;
+    Leader = leader_state();
+    Leader.LastAnnouncements = Announced;
+    if (Scenario.ControlRestarts)
+      ControlUpAt =
+          Now +
+          fromMilliseconds(static_cast<std::int64_t>(pick(MaxControlDownMs)));
+    Leader.LeadingSince = std::max(Now, ControlUpAt);
+  }
+
   /// A crashed upstream comes back with its log.
   void revive(std::size_t Id) {
     auto &Upstream = Upstreams[Id];
     if (Upstream.Alive)
       return;
     Upstream.Alive = true;
+    if (Scenario.ControlRestarts)
+      announceInTime(Id);
     if (!Scenario.ChangesIds)
       return;
     ++Upstream.Life;
@@ -360,6 +400,8 @@
   }
 
   void decide() {
+    if (Now < ControlUpAt)
+      return;
     report();
     auto Cleaning = decidePauseDirtyClearing(Group, Leader);
     auto Decision = decidePausePromotion(Group, Leader, Settings, Now, Rules);
@@ -394,6 +436,8 @@
         !Group.Upstreams.contains(name(KnownCount)))
       announce(KnownCount);
     advanceTime(static_cast<std::int64_t>(pick(30)));
+    if (Scenario.ControlRestarts)
+      announceAll();
     std::size_t Id = pick(Upstreams.size());
     switch (pick(14)) {
     case 0:
@@ -406,6 +450,8 @@
     case 5:
       return pick(40) == 0 ? restart(Id) : replicate(Id);
     case 6:
+      if (Scenario.ControlRestarts)
+        return;
       // Control hears of the further replica late, if at all.
       if (Group.Upstreams.contains(name(Id)) ||
           (Upstreams[Id].Alive && pick(20) == 0))
@@ -417,7 +463,8 @@
         Upstreams[Id].Alive = false;
       return;
     case 8:
-      if (Id < KnownCount || Scenario.HasUnknownReplica || Group.Promotion)
+      if (Id < KnownCount || Scenario.HasUnknownReplica ||
+          Scenario.ControlRestarts || Group.Promotion)
         revive(Id);
       return;
     case 9:
@@ -430,14 +477,8 @@
         return execute(Order);
       }
     case 10:
-      // Another leader takes over with the replicated state and the
-      // announcements.
-      if (pick(10) == 0) {
-        auto Announced = Leader.LastAnnouncements;
-        Leader = leader_state();
-        Leader.LastAnnouncements = Announced;
-        Leader.LeadingSince = Now;
-      }
+      if (pick(10) == 0)
+        changeLeader();
       return;
     default:
       return decide();
@@ -462,6 +503,7 @@
   std::vector<order> Orders;
   std::uint64_t Fence = 0;
   write_fence WriteFence;
+  time_point ControlUpAt;
   bool Lost = false;
   int Promotions = 0;
 };
@@ -511,6 +553,10 @@
     Rules.CheckUnsettledOrders = false;
     Scenario = CrashDuringHandover;
   }
+  SUBCASE("announcements of all replicas") {
+    Rules.AwaitAnnouncements = false;
+    Scenario = ControlRestart;
+  }
   SUBCASE("no writes while replicas are paused") {
     Rules.FenceGateways = false;
     Scenario = JoinDuringFailover;
@@ -549,6 +595,20 @@
   CHECK(Promotions > static_cast<int>(Seeds) / 2);
 }
 
+// Guards against the loss of writes that only a replica has confirmed which
+// started while control was down: the next leader had not heard of it.
+TEST_CASE("control: no acknowledged commit is lost when a replica starts while "
+          "control is down") {
+  int Promotions = 0;
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    pause_simulation Simulation(Seed, {}, ControlRestart);
+    CAPTURE(Seed);
+    REQUIRE_FALSE(Simulation.losesCommit(Steps));
+    Promotions += Simulation.promotions();
+  }
+  CHECK(Promotions > static_cast<int>(Seeds) / 2);
+}
+
 // Guards against promotions that wait without end for an upstream that came
 // back under another id, or for a lost one.
 TEST_CASE("control: writes are possible again once disturbances end") {
@@ -558,6 +618,7 @@
   SUBCASE("a replica joins") { Scenario = JoinDuringFailover; }
   SUBCASE("changed ids") { Scenario = ChangedIds; }
   SUBCASE("changed ids, primary lost") { Scenario = ChangedIdsThenLoss; }
+  SUBCASE("control restarts") { Scenario = ControlRestart; }
   duration Longest{};
   for (std::uint64_t Seed = 1; Seed <= ProgressSeeds; ++Seed) {
     pause_simulation Simulation(Seed, {}, Scenario);
