Line: a gateway that takes over grants a leaving upstream no grace period

Cause: a gateway counted the grace period from its first sight of the announcement, also when it took the group over long after it.

Change: an upstream that was leaving when the gateway first saw it gets no statements. Ruled out: an older view.

--- a/modules/control/tests/test_assignment.cpp
+++ b/modules/control/tests/test_assignment.cpp
@@ -1,4 +1,5 @@
 #include "modules/control/assignment.h"
+#include "modules/control/pause_promotion.h"
 
 #include <doctest/doctest.h>
 #include <set>
@@ -28,6 +29,34 @@
   CHECK(Pause.Next->Holders.empty());
 }
 
+// An announcement may name a group that no row has: nothing must connect to the
+// address that it names.
+TEST_CASE("control: a group that only an announcement names gets no gateways") {
+  control_state State;
+  leader_state Leader;
+  time_point Now(fromMilliseconds(100000));
+  vm_record Vm;
+  Vm.Vm = vm_id("vm");
+  Vm.Incarnation = incarnation(1);
+  State.Vms[Vm.Vm] = Vm;
+  Leader.Vms[Vm.Vm].LastReceivedAt = Now;
+  upstream_announcement Announcement;
+  Announcement.Group = group_id("unknown");
+  Announcement.Upstream = upstream_id("u");
+  Announcement.Address = {"10.0.0.1", 5432};
+  Announcement.ClaimsPrimary = true;
+  Announcement.Connections = 24;
+  applyCommand(State, revision(1), makeAnnouncementCommand(Announcement));
+  decision_settings Settings;
+  Settings.Method = promotion_method::Pause;
+  for (const auto &[Name, Group] : State.Groups) {
+    CHECK(Group.Removed);
+    auto Decision = decideAssignment(State, Group, Leader, Settings, Now);
+    CHECK_FALSE(Decision.Next);
+    CHECK_FALSE(decidePausePromotion(Group, Leader, Settings, Now).Next);
+  }
+}
+
 TEST_CASE("control: after a change of leader a few VMs do not get all groups") {
   // Shortly after a change of leader most VMs have not sent it a renewal yet.
   // Their groups must not be moved to the few that have.
--- a/modules/line/line_group.cpp
+++ b/modules/line/line_group.cpp
@@ -160,8 +160,10 @@
     // nothing is known of it without a probe.
     if (!Known)
       probe(Id);
+    // An upstream that this gateway never knew otherwise may have been leaving
+    // for long, so no grace period is left.
     if (Announcement.Leaving && !Upstream.LeavingSince)
-      Upstream.LeavingSince = now();
+      Upstream.LeavingSince = Known ? now() : now() - LeavingPrimaryGracePeriod;
     trimIdleSessions(Upstream);
     for (std::uint32_t ConnectionCount =
              Upstream.ConnectionsInUse + Upstream.ConnectionsOpening +
--- a/modules/line/line_group_state.h
+++ b/modules/line/line_group_state.h
@@ -57,7 +57,8 @@
   duration ConnectDelay{};
   /// No statement is sent before this: the upstream rejected one as busy.
   time_point BusyUntil;
-  /// When its announcement first said that it is leaving.
+  /// When its announcement first said that it is leaving. Long ago if it did
+  /// when this gateway first saw it.
   std::optional<time_point> LeavingSince;
 
   /// Whether it is the primary, in Term, as far as this gateway knows.
