--- /dev/null
+++ b/modules/control/pause_answers.cpp
@@ -0,0 +1,143 @@
+#include "modules/control/pause_answers.h"
+
+#include "modules/control/departed_upstreams.h"
+#include "modules/control/group_reports.h"
+#include "modules/control/pause_progress.h"
+
+namespace teasellock {
+
+namespace {
+
+/// Reports whether the upstream counts as a replica while the primary is
+/// replaced: all but the former primary do, unless that was demoted.
+bool isReplica(const group_state &Group, const pause_progress &Progress,
+               const upstream_id &Upstream) {
+  return Group.Promotion->Deposed != Upstream ||
+         (demotionTarget(Group) && Progress.PausedReplicas.contains(Upstream));
+}
+
+/// Reports whether the paused replica is of the incarnation that control knows.
+/// This holds if that incarnation announced itself after the connection was
+/// opened.
+bool isConfirmed(const group_state &Group, const leader_state &Leader,
+                 const upstream_announcement &Upstream,
+                 const paused_replica &Answer) {
+  if (Answer.Incarnation != Upstream.Incarnation)
+    return false;
+  auto LastAnnouncement =
+      Leader.LastAnnouncements.find({Group.Group, Upstream.Upstream});
+  return LastAnnouncement != Leader.LastAnnouncements.end() &&
+         LastAnnouncement->second.Incarnation == Upstream.Incarnation &&
+         LastAnnouncement->second.ReceivedAt >= Answer.ConnectedBy;
+}
+
+/// Returns the end of the log of a primary that was demoted for its
+/// replacement. No acknowledged write lies beyond it.
+std::optional<position> demotedPosition(const group_state &Group,
+                                        const pause_progress *Progress) {
+  auto Target = demotionTarget(Group);
+  if (!Target || !Progress)
+    return std::nullopt;
+  auto Answer = Progress->PausedReplicas.find(*Target);
+  if (Answer == Progress->PausedReplicas.end())
+    return std::nullopt;
+  return Answer->second.Received;
+}
+
+/// Returns the replicas that are paused and confirmed, by upstream; adds the
+/// others to Missing, except for those that are lost.
+std::map<upstream_id, paused_replica>
+confirmedReplicas(const group_state &Group, const leader_state &Leader,
+                  const pause_progress &Progress,
+                  const decision_settings &Settings, time_point Now,
+                  const pause_rules &Rules, std::string &Missing) {
+  std::map<upstream_id, paused_replica> Result;
+  auto Probes = latestProbes(Group, Leader, Settings, Now);
+  for (const auto &[Name, Upstream] : Group.Upstreams) {
+    if (!isReplica(Group, Progress, Name))
+      continue;
+    auto Answer = Progress.PausedReplicas.find(Name);
+    if (Answer == Progress.PausedReplicas.end() &&
+        isLost(Group, Leader, Probes, Settings, Now, Name))
+      continue;
+    if (Answer == Progress.PausedReplicas.end()) {
+      Missing += Name.Value + " (no answer) ";
+      continue;
+    }
+    if (Rules.RequireSameIncarnation &&
+        !isConfirmed(Group, Leader, Upstream, Answer->second)) {
+      Missing += Name.Value + " (incarnation not confirmed) ";
+      continue;
+    }
+    Result.insert(*Answer);
+  }
+  return Result;
+}
+
+/// Returns the replica with the highest position, or null; of equal ones, one
+/// that is not leaving.
+const candidate *
+highestReplica(const group_state &Group,
+               const std::map<upstream_id, paused_replica> &Answers) {
+  const candidate *Best = nullptr;
+  auto Rank = [&](const auto &Entry) {
+    return std::pair(Entry.second.Received,
+                     !Group.Upstreams.at(Entry.first).Leaving);
+  };
+  for (const auto &Entry : Answers)
+    if (!Best || Rank(*Best) < Rank(Entry))
+      Best = &Entry;
+  return Best;
+}
+
+} // namespace
+
+std::optional<upstream_id> demotionTarget(const group_state &Group) {
+  return Group.Promotion->Planned ? Group.Promotion->Deposed : std::nullopt;
+}
+
+pause_answers collectAnswers(const group_state &Group,
+                             const leader_state &Leader,
+                             const decision_settings &Settings, time_point Now,
+                             const pause_rules &Rules) {
+  pause_answers Answers;
+  Answers.Progress = progressOf(Group, Leader);
+  if (Answers.Progress)
+    Answers.Confirmed =
+        confirmedReplicas(Group, Leader, *Answers.Progress, Settings, Now,
+                          Rules, Answers.Missing);
+  return Answers;
+}
+
+bool hasHeardAll(const leader_state &Leader, const decision_settings &Settings,
+                 time_point Now) {
+  return Now - Leader.LeadingSince >= Settings.AnnouncementInterval;
+}
+
+const candidate *candidateOfPauses(const group_state &Group,
+                                   const leader_state &Leader,
+                                   const pause_answers &Answers,
+                                   const decision_settings &Settings,
+                                   time_point Now, const pause_rules &Rules) {
+  if (Rules.AwaitAnnouncements && !hasHeardAll(Leader, Settings, Now))
+    return nullptr;
+  bool MayCoverWrites = !Answers.isOlderThan(Settings.UpstreamLossTimeout, Now);
+  if ((Rules.RequireAllReplicas && !Answers.Missing.empty()) ||
+      (Rules.CheckDirty && Group.Dirty && MayCoverWrites))
+    return nullptr;
+  return highestReplica(Group, Answers.Confirmed);
+}
+
+const candidate *candidateAfterDemotion(const group_state &Group,
+                                        const pause_answers &Answers,
+                                        time_point Now) {
+  auto End = demotedPosition(Group, Answers.Progress);
+  const auto *Best = highestReplica(Group, Answers.Confirmed);
+  if (!End || !Best || Best->second.Received < *End)
+    return nullptr;
+  bool MayWait =
+      !Answers.Missing.empty() && !Answers.isOlderThan(DemotionTimeout, Now);
+  return Best->first == Group.Promotion->Deposed && MayWait ? nullptr : Best;
+}
+
+} // namespace teasellock
--- a/modules/control/pause_promotion.cpp
+++ b/modules/control/pause_promotion.cpp
@@ -3,6 +3,7 @@
 #include "modules/control/departed_upstreams.h"
 #include "modules/control/group_reports.h"
 #include "modules/control/leases.h"
+#include "modules/control/pause_answers.h"
 #include "modules/control/pause_progress.h"
 #include "modules/control/primary_health.h"
 #include "modules/control/promotion_steps.h"
@@ -17,9 +18,6 @@
 /// platform accepts tens of calls per second. After a refusal the replicas are
 /// paused again at once.
 const duration FailedOrderDelay = fromMilliseconds(200);
-/// A primary that no gateway could demote within this time is replaced like one
-/// that has failed.
-const duration DemotionTimeout = fromMilliseconds(1000);
 constexpr const char *FormerPrimaryReason =
     "promotion abandoned: the former primary is reachable again";
 
@@ -79,19 +77,6 @@
                    toString(Leading->Replayed.Term));
 }
 
-/// Returns the primary that is to be demoted before it is replaced, if any.
-std::optional<upstream_id> demotionTarget(const group_state &Group) {
-  return Group.Promotion->Planned ? Group.Promotion->Deposed : std::nullopt;
-}
-
-/// Reports whether the upstream counts as a replica while the primary is
-/// replaced: all but the former primary do, unless that was demoted.
-bool isReplica(const group_state &Group, const pause_progress &Progress,
-               const upstream_id &Upstream) {
-  return Group.Promotion->Deposed != Upstream ||
-         (demotionTarget(Group) && Progress.PausedReplicas.contains(Upstream));
-}
-
 //===----------------------------------------------------------------------===//
 // A group with a primary
 //===----------------------------------------------------------------------===//
@@ -162,21 +147,6 @@
 // Pausing
 //===----------------------------------------------------------------------===//
 
-/// Reports whether the paused replica is of the incarnation that control knows.
-/// This holds if that incarnation announced itself after the connection was
-/// opened.
-bool isConfirmed(const group_state &Group, const leader_state &Leader,
-                 const upstream_announcement &Upstream,
-                 const paused_replica &Answer) {
-  if (Answer.Incarnation != Upstream.Incarnation)
-    return false;
-  auto LastAnnouncement =
-      Leader.LastAnnouncements.find({Group.Group, Upstream.Upstream});
-  return LastAnnouncement != Leader.LastAnnouncements.end() &&
-         LastAnnouncement->second.Incarnation == Upstream.Incarnation &&
-         LastAnnouncement->second.ReceivedAt >= Answer.ConnectedBy;
-}
-
 std::vector<gateway_incarnation> duePauses(const group_state &Group,
                                            const pause_progress *Progress,
                                            const decision_settings &Settings,
@@ -203,68 +173,6 @@
   return Highest;
 }
 
-/// Returns the end of the log of a primary that was demoted for its
-/// replacement. No acknowledged write lies beyond it.
-std::optional<position> demotedPosition(const group_state &Group,
-                                        const pause_progress *Progress) {
-  auto Target = demotionTarget(Group);
-  if (!Target || !Progress)
-    return std::nullopt;
-  auto Answer = Progress->PausedReplicas.find(*Target);
-  if (Answer == Progress->PausedReplicas.end())
-    return std::nullopt;
-  return Answer->second.Received;
-}
-
-/// Returns the replicas that are paused and confirmed, by upstream; adds the
-/// others to Missing, except for those that are lost.
-std::map<upstream_id, paused_replica>
-confirmedReplicas(const group_state &Group, const leader_state &Leader,
-                  const pause_progress &Progress,
-                  const decision_settings &Settings, time_point Now,
-                  const pause_rules &Rules, std::string &Missing) {
-  std::map<upstream_id, paused_replica> Result;
-  auto Probes = latestProbes(Group, Leader, Settings, Now);
-  for (const auto &[Name, Upstream] : Group.Upstreams) {
-    if (!isReplica(Group, Progress, Name))
-      continue;
-    auto Answer = Progress.PausedReplicas.find(Name);
-    if (Answer == Progress.PausedReplicas.end() &&
-        isLost(Group, Leader, Probes, Settings, Now, Name))
-      continue;
-    if (Answer == Progress.PausedReplicas.end()) {
-      Missing += Name.Value + " (no answer) ";
-      continue;
-    }
-    if (Rules.RequireSameIncarnation &&
-        !isConfirmed(Group, Leader, Upstream, Answer->second)) {
-      Missing += Name.Value + " (incarnation not confirmed) ";
-      continue;
-    }
-    Result.insert(*Answer);
-  }
-  return Result;
-}
-
-/// An upstream that may be promoted, and its answer.
-using candidate = std::pair<const upstream_id, paused_replica>;
-
-/// Returns the replica with the highest position, or null; of equal ones, one
-/// that is not leaving.
-const candidate *
-highestReplica(const group_state &Group,
-               const std::map<upstream_id, paused_replica> &Answers) {
-  const candidate *Best = nullptr;
-  auto Rank = [&](const auto &Entry) {
-    return std::pair(Entry.second.Received,
-                     !Group.Upstreams.at(Entry.first).Leaving);
-  };
-  for (const auto &Entry : Answers)
-    if (!Best || Rank(*Best) < Rank(Entry))
-      Best = &Entry;
-  return Best;
-}
-
 /// Returns the former primary if it is reachable and still primary of its term,
 /// so that it may go on instead of being replaced; otherwise null.
 const upstream_observation *
@@ -309,69 +217,6 @@
   return decideCandidate(Group, {Former.Upstream, Position});
 }
 
-/// What the upstreams of a group have answered so far.
-struct pause_answers {
-  /// Null before gateways were first asked.
-  const pause_progress *Progress = nullptr;
-  /// The replicas that are paused and confirmed, and the former primary once it
-  /// is demoted.
-  std::map<upstream_id, paused_replica> Confirmed;
-  /// The others, for the reason to wait.
-  std::string Missing;
-
-  bool isOlderThan(duration Span, time_point Now) const {
-    return Progress && Now - Progress->StartedAt >= Span;
-  }
-};
-
-pause_answers collectAnswers(const group_state &Group,
-                             const leader_state &Leader,
-                             const decision_settings &Settings, time_point Now,
-                             const pause_rules &Rules) {
-  pause_answers Answers;
-  Answers.Progress = progressOf(Group, Leader);
-  if (Answers.Progress)
-    Answers.Confirmed =
-        confirmedReplicas(Group, Leader, *Answers.Progress, Settings, Now,
-                          Rules, Answers.Missing);
-  return Answers;
-}
-
-/// Returns the upstream to promote if all replicas are paused, or null. The
-/// writes of a lost replica are waited for as long as that or the former
-/// primary may still come back.
-const candidate *candidateOfPauses(const group_state &Group,
-                                   const leader_state &Leader,
-                                   const pause_answers &Answers,
-                                   const decision_settings &Settings,
-                                   time_point Now, const pause_rules &Rules) {
-  // A replica that started while there was no leader may have confirmed writes
-  // and is heard with its next announcement.
-  bool HasHeardAll = Now - Leader.LeadingSince >= Settings.AnnouncementInterval;
-  if (Rules.AwaitAnnouncements && !HasHeardAll)
-    return nullptr;
-  bool MayCoverWrites = !Answers.isOlderThan(Settings.UpstreamLossTimeout, Now);
-  if ((Rules.RequireAllReplicas && !Answers.Missing.empty()) ||
-      (Rules.CheckDirty && Group.Dirty && MayCoverWrites))
-    return nullptr;
-  return highestReplica(Group, Answers.Confirmed);
-}
-
-/// Returns the upstream to promote if the primary was demoted, or null: any
-/// that has the primary's whole log. The former primary itself has, but
-/// replicas that have not answered yet are preferred for a while.
-const candidate *candidateAfterDemotion(const group_state &Group,
-                                        const pause_answers &Answers,
-                                        time_point Now) {
-  auto End = demotedPosition(Group, Answers.Progress);
-  const auto *Best = highestReplica(Group, Answers.Confirmed);
-  if (!End || !Best || Best->second.Received < *End)
-    return nullptr;
-  bool MayWait =
-      !Answers.Missing.empty() && !Answers.isOlderThan(DemotionTimeout, Now);
-  return Best->first == Group.Promotion->Deposed && MayWait ? nullptr : Best;
-}
-
 group_decision decidePausing(const group_state &Group,
                              const leader_state &Leader,
                              const decision_settings &Settings, time_point Now,
@@ -402,7 +247,8 @@
     return decideAbandonment(Group, Leader, *Former);
   Decision.WaitingReason =
       "waiting for replicas to be paused: " + Answers.Missing +
-      (Group.Dirty ? "(writes of a lost replica are not covered yet)" : "");
+      (Group.Dirty ? "(writes of a lost replica are not covered yet)" : "") +
+      (hasHeardAll(Leader, Settings, Now) ? "" : "(announcements of others)");
   return Decision;
 }
 
--- a/modules/line/line_group_state.h
+++ b/modules/line/line_group_state.h
@@ -1,7 +1,8 @@
 /// Internal declarations of the group gateway for the line protocol, shared by
 /// its source files: connections and scheduling in line_group.cpp and
-/// line_group_statements.cpp, outcomes in line_group_outcomes.cpp, probes,
-/// fencing and reports in line_group_probes.cpp.
+/// line_group_statements.cpp, outcomes in line_group_outcomes.cpp, probes and
+/// reports in line_group_probes.cpp, orders of control in
+/// line_group_pauses.cpp.
 #pragma once
 
 #include "modules/line/admission_control.h"
--- a/tests/test_line_group_failover.cpp
+++ b/tests/test_line_group_failover.cpp
@@ -8,6 +8,18 @@
 constexpr std::size_t KnownReplica = 1;
 constexpr std::size_t UnknownReplica = 2;
 
+/// A write that the primary has logged and no replica has received.
+struct unconfirmed_write_fixture : line_group_fixture {
+  std::shared_ptr<collected_reply> Write;
+
+  unconfirmed_write_fixture() : line_group_fixture(2) {
+    Upstreams.cutReplication(KnownReplica, true);
+    Upstreams.cutReplication(UnknownReplica, true);
+    Write = start({"w1", wire::line_verb::write, "WRITE item a"});
+    REQUIRE(runUntil([&] { return Upstreams.primaryLog().size() == 1; }));
+  }
+};
+
 } // namespace
 
 // Guards against commits that only a replica confirms which joined after the
@@ -54,13 +66,8 @@
 
 TEST_CASE("line: a commit that only an unknown replica confirms during a "
           "promotion is not acknowledged") {
-  line_group_fixture Fixture(2);
-  Fixture.Upstreams.cutReplication(KnownReplica, true);
-  Fixture.Upstreams.cutReplication(UnknownReplica, true);
-  auto Write = Fixture.start(
-      {"w1", wire::line_verb::write, "WRITE item a", 0, false, {}});
-  REQUIRE(Fixture.runUntil(
-      [&] { return Fixture.Upstreams.primaryLog().size() == 1; }));
+  unconfirmed_write_fixture Fixture;
+  const auto &Write = Fixture.Write;
   Fixture.fence();
   CHECK_FALSE(Write->Done);
   Fixture.Upstreams.cutReplication(UnknownReplica, false);
@@ -70,13 +77,8 @@
 
 TEST_CASE("line: a commit that a paused replica has is acknowledged during a "
           "promotion") {
-  line_group_fixture Fixture(2);
-  Fixture.Upstreams.cutReplication(KnownReplica, true);
-  Fixture.Upstreams.cutReplication(UnknownReplica, true);
-  auto Write = Fixture.start(
-      {"w1", wire::line_verb::write, "WRITE item a", 0, false, {}});
-  REQUIRE(Fixture.runUntil(
-      [&] { return Fixture.Upstreams.primaryLog().size() == 1; }));
+  unconfirmed_write_fixture Fixture;
+  const auto &Write = Fixture.Write;
   // The view that begins the promotion arrives before the order to pause.
   Fixture.View.Primary.reset();
   Fixture.View.Revision = revision(line_group_fixture::PromotionRevision);
