Line, Control: one piece of code for logic that stood twice

Read again in the diff, no change of behaviour: tryStart() asks isFenced() instead of repeating its test; a departed upstream is remembered by one function of control_state; status requests and RESUME are enqueued by one function; answers to pauses are collected only if they are used.

--- a/modules/control/control_state.cpp
+++ b/modules/control/control_state.cpp
@@ -91,9 +91,7 @@
 /// takes place until another replica is known to hold it.
 void recordDeparture(group_state &Group, const upstream_announcement &Departed,
                      revision Index) {
-  Group.Departed.push_back({Departed.Upstream, Departed.Incarnation});
-  if (Group.Departed.size() > MaxRememberedDepartures)
-    Group.Departed.pop_front();
+  rememberDeparture(Group, Departed, false);
   if (Group.Primary == Departed.Upstream)
     return;
   Group.Dirty = true;
@@ -160,6 +158,14 @@
 
 } // namespace
 
+void rememberDeparture(group_state &Group,
+                       const upstream_announcement &Departed, bool WasSilent) {
+  Group.Departed.push_back(
+      {Departed.Upstream, Departed.Incarnation, WasSilent});
+  if (Group.Departed.size() > MaxRememberedDepartures)
+    Group.Departed.pop_front();
+}
+
 group_index buildGroupIndex(const control_state &State) {
   group_index Index;
   Index.LatestRevision = State.Deployment.Revision;
--- a/modules/control/control_state.h
+++ b/modules/control/control_state.h
@@ -199,6 +199,11 @@
   bool operator==(const control_state &) const = default;
 };
 
+/// Remembers an upstream incarnation that has left. WasSilent: it was given up
+/// after a long silence and may still run.
+void rememberDeparture(group_state &Group,
+                       const upstream_announcement &Departed, bool WasSilent);
+
 /// Derives the index from the groups and VMs.
 group_index buildGroupIndex(const control_state &State);
 
--- a/modules/control/departed_upstreams.cpp
+++ b/modules/control/departed_upstreams.cpp
@@ -11,10 +11,7 @@
 /// Removes an upstream that is gone.
 void removeUpstream(group_state &Group, const upstream_id &Upstream,
                     bool WasSilent) {
-  Group.Departed.push_back(
-      {Upstream, Group.Upstreams.at(Upstream).Incarnation, WasSilent});
-  if (Group.Departed.size() > MaxRememberedDepartures)
-    Group.Departed.pop_front();
+  rememberDeparture(Group, Group.Upstreams.at(Upstream), WasSilent);
   Group.Upstreams.erase(Upstream);
 }
 
--- a/modules/control/pause_promotion.cpp
+++ b/modules/control/pause_promotion.cpp
@@ -320,8 +320,10 @@
                            const decision_settings &Settings, time_point Now,
                            const pause_rules &Rules) {
   auto Decision = decideOrderProgress(Group, Leader, Settings, Now);
+  if (Decision.Next)
+    return Decision;
   auto Answers = collectAnswers(Group, Leader, Settings, Now, Rules);
-  if (Decision.Next || Answers.Missing.empty())
+  if (Answers.Missing.empty())
     return Decision;
   auto Probes = latestProbes(Group, Leader, Settings, Now);
   Decision.FenceTargets = duePauses(Group, Answers.Progress, Settings, Now);
--- a/modules/line/line_group_pauses.cpp
+++ b/modules/line/line_group_pauses.cpp
@@ -145,14 +145,9 @@
     if (!Upstream.IsPrimary)
       Ids.push_back(Id);
   for (const auto &Id : Ids) {
-    line_probe_request Request;
-    protocol().AppendResume(Request.Bytes);
-    Request.OnResult = [Weak = weak_from_this(),
-                        Id](const line_batch_result &Result) {
-      if (auto Self = Weak.lock())
-        Self->applyStatus(Id, Result);
-    };
-    enqueueProbeRequest(Id, std::move(Request));
+    std::string Bytes;
+    protocol().AppendResume(Bytes);
+    enqueueStatusRequest(Id, std::move(Bytes));
   }
 }
 
--- a/modules/line/line_group_probes.cpp
+++ b/modules/line/line_group_probes.cpp
@@ -237,8 +237,16 @@
   if (!Upstream)
     return;
   Upstream->StatusRequestedAt = now();
+  std::string Bytes;
+  protocol().AppendStatus(Bytes);
+  enqueueStatusRequest(Id, std::move(Bytes));
+}
+
+/// Sends a statement that is answered with the upstream's status.
+void line_group::enqueueStatusRequest(const upstream_id &Id,
+                                      std::string Bytes) {
   line_probe_request Request;
-  protocol().AppendStatus(Request.Bytes);
+  Request.Bytes = std::move(Bytes);
   Request.OnResult = [Weak = weak_from_this(),
                       Id](const line_batch_result &Result) {
     if (auto Self = Weak.lock())
--- a/modules/line/line_group_state.h
+++ b/modules/line/line_group_state.h
@@ -332,6 +332,7 @@
   void onProbeResult(const upstream_id &Id, const line_batch_result &Result);
   void probe(const upstream_id &Id);
   void requestStatus(const upstream_id &Id);
+  void enqueueStatusRequest(const upstream_id &Id, std::string Bytes);
   void applyStatus(const upstream_id &Id, const line_batch_result &Result);
   void probeUpstreams();
   void recordPositionSample(time_point RequestedAt, const position &Position);
--- a/modules/line/line_group_statements.cpp
+++ b/modules/line/line_group_statements.cpp
@@ -178,8 +178,7 @@
     Statement.Reason = "the group has no primary";
     return false;
   }
-  if (Statement.Destination == line_destination::Primary &&
-      !mayWrite(WriteFence, Upstreams.at(*Primary).Term)) {
+  if (isFenced(Statement)) {
     Statement.Reason = PrimaryReplacedMessage;
     return false;
   }
