--- a/modules/control/control_messages.thrift
+++ b/modules/control/control_messages.thrift
@@ -66,6 +66,26 @@
   7: i64 target_ms;
   /// 0 is the highest priority.
   8: i32 priority;
+  /// Callers need no key.
+  9: bool is_public;
+}
+
+/// An organisation whose callers identify themselves by a key.
+struct organisation {
+  1: string name;
+  /// Digests of its keys; the keys themselves are not sent to VMs.
+  2: list<binary> key_digests;
+  /// Operations a second that it may start on all VMs together, and how many
+  /// beyond that at once. Absent: no limit.
+  3: optional double rate_per_s;
+  4: optional double burst;
+  /// 0 is the highest priority.
+  5: i32 priority;
+}
+
+/// The organisations of a version.
+struct organisations {
+  1: list<organisation> entries;
 }
 
 /// The routes and limits in force. The highest version wins.
@@ -73,6 +93,8 @@
   1: i64 version;
   2: list<route> routes;
   3: i64 idle_transaction_ms;
+  /// Absent: callers need no key.
+  4: optional organisations organisations;
 }
 
 /// A part of a new version's routes: some of the version before, then others.
@@ -90,6 +112,10 @@
   2: i64 version;
   3: list<deployment_piece> pieces;
   4: i64 idle_transaction_ms;
+  /// Set if the version has organisations that differ from those of the base.
+  5: optional organisations organisations;
+  /// The organisations are those of the base.
+  6: bool keeps_organisations;
 }
 
 /// Patches that follow each other.
--- a/modules/control/gen/control_messages_types.cpp
+++ b/modules/control/gen/control_messages_types.cpp
@@ -959,6 +959,10 @@
 void route::__set_priority(const int32_t val) {
   this->priority = val;
 }
+
+void route::__set_is_public(const bool val) {
+  this->is_public = val;
+}
 std::ostream& operator<<(std::ostream& out, const route& obj)
 {
   obj.printTo(out);
@@ -1053,6 +1057,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->is_public);
+          this->__isset.is_public = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1102,6 +1114,10 @@
   xfer += oprot->writeI32(this->priority);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("is_public", ::apache::thrift::protocol::T_BOOL, 9);
+  xfer += oprot->writeBool(this->is_public);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1117,6 +1133,7 @@
   swap(a.statement_ms, b.statement_ms);
   swap(a.target_ms, b.target_ms);
   swap(a.priority, b.priority);
+  swap(a.is_public, b.is_public);
   swap(a.__isset, b.__isset);
 }
 
@@ -1129,6 +1146,7 @@
   statement_ms = other29.statement_ms;
   target_ms = other29.target_ms;
   priority = other29.priority;
+  is_public = other29.is_public;
   __isset = other29.__isset;
 }
 route::route(route&& other30) noexcept {
@@ -1140,6 +1158,7 @@
   statement_ms = other30.statement_ms;
   target_ms = other30.target_ms;
   priority = other30.priority;
+  is_public = other30.is_public;
   __isset = other30.__isset;
 }
 route& route::operator=(const route& other31) {
@@ -1151,6 +1170,7 @@
   statement_ms = other31.statement_ms;
   target_ms = other31.target_ms;
   priority = other31.priority;
+  is_public = other31.is_public;
   __isset = other31.__isset;
   return *this;
 }
@@ -1163,6 +1183,7 @@
   statement_ms = other32.statement_ms;
   target_ms = other32.target_ms;
   priority = other32.priority;
+  is_public = other32.is_public;
   __isset = other32.__isset;
   return *this;
 }
@@ -1177,6 +1198,341 @@
   out << ", " << "statement_ms=" << to_string(statement_ms);
   out << ", " << "target_ms=" << to_string(target_ms);
   out << ", " << "priority=" << to_string(priority);
+  out << ", " << "is_public=" << to_string(is_public);
+  out << ")";
+}
+
+
+organisation::~organisation() noexcept {
+}
+
+
+void organisation::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void organisation::__set_key_digests(const std::vector<std::string> & val) {
+  this->key_digests = val;
+}
+
+void organisation::__set_rate_per_s(const double val) {
+  this->rate_per_s = val;
+__isset.rate_per_s = true;
+}
+
+void organisation::__set_burst(const double val) {
+  this->burst = val;
+__isset.burst = true;
+}
+
+void organisation::__set_priority(const int32_t val) {
+  this->priority = val;
+}
+std::ostream& operator<<(std::ostream& out, const organisation& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t organisation::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->key_digests.clear();
+            uint32_t _size33;
+            ::apache::thrift::protocol::TType _etype36;
+            xfer += iprot->readListBegin(_etype36, _size33);
+            this->key_digests.resize(_size33);
+            uint32_t _i37;
+            for (_i37 = 0; _i37 < _size33; ++_i37)
+            {
+              xfer += iprot->readBinary(this->key_digests[_i37]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.key_digests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->rate_per_s);
+          this->__isset.rate_per_s = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->burst);
+          this->__isset.burst = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->priority);
+          this->__isset.priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t organisation::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("organisation");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("key_digests", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->key_digests.size()));
+    std::vector<std::string> ::const_iterator _iter38;
+    for (_iter38 = this->key_digests.begin(); _iter38 != this->key_digests.end(); ++_iter38)
+    {
+      xfer += oprot->writeBinary((*_iter38));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.rate_per_s) {
+    xfer += oprot->writeFieldBegin("rate_per_s", ::apache::thrift::protocol::T_DOUBLE, 3);
+    xfer += oprot->writeDouble(this->rate_per_s);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.burst) {
+    xfer += oprot->writeFieldBegin("burst", ::apache::thrift::protocol::T_DOUBLE, 4);
+    xfer += oprot->writeDouble(this->burst);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->priority);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(organisation &a, organisation &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.key_digests, b.key_digests);
+  swap(a.rate_per_s, b.rate_per_s);
+  swap(a.burst, b.burst);
+  swap(a.priority, b.priority);
+  swap(a.__isset, b.__isset);
+}
+
+organisation::organisation(const organisation& other39) {
+  name = other39.name;
+  key_digests = other39.key_digests;
+  rate_per_s = other39.rate_per_s;
+  burst = other39.burst;
+  priority = other39.priority;
+  __isset = other39.__isset;
+}
+organisation::organisation(organisation&& other40) noexcept {
+  name = std::move(other40.name);
+  key_digests = std::move(other40.key_digests);
+  rate_per_s = other40.rate_per_s;
+  burst = other40.burst;
+  priority = other40.priority;
+  __isset = other40.__isset;
+}
+organisation& organisation::operator=(const organisation& other41) {
+  name = other41.name;
+  key_digests = other41.key_digests;
+  rate_per_s = other41.rate_per_s;
+  burst = other41.burst;
+  priority = other41.priority;
+  __isset = other41.__isset;
+  return *this;
+}
+organisation& organisation::operator=(organisation&& other42) noexcept {
+  name = std::move(other42.name);
+  key_digests = std::move(other42.key_digests);
+  rate_per_s = other42.rate_per_s;
+  burst = other42.burst;
+  priority = other42.priority;
+  __isset = other42.__isset;
+  return *this;
+}
+void organisation::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "organisation(";
+  out << "name=" << to_string(name);
+  out << ", " << "key_digests=" << to_string(key_digests);
+  out << ", " << "rate_per_s="; (__isset.rate_per_s ? (out << to_string(rate_per_s)) : (out << "<null>"));
+  out << ", " << "burst="; (__isset.burst ? (out << to_string(burst)) : (out << "<null>"));
+  out << ", " << "priority=" << to_string(priority);
+  out << ")";
+}
+
+
+organisations::~organisations() noexcept {
+}
+
+
+void organisations::__set_entries(const std::vector<organisation> & val) {
+  this->entries = val;
+}
+std::ostream& operator<<(std::ostream& out, const organisations& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t organisations::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->entries.clear();
+            uint32_t _size43;
+            ::apache::thrift::protocol::TType _etype46;
+            xfer += iprot->readListBegin(_etype46, _size43);
+            this->entries.resize(_size43);
+            uint32_t _i47;
+            for (_i47 = 0; _i47 < _size43; ++_i47)
+            {
+              xfer += this->entries[_i47].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.entries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t organisations::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("organisations");
+
+  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
+    std::vector<organisation> ::const_iterator _iter48;
+    for (_iter48 = this->entries.begin(); _iter48 != this->entries.end(); ++_iter48)
+    {
+      xfer += (*_iter48).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(organisations &a, organisations &b) {
+  using ::std::swap;
+  swap(a.entries, b.entries);
+  swap(a.__isset, b.__isset);
+}
+
+organisations::organisations(const organisations& other49) {
+  entries = other49.entries;
+  __isset = other49.__isset;
+}
+organisations::organisations(organisations&& other50) noexcept {
+  entries = std::move(other50.entries);
+  __isset = other50.__isset;
+}
+organisations& organisations::operator=(const organisations& other51) {
+  entries = other51.entries;
+  __isset = other51.__isset;
+  return *this;
+}
+organisations& organisations::operator=(organisations&& other52) noexcept {
+  entries = std::move(other52.entries);
+  __isset = other52.__isset;
+  return *this;
+}
+void organisations::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "organisations(";
+  out << "entries=" << to_string(entries);
   out << ")";
 }
 
@@ -1196,6 +1552,11 @@
 void deployment::__set_idle_transaction_ms(const int64_t val) {
   this->idle_transaction_ms = val;
 }
+
+void deployment::__set_organisations(const organisations& val) {
+  this->organisations = val;
+__isset.organisations = true;
+}
 std::ostream& operator<<(std::ostream& out, const deployment& obj)
 {
   obj.printTo(out);
@@ -1236,14 +1597,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->routes.clear();
-            uint32_t _size33;
-            ::apache::thrift::protocol::TType _etype36;
-            xfer += iprot->readListBegin(_etype36, _size33);
-            this->routes.resize(_size33);
-            uint32_t _i37;
-            for (_i37 = 0; _i37 < _size33; ++_i37)
+            uint32_t _size53;
+            ::apache::thrift::protocol::TType _etype56;
+            xfer += iprot->readListBegin(_etype56, _size53);
+            this->routes.resize(_size53);
+            uint32_t _i57;
+            for (_i57 = 0; _i57 < _size53; ++_i57)
             {
-              xfer += this->routes[_i37].read(iprot);
+              xfer += this->routes[_i57].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1260,6 +1621,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->organisations.read(iprot);
+          this->__isset.organisations = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1284,10 +1653,10 @@
   xfer += oprot->writeFieldBegin("routes", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->routes.size()));
-    std::vector<route> ::const_iterator _iter38;
-    for (_iter38 = this->routes.begin(); _iter38 != this->routes.end(); ++_iter38)
+    std::vector<route> ::const_iterator _iter58;
+    for (_iter58 = this->routes.begin(); _iter58 != this->routes.end(); ++_iter58)
     {
-      xfer += (*_iter38).write(oprot);
+      xfer += (*_iter58).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1297,6 +1666,11 @@
   xfer += oprot->writeI64(this->idle_transaction_ms);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.organisations) {
+    xfer += oprot->writeFieldBegin("organisations", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->organisations.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1307,33 +1681,38 @@
   swap(a.version, b.version);
   swap(a.routes, b.routes);
   swap(a.idle_transaction_ms, b.idle_transaction_ms);
+  swap(a.organisations, b.organisations);
   swap(a.__isset, b.__isset);
 }
 
-deployment::deployment(const deployment& other39) {
-  version = other39.version;
-  routes = other39.routes;
-  idle_transaction_ms = other39.idle_transaction_ms;
-  __isset = other39.__isset;
+deployment::deployment(const deployment& other59) {
+  version = other59.version;
+  routes = other59.routes;
+  idle_transaction_ms = other59.idle_transaction_ms;
+  organisations = other59.organisations;
+  __isset = other59.__isset;
 }
-deployment::deployment(deployment&& other40) noexcept {
-  version = other40.version;
-  routes = std::move(other40.routes);
-  idle_transaction_ms = other40.idle_transaction_ms;
-  __isset = other40.__isset;
+deployment::deployment(deployment&& other60) noexcept {
+  version = other60.version;
+  routes = std::move(other60.routes);
+  idle_transaction_ms = other60.idle_transaction_ms;
+  organisations = std::move(other60.organisations);
+  __isset = other60.__isset;
 }
-deployment& deployment::operator=(const deployment& other41) {
-  version = other41.version;
-  routes = other41.routes;
-  idle_transaction_ms = other41.idle_transaction_ms;
-  __isset = other41.__isset;
+deployment& deployment::operator=(const deployment& other61) {
+  version = other61.version;
+  routes = other61.routes;
+  idle_transaction_ms = other61.idle_transaction_ms;
+  organisations = other61.organisations;
+  __isset = other61.__isset;
   return *this;
 }
-deployment& deployment::operator=(deployment&& other42) noexcept {
-  version = other42.version;
-  routes = std::move(other42.routes);
-  idle_transaction_ms = other42.idle_transaction_ms;
-  __isset = other42.__isset;
+deployment& deployment::operator=(deployment&& other62) noexcept {
+  version = other62.version;
+  routes = std::move(other62.routes);
+  idle_transaction_ms = other62.idle_transaction_ms;
+  organisations = std::move(other62.organisations);
+  __isset = other62.__isset;
   return *this;
 }
 void deployment::printTo(std::ostream& out) const {
@@ -1342,6 +1721,7 @@
   out << "version=" << to_string(version);
   out << ", " << "routes=" << to_string(routes);
   out << ", " << "idle_transaction_ms=" << to_string(idle_transaction_ms);
+  out << ", " << "organisations="; (__isset.organisations ? (out << to_string(organisations)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1409,14 +1789,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->added.clear();
-            uint32_t _size43;
-            ::apache::thrift::protocol::TType _etype46;
-            xfer += iprot->readListBegin(_etype46, _size43);
-            this->added.resize(_size43);
-            uint32_t _i47;
-            for (_i47 = 0; _i47 < _size43; ++_i47)
+            uint32_t _size63;
+            ::apache::thrift::protocol::TType _etype66;
+            xfer += iprot->readListBegin(_etype66, _size63);
+            this->added.resize(_size63);
+            uint32_t _i67;
+            for (_i67 = 0; _i67 < _size63; ++_i67)
             {
-              xfer += this->added[_i47].read(iprot);
+              xfer += this->added[_i67].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1453,10 +1833,10 @@
   xfer += oprot->writeFieldBegin("added", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->added.size()));
-    std::vector<route> ::const_iterator _iter48;
-    for (_iter48 = this->added.begin(); _iter48 != this->added.end(); ++_iter48)
+    std::vector<route> ::const_iterator _iter68;
+    for (_iter68 = this->added.begin(); _iter68 != this->added.end(); ++_iter68)
     {
-      xfer += (*_iter48).write(oprot);
+      xfer += (*_iter68).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1475,30 +1855,30 @@
   swap(a.__isset, b.__isset);
 }
 
-deployment_piece::deployment_piece(const deployment_piece& other49) {
-  first = other49.first;
-  count = other49.count;
-  added = other49.added;
-  __isset = other49.__isset;
+deployment_piece::deployment_piece(const deployment_piece& other69) {
+  first = other69.first;
+  count = other69.count;
+  added = other69.added;
+  __isset = other69.__isset;
 }
-deployment_piece::deployment_piece(deployment_piece&& other50) noexcept {
-  first = other50.first;
-  count = other50.count;
-  added = std::move(other50.added);
-  __isset = other50.__isset;
+deployment_piece::deployment_piece(deployment_piece&& other70) noexcept {
+  first = other70.first;
+  count = other70.count;
+  added = std::move(other70.added);
+  __isset = other70.__isset;
 }
-deployment_piece& deployment_piece::operator=(const deployment_piece& other51) {
-  first = other51.first;
-  count = other51.count;
-  added = other51.added;
-  __isset = other51.__isset;
+deployment_piece& deployment_piece::operator=(const deployment_piece& other71) {
+  first = other71.first;
+  count = other71.count;
+  added = other71.added;
+  __isset = other71.__isset;
   return *this;
 }
-deployment_piece& deployment_piece::operator=(deployment_piece&& other52) noexcept {
-  first = other52.first;
-  count = other52.count;
-  added = std::move(other52.added);
-  __isset = other52.__isset;
+deployment_piece& deployment_piece::operator=(deployment_piece&& other72) noexcept {
+  first = other72.first;
+  count = other72.count;
+  added = std::move(other72.added);
+  __isset = other72.__isset;
   return *this;
 }
 void deployment_piece::printTo(std::ostream& out) const {
@@ -1530,6 +1910,15 @@
 void deployment_patch::__set_idle_transaction_ms(const int64_t val) {
   this->idle_transaction_ms = val;
 }
+
+void deployment_patch::__set_organisations(const organisations& val) {
+  this->organisations = val;
+__isset.organisations = true;
+}
+
+void deployment_patch::__set_keeps_organisations(const bool val) {
+  this->keeps_organisations = val;
+}
 std::ostream& operator<<(std::ostream& out, const deployment_patch& obj)
 {
   obj.printTo(out);
@@ -1578,14 +1967,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->pieces.clear();
-            uint32_t _size53;
-            ::apache::thrift::protocol::TType _etype56;
-            xfer += iprot->readListBegin(_etype56, _size53);
-            this->pieces.resize(_size53);
-            uint32_t _i57;
-            for (_i57 = 0; _i57 < _size53; ++_i57)
+            uint32_t _size73;
+            ::apache::thrift::protocol::TType _etype76;
+            xfer += iprot->readListBegin(_etype76, _size73);
+            this->pieces.resize(_size73);
+            uint32_t _i77;
+            for (_i77 = 0; _i77 < _size73; ++_i77)
             {
-              xfer += this->pieces[_i57].read(iprot);
+              xfer += this->pieces[_i77].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1602,6 +1991,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->organisations.read(iprot);
+          this->__isset.organisations = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->keeps_organisations);
+          this->__isset.keeps_organisations = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1630,10 +2035,10 @@
   xfer += oprot->writeFieldBegin("pieces", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->pieces.size()));
-    std::vector<deployment_piece> ::const_iterator _iter58;
-    for (_iter58 = this->pieces.begin(); _iter58 != this->pieces.end(); ++_iter58)
+    std::vector<deployment_piece> ::const_iterator _iter78;
+    for (_iter78 = this->pieces.begin(); _iter78 != this->pieces.end(); ++_iter78)
     {
-      xfer += (*_iter58).write(oprot);
+      xfer += (*_iter78).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1643,6 +2048,15 @@
   xfer += oprot->writeI64(this->idle_transaction_ms);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.organisations) {
+    xfer += oprot->writeFieldBegin("organisations", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->organisations.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("keeps_organisations", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->keeps_organisations);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1654,37 +2068,47 @@
   swap(a.version, b.version);
   swap(a.pieces, b.pieces);
   swap(a.idle_transaction_ms, b.idle_transaction_ms);
+  swap(a.organisations, b.organisations);
+  swap(a.keeps_organisations, b.keeps_organisations);
   swap(a.__isset, b.__isset);
 }
 
-deployment_patch::deployment_patch(const deployment_patch& other59) {
-  base_version = other59.base_version;
-  version = other59.version;
-  pieces = other59.pieces;
-  idle_transaction_ms = other59.idle_transaction_ms;
-  __isset = other59.__isset;
-}
-deployment_patch::deployment_patch(deployment_patch&& other60) noexcept {
-  base_version = other60.base_version;
-  version = other60.version;
-  pieces = std::move(other60.pieces);
-  idle_transaction_ms = other60.idle_transaction_ms;
-  __isset = other60.__isset;
-}
-deployment_patch& deployment_patch::operator=(const deployment_patch& other61) {
-  base_version = other61.base_version;
-  version = other61.version;
-  pieces = other61.pieces;
-  idle_transaction_ms = other61.idle_transaction_ms;
-  __isset = other61.__isset;
+deployment_patch::deployment_patch(const deployment_patch& other79) {
+  base_version = other79.base_version;
+  version = other79.version;
+  pieces = other79.pieces;
+  idle_transaction_ms = other79.idle_transaction_ms;
+  organisations = other79.organisations;
+  keeps_organisations = other79.keeps_organisations;
+  __isset = other79.__isset;
+}
+deployment_patch::deployment_patch(deployment_patch&& other80) noexcept {
+  base_version = other80.base_version;
+  version = other80.version;
+  pieces = std::move(other80.pieces);
+  idle_transaction_ms = other80.idle_transaction_ms;
+  organisations = std::move(other80.organisations);
+  keeps_organisations = other80.keeps_organisations;
+  __isset = other80.__isset;
+}
+deployment_patch& deployment_patch::operator=(const deployment_patch& other81) {
+  base_version = other81.base_version;
+  version = other81.version;
+  pieces = other81.pieces;
+  idle_transaction_ms = other81.idle_transaction_ms;
+  organisations = other81.organisations;
+  keeps_organisations = other81.keeps_organisations;
+  __isset = other81.__isset;
   return *this;
 }
-deployment_patch& deployment_patch::operator=(deployment_patch&& other62) noexcept {
-  base_version = other62.base_version;
-  version = other62.version;
-  pieces = std::move(other62.pieces);
-  idle_transaction_ms = other62.idle_transaction_ms;
-  __isset = other62.__isset;
+deployment_patch& deployment_patch::operator=(deployment_patch&& other82) noexcept {
+  base_version = other82.base_version;
+  version = other82.version;
+  pieces = std::move(other82.pieces);
+  idle_transaction_ms = other82.idle_transaction_ms;
+  organisations = std::move(other82.organisations);
+  keeps_organisations = other82.keeps_organisations;
+  __isset = other82.__isset;
   return *this;
 }
 void deployment_patch::printTo(std::ostream& out) const {
@@ -1694,6 +2118,8 @@
   out << ", " << "version=" << to_string(version);
   out << ", " << "pieces=" << to_string(pieces);
   out << ", " << "idle_transaction_ms=" << to_string(idle_transaction_ms);
+  out << ", " << "organisations="; (__isset.organisations ? (out << to_string(organisations)) : (out << "<null>"));
+  out << ", " << "keeps_organisations=" << to_string(keeps_organisations);
   out << ")";
 }
 
@@ -1737,14 +2163,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->patches.clear();
-            uint32_t _size63;
-            ::apache::thrift::protocol::TType _etype66;
-            xfer += iprot->readListBegin(_etype66, _size63);
-            this->patches.resize(_size63);
-            uint32_t _i67;
-            for (_i67 = 0; _i67 < _size63; ++_i67)
+            uint32_t _size83;
+            ::apache::thrift::protocol::TType _etype86;
+            xfer += iprot->readListBegin(_etype86, _size83);
+            this->patches.resize(_size83);
+            uint32_t _i87;
+            for (_i87 = 0; _i87 < _size83; ++_i87)
             {
-              xfer += this->patches[_i67].read(iprot);
+              xfer += this->patches[_i87].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1773,10 +2199,10 @@
   xfer += oprot->writeFieldBegin("patches", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->patches.size()));
-    std::vector<deployment_patch> ::const_iterator _iter68;
-    for (_iter68 = this->patches.begin(); _iter68 != this->patches.end(); ++_iter68)
+    std::vector<deployment_patch> ::const_iterator _iter88;
+    for (_iter88 = this->patches.begin(); _iter88 != this->patches.end(); ++_iter88)
     {
-      xfer += (*_iter68).write(oprot);
+      xfer += (*_iter88).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1793,22 +2219,22 @@
   swap(a.__isset, b.__isset);
 }
 
-deployment_patches::deployment_patches(const deployment_patches& other69) {
-  patches = other69.patches;
-  __isset = other69.__isset;
+deployment_patches::deployment_patches(const deployment_patches& other89) {
+  patches = other89.patches;
+  __isset = other89.__isset;
 }
-deployment_patches::deployment_patches(deployment_patches&& other70) noexcept {
-  patches = std::move(other70.patches);
-  __isset = other70.__isset;
+deployment_patches::deployment_patches(deployment_patches&& other90) noexcept {
+  patches = std::move(other90.patches);
+  __isset = other90.__isset;
 }
-deployment_patches& deployment_patches::operator=(const deployment_patches& other71) {
-  patches = other71.patches;
-  __isset = other71.__isset;
+deployment_patches& deployment_patches::operator=(const deployment_patches& other91) {
+  patches = other91.patches;
+  __isset = other91.__isset;
   return *this;
 }
-deployment_patches& deployment_patches::operator=(deployment_patches&& other72) noexcept {
-  patches = std::move(other72.patches);
-  __isset = other72.__isset;
+deployment_patches& deployment_patches::operator=(deployment_patches&& other92) noexcept {
+  patches = std::move(other92.patches);
+  __isset = other92.__isset;
   return *this;
 }
 void deployment_patches::printTo(std::ostream& out) const {
@@ -2013,50 +2439,50 @@
   swap(a.__isset, b.__isset);
 }
 
-gateway_share::gateway_share(const gateway_share& other73) {
-  vm = other73.vm;
-  incarnation = other73.incarnation;
-  address = other73.address;
-  availability_zone = other73.availability_zone;
-  region = other73.region;
-  connections = other73.connections;
-  slots = other73.slots;
-  budget_epoch = other73.budget_epoch;
-  __isset = other73.__isset;
-}
-gateway_share::gateway_share(gateway_share&& other74) noexcept {
-  vm = std::move(other74.vm);
-  incarnation = other74.incarnation;
-  address = std::move(other74.address);
-  availability_zone = std::move(other74.availability_zone);
-  region = std::move(other74.region);
-  connections = other74.connections;
-  slots = other74.slots;
-  budget_epoch = other74.budget_epoch;
-  __isset = other74.__isset;
-}
-gateway_share& gateway_share::operator=(const gateway_share& other75) {
-  vm = other75.vm;
-  incarnation = other75.incarnation;
-  address = other75.address;
-  availability_zone = other75.availability_zone;
-  region = other75.region;
-  connections = other75.connections;
-  slots = other75.slots;
-  budget_epoch = other75.budget_epoch;
-  __isset = other75.__isset;
+gateway_share::gateway_share(const gateway_share& other93) {
+  vm = other93.vm;
+  incarnation = other93.incarnation;
+  address = other93.address;
+  availability_zone = other93.availability_zone;
+  region = other93.region;
+  connections = other93.connections;
+  slots = other93.slots;
+  budget_epoch = other93.budget_epoch;
+  __isset = other93.__isset;
+}
+gateway_share::gateway_share(gateway_share&& other94) noexcept {
+  vm = std::move(other94.vm);
+  incarnation = other94.incarnation;
+  address = std::move(other94.address);
+  availability_zone = std::move(other94.availability_zone);
+  region = std::move(other94.region);
+  connections = other94.connections;
+  slots = other94.slots;
+  budget_epoch = other94.budget_epoch;
+  __isset = other94.__isset;
+}
+gateway_share& gateway_share::operator=(const gateway_share& other95) {
+  vm = other95.vm;
+  incarnation = other95.incarnation;
+  address = other95.address;
+  availability_zone = other95.availability_zone;
+  region = other95.region;
+  connections = other95.connections;
+  slots = other95.slots;
+  budget_epoch = other95.budget_epoch;
+  __isset = other95.__isset;
   return *this;
 }
-gateway_share& gateway_share::operator=(gateway_share&& other76) noexcept {
-  vm = std::move(other76.vm);
-  incarnation = other76.incarnation;
-  address = std::move(other76.address);
-  availability_zone = std::move(other76.availability_zone);
-  region = std::move(other76.region);
-  connections = other76.connections;
-  slots = other76.slots;
-  budget_epoch = other76.budget_epoch;
-  __isset = other76.__isset;
+gateway_share& gateway_share::operator=(gateway_share&& other96) noexcept {
+  vm = std::move(other96.vm);
+  incarnation = other96.incarnation;
+  address = std::move(other96.address);
+  availability_zone = std::move(other96.availability_zone);
+  region = std::move(other96.region);
+  connections = other96.connections;
+  slots = other96.slots;
+  budget_epoch = other96.budget_epoch;
+  __isset = other96.__isset;
   return *this;
 }
 void gateway_share::printTo(std::ostream& out) const {
@@ -2185,14 +2611,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->upstreams.clear();
-            uint32_t _size77;
-            ::apache::thrift::protocol::TType _etype80;
-            xfer += iprot->readListBegin(_etype80, _size77);
-            this->upstreams.resize(_size77);
-            uint32_t _i81;
-            for (_i81 = 0; _i81 < _size77; ++_i81)
+            uint32_t _size97;
+            ::apache::thrift::protocol::TType _etype100;
+            xfer += iprot->readListBegin(_etype100, _size97);
+            this->upstreams.resize(_size97);
+            uint32_t _i101;
+            for (_i101 = 0; _i101 < _size97; ++_i101)
             {
-              xfer += this->upstreams[_i81].read(iprot);
+              xfer += this->upstreams[_i101].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2205,14 +2631,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->gateways.clear();
-            uint32_t _size82;
-            ::apache::thrift::protocol::TType _etype85;
-            xfer += iprot->readListBegin(_etype85, _size82);
-            this->gateways.resize(_size82);
-            uint32_t _i86;
-            for (_i86 = 0; _i86 < _size82; ++_i86)
+            uint32_t _size102;
+            ::apache::thrift::protocol::TType _etype105;
+            xfer += iprot->readListBegin(_etype105, _size102);
+            this->gateways.resize(_size102);
+            uint32_t _i106;
+            for (_i106 = 0; _i106 < _size102; ++_i106)
             {
-              xfer += this->gateways[_i86].read(iprot);
+              xfer += this->gateways[_i106].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2277,10 +2703,10 @@
   xfer += oprot->writeFieldBegin("upstreams", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upstreams.size()));
-    std::vector<announcement> ::const_iterator _iter87;
-    for (_iter87 = this->upstreams.begin(); _iter87 != this->upstreams.end(); ++_iter87)
+    std::vector<announcement> ::const_iterator _iter107;
+    for (_iter107 = this->upstreams.begin(); _iter107 != this->upstreams.end(); ++_iter107)
     {
-      xfer += (*_iter87).write(oprot);
+      xfer += (*_iter107).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2289,10 +2715,10 @@
   xfer += oprot->writeFieldBegin("gateways", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->gateways.size()));
-    std::vector<gateway_share> ::const_iterator _iter88;
-    for (_iter88 = this->gateways.begin(); _iter88 != this->gateways.end(); ++_iter88)
+    std::vector<gateway_share> ::const_iterator _iter108;
+    for (_iter108 = this->gateways.begin(); _iter108 != this->gateways.end(); ++_iter108)
     {
-      xfer += (*_iter88).write(oprot);
+      xfer += (*_iter108).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2325,54 +2751,54 @@
   swap(a.__isset, b.__isset);
 }
 
-group_view::group_view(const group_view& other89) {
-  group = other89.group;
-  revision = other89.revision;
-  row = other89.row;
-  term = other89.term;
-  primary = other89.primary;
-  upstreams = other89.upstreams;
-  gateways = other89.gateways;
-  watermark = other89.watermark;
-  removed = other89.removed;
-  __isset = other89.__isset;
-}
-group_view::group_view(group_view&& other90) noexcept {
-  group = std::move(other90.group);
-  revision = other90.revision;
-  row = std::move(other90.row);
-  term = other90.term;
-  primary = std::move(other90.primary);
-  upstreams = std::move(other90.upstreams);
-  gateways = std::move(other90.gateways);
-  watermark = std::move(other90.watermark);
-  removed = other90.removed;
-  __isset = other90.__isset;
-}
-group_view& group_view::operator=(const group_view& other91) {
-  group = other91.group;
-  revision = other91.revision;
-  row = other91.row;
-  term = other91.term;
-  primary = other91.primary;
-  upstreams = other91.upstreams;
-  gateways = other91.gateways;
-  watermark = other91.watermark;
-  removed = other91.removed;
-  __isset = other91.__isset;
+group_view::group_view(const group_view& other109) {
+  group = other109.group;
+  revision = other109.revision;
+  row = other109.row;
+  term = other109.term;
+  primary = other109.primary;
+  upstreams = other109.upstreams;
+  gateways = other109.gateways;
+  watermark = other109.watermark;
+  removed = other109.removed;
+  __isset = other109.__isset;
+}
+group_view::group_view(group_view&& other110) noexcept {
+  group = std::move(other110.group);
+  revision = other110.revision;
+  row = std::move(other110.row);
+  term = other110.term;
+  primary = std::move(other110.primary);
+  upstreams = std::move(other110.upstreams);
+  gateways = std::move(other110.gateways);
+  watermark = std::move(other110.watermark);
+  removed = other110.removed;
+  __isset = other110.__isset;
+}
+group_view& group_view::operator=(const group_view& other111) {
+  group = other111.group;
+  revision = other111.revision;
+  row = other111.row;
+  term = other111.term;
+  primary = other111.primary;
+  upstreams = other111.upstreams;
+  gateways = other111.gateways;
+  watermark = other111.watermark;
+  removed = other111.removed;
+  __isset = other111.__isset;
   return *this;
 }
-group_view& group_view::operator=(group_view&& other92) noexcept {
-  group = std::move(other92.group);
-  revision = other92.revision;
-  row = std::move(other92.row);
-  term = other92.term;
-  primary = std::move(other92.primary);
-  upstreams = std::move(other92.upstreams);
-  gateways = std::move(other92.gateways);
-  watermark = std::move(other92.watermark);
-  removed = other92.removed;
-  __isset = other92.__isset;
+group_view& group_view::operator=(group_view&& other112) noexcept {
+  group = std::move(other112.group);
+  revision = other112.revision;
+  row = std::move(other112.row);
+  term = other112.term;
+  primary = std::move(other112.primary);
+  upstreams = std::move(other112.upstreams);
+  gateways = std::move(other112.gateways);
+  watermark = std::move(other112.watermark);
+  removed = other112.removed;
+  __isset = other112.__isset;
   return *this;
 }
 void group_view::printTo(std::ostream& out) const {
@@ -2636,62 +3062,62 @@
   swap(a.__isset, b.__isset);
 }
 
-upstream_report::upstream_report(const upstream_report& other93) {
-  upstream = other93.upstream;
-  reachable = other93.reachable;
-  replica = other93.replica;
-  replayed = other93.replayed;
-  age_ms = other93.age_ms;
-  unreachable_ms = other93.unreachable_ms;
-  problem = other93.problem;
-  refused = other93.refused;
-  paused = other93.paused;
-  received = other93.received;
-  connection_age_ms = other93.connection_age_ms;
-  __isset = other93.__isset;
-}
-upstream_report::upstream_report(upstream_report&& other94) noexcept {
-  upstream = std::move(other94.upstream);
-  reachable = other94.reachable;
-  replica = other94.replica;
-  replayed = std::move(other94.replayed);
-  age_ms = other94.age_ms;
-  unreachable_ms = other94.unreachable_ms;
-  problem = std::move(other94.problem);
-  refused = other94.refused;
-  paused = other94.paused;
-  received = std::move(other94.received);
-  connection_age_ms = other94.connection_age_ms;
-  __isset = other94.__isset;
-}
-upstream_report& upstream_report::operator=(const upstream_report& other95) {
-  upstream = other95.upstream;
-  reachable = other95.reachable;
-  replica = other95.replica;
-  replayed = other95.replayed;
-  age_ms = other95.age_ms;
-  unreachable_ms = other95.unreachable_ms;
-  problem = other95.problem;
-  refused = other95.refused;
-  paused = other95.paused;
-  received = other95.received;
-  connection_age_ms = other95.connection_age_ms;
-  __isset = other95.__isset;
+upstream_report::upstream_report(const upstream_report& other113) {
+  upstream = other113.upstream;
+  reachable = other113.reachable;
+  replica = other113.replica;
+  replayed = other113.replayed;
+  age_ms = other113.age_ms;
+  unreachable_ms = other113.unreachable_ms;
+  problem = other113.problem;
+  refused = other113.refused;
+  paused = other113.paused;
+  received = other113.received;
+  connection_age_ms = other113.connection_age_ms;
+  __isset = other113.__isset;
+}
+upstream_report::upstream_report(upstream_report&& other114) noexcept {
+  upstream = std::move(other114.upstream);
+  reachable = other114.reachable;
+  replica = other114.replica;
+  replayed = std::move(other114.replayed);
+  age_ms = other114.age_ms;
+  unreachable_ms = other114.unreachable_ms;
+  problem = std::move(other114.problem);
+  refused = other114.refused;
+  paused = other114.paused;
+  received = std::move(other114.received);
+  connection_age_ms = other114.connection_age_ms;
+  __isset = other114.__isset;
+}
+upstream_report& upstream_report::operator=(const upstream_report& other115) {
+  upstream = other115.upstream;
+  reachable = other115.reachable;
+  replica = other115.replica;
+  replayed = other115.replayed;
+  age_ms = other115.age_ms;
+  unreachable_ms = other115.unreachable_ms;
+  problem = other115.problem;
+  refused = other115.refused;
+  paused = other115.paused;
+  received = other115.received;
+  connection_age_ms = other115.connection_age_ms;
+  __isset = other115.__isset;
   return *this;
 }
-upstream_report& upstream_report::operator=(upstream_report&& other96) noexcept {
-  upstream = std::move(other96.upstream);
-  reachable = other96.reachable;
-  replica = other96.replica;
-  replayed = std::move(other96.replayed);
-  age_ms = other96.age_ms;
-  unreachable_ms = other96.unreachable_ms;
-  problem = std::move(other96.problem);
-  refused = other96.refused;
-  paused = other96.paused;
-  received = std::move(other96.received);
-  connection_age_ms = other96.connection_age_ms;
-  __isset = other96.__isset;
+upstream_report& upstream_report::operator=(upstream_report&& other116) noexcept {
+  upstream = std::move(other116.upstream);
+  reachable = other116.reachable;
+  replica = other116.replica;
+  replayed = std::move(other116.replayed);
+  age_ms = other116.age_ms;
+  unreachable_ms = other116.unreachable_ms;
+  problem = std::move(other116.problem);
+  refused = other116.refused;
+  paused = other116.paused;
+  received = std::move(other116.received);
+  connection_age_ms = other116.connection_age_ms;
+  __isset = other116.__isset;
   return *this;
 }
 void upstream_report::printTo(std::ostream& out) const {
@@ -2799,14 +3225,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->upstreams.clear();
-            uint32_t _size97;
-            ::apache::thrift::protocol::TType _etype100;
-            xfer += iprot->readListBegin(_etype100, _size97);
-            this->upstreams.resize(_size97);
-            uint32_t _i101;
-            for (_i101 = 0; _i101 < _size97; ++_i101)
+            uint32_t _size117;
+            ::apache::thrift::protocol::TType _etype120;
+            xfer += iprot->readListBegin(_etype120, _size117);
+            this->upstreams.resize(_size117);
+            uint32_t _i121;
+            for (_i121 = 0; _i121 < _size117; ++_i121)
             {
-              xfer += this->upstreams[_i101].read(iprot);
+              xfer += this->upstreams[_i121].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2851,10 +3277,10 @@
   xfer += oprot->writeFieldBegin("upstreams", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upstreams.size()));
-    std::vector<upstream_report> ::const_iterator _iter102;
-    for (_iter102 = this->upstreams.begin(); _iter102 != this->upstreams.end(); ++_iter102)
+    std::vector<upstream_report> ::const_iterator _iter122;
+    for (_iter122 = this->upstreams.begin(); _iter122 != this->upstreams.end(); ++_iter122)
     {
-      xfer += (*_iter102).write(oprot);
+      xfer += (*_iter122).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2875,38 +3301,38 @@
   swap(a.__isset, b.__isset);
 }
 
-group_report::group_report(const group_report& other103) {
-  group = other103.group;
-  term = other103.term;
-  acknowledged = other103.acknowledged;
-  budget_epoch = other103.budget_epoch;
-  upstreams = other103.upstreams;
-  __isset = other103.__isset;
-}
-group_report::group_report(group_report&& other104) noexcept {
-  group = std::move(other104.group);
-  term = other104.term;
-  acknowledged = std::move(other104.acknowledged);
-  budget_epoch = other104.budget_epoch;
-  upstreams = std::move(other104.upstreams);
-  __isset = other104.__isset;
-}
-group_report& group_report::operator=(const group_report& other105) {
-  group = other105.group;
-  term = other105.term;
-  acknowledged = other105.acknowledged;
-  budget_epoch = other105.budget_epoch;
-  upstreams = other105.upstreams;
-  __isset = other105.__isset;
+group_report::group_report(const group_report& other123) {
+  group = other123.group;
+  term = other123.term;
+  acknowledged = other123.acknowledged;
+  budget_epoch = other123.budget_epoch;
+  upstreams = other123.upstreams;
+  __isset = other123.__isset;
+}
+group_report::group_report(group_report&& other124) noexcept {
+  group = std::move(other124.group);
+  term = other124.term;
+  acknowledged = std::move(other124.acknowledged);
+  budget_epoch = other124.budget_epoch;
+  upstreams = std::move(other124.upstreams);
+  __isset = other124.__isset;
+}
+group_report& group_report::operator=(const group_report& other125) {
+  group = other125.group;
+  term = other125.term;
+  acknowledged = other125.acknowledged;
+  budget_epoch = other125.budget_epoch;
+  upstreams = other125.upstreams;
+  __isset = other125.__isset;
   return *this;
 }
-group_report& group_report::operator=(group_report&& other106) noexcept {
-  group = std::move(other106.group);
-  term = other106.term;
-  acknowledged = std::move(other106.acknowledged);
-  budget_epoch = other106.budget_epoch;
-  upstreams = std::move(other106.upstreams);
-  __isset = other106.__isset;
+group_report& group_report::operator=(group_report&& other126) noexcept {
+  group = std::move(other126.group);
+  term = other126.term;
+  acknowledged = std::move(other126.acknowledged);
+  budget_epoch = other126.budget_epoch;
+  upstreams = std::move(other126.upstreams);
+  __isset = other126.__isset;
   return *this;
 }
 void group_report::printTo(std::ostream& out) const {
@@ -3092,14 +3518,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->groups.clear();
-            uint32_t _size107;
-            ::apache::thrift::protocol::TType _etype110;
-            xfer += iprot->readListBegin(_etype110, _size107);
-            this->groups.resize(_size107);
-            uint32_t _i111;
-            for (_i111 = 0; _i111 < _size107; ++_i111)
+            uint32_t _size127;
+            ::apache::thrift::protocol::TType _etype130;
+            xfer += iprot->readListBegin(_etype130, _size127);
+            this->groups.resize(_size127);
+            uint32_t _i131;
+            for (_i131 = 0; _i131 < _size127; ++_i131)
             {
-              xfer += this->groups[_i111].read(iprot);
+              xfer += this->groups[_i131].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3112,14 +3538,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->announcements.clear();
-            uint32_t _size112;
-            ::apache::thrift::protocol::TType _etype115;
-            xfer += iprot->readListBegin(_etype115, _size112);
-            this->announcements.resize(_size112);
-            uint32_t _i116;
-            for (_i116 = 0; _i116 < _size112; ++_i116)
+            uint32_t _size132;
+            ::apache::thrift::protocol::TType _etype135;
+            xfer += iprot->readListBegin(_etype135, _size132);
+            this->announcements.resize(_size132);
+            uint32_t _i136;
+            for (_i136 = 0; _i136 < _size132; ++_i136)
             {
-              xfer += this->announcements[_i116].read(iprot);
+              xfer += this->announcements[_i136].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3244,10 +3670,10 @@
   xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
-    std::vector<group_report> ::const_iterator _iter117;
-    for (_iter117 = this->groups.begin(); _iter117 != this->groups.end(); ++_iter117)
+    std::vector<group_report> ::const_iterator _iter137;
+    for (_iter137 = this->groups.begin(); _iter137 != this->groups.end(); ++_iter137)
     {
-      xfer += (*_iter117).write(oprot);
+      xfer += (*_iter137).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3256,10 +3682,10 @@
   xfer += oprot->writeFieldBegin("announcements", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->announcements.size()));
-    std::vector<announcement> ::const_iterator _iter118;
-    for (_iter118 = this->announcements.begin(); _iter118 != this->announcements.end(); ++_iter118)
+    std::vector<announcement> ::const_iterator _iter138;
+    for (_iter138 = this->announcements.begin(); _iter138 != this->announcements.end(); ++_iter138)
     {
-      xfer += (*_iter118).write(oprot);
+      xfer += (*_iter138).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3325,90 +3751,90 @@
   swap(a.__isset, b.__isset);
 }
 
-renewal::renewal(const renewal& other119) {
-  vm = other119.vm;
-  incarnation = other119.incarnation;
-  address = other119.address;
-  availability_zone = other119.availability_zone;
-  region = other119.region;
-  applied_revision = other119.applied_revision;
-  sent_at_us = other119.sent_at_us;
-  draining = other119.draining;
-  groups = other119.groups;
-  announcements = other119.announcements;
-  after_revision = other119.after_revision;
-  after_group = other119.after_group;
-  deployment_version = other119.deployment_version;
-  control_store = other119.control_store;
-  gateway = other119.gateway;
-  accepts_patches = other119.accepts_patches;
-  accepts_pending_views = other119.accepts_pending_views;
-  accepts_pushes = other119.accepts_pushes;
-  __isset = other119.__isset;
-}
-renewal::renewal(renewal&& other120) noexcept {
-  vm = std::move(other120.vm);
-  incarnation = other120.incarnation;
-  address = std::move(other120.address);
-  availability_zone = std::move(other120.availability_zone);
-  region = std::move(other120.region);
-  applied_revision = other120.applied_revision;
-  sent_at_us = other120.sent_at_us;
-  draining = other120.draining;
-  groups = std::move(other120.groups);
-  announcements = std::move(other120.announcements);
-  after_revision = other120.after_revision;
-  after_group = std::move(other120.after_group);
-  deployment_version = other120.deployment_version;
-  control_store = other120.control_store;
-  gateway = other120.gateway;
-  accepts_patches = other120.accepts_patches;
-  accepts_pending_views = other120.accepts_pending_views;
-  accepts_pushes = other120.accepts_pushes;
-  __isset = other120.__isset;
-}
-renewal& renewal::operator=(const renewal& other121) {
-  vm = other121.vm;
-  incarnation = other121.incarnation;
-  address = other121.address;
-  availability_zone = other121.availability_zone;
-  region = other121.region;
-  applied_revision = other121.applied_revision;
-  sent_at_us = other121.sent_at_us;
-  draining = other121.draining;
-  groups = other121.groups;
-  announcements = other121.announcements;
-  after_revision = other121.after_revision;
-  after_group = other121.after_group;
-  deployment_version = other121.deployment_version;
-  control_store = other121.control_store;
-  gateway = other121.gateway;
-  accepts_patches = other121.accepts_patches;
-  accepts_pending_views = other121.accepts_pending_views;
-  accepts_pushes = other121.accepts_pushes;
-  __isset = other121.__isset;
+renewal::renewal(const renewal& other139) {
+  vm = other139.vm;
+  incarnation = other139.incarnation;
+  address = other139.address;
+  availability_zone = other139.availability_zone;
+  region = other139.region;
+  applied_revision = other139.applied_revision;
+  sent_at_us = other139.sent_at_us;
+  draining = other139.draining;
+  groups = other139.groups;
+  announcements = other139.announcements;
+  after_revision = other139.after_revision;
+  after_group = other139.after_group;
+  deployment_version = other139.deployment_version;
+  control_store = other139.control_store;
+  gateway = other139.gateway;
+  accepts_patches = other139.accepts_patches;
+  accepts_pending_views = other139.accepts_pending_views;
+  accepts_pushes = other139.accepts_pushes;
+  __isset = other139.__isset;
+}
+renewal::renewal(renewal&& other140) noexcept {
+  vm = std::move(other140.vm);
+  incarnation = other140.incarnation;
+  address = std::move(other140.address);
+  availability_zone = std::move(other140.availability_zone);
+  region = std::move(other140.region);
+  applied_revision = other140.applied_revision;
+  sent_at_us = other140.sent_at_us;
+  draining = other140.draining;
+  groups = std::move(other140.groups);
+  announcements = std::move(other140.announcements);
+  after_revision = other140.after_revision;
+  after_group = std::move(other140.after_group);
+  deployment_version = other140.deployment_version;
+  control_store = other140.control_store;
+  gateway = other140.gateway;
+  accepts_patches = other140.accepts_patches;
+  accepts_pending_views = other140.accepts_pending_views;
+  accepts_pushes = other140.accepts_pushes;
+  __isset = other140.__isset;
+}
+renewal& renewal::operator=(const renewal& other141) {
+  vm = other141.vm;
+  incarnation = other141.incarnation;
+  address = other141.address;
+  availability_zone = other141.availability_zone;
+  region = other141.region;
+  applied_revision = other141.applied_revision;
+  sent_at_us = other141.sent_at_us;
+  draining = other141.draining;
+  groups = other141.groups;
+  announcements = other141.announcements;
+  after_revision = other141.after_revision;
+  after_group = other141.after_group;
+  deployment_version = other141.deployment_version;
+  control_store = other141.control_store;
+  gateway = other141.gateway;
+  accepts_patches = other141.accepts_patches;
+  accepts_pending_views = other141.accepts_pending_views;
+  accepts_pushes = other141.accepts_pushes;
+  __isset = other141.__isset;
   return *this;
 }
-renewal& renewal::operator=(renewal&& other122) noexcept {
-  vm = std::move(other122.vm);
-  incarnation = other122.incarnation;
-  address = std::move(other122.address);
-  availability_zone = std::move(other122.availability_zone);
-  region = std::move(other122.region);
-  applied_revision = other122.applied_revision;
-  sent_at_us = other122.sent_at_us;
-  draining = other122.draining;
-  groups = std::move(other122.groups);
-  announcements = std::move(other122.announcements);
-  after_revision = other122.after_revision;
-  after_group = std::move(other122.after_group);
-  deployment_version = other122.deployment_version;
-  control_store = other122.control_store;
-  gateway = other122.gateway;
-  accepts_patches = other122.accepts_patches;
-  accepts_pending_views = other122.accepts_pending_views;
-  accepts_pushes = other122.accepts_pushes;
-  __isset = other122.__isset;
+renewal& renewal::operator=(renewal&& other142) noexcept {
+  vm = std::move(other142.vm);
+  incarnation = other142.incarnation;
+  address = std::move(other142.address);
+  availability_zone = std::move(other142.availability_zone);
+  region = std::move(other142.region);
+  applied_revision = other142.applied_revision;
+  sent_at_us = other142.sent_at_us;
+  draining = other142.draining;
+  groups = std::move(other142.groups);
+  announcements = std::move(other142.announcements);
+  after_revision = other142.after_revision;
+  after_group = std::move(other142.after_group);
+  deployment_version = other142.deployment_version;
+  control_store = other142.control_store;
+  gateway = other142.gateway;
+  accepts_patches = other142.accepts_patches;
+  accepts_pending_views = other142.accepts_pending_views;
+  accepts_pushes = other142.accepts_pushes;
+  __isset = other142.__isset;
   return *this;
 }
 void renewal::printTo(std::ostream& out) const {
@@ -3557,14 +3983,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->groups.clear();
-            uint32_t _size123;
-            ::apache::thrift::protocol::TType _etype126;
-            xfer += iprot->readListBegin(_etype126, _size123);
-            this->groups.resize(_size123);
-            uint32_t _i127;
-            for (_i127 = 0; _i127 < _size123; ++_i127)
+            uint32_t _size143;
+            ::apache::thrift::protocol::TType _etype146;
+            xfer += iprot->readListBegin(_etype146, _size143);
+            this->groups.resize(_size143);
+            uint32_t _i147;
+            for (_i147 = 0; _i147 < _size143; ++_i147)
             {
-              xfer += this->groups[_i127].read(iprot);
+              xfer += this->groups[_i147].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3609,14 +4035,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->control.clear();
-            uint32_t _size128;
-            ::apache::thrift::protocol::TType _etype131;
-            xfer += iprot->readListBegin(_etype131, _size128);
-            this->control.resize(_size128);
-            uint32_t _i132;
-            for (_i132 = 0; _i132 < _size128; ++_i132)
+            uint32_t _size148;
+            ::apache::thrift::protocol::TType _etype151;
+            xfer += iprot->readListBegin(_etype151, _size148);
+            this->control.resize(_size148);
+            uint32_t _i152;
+            for (_i152 = 0; _i152 < _size148; ++_i152)
             {
-              xfer += iprot->readString(this->control[_i132]);
+              xfer += iprot->readString(this->control[_i152]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3685,10 +4111,10 @@
   xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
-    std::vector<group_view> ::const_iterator _iter133;
-    for (_iter133 = this->groups.begin(); _iter133 != this->groups.end(); ++_iter133)
+    std::vector<group_view> ::const_iterator _iter153;
+    for (_iter153 = this->groups.begin(); _iter153 != this->groups.end(); ++_iter153)
     {
-      xfer += (*_iter133).write(oprot);
+      xfer += (*_iter153).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3714,10 +4140,10 @@
   xfer += oprot->writeFieldBegin("control", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->control.size()));
-    std::vector<std::string> ::const_iterator _iter134;
-    for (_iter134 = this->control.begin(); _iter134 != this->control.end(); ++_iter134)
+    std::vector<std::string> ::const_iterator _iter154;
+    for (_iter154 = this->control.begin(); _iter154 != this->control.end(); ++_iter154)
     {
-      xfer += oprot->writeString((*_iter134));
+      xfer += oprot->writeString((*_iter154));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3759,70 +4185,70 @@
   swap(a.__isset, b.__isset);
 }
 
-renewal_reply::renewal_reply(const renewal_reply& other135) {
-  granted = other135.granted;
-  sent_at_us = other135.sent_at_us;
-  lease_ms = other135.lease_ms;
-  leader_address = other135.leader_address;
-  groups = other135.groups;
-  revision = other135.revision;
-  more = other135.more;
-  released = other135.released;
-  newer_deployment = other135.newer_deployment;
-  control = other135.control;
-  deployment_patches = other135.deployment_patches;
-  views_pending = other135.views_pending;
-  base_revision = other135.base_revision;
-  __isset = other135.__isset;
-}
-renewal_reply::renewal_reply(renewal_reply&& other136) noexcept {
-  granted = other136.granted;
-  sent_at_us = other136.sent_at_us;
-  lease_ms = other136.lease_ms;
-  leader_address = std::move(other136.leader_address);
-  groups = std::move(other136.groups);
-  revision = other136.revision;
-  more = other136.more;
-  released = other136.released;
-  newer_deployment = std::move(other136.newer_deployment);
-  control = std::move(other136.control);
-  deployment_patches = std::move(other136.deployment_patches);
-  views_pending = other136.views_pending;
-  base_revision = other136.base_revision;
-  __isset = other136.__isset;
-}
-renewal_reply& renewal_reply::operator=(const renewal_reply& other137) {
-  granted = other137.granted;
-  sent_at_us = other137.sent_at_us;
-  lease_ms = other137.lease_ms;
-  leader_address = other137.leader_address;
-  groups = other137.groups;
-  revision = other137.revision;
-  more = other137.more;
-  released = other137.released;
-  newer_deployment = other137.newer_deployment;
-  control = other137.control;
-  deployment_patches = other137.deployment_patches;
-  views_pending = other137.views_pending;
-  base_revision = other137.base_revision;
-  __isset = other137.__isset;
+renewal_reply::renewal_reply(const renewal_reply& other155) {
+  granted = other155.granted;
+  sent_at_us = other155.sent_at_us;
+  lease_ms = other155.lease_ms;
+  leader_address = other155.leader_address;
+  groups = other155.groups;
+  revision = other155.revision;
+  more = other155.more;
+  released = other155.released;
+  newer_deployment = other155.newer_deployment;
+  control = other155.control;
+  deployment_patches = other155.deployment_patches;
+  views_pending = other155.views_pending;
+  base_revision = other155.base_revision;
+  __isset = other155.__isset;
+}
+renewal_reply::renewal_reply(renewal_reply&& other156) noexcept {
+  granted = other156.granted;
+  sent_at_us = other156.sent_at_us;
+  lease_ms = other156.lease_ms;
+  leader_address = std::move(other156.leader_address);
+  groups = std::move(other156.groups);
+  revision = other156.revision;
+  more = other156.more;
+  released = other156.released;
+  newer_deployment = std::move(other156.newer_deployment);
+  control = std::move(other156.control);
+  deployment_patches = std::move(other156.deployment_patches);
+  views_pending = other156.views_pending;
+  base_revision = other156.base_revision;
+  __isset = other156.__isset;
+}
+renewal_reply& renewal_reply::operator=(const renewal_reply& other157) {
+  granted = other157.granted;
+  sent_at_us = other157.sent_at_us;
+  lease_ms = other157.lease_ms;
+  leader_address = other157.leader_address;
+  groups = other157.groups;
+  revision = other157.revision;
+  more = other157.more;
+  released = other157.released;
+  newer_deployment = other157.newer_deployment;
+  control = other157.control;
+  deployment_patches = other157.deployment_patches;
+  views_pending = other157.views_pending;
+  base_revision = other157.base_revision;
+  __isset = other157.__isset;
   return *this;
 }
-renewal_reply& renewal_reply::operator=(renewal_reply&& other138) noexcept {
-  granted = other138.granted;
-  sent_at_us = other138.sent_at_us;
-  lease_ms = other138.lease_ms;
-  leader_address = std::move(other138.leader_address);
-  groups = std::move(other138.groups);
-  revision = other138.revision;
-  more = other138.more;
-  released = other138.released;
-  newer_deployment = std::move(other138.newer_deployment);
-  control = std::move(other138.control);
-  deployment_patches = std::move(other138.deployment_patches);
-  views_pending = other138.views_pending;
-  base_revision = other138.base_revision;
-  __isset = other138.__isset;
+renewal_reply& renewal_reply::operator=(renewal_reply&& other158) noexcept {
+  granted = other158.granted;
+  sent_at_us = other158.sent_at_us;
+  lease_ms = other158.lease_ms;
+  leader_address = std::move(other158.leader_address);
+  groups = std::move(other158.groups);
+  revision = other158.revision;
+  more = other158.more;
+  released = other158.released;
+  newer_deployment = std::move(other158.newer_deployment);
+  control = std::move(other158.control);
+  deployment_patches = std::move(other158.deployment_patches);
+  views_pending = other158.views_pending;
+  base_revision = other158.base_revision;
+  __isset = other158.__isset;
   return *this;
 }
 void renewal_reply::printTo(std::ostream& out) const {
@@ -3908,14 +4334,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->groups.clear();
-            uint32_t _size139;
-            ::apache::thrift::protocol::TType _etype142;
-            xfer += iprot->readListBegin(_etype142, _size139);
-            this->groups.resize(_size139);
-            uint32_t _i143;
-            for (_i143 = 0; _i143 < _size139; ++_i143)
+            uint32_t _size159;
+            ::apache::thrift::protocol::TType _etype162;
+            xfer += iprot->readListBegin(_etype162, _size159);
+            this->groups.resize(_size159);
+            uint32_t _i163;
+            for (_i163 = 0; _i163 < _size159; ++_i163)
             {
-              xfer += this->groups[_i143].read(iprot);
+              xfer += this->groups[_i163].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3952,10 +4378,10 @@
   xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
-    std::vector<group_view> ::const_iterator _iter144;
-    for (_iter144 = this->groups.begin(); _iter144 != this->groups.end(); ++_iter144)
+    std::vector<group_view> ::const_iterator _iter164;
+    for (_iter164 = this->groups.begin(); _iter164 != this->groups.end(); ++_iter164)
     {
-      xfer += (*_iter144).write(oprot);
+      xfer += (*_iter164).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3974,30 +4400,30 @@
   swap(a.__isset, b.__isset);
 }
 
-view_push::view_push(const view_push& other145) {
-  base_revision = other145.base_revision;
-  revision = other145.revision;
-  groups = other145.groups;
-  __isset = other145.__isset;
+view_push::view_push(const view_push& other165) {
+  base_revision = other165.base_revision;
+  revision = other165.revision;
+  groups = other165.groups;
+  __isset = other165.__isset;
 }
-view_push::view_push(view_push&& other146) noexcept {
-  base_revision = other146.base_revision;
-  revision = other146.revision;
-  groups = std::move(other146.groups);
-  __isset = other146.__isset;
+view_push::view_push(view_push&& other166) noexcept {
+  base_revision = other166.base_revision;
+  revision = other166.revision;
+  groups = std::move(other166.groups);
+  __isset = other166.__isset;
 }
-view_push& view_push::operator=(const view_push& other147) {
-  base_revision = other147.base_revision;
-  revision = other147.revision;
-  groups = other147.groups;
-  __isset = other147.__isset;
+view_push& view_push::operator=(const view_push& other167) {
+  base_revision = other167.base_revision;
+  revision = other167.revision;
+  groups = other167.groups;
+  __isset = other167.__isset;
   return *this;
 }
-view_push& view_push::operator=(view_push&& other148) noexcept {
-  base_revision = other148.base_revision;
-  revision = other148.revision;
-  groups = std::move(other148.groups);
-  __isset = other148.__isset;
+view_push& view_push::operator=(view_push&& other168) noexcept {
+  base_revision = other168.base_revision;
+  revision = other168.revision;
+  groups = std::move(other168.groups);
+  __isset = other168.__isset;
   return *this;
 }
 void view_push::printTo(std::ostream& out) const {
@@ -4153,38 +4579,38 @@
   swap(a.__isset, b.__isset);
 }
 
-fence::fence(const fence& other149) {
-  group = other149.group;
-  term = other149.term;
-  pause_term = other149.pause_term;
-  demoted = other149.demoted;
-  revision = other149.revision;
-  __isset = other149.__isset;
-}
-fence::fence(fence&& other150) noexcept {
-  group = std::move(other150.group);
-  term = other150.term;
-  pause_term = other150.pause_term;
-  demoted = std::move(other150.demoted);
-  revision = other150.revision;
-  __isset = other150.__isset;
-}
-fence& fence::operator=(const fence& other151) {
-  group = other151.group;
-  term = other151.term;
-  pause_term = other151.pause_term;
-  demoted = other151.demoted;
-  revision = other151.revision;
-  __isset = other151.__isset;
+fence::fence(const fence& other169) {
+  group = other169.group;
+  term = other169.term;
+  pause_term = other169.pause_term;
+  demoted = other169.demoted;
+  revision = other169.revision;
+  __isset = other169.__isset;
+}
+fence::fence(fence&& other170) noexcept {
+  group = std::move(other170.group);
+  term = other170.term;
+  pause_term = other170.pause_term;
+  demoted = std::move(other170.demoted);
+  revision = other170.revision;
+  __isset = other170.__isset;
+}
+fence& fence::operator=(const fence& other171) {
+  group = other171.group;
+  term = other171.term;
+  pause_term = other171.pause_term;
+  demoted = other171.demoted;
+  revision = other171.revision;
+  __isset = other171.__isset;
   return *this;
 }
-fence& fence::operator=(fence&& other152) noexcept {
-  group = std::move(other152.group);
-  term = other152.term;
-  pause_term = other152.pause_term;
-  demoted = std::move(other152.demoted);
-  revision = other152.revision;
-  __isset = other152.__isset;
+fence& fence::operator=(fence&& other172) noexcept {
+  group = std::move(other172.group);
+  term = other172.term;
+  pause_term = other172.pause_term;
+  demoted = std::move(other172.demoted);
+  revision = other172.revision;
+  __isset = other172.__isset;
   return *this;
 }
 void fence::printTo(std::ostream& out) const {
@@ -4274,14 +4700,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->upstreams.clear();
-            uint32_t _size153;
-            ::apache::thrift::protocol::TType _etype156;
-            xfer += iprot->readListBegin(_etype156, _size153);
-            this->upstreams.resize(_size153);
-            uint32_t _i157;
-            for (_i157 = 0; _i157 < _size153; ++_i157)
+            uint32_t _size173;
+            ::apache::thrift::protocol::TType _etype176;
+            xfer += iprot->readListBegin(_etype176, _size173);
+            this->upstreams.resize(_size173);
+            uint32_t _i177;
+            for (_i177 = 0; _i177 < _size173; ++_i177)
             {
-              xfer += this->upstreams[_i157].read(iprot);
+              xfer += this->upstreams[_i177].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4322,10 +4748,10 @@
   xfer += oprot->writeFieldBegin("upstreams", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upstreams.size()));
-    std::vector<upstream_report> ::const_iterator _iter158;
-    for (_iter158 = this->upstreams.begin(); _iter158 != this->upstreams.end(); ++_iter158)
+    std::vector<upstream_report> ::const_iterator _iter178;
+    for (_iter178 = this->upstreams.begin(); _iter178 != this->upstreams.end(); ++_iter178)
     {
-      xfer += (*_iter158).write(oprot);
+      xfer += (*_iter178).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4345,34 +4771,34 @@
   swap(a.__isset, b.__isset);
 }
 
-fence_reply::fence_reply(const fence_reply& other159) {
-  group = other159.group;
-  term = other159.term;
-  acknowledged = other159.acknowledged;
-  upstreams = other159.upstreams;
-  __isset = other159.__isset;
-}
-fence_reply::fence_reply(fence_reply&& other160) noexcept {
-  group = std::move(other160.group);
-  term = other160.term;
-  acknowledged = std::move(other160.acknowledged);
-  upstreams = std::move(other160.upstreams);
-  __isset = other160.__isset;
-}
-fence_reply& fence_reply::operator=(const fence_reply& other161) {
-  group = other161.group;
-  term = other161.term;
-  acknowledged = other161.acknowledged;
-  upstreams = other161.upstreams;
-  __isset = other161.__isset;
+fence_reply::fence_reply(const fence_reply& other179) {
+  group = other179.group;
+  term = other179.term;
+  acknowledged = other179.acknowledged;
+  upstreams = other179.upstreams;
+  __isset = other179.__isset;
+}
+fence_reply::fence_reply(fence_reply&& other180) noexcept {
+  group = std::move(other180.group);
+  term = other180.term;
+  acknowledged = std::move(other180.acknowledged);
+  upstreams = std::move(other180.upstreams);
+  __isset = other180.__isset;
+}
+fence_reply& fence_reply::operator=(const fence_reply& other181) {
+  group = other181.group;
+  term = other181.term;
+  acknowledged = other181.acknowledged;
+  upstreams = other181.upstreams;
+  __isset = other181.__isset;
   return *this;
 }
-fence_reply& fence_reply::operator=(fence_reply&& other162) noexcept {
-  group = std::move(other162.group);
-  term = other162.term;
-  acknowledged = std::move(other162.acknowledged);
-  upstreams = std::move(other162.upstreams);
-  __isset = other162.__isset;
+fence_reply& fence_reply::operator=(fence_reply&& other182) noexcept {
+  group = std::move(other182.group);
+  term = other182.term;
+  acknowledged = std::move(other182.acknowledged);
+  upstreams = std::move(other182.upstreams);
+  __isset = other182.__isset;
   return *this;
 }
 void fence_reply::printTo(std::ostream& out) const {
@@ -4495,30 +4921,30 @@
   swap(a.__isset, b.__isset);
 }
 
-promote::promote(const promote& other163) {
-  group = other163.group;
-  upstream = other163.upstream;
-  term = other163.term;
-  __isset = other163.__isset;
+promote::promote(const promote& other183) {
+  group = other183.group;
+  upstream = other183.upstream;
+  term = other183.term;
+  __isset = other183.__isset;
 }
-promote::promote(promote&& other164) noexcept {
-  group = std::move(other164.group);
-  upstream = std::move(other164.upstream);
-  term = other164.term;
-  __isset = other164.__isset;
+promote::promote(promote&& other184) noexcept {
+  group = std::move(other184.group);
+  upstream = std::move(other184.upstream);
+  term = other184.term;
+  __isset = other184.__isset;
 }
-promote& promote::operator=(const promote& other165) {
-  group = other165.group;
-  upstream = other165.upstream;
-  term = other165.term;
-  __isset = other165.__isset;
+promote& promote::operator=(const promote& other185) {
+  group = other185.group;
+  upstream = other185.upstream;
+  term = other185.term;
+  __isset = other185.__isset;
   return *this;
 }
-promote& promote::operator=(promote&& other166) noexcept {
-  group = std::move(other166.group);
-  upstream = std::move(other166.upstream);
-  term = other166.term;
-  __isset = other166.__isset;
+promote& promote::operator=(promote&& other186) noexcept {
+  group = std::move(other186.group);
+  upstream = std::move(other186.upstream);
+  term = other186.term;
+  __isset = other186.__isset;
   return *this;
 }
 void promote::printTo(std::ostream& out) const {
@@ -4691,42 +5117,42 @@
   swap(a.__isset, b.__isset);
 }
 
-promote_reply::promote_reply(const promote_reply& other167) {
-  group = other167.group;
-  upstream = other167.upstream;
-  term = other167.term;
-  done = other167.done;
-  problem = other167.problem;
-  reached = other167.reached;
-  __isset = other167.__isset;
-}
-promote_reply::promote_reply(promote_reply&& other168) noexcept {
-  group = std::move(other168.group);
-  upstream = std::move(other168.upstream);
-  term = other168.term;
-  done = other168.done;
-  problem = std::move(other168.problem);
-  reached = std::move(other168.reached);
-  __isset = other168.__isset;
-}
-promote_reply& promote_reply::operator=(const promote_reply& other169) {
-  group = other169.group;
-  upstream = other169.upstream;
-  term = other169.term;
-  done = other169.done;
-  problem = other169.problem;
-  reached = other169.reached;
-  __isset = other169.__isset;
+promote_reply::promote_reply(const promote_reply& other187) {
+  group = other187.group;
+  upstream = other187.upstream;
+  term = other187.term;
+  done = other187.done;
+  problem = other187.problem;
+  reached = other187.reached;
+  __isset = other187.__isset;
+}
+promote_reply::promote_reply(promote_reply&& other188) noexcept {
+  group = std::move(other188.group);
+  upstream = std::move(other188.upstream);
+  term = other188.term;
+  done = other188.done;
+  problem = std::move(other188.problem);
+  reached = std::move(other188.reached);
+  __isset = other188.__isset;
+}
+promote_reply& promote_reply::operator=(const promote_reply& other189) {
+  group = other189.group;
+  upstream = other189.upstream;
+  term = other189.term;
+  done = other189.done;
+  problem = other189.problem;
+  reached = other189.reached;
+  __isset = other189.__isset;
   return *this;
 }
-promote_reply& promote_reply::operator=(promote_reply&& other170) noexcept {
-  group = std::move(other170.group);
-  upstream = std::move(other170.upstream);
-  term = other170.term;
-  done = other170.done;
-  problem = std::move(other170.problem);
-  reached = std::move(other170.reached);
-  __isset = other170.__isset;
+promote_reply& promote_reply::operator=(promote_reply&& other190) noexcept {
+  group = std::move(other190.group);
+  upstream = std::move(other190.upstream);
+  term = other190.term;
+  done = other190.done;
+  problem = std::move(other190.problem);
+  reached = std::move(other190.reached);
+  __isset = other190.__isset;
   return *this;
 }
 void promote_reply::printTo(std::ostream& out) const {
@@ -4851,30 +5277,30 @@
   swap(a.__isset, b.__isset);
 }
 
-operator_request::operator_request(const operator_request& other171) {
-  method = other171.method;
-  path = other171.path;
-  body = other171.body;
-  __isset = other171.__isset;
+operator_request::operator_request(const operator_request& other191) {
+  method = other191.method;
+  path = other191.path;
+  body = other191.body;
+  __isset = other191.__isset;
 }
-operator_request::operator_request(operator_request&& other172) noexcept {
-  method = std::move(other172.method);
-  path = std::move(other172.path);
-  body = std::move(other172.body);
-  __isset = other172.__isset;
+operator_request::operator_request(operator_request&& other192) noexcept {
+  method = std::move(other192.method);
+  path = std::move(other192.path);
+  body = std::move(other192.body);
+  __isset = other192.__isset;
 }
-operator_request& operator_request::operator=(const operator_request& other173) {
-  method = other173.method;
-  path = other173.path;
-  body = other173.body;
-  __isset = other173.__isset;
+operator_request& operator_request::operator=(const operator_request& other193) {
+  method = other193.method;
+  path = other193.path;
+  body = other193.body;
+  __isset = other193.__isset;
   return *this;
 }
-operator_request& operator_request::operator=(operator_request&& other174) noexcept {
-  method = std::move(other174.method);
-  path = std::move(other174.path);
-  body = std::move(other174.body);
-  __isset = other174.__isset;
+operator_request& operator_request::operator=(operator_request&& other194) noexcept {
+  method = std::move(other194.method);
+  path = std::move(other194.path);
+  body = std::move(other194.body);
+  __isset = other194.__isset;
   return *this;
 }
 void operator_request::printTo(std::ostream& out) const {
@@ -4979,26 +5405,26 @@
   swap(a.__isset, b.__isset);
 }
 
-operator_reply::operator_reply(const operator_reply& other175) {
-  status = other175.status;
-  body = other175.body;
-  __isset = other175.__isset;
+operator_reply::operator_reply(const operator_reply& other195) {
+  status = other195.status;
+  body = other195.body;
+  __isset = other195.__isset;
 }
-operator_reply::operator_reply(operator_reply&& other176) noexcept {
-  status = other176.status;
-  body = std::move(other176.body);
-  __isset = other176.__isset;
+operator_reply::operator_reply(operator_reply&& other196) noexcept {
+  status = other196.status;
+  body = std::move(other196.body);
+  __isset = other196.__isset;
 }
-operator_reply& operator_reply::operator=(const operator_reply& other177) {
-  status = other177.status;
-  body = other177.body;
-  __isset = other177.__isset;
+operator_reply& operator_reply::operator=(const operator_reply& other197) {
+  status = other197.status;
+  body = other197.body;
+  __isset = other197.__isset;
   return *this;
 }
-operator_reply& operator_reply::operator=(operator_reply&& other178) noexcept {
-  status = other178.status;
-  body = std::move(other178.body);
-  __isset = other178.__isset;
+operator_reply& operator_reply::operator=(operator_reply&& other198) noexcept {
+  status = other198.status;
+  body = std::move(other198.body);
+  __isset = other198.__isset;
   return *this;
 }
 void operator_reply::printTo(std::ostream& out) const {
@@ -5085,22 +5511,22 @@
   swap(a.__isset, b.__isset);
 }
 
-nudge::nudge(const nudge& other179) noexcept {
-  revision = other179.revision;
-  __isset = other179.__isset;
+nudge::nudge(const nudge& other199) noexcept {
+  revision = other199.revision;
+  __isset = other199.__isset;
 }
-nudge::nudge(nudge&& other180) noexcept {
-  revision = other180.revision;
-  __isset = other180.__isset;
+nudge::nudge(nudge&& other200) noexcept {
+  revision = other200.revision;
+  __isset = other200.__isset;
 }
-nudge& nudge::operator=(const nudge& other181) noexcept {
-  revision = other181.revision;
-  __isset = other181.__isset;
+nudge& nudge::operator=(const nudge& other201) noexcept {
+  revision = other201.revision;
+  __isset = other201.__isset;
   return *this;
 }
-nudge& nudge::operator=(nudge&& other182) noexcept {
-  revision = other182.revision;
-  __isset = other182.__isset;
+nudge& nudge::operator=(nudge&& other202) noexcept {
+  revision = other202.revision;
+  __isset = other202.__isset;
   return *this;
 }
 void nudge::printTo(std::ostream& out) const {
@@ -5186,22 +5612,22 @@
   swap(a.__isset, b.__isset);
 }
 
-resume::resume(const resume& other183) {
-  group = other183.group;
-  __isset = other183.__isset;
+resume::resume(const resume& other203) {
+  group = other203.group;
+  __isset = other203.__isset;
 }
-resume::resume(resume&& other184) noexcept {
-  group = std::move(other184.group);
-  __isset = other184.__isset;
+resume::resume(resume&& other204) noexcept {
+  group = std::move(other204.group);
+  __isset = other204.__isset;
 }
-resume& resume::operator=(const resume& other185) {
-  group = other185.group;
-  __isset = other185.__isset;
+resume& resume::operator=(const resume& other205) {
+  group = other205.group;
+  __isset = other205.__isset;
   return *this;
 }
-resume& resume::operator=(resume&& other186) noexcept {
-  group = std::move(other186.group);
-  __isset = other186.__isset;
+resume& resume::operator=(resume&& other206) noexcept {
+  group = std::move(other206.group);
+  __isset = other206.__isset;
   return *this;
 }
 void resume::printTo(std::ostream& out) const {
--- a/modules/control/gen/control_messages_types.h
+++ b/modules/control/gen/control_messages_types.h
@@ -43,6 +43,10 @@
 
 class route;
 
+class organisation;
+
+class organisations;
+
 class deployment;
 
 class deployment_piece;
@@ -383,7 +387,7 @@
 std::ostream& operator<<(std::ostream& out, const announcement& obj);
 
 typedef struct _route__isset {
-  _route__isset() : name(false), database(false), group(false), reads(false), max_staleness_ms(false), statement_ms(false), target_ms(false), priority(false) {}
+  _route__isset() : name(false), database(false), group(false), reads(false), max_staleness_ms(false), statement_ms(false), target_ms(false), priority(false), is_public(false) {}
   bool name :1;
   bool database :1;
   bool group :1;
@@ -392,6 +396,7 @@
   bool statement_ms :1;
   bool target_ms :1;
   bool priority :1;
+  bool is_public :1;
 } _route__isset;
 
 class route : public virtual ::apache::thrift::TBase {
@@ -409,7 +414,8 @@
           max_staleness_ms(0),
           statement_ms(0),
           target_ms(0),
-          priority(0) {
+          priority(0),
+          is_public(0) {
   }
 
   virtual ~route() noexcept;
@@ -425,6 +431,7 @@
   int64_t statement_ms;
   int64_t target_ms;
   int32_t priority;
+  bool is_public;
 
   _route__isset __isset;
 
@@ -444,6 +451,8 @@
 
   void __set_priority(const int32_t val);
 
+  void __set_is_public(const bool val);
+
   bool operator == (const route & rhs) const
   {
     if (!(name == rhs.name))
@@ -462,6 +471,8 @@
       return false;
     if (!(priority == rhs.priority))
       return false;
+    if (!(is_public == rhs.is_public))
+      return false;
     return true;
   }
   bool operator != (const route &rhs) const {
@@ -480,11 +491,132 @@
 
 std::ostream& operator<<(std::ostream& out, const route& obj);
 
+typedef struct _organisation__isset {
+  _organisation__isset() : name(false), key_digests(false), rate_per_s(false), burst(false), priority(false) {}
+  bool name :1;
+  bool key_digests :1;
+  bool rate_per_s :1;
+  bool burst :1;
+  bool priority :1;
+} _organisation__isset;
+
+class organisation : public virtual ::apache::thrift::TBase {
+ public:
+
+  organisation(const organisation&);
+  organisation(organisation&&) noexcept;
+  organisation& operator=(const organisation&);
+  organisation& operator=(organisation&&) noexcept;
+  organisation() noexcept
+               : name(),
+                 rate_per_s(0),
+                 burst(0),
+                 priority(0) {
+  }
+
+  virtual ~organisation() noexcept;
+  std::string name;
+  std::vector<std::string>  key_digests;
+  double rate_per_s;
+  double burst;
+  int32_t priority;
+
+  _organisation__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_key_digests(const std::vector<std::string> & val);
+
+  void __set_rate_per_s(const double val);
+
+  void __set_burst(const double val);
+
+  void __set_priority(const int32_t val);
+
+  bool operator == (const organisation & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(key_digests == rhs.key_digests))
+      return false;
+    if (__isset.rate_per_s != rhs.__isset.rate_per_s)
+      return false;
+    else if (__isset.rate_per_s && !(rate_per_s == rhs.rate_per_s))
+      return false;
+    if (__isset.burst != rhs.__isset.burst)
+      return false;
+    else if (__isset.burst && !(burst == rhs.burst))
+      return false;
+    if (!(priority == rhs.priority))
+      return false;
+    return true;
+  }
+  bool operator != (const organisation &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const organisation & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(organisation &a, organisation &b);
+
+std::ostream& operator<<(std::ostream& out, const organisation& obj);
+
+typedef struct _organisations__isset {
+  _organisations__isset() : entries(false) {}
+  bool entries :1;
+} _organisations__isset;
+
+class organisations : public virtual ::apache::thrift::TBase {
+ public:
+
+  organisations(const organisations&);
+  organisations(organisations&&) noexcept;
+  organisations& operator=(const organisations&);
+  organisations& operator=(organisations&&) noexcept;
+  organisations() noexcept {
+  }
+
+  virtual ~organisations() noexcept;
+  std::vector<organisation>  entries;
+
+  _organisations__isset __isset;
+
+  void __set_entries(const std::vector<organisation> & val);
+
+  bool operator == (const organisations & rhs) const
+  {
+    if (!(entries == rhs.entries))
+      return false;
+    return true;
+  }
+  bool operator != (const organisations &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const organisations & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(organisations &a, organisations &b);
+
+std::ostream& operator<<(std::ostream& out, const organisations& obj);
+
 typedef struct _deployment__isset {
-  _deployment__isset() : version(false), routes(false), idle_transaction_ms(false) {}
+  _deployment__isset() : version(false), routes(false), idle_transaction_ms(false), organisations(false) {}
   bool version :1;
   bool routes :1;
   bool idle_transaction_ms :1;
+  bool organisations :1;
 } _deployment__isset;
 
 class deployment : public virtual ::apache::thrift::TBase {
@@ -503,6 +635,7 @@
   int64_t version;
   std::vector<route>  routes;
   int64_t idle_transaction_ms;
+  organisations organisations;
 
   _deployment__isset __isset;
 
@@ -512,6 +645,8 @@
 
   void __set_idle_transaction_ms(const int64_t val);
 
+  void __set_organisations(const organisations& val);
+
   bool operator == (const deployment & rhs) const
   {
     if (!(version == rhs.version))
@@ -520,6 +655,10 @@
       return false;
     if (!(idle_transaction_ms == rhs.idle_transaction_ms))
       return false;
+    if (__isset.organisations != rhs.__isset.organisations)
+      return false;
+    else if (__isset.organisations && !(organisations == rhs.organisations))
+      return false;
     return true;
   }
   bool operator != (const deployment &rhs) const {
@@ -597,11 +736,13 @@
 std::ostream& operator<<(std::ostream& out, const deployment_piece& obj);
 
 typedef struct _deployment_patch__isset {
-  _deployment_patch__isset() : base_version(false), version(false), pieces(false), idle_transaction_ms(false) {}
+  _deployment_patch__isset() : base_version(false), version(false), pieces(false), idle_transaction_ms(false), organisations(false), keeps_organisations(false) {}
   bool base_version :1;
   bool version :1;
   bool pieces :1;
   bool idle_transaction_ms :1;
+  bool organisations :1;
+  bool keeps_organisations :1;
 } _deployment_patch__isset;
 
 class deployment_patch : public virtual ::apache::thrift::TBase {
@@ -614,7 +755,8 @@
   deployment_patch() noexcept
                    : base_version(0),
                      version(0),
-                     idle_transaction_ms(0) {
+                     idle_transaction_ms(0),
+                     keeps_organisations(0) {
   }
 
   virtual ~deployment_patch() noexcept;
@@ -622,6 +764,8 @@
   int64_t version;
   std::vector<deployment_piece>  pieces;
   int64_t idle_transaction_ms;
+  organisations organisations;
+  bool keeps_organisations;
 
   _deployment_patch__isset __isset;
 
@@ -633,6 +777,10 @@
 
   void __set_idle_transaction_ms(const int64_t val);
 
+  void __set_organisations(const organisations& val);
+
+  void __set_keeps_organisations(const bool val);
+
   bool operator == (const deployment_patch & rhs) const
   {
     if (!(base_version == rhs.base_version))
@@ -643,6 +791,12 @@
       return false;
     if (!(idle_transaction_ms == rhs.idle_transaction_ms))
       return false;
+    if (__isset.organisations != rhs.__isset.organisations)
+      return false;
+    else if (__isset.organisations && !(organisations == rhs.organisations))
+      return false;
+    if (!(keeps_organisations == rhs.keeps_organisations))
+      return false;
     return true;
   }
   bool operator != (const deployment_patch &rhs) const {
--- a/modules/deployment/deployment.cpp
+++ b/modules/deployment/deployment.cpp
@@ -1,5 +1,6 @@
 #include "modules/deployment/deployment.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -84,6 +85,37 @@
   return nullptr;
 }
 
+wire::organisations toWire(const std::vector<organisation> &Organisations) {
+  wire::organisations Result;
+  for (const auto &Organisation : Organisations) {
+    auto &Entry = Result.entries.emplace_back();
+    Entry.name = Organisation.Name.Value;
+    for (const auto &Digest : Organisation.Keys)
+      Entry.key_digests.push_back(Digest.Value);
+    if (Organisation.Limit) {
+      Entry.__set_rate_per_s(Organisation.Limit->RatePerSecond);
+      Entry.__set_burst(Organisation.Limit->Burst);
+    }
+    Entry.priority = static_cast<std::int32_t>(Organisation.Priority);
+  }
+  return Result;
+}
+
+std::vector<organisation> fromWire(const wire::organisations &Organisations) {
+  std::vector<organisation> Result;
+  for (const auto &Entry : Organisations.entries) {
+    auto &Organisation = Result.emplace_back();
+    Organisation.Name = organisation_id(Entry.name);
+    for (const auto &Digest : Entry.key_digests)
+      Organisation.Keys.push_back(key_digest(Digest));
+    if (Entry.__isset.rate_per_s)
+      Organisation.Limit = {Entry.rate_per_s, Entry.burst};
+    Organisation.Priority =
+        static_cast<std::uint32_t>(std::max(0, Entry.priority));
+  }
+  return Result;
+}
+
 wire::route toWire(const route &Route) {
   wire::route Result;
   Result.name = Route.Name;
@@ -94,6 +126,7 @@
   Result.statement_ms = toMilliseconds(Route.StatementTimeout);
   Result.target_ms = toMilliseconds(Route.TargetLatency);
   Result.priority = static_cast<std::int32_t>(Route.Priority);
+  Result.is_public = Route.IsPublic;
   return Result;
 }
 
@@ -107,6 +140,7 @@
   Result.StatementTimeout = fromMilliseconds(Route.statement_ms);
   Result.TargetLatency = fromMilliseconds(Route.target_ms);
   Result.Priority = static_cast<std::uint32_t>(std::max(0, Route.priority));
+  Result.IsPublic = Route.is_public;
   return Result;
 }
 
@@ -117,6 +151,8 @@
     Result.routes.push_back(toWire(Route));
   Result.idle_transaction_ms =
       toMilliseconds(Deployment.IdleTransactionTimeout);
+  if (Deployment.Organisations)
+    Result.__set_organisations(toWire(*Deployment.Organisations));
   return Result;
 }
 
@@ -128,6 +164,8 @@
     Result.Routes.push_back(fromWire(Route));
   Result.IdleTransactionTimeout =
       fromMilliseconds(Deployment.idle_transaction_ms);
+  if (Deployment.__isset.organisations)
+    Result.Organisations = fromWire(Deployment.organisations);
   return Result;
 }
 
--- a/modules/deployment/deployment.h
+++ b/modules/deployment/deployment.h
@@ -8,6 +8,7 @@
 #include "modules/control/gen/control_messages_types.h"
 #include "modules/table/table_row.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,36 @@
 using deployment_version =
     strong_type<struct deployment_version_tag, std::uint64_t>;
 
+/// Name of an organisation, that is, of a customer whose callers share keys,
+/// connections and limits.
+using organisation_id = strong_type<struct organisation_id_tag, std::string>;
+
+/// Digest of a caller's key. VMs keep only digests, so that no key can reach an
+/// upstream, a log line or a metric.
+using key_digest = strong_type<struct key_digest_tag, std::string>;
+
+/// How many operations an organisation may start on all VMs together: a token
+/// bucket. An operation is a transaction or a single statement outside one.
+struct operation_limit {
+  double RatePerSecond = 0;
+  /// Operations that may start at once after a pause.
+  double Burst = 0;
+
+  bool operator==(const operation_limit &) const = default;
+};
+
+/// An organisation whose callers identify themselves by a key.
+struct organisation {
+  organisation_id Name;
+  std::vector<key_digest> Keys;
+  /// Empty: no limit.
+  std::optional<operation_limit> Limit;
+  /// 0 is the highest priority.
+  std::uint32_t Priority = 0;
+
+  bool operator==(const organisation &) const = default;
+};
+
 /// Consistency guarantee of reads.
 enum class consistency {
   /// A read sees every acknowledged write.
@@ -48,6 +79,8 @@
   duration TargetLatency{};
   /// 0 is the highest priority.
   std::uint32_t Priority = 0;
+  /// Callers need no key.
+  bool IsPublic = false;
 
   bool operator==(const route &) const = default;
 };
@@ -58,6 +91,8 @@
   std::vector<route> Routes;
   /// A transaction that is idle for longer may be terminated.
   duration IdleTransactionTimeout{};
+  /// Empty: the deployment has no organisations, and callers need no key.
+  std::optional<std::vector<organisation>> Organisations;
 
   bool operator==(const deployment &) const = default;
 };
@@ -100,6 +135,8 @@
 const route *findRoute(const deployment &Deployment,
                        const database_id &Database);
 
+wire::organisations toWire(const std::vector<organisation> &Organisations);
+std::vector<organisation> fromWire(const wire::organisations &Organisations);
 wire::route toWire(const route &Route);
 route fromWire(const wire::route &Route);
 wire::deployment toWire(const deployment &Deployment);
--- a/modules/gateway/gateway_messages.thrift
+++ b/modules/gateway/gateway_messages.thrift
@@ -105,6 +105,8 @@
   17: i32 priority;
   /// The response time that the caller aims at; 0 if not given.
   18: i64 target_ms;
+  /// The caller's organisation; empty if callers need no key.
+  19: string organisation;
 }
 
 /// A part of the answer to a statement_request. Kind 301.
--- a/modules/gateway/gen/gateway_messages_types.cpp
+++ b/modules/gateway/gen/gateway_messages_types.cpp
@@ -825,6 +825,10 @@
 void statement_request::__set_target_ms(const int64_t val) {
   this->target_ms = val;
 }
+
+void statement_request::__set_organisation(const std::string& val) {
+  this->organisation = val;
+}
 std::ostream& operator<<(std::ostream& out, const statement_request& obj)
 {
   obj.printTo(out);
@@ -1026,6 +1030,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->organisation);
+          this->__isset.organisation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1133,6 +1145,10 @@
   xfer += oprot->writeI64(this->target_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("organisation", ::apache::thrift::protocol::T_STRING, 19);
+  xfer += oprot->writeString(this->organisation);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1158,6 +1174,7 @@
   swap(a.read_only, b.read_only);
   swap(a.priority, b.priority);
   swap(a.target_ms, b.target_ms);
+  swap(a.organisation, b.organisation);
   swap(a.__isset, b.__isset);
 }
 
@@ -1180,6 +1197,7 @@
   read_only = other41.read_only;
   priority = other41.priority;
   target_ms = other41.target_ms;
+  organisation = other41.organisation;
   __isset = other41.__isset;
 }
 statement_request::statement_request(statement_request&& other42) noexcept {
@@ -1201,6 +1219,7 @@
   read_only = other42.read_only;
   priority = other42.priority;
   target_ms = other42.target_ms;
+  organisation = std::move(other42.organisation);
   __isset = other42.__isset;
 }
 statement_request& statement_request::operator=(const statement_request& other43) {
@@ -1222,6 +1241,7 @@
   read_only = other43.read_only;
   priority = other43.priority;
   target_ms = other43.target_ms;
+  organisation = other43.organisation;
   __isset = other43.__isset;
   return *this;
 }
@@ -1244,6 +1264,7 @@
   read_only = other44.read_only;
   priority = other44.priority;
   target_ms = other44.target_ms;
+  organisation = std::move(other44.organisation);
   __isset = other44.__isset;
   return *this;
 }
@@ -1268,6 +1289,7 @@
   out << ", " << "read_only=" << to_string(read_only);
   out << ", " << "priority=" << to_string(priority);
   out << ", " << "target_ms=" << to_string(target_ms);
+  out << ", " << "organisation=" << to_string(organisation);
   out << ")";
 }
 
--- a/modules/gateway/gen/gateway_messages_types.h
+++ b/modules/gateway/gen/gateway_messages_types.h
@@ -318,7 +318,7 @@
 std::ostream& operator<<(std::ostream& out, const line_step& obj);
 
 typedef struct _statement_request__isset {
-  _statement_request__isset() : group(false), term(false), floor(false), floor_known(false), read_kind(false), access(false), transaction(false), opens_transaction(false), steps(false), timeout_ms(false), idempotency_key(false), settings(false), may_commit(false), line(false), max_staleness_ms(false), read_only(false), priority(false), target_ms(false) {}
+  _statement_request__isset() : group(false), term(false), floor(false), floor_known(false), read_kind(false), access(false), transaction(false), opens_transaction(false), steps(false), timeout_ms(false), idempotency_key(false), settings(false), may_commit(false), line(false), max_staleness_ms(false), read_only(false), priority(false), target_ms(false), organisation(false) {}
   bool group :1;
   bool term :1;
   bool floor :1;
@@ -337,6 +337,7 @@
   bool read_only :1;
   bool priority :1;
   bool target_ms :1;
+  bool organisation :1;
 } _statement_request__isset;
 
 class statement_request : public virtual ::apache::thrift::TBase {
@@ -360,7 +361,8 @@
                       max_staleness_ms(0),
                       read_only(0),
                       priority(0),
-                      target_ms(0) {
+                      target_ms(0),
+                      organisation() {
   }
 
   virtual ~statement_request() noexcept;
@@ -386,6 +388,7 @@
   bool read_only;
   int32_t priority;
   int64_t target_ms;
+  std::string organisation;
 
   _statement_request__isset __isset;
 
@@ -425,6 +428,8 @@
 
   void __set_target_ms(const int64_t val);
 
+  void __set_organisation(const std::string& val);
+
   bool operator == (const statement_request & rhs) const
   {
     if (!(group == rhs.group))
@@ -465,6 +470,8 @@
       return false;
     if (!(target_ms == rhs.target_ms))
       return false;
+    if (!(organisation == rhs.organisation))
+      return false;
     return true;
   }
   bool operator != (const statement_request &rhs) const {
