--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -67,6 +67,14 @@
          std::to_string(Number);
 }
 
+endpoint soak_deployment::callerEndpoint(std::size_t Entry) const {
+  return {Entries.at(Entry).Address, CallerPort};
+}
+
+endpoint soak_deployment::httpEndpoint(std::size_t Entry) const {
+  return {Entries.at(Entry).Address, HttpPort};
+}
+
 //===----------------------------------------------------------------------===//
 // Processes
 //===----------------------------------------------------------------------===//
@@ -123,6 +131,8 @@
     Add("election-ms", "300");
   } else {
     Add("callers", toString(At(CallerPort)));
+    if (!Options.EntrySettings.empty())
+      Add("settings", Options.EntrySettings);
   }
   Vm.Process = std::make_unique<vm_process>(Context.Timers, std::move(Process));
   return Vm;
--- a/tests/soak/deployment.h
+++ b/tests/soak/deployment.h
@@ -25,6 +25,8 @@
   /// Selects the second and third byte of the loopback addresses. Deployments
   /// that run at the same time need different numbers.
   unsigned Network = 0;
+  /// Settings file of the entry VMs; empty: none.
+  std::string EntrySettings;
 };
 
 /// A VM: its process and the relay in front of its internal address.
@@ -47,6 +49,10 @@
   std::vector<std::unique_ptr<upstream_group>> Groups;
   std::vector<std::unique_ptr<soak_caller>> Callers;
 
+  /// Addresses at which an entry VM accepts callers and HTTP requests.
+  endpoint callerEndpoint(std::size_t Entry) const;
+  endpoint httpEndpoint(std::size_t Entry) const;
+
   /// Starts the callers.
   void startCallers();
   /// Creates the next version of the deployment, with another statement
--- a/tests/soak/vm_process.h
+++ b/tests/soak/vm_process.h
@@ -34,6 +34,8 @@
   /// SIGKILL counts as expected.
   void sendSignal(int Signal);
   bool isRunning() const { return Pid > 0; }
+  /// Zero while the process does not run.
+  pid_t processId() const { return Pid; }
   const std::string &name() const { return Options.Name; }
   /// Number of exits that sendSignal() didn't cause.
   std::size_t unexpectedExits() const { return UnexpectedExits; }
