Line, Admin, Gateway: limits on callers that don't behave

Cause: crowds with long or unfinished messages, session values without end, first messages that never come or unfinished HTTP bodies used up a process's memory or descriptors; each connection alone kept its own limit. Change: limits over all callers (modules/line/caller_limits), from the settings memory-mb and max-descriptors; bytes in flight are limited at the entry and at the gateway, a session's values to 1 MiB, unsent output to 64 KiB before the next statement, and unfinished first messages end after 10 s from the accept.

--- a/main/daemon_settings.cpp
+++ b/main/daemon_settings.cpp
@@ -14,6 +14,9 @@
 constexpr std::size_t MaxToleratedLosses = 3;
 constexpr std::size_t MaxPort = 65535;
 constexpr std::size_t MaxGraceSeconds = 3600;
+constexpr std::size_t MaxMemoryMb = 1024 * 1024;
+constexpr std::size_t MaxDescriptorCount = 10000000;
+constexpr std::size_t BytesPerMb = 1024 * 1024;
 /// A graceful shutdown is limited to the grace period less this margin, so that
 /// it ends before SIGKILL.
 constexpr duration ShutdownMargin = fromMilliseconds(500);
@@ -278,6 +281,30 @@
       }));
 }
 
+/// Parses a count; an empty text, as a template renders an unknown field, is 0.
+std::size_t parseCountOrNone(const std::string &Text, std::size_t Max) {
+  return Text.empty() ? 0 : parseCount(Text, Max);
+}
+
+/// Settings for the limits that protect the process from its callers.
+void appendResourceSettings(std::vector<daemon_setting> &Definitions) {
+  Definitions.push_back(makeSetting(
+      "memory-mb",
+      "memory that the process may use, in MiB; bounds what callers may have "
+      "in buffers; 0: not known",
+      "0", [](daemon_settings &S, const std::string &Text) {
+        S.Resources.MemoryBytes =
+            parseCountOrNone(Text, MaxMemoryMb) * BytesPerMb;
+      }));
+  Definitions.push_back(makeSetting(
+      "max-descriptors",
+      "descriptors that the process may open; bounds the number of callers; 0: "
+      "not known",
+      "0", [](daemon_settings &S, const std::string &Text) {
+        S.Resources.Descriptors = parseCountOrNone(Text, MaxDescriptorCount);
+      }));
+}
+
 void appendUpstreamSettings(std::vector<daemon_setting> &Definitions) {
   Definitions.push_back(makeSetting(
       "upstream-user", "user for connections to upstreams", "teasellock",
@@ -396,6 +423,7 @@
   std::vector<daemon_setting> Definitions;
   appendIdentitySettings(Definitions);
   appendPlatformSettings(Definitions);
+  appendResourceSettings(Definitions);
   appendUpstreamSettings(Definitions);
   appendTimeSettings(Definitions);
   appendSecretAndLogSettings(Definitions);
@@ -433,6 +461,11 @@
   Settings.Membership.InheritsShares = Settings.UseLineProtocol;
   if (Settings.CallerListen)
     Settings.LineListenerSettings.Listen = *Settings.CallerListen;
+  Settings.LineListenerSettings.Limits = limitsFor(Settings.Resources);
+  Settings.Admin.Resources = Settings.Resources;
+  if (Settings.Resources.MemoryBytes > 0)
+    Settings.GatewaySettings.MaxStatementBytes =
+        Settings.LineListenerSettings.Limits.MaxInFlightBytes;
   if (Settings.ToleratedLosses > 0)
     Settings.Control.TargetVoters = 2 * Settings.ToleratedLosses + 1;
   if (Settings.PlatformEndpoint)
--- a/main/daemon_settings.h
+++ b/main/daemon_settings.h
@@ -67,6 +67,7 @@
   membership_settings Membership;
   line_group_settings LineGroupSettings;
   line_listener_settings LineListenerSettings;
+  process_resources Resources;
   routing_settings Routing;
 };
 
--- a/modules/admin/admin_service.cpp
+++ b/modules/admin/admin_service.cpp
@@ -99,7 +99,8 @@
       Context, State->Settings.Listen,
       [Self = State.get()](http_request Request, http_reply Reply) {
         Self->handleRequest(std::move(Request), Reply);
-      });
+      },
+      bodyMemoryFor(State->Settings.Resources));
 }
 
 admin_service::~admin_service() = default;
--- a/modules/admin/admin_service.h
+++ b/modules/admin/admin_service.h
@@ -2,6 +2,7 @@
 /// and calls of operators.
 #pragma once
 
+#include "core/process_resources.h"
 #include "modules/admin/http_server.h"
 #include "modules/control/control_service.h"
 #include "modules/membership/member_agent.h"
@@ -19,6 +20,7 @@
   std::string OperatorToken;
   /// Empty: the platform's calls need no token.
   std::string PlatformToken;
+  process_resources Resources;
   /// Called first for each request, to handle platform-specific calls. Returns
   /// false if the request is not one of them. May be empty.
   std::function<bool(const http_request &, const http_reply &)> PlatformHandler;
--- a/modules/admin/http_server.cpp
+++ b/modules/admin/http_server.cpp
@@ -17,6 +17,12 @@
 constexpr int StatusBadRequest = 400;
 constexpr int StatusTooLarge = 413;
 constexpr int StatusInternalError = 500;
+constexpr int StatusUnavailable = 503;
+/// Bodies of requests in progress may use the memory of the process divided by
+/// this. While it grows, a body occupies up to twice its size.
+constexpr std::size_t BodyMemoryDivisor = 6;
+/// A short body is received whatever other requests use.
+constexpr std::size_t FreeBodyBytes = 64 * 1024;
 constexpr std::string_view BearerPrefix = "Bearer ";
 
 } // namespace
@@ -27,6 +33,10 @@
   struct exchange {
     http_request Request;
     bool IsTooLarge = false;
+    /// There was no memory for the body.
+    bool IsRejected = false;
+    /// What its body counts for in BodyBytes.
+    std::size_t CountedBytes = 0;
     bool IsHandled = false;
     bool IsSuspended = false;
     bool IsAnswered = false;
@@ -40,11 +50,15 @@
   descriptor_watch Watch;
   timer_subscription TimeoutTimer;
   std::size_t InFlight = 0;
+  std::size_t BodyBytes = 0;
+  std::size_t MaxBodyMemoryBytes = DefaultBodyMemoryBytes;
 
   explicit state(daemon_context &Context) : Context(Context) {}
 
   void runDaemon();
   void handleRequest(const std::shared_ptr<exchange> &Exchange);
+  void appendToBody(exchange &Exchange, std::string_view Data);
+  void releaseBody(exchange &Exchange);
   MHD_Result handleAccess(MHD_Connection *Connection, const char *Url,
                           const char *Method, const char *Data, size_t *Size,
                           void **RequestContext);
@@ -94,6 +108,28 @@
   }
 }
 
+/// Adds a part of the body, or drops the body if it is too long or there is no
+/// memory for it.
+void http_server::state::appendToBody(exchange &Exchange,
+                                      std::string_view Data) {
+  if (Exchange.IsTooLarge || Exchange.IsRejected)
+    return;
+  auto &Body = Exchange.Request.Body;
+  Exchange.IsTooLarge = Body.size() + Data.size() > MaxBodyBytes;
+  Exchange.IsRejected = Body.size() + Data.size() > FreeBodyBytes &&
+                        BodyBytes + Data.size() > MaxBodyMemoryBytes;
+  if (Exchange.IsTooLarge || Exchange.IsRejected)
+    return releaseBody(Exchange);
+  Body.append(Data);
+  Exchange.CountedBytes += Data.size();
+  BodyBytes += Data.size();
+}
+
+void http_server::state::releaseBody(exchange &Exchange) {
+  BodyBytes -= std::exchange(Exchange.CountedBytes, 0);
+  std::string().swap(Exchange.Request.Body);
+}
+
 MHD_Result http_server::state::handleAccess(MHD_Connection *Connection,
                                             const char *Url, const char *Method,
                                             const char *Data, size_t *Size,
@@ -113,17 +149,17 @@
   }
   auto Exchange = *static_cast<std::shared_ptr<exchange> *>(*RequestContext);
   if (*Size != 0) {
-    auto &Body = Exchange->Request.Body;
-    Exchange->IsTooLarge =
-        Exchange->IsTooLarge || Body.size() + *Size > MaxBodyBytes;
-    if (!Exchange->IsTooLarge)
-      Body.append(Data, *Size);
+    appendToBody(*Exchange, {Data, *Size});
     *Size = 0;
     return MHD_YES;
   }
   if (Exchange->IsTooLarge)
     return queueResponse(Connection, {StatusTooLarge, "text/plain",
                                       "the body is longer than 16 MiB\n"});
+  if (Exchange->IsRejected)
+    return queueResponse(Connection,
+                         {StatusUnavailable, "text/plain",
+                          "other requests use the memory for bodies\n"});
   if (!Exchange->IsHandled)
     handleRequest(Exchange);
   if (Exchange->IsAnswered)
@@ -146,10 +182,18 @@
   return Result;
 }
 
+std::size_t bodyMemoryFor(const process_resources &Resources) {
+  if (Resources.MemoryBytes == 0)
+    return DefaultBodyMemoryBytes;
+  return Resources.MemoryBytes / BodyMemoryDivisor;
+}
+
 http_server::http_server(daemon_context &Context, const endpoint &Listen,
-                         std::function<void(http_request, http_reply)> Handler)
+                         std::function<void(http_request, http_reply)> Handler,
+                         std::size_t MaxBodyMemoryBytes)
     : State(std::make_unique<state>(Context)) {
   State->Handler = std::move(Handler);
+  State->MaxBodyMemoryBytes = MaxBodyMemoryBytes;
   sockaddr_in Address = toSocketAddress(Listen);
   auto OnAccess = [](void *Self, MHD_Connection *Connection, const char *Url,
                      const char *Method, const char *, const char *Data,
@@ -163,9 +207,11 @@
         static_cast<std::shared_ptr<state::exchange> *>(*RequestContext);
     if (!Exchange)
       return;
+    auto &Server = *static_cast<state *>(Self);
+    Server.BodyBytes -= (*Exchange)->CountedBytes;
     delete Exchange;
     *RequestContext = nullptr;
-    --static_cast<state *>(Self)->InFlight;
+    --Server.InFlight;
   };
   State->Daemon = MHD_start_daemon(
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, Listen.Port, nullptr, nullptr,
--- a/modules/admin/http_server.h
+++ b/modules/admin/http_server.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/daemon_context.h"
+#include "core/process_resources.h"
 
 #include <functional>
 #include <memory>
@@ -29,15 +30,24 @@
 /// further calls are ignored.
 using http_reply = std::function<void(http_response)>;
 
+/// Memory for the bodies of requests that are being received, if the memory of
+/// the process is not known.
+constexpr std::size_t DefaultBodyMemoryBytes = 256 * 1024 * 1024;
+
+/// Returns the memory for the bodies of requests that are being received.
+std::size_t bodyMemoryFor(const process_resources &Resources);
+
 /// An HTTP/1.1 server on one endpoint. Bodies of more than 16 MiB are answered
-/// with status 413.
+/// with status 413, and those that would exceed the memory for all bodies with
+/// status 503.
 class http_server {
 public:
   /// Handler is called for each request. If it throws error, the response has
   /// status 400: the request is at fault; after any other exception it has 500.
   /// Throws error with step "http.listen" when the endpoint can't be bound.
   http_server(daemon_context &Context, const endpoint &Listen,
-              std::function<void(http_request, http_reply)> Handler);
+              std::function<void(http_request, http_reply)> Handler,
+              std::size_t MaxBodyMemoryBytes = DefaultBodyMemoryBytes);
   ~http_server();
 
   /// The endpoint that is listened at, with the actual port if it was set to 0.
--- a/modules/gateway/gateway_service.cpp
+++ b/modules/gateway/gateway_service.cpp
@@ -15,6 +15,19 @@
 const message_kind ReleaseKind(303);
 /// The link id that denotes this VM's own entry.
 const link_id LocalLink(0);
+/// Statements up to this size are accepted whatever others occupy.
+constexpr std::size_t OrdinaryStatementBytes = 4 * 1024;
+
+/// Returns the bytes of a statement and of the session values that it needs.
+std::size_t sizeOf(const wire::statement_request &Request) {
+  std::size_t Bytes = Request.line.text.size() + Request.line.shape.size() +
+                      Request.line.arguments.size();
+  for (const auto &Step : Request.steps)
+    Bytes += Step.sql.size();
+  for (const auto &[Name, Value] : Request.settings)
+    Bytes += Name.size() + Value.size();
+  return Bytes;
+}
 
 } // namespace
 
@@ -29,6 +42,8 @@
   member_agent &Member;
   gateway_settings Settings;
   std::map<group_id, std::shared_ptr<group_handler>> Groups;
+  /// Bytes of the statements that are not answered.
+  std::size_t StatementBytes = 0;
 
   group_handler &findOrCreateGroup(const group_id &Group) {
     std::shared_ptr<group_handler> &Entry = Groups[Group];
@@ -124,18 +139,41 @@
 
   void submit(incoming_statement Arrived) {
     auto Found = Groups.find(group_id(Arrived.Statement.group));
-    if (Found != Groups.end())
-      return Found->second->submit(std::move(Arrived));
+    if (Found == Groups.end())
+      return refuse(Arrived, "this VM does not know the group", true);
+    std::size_t Bytes = sizeOf(Arrived.Statement);
+    if (Bytes > OrdinaryStatementBytes &&
+        StatementBytes + Bytes > Settings.MaxStatementBytes)
+      return refuse(Arrived,
+                    "the statements at the gateway use too much memory", false);
+    countBytes(Arrived, Bytes);
+    Found->second->submit(std::move(Arrived));
+  }
+
+  static void refuse(const incoming_statement &Arrived,
+                     const std::string &Problem, bool NotAssigned) {
     wire::statement_reply Refusal;
     Refusal.outcome = wire::statement_outcome::not_run;
     Refusal.last = true;
     Refusal.code = CannotConnectNow;
-    Refusal.problem = "this VM does not know the group";
+    Refusal.problem = Problem;
     Refusal.transaction_status = 'I';
-    Refusal.not_assigned = true;
+    Refusal.not_assigned = NotAssigned;
     Arrived.Reply(std::move(Refusal));
   }
 
+  /// Counts a statement's bytes until its callback is destroyed, which is when
+  /// it has been answered or abandoned.
+  void countBytes(incoming_statement &Arrived, std::size_t Bytes) {
+    StatementBytes += Bytes;
+    std::shared_ptr<void> Counted(
+        nullptr, [this, Bytes](void *) { StatementBytes -= Bytes; });
+    Arrived.Reply = [Counted, Reply = std::move(Arrived.Reply)](
+                        wire::statement_reply Answer) {
+      Reply(std::move(Answer));
+    };
+  }
+
   void cancel(const statement_key &Key) {
     for (const auto &[Group, Gateway] : Groups)
       Gateway->cancel(Key);
--- a/modules/gateway/gateway_service.h
+++ b/modules/gateway/gateway_service.h
@@ -22,6 +22,9 @@
   /// libpq sslmode towards upstreams: disable, require or verify-ca.
   std::string SslMode = "disable";
   std::string SslRootCertificate;
+  /// Bytes of the statements that may wait or execute at the same time, beyond
+  /// those of ordinary size.
+  std::size_t MaxStatementBytes = 128 * 1024 * 1024;
   /// Creates the handler of a group. Empty: group_gateway, for SQL upstreams
   /// with the settings above.
   group_handler_factory MakeGroupHandler;
--- a/modules/line/line_caller_state.cpp
+++ b/modules/line/line_caller_state.cpp
@@ -1,5 +1,7 @@
 #include "modules/line/line_caller_state.h"
 
+#include "modules/line/caller_limits.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -185,6 +187,42 @@
   submitStatement(State, *Route, Statement, NextTransaction, Effects);
 }
 
+/// Returns the bytes that a session keeps under a name.
+std::size_t storedBytesOf(const line_caller_state &State,
+                          const line_statement &Statement) {
+  if (Statement.Verb == line_verb::Set) {
+    auto Found = State.Settings.find(Statement.Name);
+    return Found == State.Settings.end()
+               ? 0
+               : Found->first.size() + Found->second.size();
+  }
+  auto Found = State.Prepared.find(Statement.Name);
+  return Found == State.Prepared.end()
+             ? 0
+             : Found->first.size() + Found->second.Shape.size();
+}
+
+/// Handles SET and PREPARE. Refuses what would make the session's values larger
+/// than one message can set, as every VM on a statement's way has copies.
+void storeInSession(line_caller_state &State,
+                    const line_environment &Environment,
+                    const line_statement &Statement, line_effects &Effects) {
+  bool Sets = Statement.Verb == line_verb::Set;
+  std::size_t Bytes = Statement.Name.size() +
+                      (Sets ? Statement.Value.size() : Statement.Shape.size());
+  std::size_t Stored =
+      State.StoredBytes - storedBytesOf(State, Statement) + Bytes;
+  if (Stored > MaxSessionBytes)
+    return appendError(State, Environment, line_error::TooMany,
+                       "the session's values are longer than 1 MiB", Effects);
+  State.StoredBytes = Stored;
+  if (Sets)
+    State.Settings[Statement.Name] = Statement.Value;
+  else
+    State.Prepared[Statement.Name] = {Statement.Shape, Statement.Writes};
+  appendSuccess(State, Environment, Effects);
+}
+
 void handleStatement(line_caller_state &State,
                      const line_environment &Environment,
                      const line_statement &Statement,
@@ -209,16 +247,17 @@
     return handleTransactionEnd(State, Environment, Statement, NextTransaction,
                                 Effects);
   case line_verb::Set:
-    State.Settings[Statement.Name] = Statement.Value;
-    return appendSuccess(State, Environment, Effects);
   case line_verb::Prepare:
-    State.Prepared[Statement.Name] = {Statement.Shape, Statement.Writes};
-    return appendSuccess(State, Environment, Effects);
-  case line_verb::Deallocate:
-    if (State.Prepared.erase(Statement.Name) == 0)
+    return storeInSession(State, Environment, Statement, Effects);
+  case line_verb::Deallocate: {
+    auto Found = State.Prepared.find(Statement.Name);
+    if (Found == State.Prepared.end())
       return appendError(State, Environment, line_error::NoStatement,
                          "no prepared statement " + Statement.Name, Effects);
+    State.StoredBytes -= Found->first.size() + Found->second.Shape.size();
+    State.Prepared.erase(Found);
     return appendSuccess(State, Environment, Effects);
+  }
   case line_verb::Read:
   case line_verb::Write:
   case line_verb::Execute:
--- a/modules/line/line_caller_state.h
+++ b/modules/line/line_caller_state.h
@@ -40,6 +40,8 @@
   char TransactionStatus = 'I';
   std::map<std::string, std::string> Settings;
   std::map<std::string, line_prepared_statement> Prepared;
+  /// Bytes of Settings and Prepared.
+  std::size_t StoredBytes = 0;
   /// The highest position that the session's own writes have reached. Later
   /// reads must see it. Empty before the first write.
   std::optional<position> Floor;
--- a/modules/line/line_listener.cpp
+++ b/modules/line/line_listener.cpp
@@ -28,14 +28,28 @@
 /// How long a caller's first message is held back until a deployment is known:
 /// callers abandon a session after 2 s.
 constexpr duration DeploymentTimeout = std::chrono::milliseconds(1500);
-/// A connection that has not sent its first message is closed after this.
-constexpr duration StartTimeout = std::chrono::seconds(10);
 /// TCP_USER_TIMEOUT in milliseconds, for peers that lost power.
 constexpr unsigned TcpUserTimeoutMs = 10000;
 constexpr std::string_view LineEnd = "\r\n";
 
+/// A connection without a first message is closed for another one only after
+/// this.
+constexpr duration UnstartedGracePeriod = std::chrono::seconds(1);
+/// Shortest time between two log lines about callers that are closed for a
+/// limit.
+constexpr duration LimitLogInterval = std::chrono::seconds(1);
+
 using caller_id = strong_type<struct line_caller_tag, std::uint64_t>;
 
+/// Returns the bytes of a request that its caller determines.
+std::size_t sizeOf(const wire::statement_request &Request) {
+  std::size_t Bytes = Request.line.text.size() + Request.line.shape.size() +
+                      Request.line.arguments.size();
+  for (const auto &[Name, Value] : Request.settings)
+    Bytes += Name.size() + Value.size();
+  return Bytes;
+}
+
 } // namespace
 
 struct line_listener::state {
@@ -49,7 +63,21 @@
     line_caller_state Caller;
     std::optional<request_id> Request;
     time_point LastActivityAt;
+    time_point AcceptedAt;
+    /// When the message that is not complete yet began.
+    std::optional<time_point> MessageStartedAt;
+    /// Since when no byte of the output could be written.
+    std::optional<time_point> UnreadSince;
+    /// What it counts for in Buffered, and the bytes of the statement in
+    /// flight.
+    std::size_t CountedBytes = 0;
+    std::size_t InFlightBytes = 0;
     bool Closing = false;
+
+    std::size_t unsentBytes() const { return Out.size() - OutStart; }
+    std::size_t bufferedBytes() const {
+      return Input.size() + Out.size() + Caller.StoredBytes;
+    }
   };
 
   daemon_context &Context;
@@ -63,10 +91,15 @@
   timer_subscription CheckTimer;
   std::map<caller_id, std::unique_ptr<connection>> Connections;
   std::uint64_t LastCallerId = 0;
+  buffer_usage Buffered;
+  std::size_t InFlightBytes = 0;
   std::optional<time_point> DrainingSince;
   std::function<void()> OnDrained;
   gauge &Callers;
+  gauge &BufferedBytes;
+  counter &ClosedForLimits;
   latency_histogram &StatementSeconds;
+  time_point LimitLoggedAt;
   std::shared_ptr<state *> Self = std::make_shared<state *>(this);
 
   state(daemon_context &Context, member_agent &Member, statement_router &Router,
@@ -74,6 +107,10 @@
       : Context(Context), Member(Member), Router(Router),
         Settings(std::move(ListenerSettings)),
         Callers(Context.Metrics.gaugeOf("teasellock_callers")),
+        BufferedBytes(
+            Context.Metrics.gaugeOf("teasellock_caller_buffered_bytes")),
+        ClosedForLimits(Context.Metrics.counterOf(
+            "teasellock_callers_closed_for_limits_total")),
         StatementSeconds(
             Context.Metrics.histogramOf("teasellock_statement_seconds")) {
     Environment.Protocol = Settings.Protocol;
@@ -99,7 +136,13 @@
     return Found == Connections.end() ? nullptr : Found->second.get();
   }
 
+  const caller_limits &limits() const { return Settings.Limits; }
+
   void acceptConnections();
+  bool closeUnstartedConnection();
+  void closeForLimit(connection &Connection, const char *Reason);
+  bool isWithinBuffers(connection &Connection);
+  void endInFlight(connection &Connection);
   void addConnection(int Socket);
   void onReady(caller_id Id, readiness Ready);
   bool readFrom(connection &Connection);
@@ -107,8 +150,10 @@
   bool isAwaitingDeployment(const connection &Connection) const;
   void applyEffects(connection &Connection, line_effects Effects);
   void submit(connection &Connection, wire::statement_request Request);
+  void refuseInFlight(connection &Connection);
   void onReply(caller_id Id, const wire::statement_reply &Reply);
   bool flush(connection &Connection);
+  void continueInput(caller_id Id);
   void flushAndUpdate(caller_id Id);
   void closeConnection(caller_id Id);
   void checkConnections();
@@ -138,7 +183,8 @@
 }
 
 void line_listener::state::addConnection(int Socket) {
-  if (Connections.size() >= Settings.MaxCallers) {
+  if (Connections.size() >= limits().MaxCallers &&
+      !closeUnstartedConnection()) {
     std::string Out;
     Settings.Protocol->AppendError(Out, line_error::Busy, "too many sessions");
     [[maybe_unused]] auto Ignored =
@@ -154,6 +200,7 @@
   Connection->Id = caller_id(++LastCallerId);
   Connection->Socket = Socket;
   Connection->LastActivityAt = now();
+  Connection->AcceptedAt = now();
   Connection->Watch = Context.Loop.watch(
       Socket, {true, false},
       [this, Id = Connection->Id](readiness Ready) { onReady(Id, Ready); });
@@ -161,6 +208,52 @@
   Callers.set(static_cast<double>(Connections.size()));
 }
 
+/// Makes room for a new connection: closes the oldest one that has not sent its
+/// first message for UnstartedGracePeriod. Reports whether there was one.
+bool line_listener::state::closeUnstartedConnection() {
+  for (auto &[Id, Connection] : Connections) {
+    if (now() - Connection->AcceptedAt < UnstartedGracePeriod)
+      return false;
+    if (Connection->Caller.Phase != line_caller_state::phase::Start)
+      continue;
+    closeForLimit(*Connection, "more callers wait than may be open");
+    closeConnection(Id);
+    return true;
+  }
+  return false;
+}
+
+void line_listener::state::closeForLimit(connection &Connection,
+                                         const char *Reason) {
+  ClosedForLimits.add();
+  if (now() - LimitLoggedAt >= LimitLogInterval) {
+    LimitLoggedAt = now();
+    event("caller.closed_for_limit", severity::Warning)
+        .with("reason", Reason)
+        .with("input_bytes",
+              static_cast<std::uint64_t>(Connection.Input.size()))
+        .with("output_bytes",
+              static_cast<std::uint64_t>(Connection.unsentBytes()))
+        .with("buffered_bytes", static_cast<std::uint64_t>(Buffered.Total))
+        .with("callers", static_cast<std::uint64_t>(Connections.size()));
+  }
+  Connection.Closing = true;
+}
+
+/// Counts what a connection buffers. Returns false if it has to be closed.
+bool line_listener::state::isWithinBuffers(connection &Connection) {
+  bool Fits = recordBufferedBytes(Buffered, limits(), Connection.CountedBytes,
+                                  Connection.bufferedBytes());
+  BufferedBytes.set(static_cast<double>(Buffered.Total));
+  if (!Fits)
+    closeForLimit(Connection, "callers buffer too many bytes");
+  return Fits;
+}
+
+void line_listener::state::endInFlight(connection &Connection) {
+  InFlightBytes -= std::exchange(Connection.InFlightBytes, 0);
+}
+
 void line_listener::state::onReady(caller_id Id, readiness Ready) {
   auto *Connection = findConnection(Id);
   if (!Connection)
@@ -170,6 +263,8 @@
   if (Ready.Writable && !flush(*Connection))
     return closeConnection(Id);
   processInput(*Connection);
+  if (!isWithinBuffers(*Connection))
+    return closeConnection(Id);
   flushAndUpdate(Id);
 }
 
@@ -188,6 +283,7 @@
 void line_listener::state::processInput(connection &Connection) {
   std::size_t Start = 0;
   while (!Connection.Closing && !isAwaitingDeployment(Connection) &&
+         Connection.unsentBytes() <= limits().MaxUnreadBytes &&
          Connection.Caller.Phase != line_caller_state::phase::Busy) {
     std::size_t End = Connection.Input.find(LineEnd, Start);
     bool TooLong = Connection.Input.size() - Start > MaxLineBytes &&
@@ -209,8 +305,13 @@
     applyEffects(Connection, std::move(Effects));
   }
   Connection.Input.erase(0, Start);
-  if (Connection.Input.empty())
+  // A long message leaves a large buffer behind.
+  if (Connection.Input.capacity() > Connection.Input.size() + ReadBytes)
     Connection.Input.shrink_to_fit();
+  if (Connection.Input.empty())
+    Connection.MessageStartedAt.reset();
+  else if (Start > 0 || !Connection.MessageStartedAt)
+    Connection.MessageStartedAt = now();
 }
 
 /// Reports whether the first message is held back. A VM that has just started
@@ -233,8 +334,29 @@
   Connection.Closing = Connection.Closing || Effects.Close;
 }
 
+/// Refuses a statement because those in flight use up their part of the memory.
+void line_listener::state::refuseInFlight(connection &Connection) {
+  wire::statement_reply Reply;
+  Reply.outcome = wire::statement_outcome::not_run;
+  Reply.last = true;
+  Reply.code = sqlStateOf(line_error::Busy);
+  Reply.problem = "the statements in flight use too much memory";
+  Reply.transaction_status = 'I';
+  // Posted, as the caller's message is still being handled.
+  std::weak_ptr<state *> Weak = Self;
+  Context.Loop.post([Weak, Id = Connection.Id, Reply] {
+    if (auto Alive = Weak.lock())
+      (*Alive)->onReply(Id, Reply);
+  });
+}
+
 void line_listener::state::submit(connection &Connection,
                                   wire::statement_request Request) {
+  std::size_t Bytes = sizeOf(Request);
+  if (!canSend(limits(), InFlightBytes, Bytes))
+    return refuseInFlight(Connection);
+  Connection.InFlightBytes = Bytes;
+  InFlightBytes += Bytes;
   span Span = Context.Tracer.startSpan("entry.statement", {});
   Span.setAttribute("group", Request.group);
   std::string TraceParent = toTraceParent(Span.context());
@@ -259,6 +381,7 @@
   if (!Connection)
     return;
   Connection->Request.reset();
+  endInFlight(*Connection);
   Connection->LastActivityAt = now();
   if (!Reply.code.empty())
     event("caller.failed")
@@ -271,6 +394,8 @@
   teasellock::handleReply(Connection->Caller, Environment, Reply, Effects);
   applyEffects(*Connection, std::move(Effects));
   processInput(*Connection);
+  if (!isWithinBuffers(*Connection))
+    return closeConnection(Id);
   flushAndUpdate(Id);
 }
 
@@ -281,29 +406,49 @@
                            Out.size() - Connection.OutStart, MSG_NOSIGNAL);
     if (Count > 0) {
       Connection.OutStart += static_cast<std::size_t>(Count);
+      Connection.UnreadSince.reset();
       continue;
     }
     if (errno == EINTR)
       continue;
+    if (!Connection.UnreadSince)
+      Connection.UnreadSince = now();
     return errno == EAGAIN || errno == EWOULDBLOCK;
   }
   std::string().swap(Out);
   Connection.OutStart = 0;
+  Connection.UnreadSince.reset();
   return true;
 }
 
+/// Handles the messages that were held back until the output had been written.
+void line_listener::state::continueInput(caller_id Id) {
+  std::weak_ptr<state *> Weak = Self;
+  Context.Loop.post([Weak, Id] {
+    auto Alive = Weak.lock();
+    auto *Connection = Alive ? (*Alive)->findConnection(Id) : nullptr;
+    if (!Connection)
+      return;
+    (*Alive)->processInput(*Connection);
+    (*Alive)->flushAndUpdate(Id);
+  });
+}
+
 void line_listener::state::flushAndUpdate(caller_id Id) {
   auto *Connection = findConnection(Id);
   if (!Connection)
     return;
-  if (!flush(*Connection) ||
-      Connection->Out.size() - Connection->OutStart > MaxOutputBytes)
+  bool WasHeldBack = Connection->unsentBytes() > limits().MaxUnreadBytes;
+  if (!flush(*Connection) || Connection->unsentBytes() > MaxOutputBytes)
     return closeConnection(Id);
+  if (WasHeldBack && Connection->unsentBytes() <= limits().MaxUnreadBytes)
+    continueInput(Id);
   bool Written = Connection->Out.empty();
   if (Written && (Connection->Closing || shouldCloseForDrain(*Connection)))
     return closeConnection(Id);
-  bool WantsRead =
-      !Connection->Closing && Connection->Input.size() <= MaxLineBytes;
+  bool WantsRead = !Connection->Closing &&
+                   Connection->Input.size() <= MaxLineBytes &&
+                   Connection->unsentBytes() <= limits().MaxUnreadBytes;
   Connection->Watch.setInterest({WantsRead, !Written});
 }
 
@@ -312,6 +457,8 @@
   if (Extracted.empty())
     return;
   auto &Connection = *Extracted.mapped();
+  Buffered.Total -= Connection.CountedBytes;
+  endInFlight(Connection);
   Callers.set(static_cast<double>(Connections.size()));
   Connection.Watch = descriptor_watch();
   ::close(Connection.Socket);
@@ -340,8 +487,20 @@
   duration Idle = now() - Connection.LastActivityAt;
   bool StartTimedOut =
       Connection.Caller.Phase == line_caller_state::phase::Start &&
-      Idle > StartTimeout;
-  Connection.Closing = Connection.Closing || StartTimedOut;
+      now() - Connection.AcceptedAt > limits().StartTimeout;
+  bool MessageTimedOut =
+      Connection.MessageStartedAt &&
+      Connection.Caller.Phase != line_caller_state::phase::Busy &&
+      now() - *Connection.MessageStartedAt > limits().MessageTimeout;
+  bool WriteTimedOut = Connection.UnreadSince &&
+                       now() - *Connection.UnreadSince > limits().WriteTimeout;
+  if (!Connection.Closing && (StartTimedOut || MessageTimedOut))
+    closeForLimit(Connection, "a message is not complete in time");
+  if (!Connection.Closing && WriteTimedOut) {
+    closeForLimit(Connection, "the output is not read");
+    Connection.Out.clear();
+    Connection.OutStart = 0;
+  }
   duration Limit = Member.currentDeployment().IdleTransactionTimeout;
   if (Limit <= duration::zero() || Idle <= Limit)
     return;
--- a/modules/line/line_listener.h
+++ b/modules/line/line_listener.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/daemon_context.h"
+#include "modules/line/caller_limits.h"
 #include "modules/line/line_protocol.h"
 #include "modules/membership/member_agent.h"
 #include "modules/routing/statement_router.h"
@@ -16,8 +17,7 @@
 struct line_listener_settings {
   endpoint Listen;
   const line_protocol *Protocol = nullptr;
-  /// Maximum number of concurrent sessions; further connections are refused.
-  std::size_t MaxCallers = 4000;
+  caller_limits Limits;
   /// Idle sessions stay open for this long after a drain has begun: until the
   /// load balancer has noticed the drain, callers would reconnect to this VM.
   duration DrainNoticePeriod = fromMilliseconds(2500);
