--- a/modules/control/assignment.cpp
+++ b/modules/control/assignment.cpp
@@ -2,6 +2,7 @@
 
 #include "modules/control/budget.h"
 #include "modules/control/leases.h"
+#include "modules/control/limiter_assignment.h"
 
 #include <algorithm>
 #include <set>
@@ -290,16 +291,9 @@
   return Classes;
 }
 
-/// Reports whether VMs are still registering for the first time. Gateways that
-/// were chosen among the first few would have to move to others at once.
-bool areVmsRegistering(const assignment_input &Input) {
-  return Input.Now - Input.Leader.LastNewVmAt <
-             Input.Settings.RegistrationPause &&
-         Input.Now - Input.Leader.LeadingSince < MaxRegistrationTime;
-}
-
 void assignGateways(const assignment_input &Input, group_state &Group) {
-  if (Group.Gateways.empty() && areVmsRegistering(Input))
+  if (Group.Gateways.empty() &&
+      areVmsRegistering(Input.Leader, Input.Settings, Input.Now))
     return;
   if (Input.Settings.Method == promotion_method::Pause)
     inheritShares(Input, Group);
@@ -445,6 +439,12 @@
   return Decision;
 }
 
+bool areVmsRegistering(const leader_state &Leader,
+                       const decision_settings &Settings, time_point Now) {
+  return Now - Leader.LastNewVmAt < Settings.RegistrationPause &&
+         Now - Leader.LeadingSince < MaxRegistrationTime;
+}
+
 bool isReleased(const control_state &State, const vm_id &Vm) {
   for (const auto &[Name, Group] : State.Groups) {
     if (findShare(Group, Vm))
@@ -453,7 +453,7 @@
       if (Holder.Vm == Vm)
         return false;
   }
-  return true;
+  return !holdsLimiterSlot(State.Limiters, Vm);
 }
 
 } // namespace teasellock
--- a/modules/control/assignment.h
+++ b/modules/control/assignment.h
@@ -15,8 +15,14 @@
                                 const decision_settings &Settings,
                                 time_point Now);
 
-/// Reports whether no group is assigned to a VM and it holds no share of one,
-/// so that a draining VM may stop.
+/// Reports whether VMs are still registering for the first time with this
+/// leader. What is assigned to the first few would have to move to others at
+/// once.
+bool areVmsRegistering(const leader_state &Leader,
+                       const decision_settings &Settings, time_point Now);
+
+/// Reports whether no group is assigned to a VM and it holds no share of one
+/// and no limiter slot, so that a draining VM may stop.
 bool isReleased(const control_state &State, const vm_id &Vm);
 
 } // namespace teasellock
--- a/modules/control/control_codec.cpp
+++ b/modules/control/control_codec.cpp
@@ -1,5 +1,6 @@
 #include "modules/control/control_codec.h"
 
+#include "modules/control/limiter_codec.h"
 #include "modules/link/codec.h"
 
 namespace teasellock {
@@ -83,8 +84,42 @@
   return Result;
 }
 
+limiter_slot fromWire(const wire::limiter_slot &Record) {
+  limiter_slot Result;
+  Result.Holder = teasellock::fromWire(Record.holder);
+  if (!Record.former_vm.empty())
+    Result.Former = {vm_id(Record.former_vm),
+                     incarnation(toUnsigned(Record.former_incarnation)),
+                     revision(toUnsigned(Record.removed_at))};
+  return Result;
+}
+
 } // namespace
 
+wire::limiter_record toWire(const limiter_assignment &Assignment) {
+  wire::limiter_record Result;
+  Result.revision = toSigned(Assignment.Revision.Value);
+  for (const auto &Slot : Assignment.Slots) {
+    wire::limiter_slot Record;
+    Record.holder = toWire(Slot.Holder);
+    if (Slot.Former) {
+      Record.former_vm = Slot.Former->Vm.Value;
+      Record.former_incarnation = toSigned(Slot.Former->Incarnation.Value);
+      Record.removed_at = toSigned(Slot.Former->RemovedAt.Value);
+    }
+    Result.slots.push_back(std::move(Record));
+  }
+  return Result;
+}
+
+limiter_assignment fromWire(const wire::limiter_record &Record) {
+  limiter_assignment Result;
+  Result.Revision = revision(toUnsigned(Record.revision));
+  for (const auto &Slot : Record.slots)
+    Result.Slots.push_back(fromWire(Slot));
+  return Result;
+}
+
 wire::vm_record toWire(const vm_record &Vm) {
   wire::vm_record Result;
   Result.vm = Vm.Vm.Value;
@@ -194,6 +229,8 @@
     Result.__set_in_force(std::move(Change));
     Result.deployment_revision = toSigned(State.Deployment.Revision.Value);
   }
+  if (!State.Limiters.Slots.empty())
+    Result.__set_limiters(toWire(State.Limiters));
   return encode(Result);
 }
 
@@ -213,6 +250,8 @@
     Result.Deployment.Revision =
         revision(toUnsigned(Snapshot.deployment_revision));
   }
+  if (Snapshot.__isset.limiters)
+    Result.Limiters = fromWire(Snapshot.limiters);
   Result.Index = buildGroupIndex(Result);
   for (const auto &Record : Snapshot.edits)
     Result.EditOutcomes.push_back({edit_id(Record.edit_id), Record.accepted,
--- a/modules/control/control_commands.thrift
+++ b/modules/control/control_commands.thrift
@@ -99,6 +99,23 @@
   3: binary document;
 }
 
+/// A limiter slot: its holder, or the former holder that may still act.
+struct limiter_slot {
+  1: control_messages.limiter_holder holder;
+  /// Empty: none.
+  2: string former_vm;
+  3: i64 former_incarnation;
+  /// Revision that took the slot from the former holder.
+  4: i64 removed_at;
+}
+
+/// The assignment of all limiter slots; empty while no organisation has a
+/// limit.
+struct limiter_record {
+  1: i64 revision;
+  2: list<limiter_slot> slots;
+}
+
 /// An entry of the replicated log. Exactly one field is set.
 struct control_command {
   1: optional table_edit edit;
@@ -107,6 +124,8 @@
   /// Takes effect if the group's revision is still that of the record.
   4: optional group_record group;
   5: optional deployment_change change;
+  /// Takes effect if the assignment's revision is still that of the record.
+  6: optional limiter_record limiters;
 }
 
 /// A snapshot of the whole replicated state.
@@ -119,4 +138,5 @@
   6: list<edit_record> edits;
   7: optional deployment_change in_force;
   8: i64 deployment_revision;
+  9: optional limiter_record limiters;
 }
--- a/modules/control/control_messages.thrift
+++ b/modules/control/control_messages.thrift
@@ -189,6 +189,20 @@
   5: list<upstream_report> upstreams;
 }
 
+/// The VM process that counts the operations of a slot's organisations.
+struct limiter_holder {
+  /// Empty: the slot has no holder.
+  1: string vm;
+  2: i64 incarnation;
+  3: string address;
+}
+
+/// The holders of all slots. Without slots, no organisation has a limit.
+struct limiter_assignment {
+  1: i64 revision;
+  2: list<limiter_holder> slots;
+}
+
 /// A VM's heartbeat to the control leader. Kind 100.
 struct renewal {
   1: string vm;
@@ -218,6 +232,9 @@
   17: bool accepts_pending_views;
   /// The VM applies view_push, and reads base_revision in the reply.
   18: bool accepts_pushes;
+  /// Revision of the assignment of limiters that the VM has applied. Set once
+  /// the VM has a deployment with organisations, or has applied an assignment.
+  19: optional i64 limiter_revision;
 }
 
 /// Reply to a renewal. Kind 101.
@@ -249,6 +266,10 @@
   12: bool views_pending;
   /// The reply is of use only if the VM has all changes up to this revision.
   13: i64 base_revision;
+  /// Set if the VM has applied an older revision of it.
+  14: optional limiter_assignment limiters;
+  /// The VM's limiter lease; absent or 0: none.
+  15: optional i64 limiter_lease_ms;
 }
 
 /// Views that have changed, sent without a renewal. Kind 110; the message is
--- a/modules/control/control_state.cpp
+++ b/modules/control/control_state.cpp
@@ -156,6 +156,17 @@
   Found->second = std::move(Next);
 }
 
+void applyLimiters(control_state &State, revision Index,
+                   limiter_assignment Next) {
+  if (State.Limiters.Revision != Next.Revision)
+    return;
+  for (auto &Slot : Next.Slots)
+    if (Slot.Former)
+      resolveRevision(Slot.Former->RemovedAt, Index);
+  Next.Revision = Next.Slots.empty() ? revision() : Index;
+  State.Limiters = std::move(Next);
+}
+
 } // namespace
 
 void rememberDeparture(group_state &Group,
@@ -204,6 +215,8 @@
     applyGroup(State, Index, fromWire(Command.group));
   if (Command.__isset.change)
     applyDeployment(State, Index, Command.change);
+  if (Command.__isset.limiters)
+    applyLimiters(State, Index, fromWire(Command.limiters));
   State.Index = buildGroupIndex(State);
 }
 
@@ -280,6 +293,12 @@
   return Result;
 }
 
+wire::control_command makeLimiterCommand(const limiter_assignment &Next) {
+  wire::control_command Result;
+  Result.__set_limiters(toWire(Next));
+  return Result;
+}
+
 group_view viewOf(const group_state &Group) {
   group_view View;
   View.Group = Group.Group;
--- a/modules/control/control_state.h
+++ b/modules/control/control_state.h
@@ -5,6 +5,7 @@
 #include "modules/control/gen/control_commands_types.h"
 #include "modules/control/group_view.h"
 #include "modules/deployment/deployment.h"
+#include "modules/limits/limiter_view.h"
 
 #include <deque>
 #include <map>
@@ -184,6 +185,36 @@
   bool operator==(const deployment_record &) const = default;
 };
 
+/// A VM process that held a limiter slot and may still act on it.
+struct former_limiter {
+  vm_id Vm;
+  incarnation Incarnation;
+  /// The revision that took the slot from it.
+  revision RemovedAt;
+
+  bool operator==(const former_limiter &) const = default;
+};
+
+/// A limiter slot has a holder, or a former holder that must have released it
+/// before it is assigned again, or neither.
+struct limiter_slot {
+  std::optional<limiter_holder> Holder;
+  std::optional<former_limiter> Former;
+
+  bool operator==(const limiter_slot &) const = default;
+};
+
+/// Which VM counts the operations of which organisations.
+struct limiter_assignment {
+  /// Index of the entry that last changed it; zero while it is empty.
+  revision Revision;
+  /// LimiterSlotCount entries; empty while no organisation has a limit and none
+  /// of the former holders may still act.
+  std::vector<limiter_slot> Slots;
+
+  bool operator==(const limiter_assignment &) const = default;
+};
+
 /// The state that results from applying the replicated log.
 struct control_state {
   /// Index of the last applied entry.
@@ -195,6 +226,7 @@
   std::map<group_id, group_state> Groups;
   std::deque<edit_outcome> EditOutcomes;
   deployment_record Deployment;
+  limiter_assignment Limiters;
 
   bool operator==(const control_state &) const = default;
 };
@@ -230,6 +262,10 @@
 /// Replaces a group's state by Next if its revision is still Next.Revision.
 wire::control_command makeGroupCommand(const group_state &Next);
 
+/// Replaces the assignment of limiters by Next if its revision is still
+/// Next.Revision. Without slots, the assignment becomes empty.
+wire::control_command makeLimiterCommand(const limiter_assignment &Next);
+
 /// Reports whether an announcement comes from an incarnation of the upstream
 /// that has been replaced by a later one or has left.
 bool isOutdated(const group_state &Group,
--- a/modules/control/gen/control_commands_types.cpp
+++ b/modules/control/gen/control_commands_types.cpp
@@ -1956,6 +1956,316 @@
 }
 
 
+limiter_slot::~limiter_slot() noexcept {
+}
+
+
+void limiter_slot::__set_holder(const  ::teasellock::wire::limiter_holder& val) {
+  this->holder = val;
+}
+
+void limiter_slot::__set_former_vm(const std::string& val) {
+  this->former_vm = val;
+}
+
+void limiter_slot::__set_former_incarnation(const int64_t val) {
+  this->former_incarnation = val;
+}
+
+void limiter_slot::__set_removed_at(const int64_t val) {
+  this->removed_at = val;
+}
+std::ostream& operator<<(std::ostream& out, const limiter_slot& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t limiter_slot::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->holder.read(iprot);
+          this->__isset.holder = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->former_vm);
+          this->__isset.former_vm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->former_incarnation);
+          this->__isset.former_incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->removed_at);
+          this->__isset.removed_at = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t limiter_slot::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("limiter_slot");
+
+  xfer += oprot->writeFieldBegin("holder", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->holder.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("former_vm", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->former_vm);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("former_incarnation", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->former_incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("removed_at", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->removed_at);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(limiter_slot &a, limiter_slot &b) {
+  using ::std::swap;
+  swap(a.holder, b.holder);
+  swap(a.former_vm, b.former_vm);
+  swap(a.former_incarnation, b.former_incarnation);
+  swap(a.removed_at, b.removed_at);
+  swap(a.__isset, b.__isset);
+}
+
+limiter_slot::limiter_slot(const limiter_slot& other68) {
+  holder = other68.holder;
+  former_vm = other68.former_vm;
+  former_incarnation = other68.former_incarnation;
+  removed_at = other68.removed_at;
+  __isset = other68.__isset;
+}
+limiter_slot::limiter_slot(limiter_slot&& other69) noexcept {
+  holder = std::move(other69.holder);
+  former_vm = std::move(other69.former_vm);
+  former_incarnation = other69.former_incarnation;
+  removed_at = other69.removed_at;
+  __isset = other69.__isset;
+}
+limiter_slot& limiter_slot::operator=(const limiter_slot& other70) {
+  holder = other70.holder;
+  former_vm = other70.former_vm;
+  former_incarnation = other70.former_incarnation;
+  removed_at = other70.removed_at;
+  __isset = other70.__isset;
+  return *this;
+}
+limiter_slot& limiter_slot::operator=(limiter_slot&& other71) noexcept {
+  holder = std::move(other71.holder);
+  former_vm = std::move(other71.former_vm);
+  former_incarnation = other71.former_incarnation;
+  removed_at = other71.removed_at;
+  __isset = other71.__isset;
+  return *this;
+}
+void limiter_slot::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "limiter_slot(";
+  out << "holder=" << to_string(holder);
+  out << ", " << "former_vm=" << to_string(former_vm);
+  out << ", " << "former_incarnation=" << to_string(former_incarnation);
+  out << ", " << "removed_at=" << to_string(removed_at);
+  out << ")";
+}
+
+
+limiter_record::~limiter_record() noexcept {
+}
+
+
+void limiter_record::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void limiter_record::__set_slots(const std::vector<limiter_slot> & val) {
+  this->slots = val;
+}
+std::ostream& operator<<(std::ostream& out, const limiter_record& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t limiter_record::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->slots.clear();
+            uint32_t _size72;
+            ::apache::thrift::protocol::TType _etype75;
+            xfer += iprot->readListBegin(_etype75, _size72);
+            this->slots.resize(_size72);
+            uint32_t _i76;
+            for (_i76 = 0; _i76 < _size72; ++_i76)
+            {
+              xfer += this->slots[_i76].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.slots = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t limiter_record::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("limiter_record");
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->slots.size()));
+    std::vector<limiter_slot> ::const_iterator _iter77;
+    for (_iter77 = this->slots.begin(); _iter77 != this->slots.end(); ++_iter77)
+    {
+      xfer += (*_iter77).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(limiter_record &a, limiter_record &b) {
+  using ::std::swap;
+  swap(a.revision, b.revision);
+  swap(a.slots, b.slots);
+  swap(a.__isset, b.__isset);
+}
+
+limiter_record::limiter_record(const limiter_record& other78) {
+  revision = other78.revision;
+  slots = other78.slots;
+  __isset = other78.__isset;
+}
+limiter_record::limiter_record(limiter_record&& other79) noexcept {
+  revision = other79.revision;
+  slots = std::move(other79.slots);
+  __isset = other79.__isset;
+}
+limiter_record& limiter_record::operator=(const limiter_record& other80) {
+  revision = other80.revision;
+  slots = other80.slots;
+  __isset = other80.__isset;
+  return *this;
+}
+limiter_record& limiter_record::operator=(limiter_record&& other81) noexcept {
+  revision = other81.revision;
+  slots = std::move(other81.slots);
+  __isset = other81.__isset;
+  return *this;
+}
+void limiter_record::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "limiter_record(";
+  out << "revision=" << to_string(revision);
+  out << ", " << "slots=" << to_string(slots);
+  out << ")";
+}
+
+
 control_command::~control_command() noexcept {
 }
 
@@ -1984,6 +2294,11 @@
   this->change = val;
 __isset.change = true;
 }
+
+void control_command::__set_limiters(const limiter_record& val) {
+  this->limiters = val;
+__isset.limiters = true;
+}
 std::ostream& operator<<(std::ostream& out, const control_command& obj)
 {
   obj.printTo(out);
@@ -2052,6 +2367,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->limiters.read(iprot);
+          this->__isset.limiters = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2094,6 +2417,11 @@
     xfer += this->change.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.limiters) {
+    xfer += oprot->writeFieldBegin("limiters", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += this->limiters.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2106,41 +2434,46 @@
   swap(a.announcement, b.announcement);
   swap(a.group, b.group);
   swap(a.change, b.change);
+  swap(a.limiters, b.limiters);
   swap(a.__isset, b.__isset);
 }
 
-control_command::control_command(const control_command& other68) {
-  edit = other68.edit;
-  vm = other68.vm;
-  announcement = other68.announcement;
-  group = other68.group;
-  change = other68.change;
-  __isset = other68.__isset;
-}
-control_command::control_command(control_command&& other69) noexcept {
-  edit = std::move(other69.edit);
-  vm = std::move(other69.vm);
-  announcement = std::move(other69.announcement);
-  group = std::move(other69.group);
-  change = std::move(other69.change);
-  __isset = other69.__isset;
-}
-control_command& control_command::operator=(const control_command& other70) {
-  edit = other70.edit;
-  vm = other70.vm;
-  announcement = other70.announcement;
-  group = other70.group;
-  change = other70.change;
-  __isset = other70.__isset;
+control_command::control_command(const control_command& other82) {
+  edit = other82.edit;
+  vm = other82.vm;
+  announcement = other82.announcement;
+  group = other82.group;
+  change = other82.change;
+  limiters = other82.limiters;
+  __isset = other82.__isset;
+}
+control_command::control_command(control_command&& other83) noexcept {
+  edit = std::move(other83.edit);
+  vm = std::move(other83.vm);
+  announcement = std::move(other83.announcement);
+  group = std::move(other83.group);
+  change = std::move(other83.change);
+  limiters = std::move(other83.limiters);
+  __isset = other83.__isset;
+}
+control_command& control_command::operator=(const control_command& other84) {
+  edit = other84.edit;
+  vm = other84.vm;
+  announcement = other84.announcement;
+  group = other84.group;
+  change = other84.change;
+  limiters = other84.limiters;
+  __isset = other84.__isset;
   return *this;
 }
-control_command& control_command::operator=(control_command&& other71) noexcept {
-  edit = std::move(other71.edit);
-  vm = std::move(other71.vm);
-  announcement = std::move(other71.announcement);
-  group = std::move(other71.group);
-  change = std::move(other71.change);
-  __isset = other71.__isset;
+control_command& control_command::operator=(control_command&& other85) noexcept {
+  edit = std::move(other85.edit);
+  vm = std::move(other85.vm);
+  announcement = std::move(other85.announcement);
+  group = std::move(other85.group);
+  change = std::move(other85.change);
+  limiters = std::move(other85.limiters);
+  __isset = other85.__isset;
   return *this;
 }
 void control_command::printTo(std::ostream& out) const {
@@ -2151,6 +2484,7 @@
   out << ", " << "announcement="; (__isset.announcement ? (out << to_string(announcement)) : (out << "<null>"));
   out << ", " << "group="; (__isset.group ? (out << to_string(group)) : (out << "<null>"));
   out << ", " << "change="; (__isset.change ? (out << to_string(change)) : (out << "<null>"));
+  out << ", " << "limiters="; (__isset.limiters ? (out << to_string(limiters)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2191,6 +2525,11 @@
 void control_snapshot::__set_deployment_revision(const int64_t val) {
   this->deployment_revision = val;
 }
+
+void control_snapshot::__set_limiters(const limiter_record& val) {
+  this->limiters = val;
+__isset.limiters = true;
+}
 std::ostream& operator<<(std::ostream& out, const control_snapshot& obj)
 {
   obj.printTo(out);
@@ -2247,14 +2586,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->vms.clear();
-            uint32_t _size72;
-            ::apache::thrift::protocol::TType _etype75;
-            xfer += iprot->readListBegin(_etype75, _size72);
-            this->vms.resize(_size72);
-            uint32_t _i76;
-            for (_i76 = 0; _i76 < _size72; ++_i76)
+            uint32_t _size86;
+            ::apache::thrift::protocol::TType _etype89;
+            xfer += iprot->readListBegin(_etype89, _size86);
+            this->vms.resize(_size86);
+            uint32_t _i90;
+            for (_i90 = 0; _i90 < _size86; ++_i90)
             {
-              xfer += this->vms[_i76].read(iprot);
+              xfer += this->vms[_i90].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2267,14 +2606,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->groups.clear();
-            uint32_t _size77;
-            ::apache::thrift::protocol::TType _etype80;
-            xfer += iprot->readListBegin(_etype80, _size77);
-            this->groups.resize(_size77);
-            uint32_t _i81;
-            for (_i81 = 0; _i81 < _size77; ++_i81)
+            uint32_t _size91;
+            ::apache::thrift::protocol::TType _etype94;
+            xfer += iprot->readListBegin(_etype94, _size91);
+            this->groups.resize(_size91);
+            uint32_t _i95;
+            for (_i95 = 0; _i95 < _size91; ++_i95)
             {
-              xfer += this->groups[_i81].read(iprot);
+              xfer += this->groups[_i95].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2287,14 +2626,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->edits.clear();
-            uint32_t _size82;
-            ::apache::thrift::protocol::TType _etype85;
-            xfer += iprot->readListBegin(_etype85, _size82);
-            this->edits.resize(_size82);
-            uint32_t _i86;
-            for (_i86 = 0; _i86 < _size82; ++_i86)
+            uint32_t _size96;
+            ::apache::thrift::protocol::TType _etype99;
+            xfer += iprot->readListBegin(_etype99, _size96);
+            this->edits.resize(_size96);
+            uint32_t _i100;
+            for (_i100 = 0; _i100 < _size96; ++_i100)
             {
-              xfer += this->edits[_i86].read(iprot);
+              xfer += this->edits[_i100].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2319,6 +2658,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->limiters.read(iprot);
+          this->__isset.limiters = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2351,10 +2698,10 @@
   xfer += oprot->writeFieldBegin("vms", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->vms.size()));
-    std::vector<vm_record> ::const_iterator _iter87;
-    for (_iter87 = this->vms.begin(); _iter87 != this->vms.end(); ++_iter87)
+    std::vector<vm_record> ::const_iterator _iter101;
+    for (_iter101 = this->vms.begin(); _iter101 != this->vms.end(); ++_iter101)
     {
-      xfer += (*_iter87).write(oprot);
+      xfer += (*_iter101).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2363,10 +2710,10 @@
   xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
-    std::vector<group_record> ::const_iterator _iter88;
-    for (_iter88 = this->groups.begin(); _iter88 != this->groups.end(); ++_iter88)
+    std::vector<group_record> ::const_iterator _iter102;
+    for (_iter102 = this->groups.begin(); _iter102 != this->groups.end(); ++_iter102)
     {
-      xfer += (*_iter88).write(oprot);
+      xfer += (*_iter102).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2375,10 +2722,10 @@
   xfer += oprot->writeFieldBegin("edits", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->edits.size()));
-    std::vector<edit_record> ::const_iterator _iter89;
-    for (_iter89 = this->edits.begin(); _iter89 != this->edits.end(); ++_iter89)
+    std::vector<edit_record> ::const_iterator _iter103;
+    for (_iter103 = this->edits.begin(); _iter103 != this->edits.end(); ++_iter103)
     {
-      xfer += (*_iter89).write(oprot);
+      xfer += (*_iter103).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2393,6 +2740,11 @@
   xfer += oprot->writeI64(this->deployment_revision);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.limiters) {
+    xfer += oprot->writeFieldBegin("limiters", ::apache::thrift::protocol::T_STRUCT, 9);
+    xfer += this->limiters.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2408,53 +2760,58 @@
   swap(a.edits, b.edits);
   swap(a.in_force, b.in_force);
   swap(a.deployment_revision, b.deployment_revision);
+  swap(a.limiters, b.limiters);
   swap(a.__isset, b.__isset);
 }
 
-control_snapshot::control_snapshot(const control_snapshot& other90) {
-  applied = other90.applied;
-  table_version = other90.table_version;
-  last_edit = other90.last_edit;
-  vms = other90.vms;
-  groups = other90.groups;
-  edits = other90.edits;
-  in_force = other90.in_force;
-  deployment_revision = other90.deployment_revision;
-  __isset = other90.__isset;
-}
-control_snapshot::control_snapshot(control_snapshot&& other91) noexcept {
-  applied = other91.applied;
-  table_version = other91.table_version;
-  last_edit = std::move(other91.last_edit);
-  vms = std::move(other91.vms);
-  groups = std::move(other91.groups);
-  edits = std::move(other91.edits);
-  in_force = std::move(other91.in_force);
-  deployment_revision = other91.deployment_revision;
-  __isset = other91.__isset;
-}
-control_snapshot& control_snapshot::operator=(const control_snapshot& other92) {
-  applied = other92.applied;
-  table_version = other92.table_version;
-  last_edit = other92.last_edit;
-  vms = other92.vms;
-  groups = other92.groups;
-  edits = other92.edits;
-  in_force = other92.in_force;
-  deployment_revision = other92.deployment_revision;
-  __isset = other92.__isset;
+control_snapshot::control_snapshot(const control_snapshot& other104) {
+  applied = other104.applied;
+  table_version = other104.table_version;
+  last_edit = other104.last_edit;
+  vms = other104.vms;
+  groups = other104.groups;
+  edits = other104.edits;
+  in_force = other104.in_force;
+  deployment_revision = other104.deployment_revision;
+  limiters = other104.limiters;
+  __isset = other104.__isset;
+}
+control_snapshot::control_snapshot(control_snapshot&& other105) noexcept {
+  applied = other105.applied;
+  table_version = other105.table_version;
+  last_edit = std::move(other105.last_edit);
+  vms = std::move(other105.vms);
+  groups = std::move(other105.groups);
+  edits = std::move(other105.edits);
+  in_force = std::move(other105.in_force);
+  deployment_revision = other105.deployment_revision;
+  limiters = std::move(other105.limiters);
+  __isset = other105.__isset;
+}
+control_snapshot& control_snapshot::operator=(const control_snapshot& other106) {
+  applied = other106.applied;
+  table_version = other106.table_version;
+  last_edit = other106.last_edit;
+  vms = other106.vms;
+  groups = other106.groups;
+  edits = other106.edits;
+  in_force = other106.in_force;
+  deployment_revision = other106.deployment_revision;
+  limiters = other106.limiters;
+  __isset = other106.__isset;
   return *this;
 }
-control_snapshot& control_snapshot::operator=(control_snapshot&& other93) noexcept {
-  applied = other93.applied;
-  table_version = other93.table_version;
-  last_edit = std::move(other93.last_edit);
-  vms = std::move(other93.vms);
-  groups = std::move(other93.groups);
-  edits = std::move(other93.edits);
-  in_force = std::move(other93.in_force);
-  deployment_revision = other93.deployment_revision;
-  __isset = other93.__isset;
+control_snapshot& control_snapshot::operator=(control_snapshot&& other107) noexcept {
+  applied = other107.applied;
+  table_version = other107.table_version;
+  last_edit = std::move(other107.last_edit);
+  vms = std::move(other107.vms);
+  groups = std::move(other107.groups);
+  edits = std::move(other107.edits);
+  in_force = std::move(other107.in_force);
+  deployment_revision = other107.deployment_revision;
+  limiters = std::move(other107.limiters);
+  __isset = other107.__isset;
   return *this;
 }
 void control_snapshot::printTo(std::ostream& out) const {
@@ -2468,6 +2825,7 @@
   out << ", " << "edits=" << to_string(edits);
   out << ", " << "in_force="; (__isset.in_force ? (out << to_string(in_force)) : (out << "<null>"));
   out << ", " << "deployment_revision=" << to_string(deployment_revision);
+  out << ", " << "limiters="; (__isset.limiters ? (out << to_string(limiters)) : (out << "<null>"));
   out << ")";
 }
 
--- a/modules/control/gen/control_commands_types.h
+++ b/modules/control/gen/control_commands_types.h
@@ -38,6 +38,10 @@
 
 class deployment_change;
 
+class limiter_slot;
+
+class limiter_record;
+
 class control_command;
 
 class control_snapshot;
@@ -715,13 +719,130 @@
 
 std::ostream& operator<<(std::ostream& out, const deployment_change& obj);
 
+typedef struct _limiter_slot__isset {
+  _limiter_slot__isset() : holder(false), former_vm(false), former_incarnation(false), removed_at(false) {}
+  bool holder :1;
+  bool former_vm :1;
+  bool former_incarnation :1;
+  bool removed_at :1;
+} _limiter_slot__isset;
+
+class limiter_slot : public virtual ::apache::thrift::TBase {
+ public:
+
+  limiter_slot(const limiter_slot&);
+  limiter_slot(limiter_slot&&) noexcept;
+  limiter_slot& operator=(const limiter_slot&);
+  limiter_slot& operator=(limiter_slot&&) noexcept;
+  limiter_slot() noexcept
+               : former_vm(),
+                 former_incarnation(0),
+                 removed_at(0) {
+  }
+
+  virtual ~limiter_slot() noexcept;
+   ::teasellock::wire::limiter_holder holder;
+  std::string former_vm;
+  int64_t former_incarnation;
+  int64_t removed_at;
+
+  _limiter_slot__isset __isset;
+
+  void __set_holder(const  ::teasellock::wire::limiter_holder& val);
+
+  void __set_former_vm(const std::string& val);
+
+  void __set_former_incarnation(const int64_t val);
+
+  void __set_removed_at(const int64_t val);
+
+  bool operator == (const limiter_slot & rhs) const
+  {
+    if (!(holder == rhs.holder))
+      return false;
+    if (!(former_vm == rhs.former_vm))
+      return false;
+    if (!(former_incarnation == rhs.former_incarnation))
+      return false;
+    if (!(removed_at == rhs.removed_at))
+      return false;
+    return true;
+  }
+  bool operator != (const limiter_slot &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const limiter_slot & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(limiter_slot &a, limiter_slot &b);
+
+std::ostream& operator<<(std::ostream& out, const limiter_slot& obj);
+
+typedef struct _limiter_record__isset {
+  _limiter_record__isset() : revision(false), slots(false) {}
+  bool revision :1;
+  bool slots :1;
+} _limiter_record__isset;
+
+class limiter_record : public virtual ::apache::thrift::TBase {
+ public:
+
+  limiter_record(const limiter_record&);
+  limiter_record(limiter_record&&) noexcept;
+  limiter_record& operator=(const limiter_record&);
+  limiter_record& operator=(limiter_record&&) noexcept;
+  limiter_record() noexcept
+                 : revision(0) {
+  }
+
+  virtual ~limiter_record() noexcept;
+  int64_t revision;
+  std::vector<limiter_slot>  slots;
+
+  _limiter_record__isset __isset;
+
+  void __set_revision(const int64_t val);
+
+  void __set_slots(const std::vector<limiter_slot> & val);
+
+  bool operator == (const limiter_record & rhs) const
+  {
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(slots == rhs.slots))
+      return false;
+    return true;
+  }
+  bool operator != (const limiter_record &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const limiter_record & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(limiter_record &a, limiter_record &b);
+
+std::ostream& operator<<(std::ostream& out, const limiter_record& obj);
+
 typedef struct _control_command__isset {
-  _control_command__isset() : edit(false), vm(false), announcement(false), group(false), change(false) {}
+  _control_command__isset() : edit(false), vm(false), announcement(false), group(false), change(false), limiters(false) {}
   bool edit :1;
   bool vm :1;
   bool announcement :1;
   bool group :1;
   bool change :1;
+  bool limiters :1;
 } _control_command__isset;
 
 class control_command : public virtual ::apache::thrift::TBase {
@@ -740,6 +861,7 @@
    ::teasellock::wire::announcement announcement;
   group_record group;
   deployment_change change;
+  limiter_record limiters;
 
   _control_command__isset __isset;
 
@@ -753,6 +875,8 @@
 
   void __set_change(const deployment_change& val);
 
+  void __set_limiters(const limiter_record& val);
+
   bool operator == (const control_command & rhs) const
   {
     if (__isset.edit != rhs.__isset.edit)
@@ -775,6 +899,10 @@
       return false;
     else if (__isset.change && !(change == rhs.change))
       return false;
+    if (__isset.limiters != rhs.__isset.limiters)
+      return false;
+    else if (__isset.limiters && !(limiters == rhs.limiters))
+      return false;
     return true;
   }
   bool operator != (const control_command &rhs) const {
@@ -794,7 +922,7 @@
 std::ostream& operator<<(std::ostream& out, const control_command& obj);
 
 typedef struct _control_snapshot__isset {
-  _control_snapshot__isset() : applied(false), table_version(false), last_edit(false), vms(false), groups(false), edits(false), in_force(false), deployment_revision(false) {}
+  _control_snapshot__isset() : applied(false), table_version(false), last_edit(false), vms(false), groups(false), edits(false), in_force(false), deployment_revision(false), limiters(false) {}
   bool applied :1;
   bool table_version :1;
   bool last_edit :1;
@@ -803,6 +931,7 @@
   bool edits :1;
   bool in_force :1;
   bool deployment_revision :1;
+  bool limiters :1;
 } _control_snapshot__isset;
 
 class control_snapshot : public virtual ::apache::thrift::TBase {
@@ -828,6 +957,7 @@
   std::vector<edit_record>  edits;
   deployment_change in_force;
   int64_t deployment_revision;
+  limiter_record limiters;
 
   _control_snapshot__isset __isset;
 
@@ -847,6 +977,8 @@
 
   void __set_deployment_revision(const int64_t val);
 
+  void __set_limiters(const limiter_record& val);
+
   bool operator == (const control_snapshot & rhs) const
   {
     if (!(applied == rhs.applied))
@@ -867,6 +999,10 @@
       return false;
     if (!(deployment_revision == rhs.deployment_revision))
       return false;
+    if (__isset.limiters != rhs.__isset.limiters)
+      return false;
+    else if (__isset.limiters && !(limiters == rhs.limiters))
+      return false;
     return true;
   }
   bool operator != (const control_snapshot &rhs) const {
--- a/modules/control/gen/control_messages_types.cpp
+++ b/modules/control/gen/control_messages_types.cpp
@@ -3347,6 +3347,294 @@
 }
 
 
+limiter_holder::~limiter_holder() noexcept {
+}
+
+
+void limiter_holder::__set_vm(const std::string& val) {
+  this->vm = val;
+}
+
+void limiter_holder::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void limiter_holder::__set_address(const std::string& val) {
+  this->address = val;
+}
+std::ostream& operator<<(std::ostream& out, const limiter_holder& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t limiter_holder::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->vm);
+          this->__isset.vm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t limiter_holder::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("limiter_holder");
+
+  xfer += oprot->writeFieldBegin("vm", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->vm);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(limiter_holder &a, limiter_holder &b) {
+  using ::std::swap;
+  swap(a.vm, b.vm);
+  swap(a.incarnation, b.incarnation);
+  swap(a.address, b.address);
+  swap(a.__isset, b.__isset);
+}
+
+limiter_holder::limiter_holder(const limiter_holder& other127) {
+  vm = other127.vm;
+  incarnation = other127.incarnation;
+  address = other127.address;
+  __isset = other127.__isset;
+}
+limiter_holder::limiter_holder(limiter_holder&& other128) noexcept {
+  vm = std::move(other128.vm);
+  incarnation = other128.incarnation;
+  address = std::move(other128.address);
+  __isset = other128.__isset;
+}
+limiter_holder& limiter_holder::operator=(const limiter_holder& other129) {
+  vm = other129.vm;
+  incarnation = other129.incarnation;
+  address = other129.address;
+  __isset = other129.__isset;
+  return *this;
+}
+limiter_holder& limiter_holder::operator=(limiter_holder&& other130) noexcept {
+  vm = std::move(other130.vm);
+  incarnation = other130.incarnation;
+  address = std::move(other130.address);
+  __isset = other130.__isset;
+  return *this;
+}
+void limiter_holder::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "limiter_holder(";
+  out << "vm=" << to_string(vm);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "address=" << to_string(address);
+  out << ")";
+}
+
+
+limiter_assignment::~limiter_assignment() noexcept {
+}
+
+
+void limiter_assignment::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void limiter_assignment::__set_slots(const std::vector<limiter_holder> & val) {
+  this->slots = val;
+}
+std::ostream& operator<<(std::ostream& out, const limiter_assignment& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t limiter_assignment::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->slots.clear();
+            uint32_t _size131;
+            ::apache::thrift::protocol::TType _etype134;
+            xfer += iprot->readListBegin(_etype134, _size131);
+            this->slots.resize(_size131);
+            uint32_t _i135;
+            for (_i135 = 0; _i135 < _size131; ++_i135)
+            {
+              xfer += this->slots[_i135].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.slots = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t limiter_assignment::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("limiter_assignment");
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->slots.size()));
+    std::vector<limiter_holder> ::const_iterator _iter136;
+    for (_iter136 = this->slots.begin(); _iter136 != this->slots.end(); ++_iter136)
+    {
+      xfer += (*_iter136).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(limiter_assignment &a, limiter_assignment &b) {
+  using ::std::swap;
+  swap(a.revision, b.revision);
+  swap(a.slots, b.slots);
+  swap(a.__isset, b.__isset);
+}
+
+limiter_assignment::limiter_assignment(const limiter_assignment& other137) {
+  revision = other137.revision;
+  slots = other137.slots;
+  __isset = other137.__isset;
+}
+limiter_assignment::limiter_assignment(limiter_assignment&& other138) noexcept {
+  revision = other138.revision;
+  slots = std::move(other138.slots);
+  __isset = other138.__isset;
+}
+limiter_assignment& limiter_assignment::operator=(const limiter_assignment& other139) {
+  revision = other139.revision;
+  slots = other139.slots;
+  __isset = other139.__isset;
+  return *this;
+}
+limiter_assignment& limiter_assignment::operator=(limiter_assignment&& other140) noexcept {
+  revision = other140.revision;
+  slots = std::move(other140.slots);
+  __isset = other140.__isset;
+  return *this;
+}
+void limiter_assignment::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "limiter_assignment(";
+  out << "revision=" << to_string(revision);
+  out << ", " << "slots=" << to_string(slots);
+  out << ")";
+}
+
+
 renewal::~renewal() noexcept {
 }
 
@@ -3422,6 +3710,11 @@
 void renewal::__set_accepts_pushes(const bool val) {
   this->accepts_pushes = val;
 }
+
+void renewal::__set_limiter_revision(const int64_t val) {
+  this->limiter_revision = val;
+__isset.limiter_revision = true;
+}
 std::ostream& operator<<(std::ostream& out, const renewal& obj)
 {
   obj.printTo(out);
@@ -3518,14 +3811,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->groups.clear();
-            uint32_t _size127;
-            ::apache::thrift::protocol::TType _etype130;
-            xfer += iprot->readListBegin(_etype130, _size127);
-            this->groups.resize(_size127);
-            uint32_t _i131;
-            for (_i131 = 0; _i131 < _size127; ++_i131)
+            uint32_t _size141;
+            ::apache::thrift::protocol::TType _etype144;
+            xfer += iprot->readListBegin(_etype144, _size141);
+            this->groups.resize(_size141);
+            uint32_t _i145;
+            for (_i145 = 0; _i145 < _size141; ++_i145)
             {
-              xfer += this->groups[_i131].read(iprot);
+              xfer += this->groups[_i145].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3538,14 +3831,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->announcements.clear();
-            uint32_t _size132;
-            ::apache::thrift::protocol::TType _etype135;
-            xfer += iprot->readListBegin(_etype135, _size132);
-            this->announcements.resize(_size132);
-            uint32_t _i136;
-            for (_i136 = 0; _i136 < _size132; ++_i136)
+            uint32_t _size146;
+            ::apache::thrift::protocol::TType _etype149;
+            xfer += iprot->readListBegin(_etype149, _size146);
+            this->announcements.resize(_size146);
+            uint32_t _i150;
+            for (_i150 = 0; _i150 < _size146; ++_i150)
             {
-              xfer += this->announcements[_i136].read(iprot);
+              xfer += this->announcements[_i150].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3618,6 +3911,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->limiter_revision);
+          this->__isset.limiter_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3670,10 +3971,10 @@
   xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
-    std::vector<group_report> ::const_iterator _iter137;
-    for (_iter137 = this->groups.begin(); _iter137 != this->groups.end(); ++_iter137)
+    std::vector<group_report> ::const_iterator _iter151;
+    for (_iter151 = this->groups.begin(); _iter151 != this->groups.end(); ++_iter151)
     {
-      xfer += (*_iter137).write(oprot);
+      xfer += (*_iter151).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3682,10 +3983,10 @@
   xfer += oprot->writeFieldBegin("announcements", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->announcements.size()));
-    std::vector<announcement> ::const_iterator _iter138;
-    for (_iter138 = this->announcements.begin(); _iter138 != this->announcements.end(); ++_iter138)
+    std::vector<announcement> ::const_iterator _iter152;
+    for (_iter152 = this->announcements.begin(); _iter152 != this->announcements.end(); ++_iter152)
     {
-      xfer += (*_iter138).write(oprot);
+      xfer += (*_iter152).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3723,6 +4024,11 @@
   xfer += oprot->writeBool(this->accepts_pushes);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.limiter_revision) {
+    xfer += oprot->writeFieldBegin("limiter_revision", ::apache::thrift::protocol::T_I64, 19);
+    xfer += oprot->writeI64(this->limiter_revision);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3748,93 +4054,98 @@
   swap(a.accepts_patches, b.accepts_patches);
   swap(a.accepts_pending_views, b.accepts_pending_views);
   swap(a.accepts_pushes, b.accepts_pushes);
+  swap(a.limiter_revision, b.limiter_revision);
   swap(a.__isset, b.__isset);
 }
 
-renewal::renewal(const renewal& other139) {
-  vm = other139.vm;
-  incarnation = other139.incarnation;
-  address = other139.address;
-  availability_zone = other139.availability_zone;
-  region = other139.region;
-  applied_revision = other139.applied_revision;
-  sent_at_us = other139.sent_at_us;
-  draining = other139.draining;
-  groups = other139.groups;
-  announcements = other139.announcements;
-  after_revision = other139.after_revision;
-  after_group = other139.after_group;
-  deployment_version = other139.deployment_version;
-  control_store = other139.control_store;
-  gateway = other139.gateway;
-  accepts_patches = other139.accepts_patches;
-  accepts_pending_views = other139.accepts_pending_views;
-  accepts_pushes = other139.accepts_pushes;
-  __isset = other139.__isset;
-}
-renewal::renewal(renewal&& other140) noexcept {
-  vm = std::move(other140.vm);
-  incarnation = other140.incarnation;
-  address = std::move(other140.address);
-  availability_zone = std::move(other140.availability_zone);
-  region = std::move(other140.region);
-  applied_revision = other140.applied_revision;
-  sent_at_us = other140.sent_at_us;
-  draining = other140.draining;
-  groups = std::move(other140.groups);
-  announcements = std::move(other140.announcements);
-  after_revision = other140.after_revision;
-  after_group = std::move(other140.after_group);
-  deployment_version = other140.deployment_version;
-  control_store = other140.control_store;
-  gateway = other140.gateway;
-  accepts_patches = other140.accepts_patches;
-  accepts_pending_views = other140.accepts_pending_views;
-  accepts_pushes = other140.accepts_pushes;
-  __isset = other140.__isset;
-}
-renewal& renewal::operator=(const renewal& other141) {
-  vm = other141.vm;
-  incarnation = other141.incarnation;
-  address = other141.address;
-  availability_zone = other141.availability_zone;
-  region = other141.region;
-  applied_revision = other141.applied_revision;
-  sent_at_us = other141.sent_at_us;
-  draining = other141.draining;
-  groups = other141.groups;
-  announcements = other141.announcements;
-  after_revision = other141.after_revision;
-  after_group = other141.after_group;
-  deployment_version = other141.deployment_version;
-  control_store = other141.control_store;
-  gateway = other141.gateway;
-  accepts_patches = other141.accepts_patches;
-  accepts_pending_views = other141.accepts_pending_views;
-  accepts_pushes = other141.accepts_pushes;
-  __isset = other141.__isset;
+renewal::renewal(const renewal& other153) {
+  vm = other153.vm;
+  incarnation = other153.incarnation;
+  address = other153.address;
+  availability_zone = other153.availability_zone;
+  region = other153.region;
+  applied_revision = other153.applied_revision;
+  sent_at_us = other153.sent_at_us;
+  draining = other153.draining;
+  groups = other153.groups;
+  announcements = other153.announcements;
+  after_revision = other153.after_revision;
+  after_group = other153.after_group;
+  deployment_version = other153.deployment_version;
+  control_store = other153.control_store;
+  gateway = other153.gateway;
+  accepts_patches = other153.accepts_patches;
+  accepts_pending_views = other153.accepts_pending_views;
+  accepts_pushes = other153.accepts_pushes;
+  limiter_revision = other153.limiter_revision;
+  __isset = other153.__isset;
+}
+renewal::renewal(renewal&& other154) noexcept {
+  vm = std::move(other154.vm);
+  incarnation = other154.incarnation;
+  address = std::move(other154.address);
+  availability_zone = std::move(other154.availability_zone);
+  region = std::move(other154.region);
+  applied_revision = other154.applied_revision;
+  sent_at_us = other154.sent_at_us;
+  draining = other154.draining;
+  groups = std::move(other154.groups);
+  announcements = std::move(other154.announcements);
+  after_revision = other154.after_revision;
+  after_group = std::move(other154.after_group);
+  deployment_version = other154.deployment_version;
+  control_store = other154.control_store;
+  gateway = other154.gateway;
+  accepts_patches = other154.accepts_patches;
+  accepts_pending_views = other154.accepts_pending_views;
+  accepts_pushes = other154.accepts_pushes;
+  limiter_revision = other154.limiter_revision;
+  __isset = other154.__isset;
+}
+renewal& renewal::operator=(const renewal& other155) {
+  vm = other155.vm;
+  incarnation = other155.incarnation;
+  address = other155.address;
+  availability_zone = other155.availability_zone;
+  region = other155.region;
+  applied_revision = other155.applied_revision;
+  sent_at_us = other155.sent_at_us;
+  draining = other155.draining;
+  groups = other155.groups;
+  announcements = other155.announcements;
+  after_revision = other155.after_revision;
+  after_group = other155.after_group;
+  deployment_version = other155.deployment_version;
+  control_store = other155.control_store;
+  gateway = other155.gateway;
+  accepts_patches = other155.accepts_patches;
+  accepts_pending_views = other155.accepts_pending_views;
+  accepts_pushes = other155.accepts_pushes;
+  limiter_revision = other155.limiter_revision;
+  __isset = other155.__isset;
   return *this;
 }
-renewal& renewal::operator=(renewal&& other142) noexcept {
-  vm = std::move(other142.vm);
-  incarnation = other142.incarnation;
-  address = std::move(other142.address);
-  availability_zone = std::move(other142.availability_zone);
-  region = std::move(other142.region);
-  applied_revision = other142.applied_revision;
-  sent_at_us = other142.sent_at_us;
-  draining = other142.draining;
-  groups = std::move(other142.groups);
-  announcements = std::move(other142.announcements);
-  after_revision = other142.after_revision;
-  after_group = std::move(other142.after_group);
-  deployment_version = other142.deployment_version;
-  control_store = other142.control_store;
-  gateway = other142.gateway;
-  accepts_patches = other142.accepts_patches;
-  accepts_pending_views = other142.accepts_pending_views;
-  accepts_pushes = other142.accepts_pushes;
-  __isset = other142.__isset;
+renewal& renewal::operator=(renewal&& other156) noexcept {
+  vm = std::move(other156.vm);
+  incarnation = other156.incarnation;
+  address = std::move(other156.address);
+  availability_zone = std::move(other156.availability_zone);
+  region = std::move(other156.region);
+  applied_revision = other156.applied_revision;
+  sent_at_us = other156.sent_at_us;
+  draining = other156.draining;
+  groups = std::move(other156.groups);
+  announcements = std::move(other156.announcements);
+  after_revision = other156.after_revision;
+  after_group = std::move(other156.after_group);
+  deployment_version = other156.deployment_version;
+  control_store = other156.control_store;
+  gateway = other156.gateway;
+  accepts_patches = other156.accepts_patches;
+  accepts_pending_views = other156.accepts_pending_views;
+  accepts_pushes = other156.accepts_pushes;
+  limiter_revision = other156.limiter_revision;
+  __isset = other156.__isset;
   return *this;
 }
 void renewal::printTo(std::ostream& out) const {
@@ -3858,6 +4169,7 @@
   out << ", " << "accepts_patches=" << to_string(accepts_patches);
   out << ", " << "accepts_pending_views=" << to_string(accepts_pending_views);
   out << ", " << "accepts_pushes=" << to_string(accepts_pushes);
+  out << ", " << "limiter_revision="; (__isset.limiter_revision ? (out << to_string(limiter_revision)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3919,6 +4231,16 @@
 void renewal_reply::__set_base_revision(const int64_t val) {
   this->base_revision = val;
 }
+
+void renewal_reply::__set_limiters(const limiter_assignment& val) {
+  this->limiters = val;
+__isset.limiters = true;
+}
+
+void renewal_reply::__set_limiter_lease_ms(const int64_t val) {
+  this->limiter_lease_ms = val;
+__isset.limiter_lease_ms = true;
+}
 std::ostream& operator<<(std::ostream& out, const renewal_reply& obj)
 {
   obj.printTo(out);
@@ -3983,14 +4305,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->groups.clear();
-            uint32_t _size143;
-            ::apache::thrift::protocol::TType _etype146;
-            xfer += iprot->readListBegin(_etype146, _size143);
-            this->groups.resize(_size143);
-            uint32_t _i147;
-            for (_i147 = 0; _i147 < _size143; ++_i147)
+            uint32_t _size157;
+            ::apache::thrift::protocol::TType _etype160;
+            xfer += iprot->readListBegin(_etype160, _size157);
+            this->groups.resize(_size157);
+            uint32_t _i161;
+            for (_i161 = 0; _i161 < _size157; ++_i161)
             {
-              xfer += this->groups[_i147].read(iprot);
+              xfer += this->groups[_i161].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4035,14 +4357,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->control.clear();
-            uint32_t _size148;
-            ::apache::thrift::protocol::TType _etype151;
-            xfer += iprot->readListBegin(_etype151, _size148);
-            this->control.resize(_size148);
-            uint32_t _i152;
-            for (_i152 = 0; _i152 < _size148; ++_i152)
+            uint32_t _size162;
+            ::apache::thrift::protocol::TType _etype165;
+            xfer += iprot->readListBegin(_etype165, _size162);
+            this->control.resize(_size162);
+            uint32_t _i166;
+            for (_i166 = 0; _i166 < _size162; ++_i166)
             {
-              xfer += iprot->readString(this->control[_i152]);
+              xfer += iprot->readString(this->control[_i166]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4075,6 +4397,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->limiters.read(iprot);
+          this->__isset.limiters = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->limiter_lease_ms);
+          this->__isset.limiter_lease_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4111,10 +4449,10 @@
   xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
-    std::vector<group_view> ::const_iterator _iter153;
-    for (_iter153 = this->groups.begin(); _iter153 != this->groups.end(); ++_iter153)
+    std::vector<group_view> ::const_iterator _iter167;
+    for (_iter167 = this->groups.begin(); _iter167 != this->groups.end(); ++_iter167)
     {
-      xfer += (*_iter153).write(oprot);
+      xfer += (*_iter167).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4140,10 +4478,10 @@
   xfer += oprot->writeFieldBegin("control", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->control.size()));
-    std::vector<std::string> ::const_iterator _iter154;
-    for (_iter154 = this->control.begin(); _iter154 != this->control.end(); ++_iter154)
+    std::vector<std::string> ::const_iterator _iter168;
+    for (_iter168 = this->control.begin(); _iter168 != this->control.end(); ++_iter168)
     {
-      xfer += oprot->writeString((*_iter154));
+      xfer += oprot->writeString((*_iter168));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4162,6 +4500,16 @@
   xfer += oprot->writeI64(this->base_revision);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.limiters) {
+    xfer += oprot->writeFieldBegin("limiters", ::apache::thrift::protocol::T_STRUCT, 14);
+    xfer += this->limiters.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.limiter_lease_ms) {
+    xfer += oprot->writeFieldBegin("limiter_lease_ms", ::apache::thrift::protocol::T_I64, 15);
+    xfer += oprot->writeI64(this->limiter_lease_ms);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4182,73 +4530,83 @@
   swap(a.deployment_patches, b.deployment_patches);
   swap(a.views_pending, b.views_pending);
   swap(a.base_revision, b.base_revision);
+  swap(a.limiters, b.limiters);
+  swap(a.limiter_lease_ms, b.limiter_lease_ms);
   swap(a.__isset, b.__isset);
 }
 
-renewal_reply::renewal_reply(const renewal_reply& other155) {
-  granted = other155.granted;
-  sent_at_us = other155.sent_at_us;
-  lease_ms = other155.lease_ms;
-  leader_address = other155.leader_address;
-  groups = other155.groups;
-  revision = other155.revision;
-  more = other155.more;
-  released = other155.released;
-  newer_deployment = other155.newer_deployment;
-  control = other155.control;
-  deployment_patches = other155.deployment_patches;
-  views_pending = other155.views_pending;
-  base_revision = other155.base_revision;
-  __isset = other155.__isset;
+renewal_reply::renewal_reply(const renewal_reply& other169) {
+  granted = other169.granted;
+  sent_at_us = other169.sent_at_us;
+  lease_ms = other169.lease_ms;
+  leader_address = other169.leader_address;
+  groups = other169.groups;
+  revision = other169.revision;
+  more = other169.more;
+  released = other169.released;
+  newer_deployment = other169.newer_deployment;
+  control = other169.control;
+  deployment_patches = other169.deployment_patches;
+  views_pending = other169.views_pending;
+  base_revision = other169.base_revision;
+  limiters = other169.limiters;
+  limiter_lease_ms = other169.limiter_lease_ms;
+  __isset = other169.__isset;
 }
-renewal_reply::renewal_reply(renewal_reply&& other156) noexcept {
-  granted = other156.granted;
-  sent_at_us = other156.sent_at_us;
-  lease_ms = other156.lease_ms;
-  leader_address = std::move(other156.leader_address);
-  groups = std::move(other156.groups);
-  revision = other156.revision;
-  more = other156.more;
-  released = other156.released;
-  newer_deployment = std::move(other156.newer_deployment);
-  control = std::move(other156.control);
-  deployment_patches = std::move(other156.deployment_patches);
-  views_pending = other156.views_pending;
-  base_revision = other156.base_revision;
-  __isset = other156.__isset;
+renewal_reply::renewal_reply(renewal_reply&& other170) noexcept {
+  granted = other170.granted;
+  sent_at_us = other170.sent_at_us;
+  lease_ms = other170.lease_ms;
+  leader_address = std::move(other170.leader_address);
+  groups = std::move(other170.groups);
+  revision = other170.revision;
+  more = other170.more;
+  released = other170.released;
+  newer_deployment = std::move(other170.newer_deployment);
+  control = std::move(other170.control);
+  deployment_patches = std::move(other170.deployment_patches);
+  views_pending = other170.views_pending;
+  base_revision = other170.base_revision;
+  limiters = std::move(other170.limiters);
+  limiter_lease_ms = other170.limiter_lease_ms;
+  __isset = other170.__isset;
 }
-renewal_reply& renewal_reply::operator=(const renewal_reply& other157) {
-  granted = other157.granted;
-  sent_at_us = other157.sent_at_us;
-  lease_ms = other157.lease_ms;
-  leader_address = other157.leader_address;
-  groups = other157.groups;
-  revision = other157.revision;
-  more = other157.more;
-  released = other157.released;
-  newer_deployment = other157.newer_deployment;
-  control = other157.control;
-  deployment_patches = other157.deployment_patches;
-  views_pending = other157.views_pending;
-  base_revision = other157.base_revision;
-  __isset = other157.__isset;
+renewal_reply& renewal_reply::operator=(const renewal_reply& other171) {
+  granted = other171.granted;
+  sent_at_us = other171.sent_at_us;
+  lease_ms = other171.lease_ms;
+  leader_address = other171.leader_address;
+  groups = other171.groups;
+  revision = other171.revision;
+  more = other171.more;
+  released = other171.released;
+  newer_deployment = other171.newer_deployment;
+  control = other171.control;
+  deployment_patches = other171.deployment_patches;
+  views_pending = other171.views_pending;
+  base_revision = other171.base_revision;
+  limiters = other171.limiters;
+  limiter_lease_ms = other171.limiter_lease_ms;
+  __isset = other171.__isset;
   return *this;
 }
-renewal_reply& renewal_reply::operator=(renewal_reply&& other158) noexcept {
-  granted = other158.granted;
-  sent_at_us = other158.sent_at_us;
-  lease_ms = other158.lease_ms;
-  leader_address = std::move(other158.leader_address);
-  groups = std::move(other158.groups);
-  revision = other158.revision;
-  more = other158.more;
-  released = other158.released;
-  newer_deployment = std::move(other158.newer_deployment);
-  control = std::move(other158.control);
-  deployment_patches = std::move(other158.deployment_patches);
-  views_pending = other158.views_pending;
-  base_revision = other158.base_revision;
-  __isset = other158.__isset;
+renewal_reply& renewal_reply::operator=(renewal_reply&& other172) noexcept {
+  granted = other172.granted;
+  sent_at_us = other172.sent_at_us;
+  lease_ms = other172.lease_ms;
+  leader_address = std::move(other172.leader_address);
+  groups = std::move(other172.groups);
+  revision = other172.revision;
+  more = other172.more;
+  released = other172.released;
+  newer_deployment = std::move(other172.newer_deployment);
+  control = std::move(other172.control);
+  deployment_patches = std::move(other172.deployment_patches);
+  views_pending = other172.views_pending;
+  base_revision = other172.base_revision;
+  limiters = std::move(other172.limiters);
+  limiter_lease_ms = other172.limiter_lease_ms;
+  __isset = other172.__isset;
   return *this;
 }
 void renewal_reply::printTo(std::ostream& out) const {
@@ -4267,6 +4625,8 @@
   out << ", " << "deployment_patches="; (__isset.deployment_patches ? (out << to_string(deployment_patches)) : (out << "<null>"));
   out << ", " << "views_pending=" << to_string(views_pending);
   out << ", " << "base_revision=" << to_string(base_revision);
+  out << ", " << "limiters="; (__isset.limiters ? (out << to_string(limiters)) : (out << "<null>"));
+  out << ", " << "limiter_lease_ms="; (__isset.limiter_lease_ms ? (out << to_string(limiter_lease_ms)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4334,14 +4694,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->groups.clear();
-            uint32_t _size159;
-            ::apache::thrift::protocol::TType _etype162;
-            xfer += iprot->readListBegin(_etype162, _size159);
-            this->groups.resize(_size159);
-            uint32_t _i163;
-            for (_i163 = 0; _i163 < _size159; ++_i163)
+            uint32_t _size173;
+            ::apache::thrift::protocol::TType _etype176;
+            xfer += iprot->readListBegin(_etype176, _size173);
+            this->groups.resize(_size173);
+            uint32_t _i177;
+            for (_i177 = 0; _i177 < _size173; ++_i177)
             {
-              xfer += this->groups[_i163].read(iprot);
+              xfer += this->groups[_i177].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4378,10 +4738,10 @@
   xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
-    std::vector<group_view> ::const_iterator _iter164;
-    for (_iter164 = this->groups.begin(); _iter164 != this->groups.end(); ++_iter164)
+    std::vector<group_view> ::const_iterator _iter178;
+    for (_iter178 = this->groups.begin(); _iter178 != this->groups.end(); ++_iter178)
     {
-      xfer += (*_iter164).write(oprot);
+      xfer += (*_iter178).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4400,30 +4760,30 @@
   swap(a.__isset, b.__isset);
 }
 
-view_push::view_push(const view_push& other165) {
-  base_revision = other165.base_revision;
-  revision = other165.revision;
-  groups = other165.groups;
-  __isset = other165.__isset;
+view_push::view_push(const view_push& other179) {
+  base_revision = other179.base_revision;
+  revision = other179.revision;
+  groups = other179.groups;
+  __isset = other179.__isset;
 }
-view_push::view_push(view_push&& other166) noexcept {
-  base_revision = other166.base_revision;
-  revision = other166.revision;
-  groups = std::move(other166.groups);
-  __isset = other166.__isset;
+view_push::view_push(view_push&& other180) noexcept {
+  base_revision = other180.base_revision;
+  revision = other180.revision;
+  groups = std::move(other180.groups);
+  __isset = other180.__isset;
 }
-view_push& view_push::operator=(const view_push& other167) {
-  base_revision = other167.base_revision;
-  revision = other167.revision;
-  groups = other167.groups;
-  __isset = other167.__isset;
+view_push& view_push::operator=(const view_push& other181) {
+  base_revision = other181.base_revision;
+  revision = other181.revision;
+  groups = other181.groups;
+  __isset = other181.__isset;
   return *this;
 }
-view_push& view_push::operator=(view_push&& other168) noexcept {
-  base_revision = other168.base_revision;
-  revision = other168.revision;
-  groups = std::move(other168.groups);
-  __isset = other168.__isset;
+view_push& view_push::operator=(view_push&& other182) noexcept {
+  base_revision = other182.base_revision;
+  revision = other182.revision;
+  groups = std::move(other182.groups);
+  __isset = other182.__isset;
   return *this;
 }
 void view_push::printTo(std::ostream& out) const {
@@ -4579,38 +4939,38 @@
   swap(a.__isset, b.__isset);
 }
 
-fence::fence(const fence& other169) {
-  group = other169.group;
-  term = other169.term;
-  pause_term = other169.pause_term;
-  demoted = other169.demoted;
-  revision = other169.revision;
-  __isset = other169.__isset;
+fence::fence(const fence& other183) {
+  group = other183.group;
+  term = other183.term;
+  pause_term = other183.pause_term;
+  demoted = other183.demoted;
+  revision = other183.revision;
+  __isset = other183.__isset;
 }
-fence::fence(fence&& other170) noexcept {
-  group = std::move(other170.group);
-  term = other170.term;
-  pause_term = other170.pause_term;
-  demoted = std::move(other170.demoted);
-  revision = other170.revision;
-  __isset = other170.__isset;
+fence::fence(fence&& other184) noexcept {
+  group = std::move(other184.group);
+  term = other184.term;
+  pause_term = other184.pause_term;
+  demoted = std::move(other184.demoted);
+  revision = other184.revision;
+  __isset = other184.__isset;
 }
-fence& fence::operator=(const fence& other171) {
-  group = other171.group;
-  term = other171.term;
-  pause_term = other171.pause_term;
-  demoted = other171.demoted;
-  revision = other171.revision;
-  __isset = other171.__isset;
+fence& fence::operator=(const fence& other185) {
+  group = other185.group;
+  term = other185.term;
+  pause_term = other185.pause_term;
+  demoted = other185.demoted;
+  revision = other185.revision;
+  __isset = other185.__isset;
   return *this;
 }
-fence& fence::operator=(fence&& other172) noexcept {
-  group = std::move(other172.group);
-  term = other172.term;
-  pause_term = other172.pause_term;
-  demoted = std::move(other172.demoted);
-  revision = other172.revision;
-  __isset = other172.__isset;
+fence& fence::operator=(fence&& other186) noexcept {
+  group = std::move(other186.group);
+  term = other186.term;
+  pause_term = other186.pause_term;
+  demoted = std::move(other186.demoted);
+  revision = other186.revision;
+  __isset = other186.__isset;
   return *this;
 }
 void fence::printTo(std::ostream& out) const {
@@ -4700,14 +5060,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->upstreams.clear();
-            uint32_t _size173;
-            ::apache::thrift::protocol::TType _etype176;
-            xfer += iprot->readListBegin(_etype176, _size173);
-            this->upstreams.resize(_size173);
-            uint32_t _i177;
-            for (_i177 = 0; _i177 < _size173; ++_i177)
+            uint32_t _size187;
+            ::apache::thrift::protocol::TType _etype190;
+            xfer += iprot->readListBegin(_etype190, _size187);
+            this->upstreams.resize(_size187);
+            uint32_t _i191;
+            for (_i191 = 0; _i191 < _size187; ++_i191)
             {
-              xfer += this->upstreams[_i177].read(iprot);
+              xfer += this->upstreams[_i191].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4748,10 +5108,10 @@
   xfer += oprot->writeFieldBegin("upstreams", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upstreams.size()));
-    std::vector<upstream_report> ::const_iterator _iter178;
-    for (_iter178 = this->upstreams.begin(); _iter178 != this->upstreams.end(); ++_iter178)
+    std::vector<upstream_report> ::const_iterator _iter192;
+    for (_iter192 = this->upstreams.begin(); _iter192 != this->upstreams.end(); ++_iter192)
     {
-      xfer += (*_iter178).write(oprot);
+      xfer += (*_iter192).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4771,34 +5131,34 @@
   swap(a.__isset, b.__isset);
 }
 
-fence_reply::fence_reply(const fence_reply& other179) {
-  group = other179.group;
-  term = other179.term;
-  acknowledged = other179.acknowledged;
-  upstreams = other179.upstreams;
-  __isset = other179.__isset;
+fence_reply::fence_reply(const fence_reply& other193) {
+  group = other193.group;
+  term = other193.term;
+  acknowledged = other193.acknowledged;
+  upstreams = other193.upstreams;
+  __isset = other193.__isset;
 }
-fence_reply::fence_reply(fence_reply&& other180) noexcept {
-  group = std::move(other180.group);
-  term = other180.term;
-  acknowledged = std::move(other180.acknowledged);
-  upstreams = std::move(other180.upstreams);
-  __isset = other180.__isset;
+fence_reply::fence_reply(fence_reply&& other194) noexcept {
+  group = std::move(other194.group);
+  term = other194.term;
+  acknowledged = std::move(other194.acknowledged);
+  upstreams = std::move(other194.upstreams);
+  __isset = other194.__isset;
 }
-fence_reply& fence_reply::operator=(const fence_reply& other181) {
-  group = other181.group;
-  term = other181.term;
-  acknowledged = other181.acknowledged;
-  upstreams = other181.upstreams;
-  __isset = other181.__isset;
+fence_reply& fence_reply::operator=(const fence_reply& other195) {
+  group = other195.group;
+  term = other195.term;
+  acknowledged = other195.acknowledged;
+  upstreams = other195.upstreams;
+  __isset = other195.__isset;
   return *this;
 }
-fence_reply& fence_reply::operator=(fence_reply&& other182) noexcept {
-  group = std::move(other182.group);
-  term = other182.term;
-  acknowledged = std::move(other182.acknowledged);
-  upstreams = std::move(other182.upstreams);
-  __isset = other182.__isset;
+fence_reply& fence_reply::operator=(fence_reply&& other196) noexcept {
+  group = std::move(other196.group);
+  term = other196.term;
+  acknowledged = std::move(other196.acknowledged);
+  upstreams = std::move(other196.upstreams);
+  __isset = other196.__isset;
   return *this;
 }
 void fence_reply::printTo(std::ostream& out) const {
@@ -4921,30 +5281,30 @@
   swap(a.__isset, b.__isset);
 }
 
-promote::promote(const promote& other183) {
-  group = other183.group;
-  upstream = other183.upstream;
-  term = other183.term;
-  __isset = other183.__isset;
+promote::promote(const promote& other197) {
+  group = other197.group;
+  upstream = other197.upstream;
+  term = other197.term;
+  __isset = other197.__isset;
 }
-promote::promote(promote&& other184) noexcept {
-  group = std::move(other184.group);
-  upstream = std::move(other184.upstream);
-  term = other184.term;
-  __isset = other184.__isset;
+promote::promote(promote&& other198) noexcept {
+  group = std::move(other198.group);
+  upstream = std::move(other198.upstream);
+  term = other198.term;
+  __isset = other198.__isset;
 }
-promote& promote::operator=(const promote& other185) {
-  group = other185.group;
-  upstream = other185.upstream;
-  term = other185.term;
-  __isset = other185.__isset;
+promote& promote::operator=(const promote& other199) {
+  group = other199.group;
+  upstream = other199.upstream;
+  term = other199.term;
+  __isset = other199.__isset;
   return *this;
 }
-promote& promote::operator=(promote&& other186) noexcept {
-  group = std::move(other186.group);
-  upstream = std::move(other186.upstream);
-  term = other186.term;
-  __isset = other186.__isset;
+promote& promote::operator=(promote&& other200) noexcept {
+  group = std::move(other200.group);
+  upstream = std::move(other200.upstream);
+  term = other200.term;
+  __isset = other200.__isset;
   return *this;
 }
 void promote::printTo(std::ostream& out) const {
@@ -5117,42 +5477,42 @@
   swap(a.__isset, b.__isset);
 }
 
-promote_reply::promote_reply(const promote_reply& other187) {
-  group = other187.group;
-  upstream = other187.upstream;
-  term = other187.term;
-  done = other187.done;
-  problem = other187.problem;
-  reached = other187.reached;
-  __isset = other187.__isset;
-}
-promote_reply::promote_reply(promote_reply&& other188) noexcept {
-  group = std::move(other188.group);
-  upstream = std::move(other188.upstream);
-  term = other188.term;
-  done = other188.done;
-  problem = std::move(other188.problem);
-  reached = std::move(other188.reached);
-  __isset = other188.__isset;
-}
-promote_reply& promote_reply::operator=(const promote_reply& other189) {
-  group = other189.group;
-  upstream = other189.upstream;
-  term = other189.term;
-  done = other189.done;
-  problem = other189.problem;
-  reached = other189.reached;
-  __isset = other189.__isset;
+promote_reply::promote_reply(const promote_reply& other201) {
+  group = other201.group;
+  upstream = other201.upstream;
+  term = other201.term;
+  done = other201.done;
+  problem = other201.problem;
+  reached = other201.reached;
+  __isset = other201.__isset;
+}
+promote_reply::promote_reply(promote_reply&& other202) noexcept {
+  group = std::move(other202.group);
+  upstream = std::move(other202.upstream);
+  term = other202.term;
+  done = other202.done;
+  problem = std::move(other202.problem);
+  reached = std::move(other202.reached);
+  __isset = other202.__isset;
+}
+promote_reply& promote_reply::operator=(const promote_reply& other203) {
+  group = other203.group;
+  upstream = other203.upstream;
+  term = other203.term;
+  done = other203.done;
+  problem = other203.problem;
+  reached = other203.reached;
+  __isset = other203.__isset;
   return *this;
 }
-promote_reply& promote_reply::operator=(promote_reply&& other190) noexcept {
-  group = std::move(other190.group);
-  upstream = std::move(other190.upstream);
-  term = other190.term;
-  done = other190.done;
-  problem = std::move(other190.problem);
-  reached = std::move(other190.reached);
-  __isset = other190.__isset;
+promote_reply& promote_reply::operator=(promote_reply&& other204) noexcept {
+  group = std::move(other204.group);
+  upstream = std::move(other204.upstream);
+  term = other204.term;
+  done = other204.done;
+  problem = std::move(other204.problem);
+  reached = std::move(other204.reached);
+  __isset = other204.__isset;
   return *this;
 }
 void promote_reply::printTo(std::ostream& out) const {
@@ -5277,30 +5637,30 @@
   swap(a.__isset, b.__isset);
 }
 
-operator_request::operator_request(const operator_request& other191) {
-  method = other191.method;
-  path = other191.path;
-  body = other191.body;
-  __isset = other191.__isset;
+operator_request::operator_request(const operator_request& other205) {
+  method = other205.method;
+  path = other205.path;
+  body = other205.body;
+  __isset = other205.__isset;
 }
-operator_request::operator_request(operator_request&& other192) noexcept {
-  method = std::move(other192.method);
-  path = std::move(other192.path);
-  body = std::move(other192.body);
-  __isset = other192.__isset;
+operator_request::operator_request(operator_request&& other206) noexcept {
+  method = std::move(other206.method);
+  path = std::move(other206.path);
+  body = std::move(other206.body);
+  __isset = other206.__isset;
 }
-operator_request& operator_request::operator=(const operator_request& other193) {
-  method = other193.method;
-  path = other193.path;
-  body = other193.body;
-  __isset = other193.__isset;
+operator_request& operator_request::operator=(const operator_request& other207) {
+  method = other207.method;
+  path = other207.path;
+  body = other207.body;
+  __isset = other207.__isset;
   return *this;
 }
-operator_request& operator_request::operator=(operator_request&& other194) noexcept {
-  method = std::move(other194.method);
-  path = std::move(other194.path);
-  body = std::move(other194.body);
-  __isset = other194.__isset;
+operator_request& operator_request::operator=(operator_request&& other208) noexcept {
+  method = std::move(other208.method);
+  path = std::move(other208.path);
+  body = std::move(other208.body);
+  __isset = other208.__isset;
   return *this;
 }
 void operator_request::printTo(std::ostream& out) const {
@@ -5405,26 +5765,26 @@
   swap(a.__isset, b.__isset);
 }
 
-operator_reply::operator_reply(const operator_reply& other195) {
-  status = other195.status;
-  body = other195.body;
-  __isset = other195.__isset;
+operator_reply::operator_reply(const operator_reply& other209) {
+  status = other209.status;
+  body = other209.body;
+  __isset = other209.__isset;
 }
-operator_reply::operator_reply(operator_reply&& other196) noexcept {
-  status = other196.status;
-  body = std::move(other196.body);
-  __isset = other196.__isset;
+operator_reply::operator_reply(operator_reply&& other210) noexcept {
+  status = other210.status;
+  body = std::move(other210.body);
+  __isset = other210.__isset;
 }
-operator_reply& operator_reply::operator=(const operator_reply& other197) {
-  status = other197.status;
-  body = other197.body;
-  __isset = other197.__isset;
+operator_reply& operator_reply::operator=(const operator_reply& other211) {
+  status = other211.status;
+  body = other211.body;
+  __isset = other211.__isset;
   return *this;
 }
-operator_reply& operator_reply::operator=(operator_reply&& other198) noexcept {
-  status = other198.status;
-  body = std::move(other198.body);
-  __isset = other198.__isset;
+operator_reply& operator_reply::operator=(operator_reply&& other212) noexcept {
+  status = other212.status;
+  body = std::move(other212.body);
+  __isset = other212.__isset;
   return *this;
 }
 void operator_reply::printTo(std::ostream& out) const {
@@ -5511,22 +5871,22 @@
   swap(a.__isset, b.__isset);
 }
 
-nudge::nudge(const nudge& other199) noexcept {
-  revision = other199.revision;
-  __isset = other199.__isset;
+nudge::nudge(const nudge& other213) noexcept {
+  revision = other213.revision;
+  __isset = other213.__isset;
 }
-nudge::nudge(nudge&& other200) noexcept {
-  revision = other200.revision;
-  __isset = other200.__isset;
+nudge::nudge(nudge&& other214) noexcept {
+  revision = other214.revision;
+  __isset = other214.__isset;
 }
-nudge& nudge::operator=(const nudge& other201) noexcept {
-  revision = other201.revision;
-  __isset = other201.__isset;
+nudge& nudge::operator=(const nudge& other215) noexcept {
+  revision = other215.revision;
+  __isset = other215.__isset;
   return *this;
 }
-nudge& nudge::operator=(nudge&& other202) noexcept {
-  revision = other202.revision;
-  __isset = other202.__isset;
+nudge& nudge::operator=(nudge&& other216) noexcept {
+  revision = other216.revision;
+  __isset = other216.__isset;
   return *this;
 }
 void nudge::printTo(std::ostream& out) const {
@@ -5612,22 +5972,22 @@
   swap(a.__isset, b.__isset);
 }
 
-resume::resume(const resume& other203) {
-  group = other203.group;
-  __isset = other203.__isset;
+resume::resume(const resume& other217) {
+  group = other217.group;
+  __isset = other217.__isset;
 }
-resume::resume(resume&& other204) noexcept {
-  group = std::move(other204.group);
-  __isset = other204.__isset;
+resume::resume(resume&& other218) noexcept {
+  group = std::move(other218.group);
+  __isset = other218.__isset;
 }
-resume& resume::operator=(const resume& other205) {
-  group = other205.group;
-  __isset = other205.__isset;
+resume& resume::operator=(const resume& other219) {
+  group = other219.group;
+  __isset = other219.__isset;
   return *this;
 }
-resume& resume::operator=(resume&& other206) noexcept {
-  group = std::move(other206.group);
-  __isset = other206.__isset;
+resume& resume::operator=(resume&& other220) noexcept {
+  group = std::move(other220.group);
+  __isset = other220.__isset;
   return *this;
 }
 void resume::printTo(std::ostream& out) const {
--- a/modules/control/gen/control_messages_types.h
+++ b/modules/control/gen/control_messages_types.h
@@ -63,6 +63,10 @@
 
 class group_report;
 
+class limiter_holder;
+
+class limiter_assignment;
+
 class renewal;
 
 class renewal_reply;
@@ -1234,8 +1238,118 @@
 
 std::ostream& operator<<(std::ostream& out, const group_report& obj);
 
+typedef struct _limiter_holder__isset {
+  _limiter_holder__isset() : vm(false), incarnation(false), address(false) {}
+  bool vm :1;
+  bool incarnation :1;
+  bool address :1;
+} _limiter_holder__isset;
+
+class limiter_holder : public virtual ::apache::thrift::TBase {
+ public:
+
+  limiter_holder(const limiter_holder&);
+  limiter_holder(limiter_holder&&) noexcept;
+  limiter_holder& operator=(const limiter_holder&);
+  limiter_holder& operator=(limiter_holder&&) noexcept;
+  limiter_holder() noexcept
+                 : vm(),
+                   incarnation(0),
+                   address() {
+  }
+
+  virtual ~limiter_holder() noexcept;
+  std::string vm;
+  int64_t incarnation;
+  std::string address;
+
+  _limiter_holder__isset __isset;
+
+  void __set_vm(const std::string& val);
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_address(const std::string& val);
+
+  bool operator == (const limiter_holder & rhs) const
+  {
+    if (!(vm == rhs.vm))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    return true;
+  }
+  bool operator != (const limiter_holder &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const limiter_holder & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(limiter_holder &a, limiter_holder &b);
+
+std::ostream& operator<<(std::ostream& out, const limiter_holder& obj);
+
+typedef struct _limiter_assignment__isset {
+  _limiter_assignment__isset() : revision(false), slots(false) {}
+  bool revision :1;
+  bool slots :1;
+} _limiter_assignment__isset;
+
+class limiter_assignment : public virtual ::apache::thrift::TBase {
+ public:
+
+  limiter_assignment(const limiter_assignment&);
+  limiter_assignment(limiter_assignment&&) noexcept;
+  limiter_assignment& operator=(const limiter_assignment&);
+  limiter_assignment& operator=(limiter_assignment&&) noexcept;
+  limiter_assignment() noexcept
+                     : revision(0) {
+  }
+
+  virtual ~limiter_assignment() noexcept;
+  int64_t revision;
+  std::vector<limiter_holder>  slots;
+
+  _limiter_assignment__isset __isset;
+
+  void __set_revision(const int64_t val);
+
+  void __set_slots(const std::vector<limiter_holder> & val);
+
+  bool operator == (const limiter_assignment & rhs) const
+  {
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(slots == rhs.slots))
+      return false;
+    return true;
+  }
+  bool operator != (const limiter_assignment &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const limiter_assignment & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(limiter_assignment &a, limiter_assignment &b);
+
+std::ostream& operator<<(std::ostream& out, const limiter_assignment& obj);
+
 typedef struct _renewal__isset {
-  _renewal__isset() : vm(false), incarnation(false), address(false), availability_zone(false), region(false), applied_revision(false), sent_at_us(false), draining(false), groups(false), announcements(false), after_revision(false), after_group(false), deployment_version(false), control_store(false), gateway(true), accepts_patches(false), accepts_pending_views(false), accepts_pushes(false) {}
+  _renewal__isset() : vm(false), incarnation(false), address(false), availability_zone(false), region(false), applied_revision(false), sent_at_us(false), draining(false), groups(false), announcements(false), after_revision(false), after_group(false), deployment_version(false), control_store(false), gateway(true), accepts_patches(false), accepts_pending_views(false), accepts_pushes(false), limiter_revision(false) {}
   bool vm :1;
   bool incarnation :1;
   bool address :1;
@@ -1254,6 +1368,7 @@
   bool accepts_patches :1;
   bool accepts_pending_views :1;
   bool accepts_pushes :1;
+  bool limiter_revision :1;
 } _renewal__isset;
 
 class renewal : public virtual ::apache::thrift::TBase {
@@ -1279,7 +1394,8 @@
             gateway(true),
             accepts_patches(0),
             accepts_pending_views(0),
-            accepts_pushes(0) {
+            accepts_pushes(0),
+            limiter_revision(0) {
   }
 
   virtual ~renewal() noexcept;
@@ -1301,6 +1417,7 @@
   bool accepts_patches;
   bool accepts_pending_views;
   bool accepts_pushes;
+  int64_t limiter_revision;
 
   _renewal__isset __isset;
 
@@ -1340,6 +1457,8 @@
 
   void __set_accepts_pushes(const bool val);
 
+  void __set_limiter_revision(const int64_t val);
+
   bool operator == (const renewal & rhs) const
   {
     if (!(vm == rhs.vm))
@@ -1378,6 +1497,10 @@
       return false;
     if (!(accepts_pushes == rhs.accepts_pushes))
       return false;
+    if (__isset.limiter_revision != rhs.__isset.limiter_revision)
+      return false;
+    else if (__isset.limiter_revision && !(limiter_revision == rhs.limiter_revision))
+      return false;
     return true;
   }
   bool operator != (const renewal &rhs) const {
@@ -1397,7 +1520,7 @@
 std::ostream& operator<<(std::ostream& out, const renewal& obj);
 
 typedef struct _renewal_reply__isset {
-  _renewal_reply__isset() : granted(false), sent_at_us(false), lease_ms(false), leader_address(false), groups(false), revision(false), more(false), released(false), newer_deployment(false), control(false), deployment_patches(false), views_pending(false), base_revision(false) {}
+  _renewal_reply__isset() : granted(false), sent_at_us(false), lease_ms(false), leader_address(false), groups(false), revision(false), more(false), released(false), newer_deployment(false), control(false), deployment_patches(false), views_pending(false), base_revision(false), limiters(false), limiter_lease_ms(false) {}
   bool granted :1;
   bool sent_at_us :1;
   bool lease_ms :1;
@@ -1411,6 +1534,8 @@
   bool deployment_patches :1;
   bool views_pending :1;
   bool base_revision :1;
+  bool limiters :1;
+  bool limiter_lease_ms :1;
 } _renewal_reply__isset;
 
 class renewal_reply : public virtual ::apache::thrift::TBase {
@@ -1430,7 +1555,8 @@
                   released(0),
                   deployment_patches(),
                   views_pending(0),
-                  base_revision(0) {
+                  base_revision(0),
+                  limiter_lease_ms(0) {
   }
 
   virtual ~renewal_reply() noexcept;
@@ -1447,6 +1573,8 @@
   std::string deployment_patches;
   bool views_pending;
   int64_t base_revision;
+  limiter_assignment limiters;
+  int64_t limiter_lease_ms;
 
   _renewal_reply__isset __isset;
 
@@ -1476,6 +1604,10 @@
 
   void __set_base_revision(const int64_t val);
 
+  void __set_limiters(const limiter_assignment& val);
+
+  void __set_limiter_lease_ms(const int64_t val);
+
   bool operator == (const renewal_reply & rhs) const
   {
     if (!(granted == rhs.granted))
@@ -1508,6 +1640,14 @@
       return false;
     if (!(base_revision == rhs.base_revision))
       return false;
+    if (__isset.limiters != rhs.__isset.limiters)
+      return false;
+    else if (__isset.limiters && !(limiters == rhs.limiters))
+      return false;
+    if (__isset.limiter_lease_ms != rhs.__isset.limiter_lease_ms)
+      return false;
+    else if (__isset.limiter_lease_ms && !(limiter_lease_ms == rhs.limiter_lease_ms))
+      return false;
     return true;
   }
   bool operator != (const renewal_reply &rhs) const {
--- a/modules/control/leader_state.h
+++ b/modules/control/leader_state.h
@@ -65,6 +65,9 @@
   bool AcceptsPushes = false;
   /// In microseconds of the VM's own clock.
   std::int64_t SentAtUs = 0;
+  /// The revision of the assignment of limiters that it has applied; empty if
+  /// it does not report one, so that no slot may be assigned to it.
+  std::optional<revision> LimiterRevision;
   std::map<group_id, group_observation> Groups;
 };
 
@@ -167,6 +170,10 @@
   /// When each granted lease has ended for certain: the lease time and the
   /// margin for clock drift after it was granted.
   std::map<gateway_incarnation, time_point> LeaseEnds;
+  /// Likewise for limiter leases.
+  std::map<gateway_incarnation, time_point> LimiterLeaseEnds;
+  /// IP addresses of the hosts that run a control store.
+  std::set<std::string> ControlHosts;
   std::map<vm_id, vm_observation> Vms;
   std::map<group_id, group_orders> Orders;
   std::map<group_id, pause_progress> PausePromotions;
@@ -204,6 +211,20 @@
   bool RequireFreshPositions = true;
 };
 
+/// Which parts of the rule for limiter slots are enabled. Production code uses
+/// the default; tests disable single parts to show that each is needed.
+struct limiter_rules {
+  /// A former holder must have released its slot or its lease must have ended.
+  bool AwaitRelease = true;
+  /// An earlier leader may have granted leases until this one was elected.
+  bool CountEarlierLeaders = true;
+  /// A slot is taken from a silent holder before it is assigned again, because
+  /// a renewal may be granted while the change is being committed.
+  bool RemoveFirst = true;
+  /// The margin for clocks that run at different speeds is added to a lease.
+  bool AddMargin = true;
+};
+
 /// How a new primary is chosen and promoted.
 enum class promotion_method {
   /// Gateways stop acknowledging or lose their lease; a gateway promotes the
@@ -252,6 +273,14 @@
   /// Maximum interval between two announcements of an upstream, also while no
   /// leader answers them.
   duration AnnouncementInterval = fromMilliseconds(1500);
+  /// How long a limiter may act after its last granted renewal. Longer than
+  /// control has no leader after it was split in two halves (8 s).
+  duration LimiterLeaseTime = fromMilliseconds(10000);
+  /// Added to a limiter lease before it counts as expired. A clock that runs 5%
+  /// fast at the leader and one that runs 5% slow at the VM differ by 1,053 ms
+  /// in 10 s.
+  duration LimiterLeaseMargin = fromMilliseconds(1200);
+  limiter_rules LimiterRules;
 };
 
 /// The actions that are due for a group.
--- a/modules/control/leases.cpp
+++ b/modules/control/leases.cpp
@@ -92,6 +92,15 @@
   }
 }
 
+/// The revision never decreases: the observation belongs to one process.
+void recordLimiterRevision(vm_observation &Vm, const wire::renewal &Renewal) {
+  if (!Renewal.__isset.limiter_revision)
+    return;
+  revision Reported(static_cast<std::uint64_t>(Renewal.limiter_revision));
+  Vm.LimiterRevision =
+      std::max(Vm.LimiterRevision.value_or(revision()), Reported);
+}
+
 } // namespace
 
 std::map<upstream_id, upstream_observation>
@@ -171,6 +180,7 @@
   Vm.Deployment = deployment_version(
       static_cast<std::uint64_t>(Renewal.deployment_version));
   Vm.SentAtUs = Renewal.sent_at_us;
+  recordLimiterRevision(Vm, Renewal);
   recordReports(State, Vm, Renewal, Now);
   recordDirtyApplied(State, Leader, Gateway, Renewal);
   return Verdict;
--- a/modules/membership/member_state.cpp
+++ b/modules/membership/member_state.cpp
@@ -1,6 +1,7 @@
 #include "modules/membership/member_state.h"
 
 #include "core/compression.h"
+#include "modules/control/limiter_codec.h"
 #include "modules/deployment/deployment_patch.h"
 #include "modules/link/codec.h"
 
@@ -57,6 +58,28 @@
 
 } // namespace
 
+wire::renewal describeMember(const member_state &State,
+                             const vm_identity &Self) {
+  wire::renewal Renewal;
+  Renewal.vm = Self.Vm.Value;
+  Renewal.incarnation = static_cast<std::int64_t>(Self.Incarnation.Value);
+  Renewal.address = toString(Self.InternalEndpoint);
+  Renewal.availability_zone = Self.AvailabilityZone.Value;
+  Renewal.region = Self.Region.Value;
+  Renewal.applied_revision = static_cast<std::int64_t>(State.Applied.Value);
+  Renewal.after_revision = static_cast<std::int64_t>(State.AfterRevision.Value);
+  Renewal.after_group = State.AfterGroup.Value;
+  Renewal.deployment_version =
+      static_cast<std::int64_t>(State.Deployment.Version.Value);
+  Renewal.accepts_patches = true;
+  Renewal.accepts_pending_views = true;
+  Renewal.accepts_pushes = true;
+  if (State.Deployment.Organisations || State.Limiters.Revision != revision())
+    Renewal.__set_limiter_revision(
+        static_cast<std::int64_t>(State.Limiters.Revision.Value));
+  return Renewal;
+}
+
 std::vector<group_id> applyRenewalReply(member_state &State,
                                         const wire::renewal_reply &Reply,
                                         time_point SentAt) {
@@ -83,6 +106,36 @@
   return Changed;
 }
 
+bool applyLimiters(member_state &State, const wire::renewal_reply &Reply,
+                   time_point SentAt) {
+  if (!Reply.granted)
+    return false;
+  auto &View = State.Limiters;
+  revision Revision(static_cast<std::uint64_t>(Reply.limiters.revision));
+  bool IsNewer = Reply.__isset.limiters && Revision > View.Revision;
+  if (IsNewer) {
+    std::vector<std::optional<limiter_holder>> Slots;
+    for (const auto &Holder : Reply.limiters.slots)
+      Slots.push_back(fromWire(Holder));
+    View.Slots = std::move(Slots);
+    View.Revision = Revision;
+  }
+  // The reply contains the assignment that the lease applies to, unless the VM
+  // had applied it when it sent the renewal.
+  if (Reply.__isset.limiter_lease_ms && Reply.limiter_lease_ms > 0)
+    View.LeaseEnd = std::max(View.LeaseEnd,
+                             SentAt + fromMilliseconds(Reply.limiter_lease_ms));
+  return IsNewer;
+}
+
+bool holdsLimiterSlot(const member_state &State) {
+  const auto &Slots = State.Limiters.Slots;
+  return std::any_of(Slots.begin(), Slots.end(), [&](const auto &Holder) {
+    return Holder && Holder->Vm == State.Self &&
+           Holder->Incarnation == State.Incarnation;
+  });
+}
+
 std::vector<group_id> applyViewPush(member_state &State,
                                     const wire::view_push &Push) {
   revision Base(static_cast<std::uint64_t>(Push.base_revision));
--- a/modules/membership/member_state.h
+++ b/modules/membership/member_state.h
@@ -1,8 +1,10 @@
 /// The state that a VM has received from control, and its lease.
 #pragma once
 
+#include "core/daemon_context.h"
 #include "modules/control/group_view.h"
 #include "modules/deployment/deployment.h"
+#include "modules/limits/limiter_view.h"
 
 #include <map>
 #include <vector>
@@ -28,8 +30,15 @@
   /// the next reply continues. Zero and empty after a complete reply.
   revision AfterRevision;
   group_id AfterGroup;
+  /// The assignment of limiters, never replaced by an older one, and this VM's
+  /// limiter lease.
+  limiter_view Limiters;
 };
 
+/// Returns a renewal with the VM's identity and what it has applied.
+wire::renewal describeMember(const member_state &State,
+                             const vm_identity &Self);
+
 /// Applies the reply to a renewal that was sent at SentAt; the lease counts
 /// from then. Views are only replaced by ones of a higher revision. A reply
 /// that is not granted changes nothing; one that is older than the applied
@@ -41,6 +50,16 @@
                                         const wire::renewal_reply &Reply,
                                         time_point SentAt);
 
+/// Applies the assignment of limiters and the limiter lease in the reply to a
+/// renewal that was sent at SentAt; the lease counts from then. A reply that is
+/// not granted changes nothing. Throws error if an address is malformed.
+/// Returns whether the assignment has changed.
+bool applyLimiters(member_state &State, const wire::renewal_reply &Reply,
+                   time_point SentAt);
+
+/// Reports whether this VM holds a slot of the assignment.
+bool holdsLimiterSlot(const member_state &State);
+
 /// Applies views that control sent without a renewal. Changes nothing if the VM
 /// lacks earlier changes, or has later ones. Returns the groups whose views
 /// have changed.
