Control, Membership: VMs learn the limiters and their limiter leases

Cause: the decision on limiter slots was not run, and VMs did not learn it. GET /v1/limiters shows it. A draining VM is released only once it may not act on any slot. member_agent has limiters() and onLimitersChanged(). The first assignment has no holders: a VM becomes eligible by reporting that it has applied it, so that processes of earlier builds get no slot. The fields of renewals and replies are optional and absent while the assignment is empty.

--- a/modules/control/control_decisions.cpp
+++ b/modules/control/control_decisions.cpp
@@ -29,6 +29,7 @@
   if (!Leading)
     return;
   removeEndedLeases(Replicated, Leader, now());
+  updateLimiters();
   std::erase_if(PendingFences, [&](const auto &Entry) {
     return now() - Entry.second.FenceSentAt > FenceReplyTimeout;
   });
--- a/modules/control/control_messages.thrift
+++ b/modules/control/control_messages.thrift
@@ -233,7 +233,7 @@
   /// The VM applies view_push, and reads base_revision in the reply.
   18: bool accepts_pushes;
   /// Revision of the assignment of limiters that the VM has applied. Set once
-  /// the VM has a deployment with organisations, or has applied an assignment.
+  /// it has applied one.
   19: optional i64 limiter_revision;
 }
 
--- a/modules/control/control_operators.cpp
+++ b/modules/control/control_operators.cpp
@@ -117,6 +117,8 @@
     Answer(200, toText(groupsJson(Replicated, Leader)));
   else if (Resource == "vms")
     Answer(200, toText(vmsJson(Replicated, Leader, Settings, now())));
+  else if (Resource == "limiters")
+    Answer(200, toText(limitersJson(Replicated, Leader, Settings, now())));
   else if (Resource == "deployment")
     Answer(200, toText(deploymentJson(Replicated.Deployment.Deployment)));
   else if (Resource == "proposals")
--- a/modules/control/control_service.cpp
+++ b/modules/control/control_service.cpp
@@ -3,6 +3,7 @@
 #include "core/event_log.h"
 #include "modules/control/assignment.h"
 #include "modules/control/leases.h"
+#include "modules/control/limiter_assignment.h"
 #include "modules/control/operator_json.h"
 #include "modules/control/pause_progress.h"
 #include "modules/control/promotion.h"
@@ -97,6 +98,8 @@
   for (const auto &[Name, Group] : Replicated.Groups)
     if (Group.Revision == Index)
       scheduleDecision(Name);
+  if (Replicated.Limiters.Revision == Index)
+    nudgeForLimiters();
   scheduleUpdate();
 }
 
@@ -109,6 +112,7 @@
   Leader.LastAnnouncements = std::move(Announced);
   Leader.LeadingSince = now();
   Committing.clear();
+  CommittingLimiters = false;
   UnregisteredRenewals.clear();
   Registering.clear();
   Announcing.clear();
@@ -183,6 +187,9 @@
         .with("vm", Renewal.vm)
         .with("reason", "it still serves a group that it has lost");
   grantRenewal(Link, Message, Renewal, Leased);
+  // A former holder may have released its slots.
+  if (holdsLimiterSlot(Replicated.Limiters, vm_id(Renewal.vm)))
+    updateLimiters();
   for (const auto &Report : Renewal.groups)
     scheduleDecision(group_id(Report.group));
 }
@@ -271,6 +278,7 @@
                        ? 0
                        : toMilliseconds(Settings.LeaseTime);
   addDeployment(Reply, Link, Renewal);
+  grantLimiterLease(Replicated, Leader, Renewal, Settings, now(), Reply);
   for (const auto &Member : Consensus.members())
     Reply.control.push_back(toString(Member.Address));
   Reply.released =
--- a/modules/control/control_service_state.h
+++ b/modules/control/control_service_state.h
@@ -1,6 +1,7 @@
 /// The state of the control service, shared by its source files:
 /// control_service.cpp (log and renewals), control_decisions.cpp,
-/// control_members.cpp, control_deployment.cpp and control_operators.cpp.
+/// control_limiters.cpp, control_members.cpp, control_deployment.cpp and
+/// control_operators.cpp.
 #pragma once
 
 #include "modules/control/control_service.h"
@@ -64,6 +65,8 @@
   std::map<deployment_version, std::string> CompressedPatches;
   /// Groups with a change that is not committed yet.
   std::set<group_id> Committing;
+  /// A change of the assignment of limiters is not committed yet.
+  bool CommittingLimiters = false;
   decision_queue Queue;
   /// Proposals made by the current decision.
   std::vector<operator_proposal> DecisionProposals;
@@ -168,6 +171,12 @@
   void recordProposals(const group_id &Group,
                        const std::vector<operator_proposal> &Proposals);
 
+  // control_limiters.cpp: the assignment of limiters.
+  /// Decides on the assignment unless a change is being committed.
+  void updateLimiters();
+  /// Asks the VMs that have an older assignment for a renewal.
+  void nudgeForLimiters();
+
   bool sendTo(const gateway_incarnation &Gateway, message_kind Kind,
               request_id Request, std::string Body);
   void sendFences(const group_state &Group, const group_decision &Decision);
--- a/modules/control/limiter_assignment.cpp
+++ b/modules/control/limiter_assignment.cpp
@@ -182,9 +182,9 @@
     releaseSlot(Input, Index, Next.Slots[Index], Decision.Changes);
   if (HasLimits)
     assignFreeSlots(Input, Next, Decision.Changes);
-  // An assignment without entries starts with one that has holders.
-  bool IsUnused = std::none_of(Next.Slots.begin(), Next.Slots.end(), isInUse);
-  if (IsUnused && (!HasLimits || State.Limiters.Slots.empty()))
+  // With limits, the first assignment has no holders yet: VMs become eligible
+  // by reporting that they have applied it.
+  else if (std::none_of(Next.Slots.begin(), Next.Slots.end(), isInUse))
     Next.Slots.clear();
   if (Next != State.Limiters)
     Decision.Next = std::move(Next);
--- a/modules/control/operator_json.cpp
+++ b/modules/control/operator_json.cpp
@@ -1,6 +1,7 @@
 #include "modules/control/operator_json.h"
 
 #include "modules/control/leases.h"
+#include "modules/control/limiter_assignment.h"
 #include "modules/control/promotion.h"
 #include "modules/table/table_json.h"
 
@@ -195,6 +196,31 @@
   return {{"vms", Vms}};
 }
 
+json limitersJson(const control_state &State, const leader_state &Leader,
+                  const decision_settings &Settings, time_point Now) {
+  auto LeaseLeft = [&](const vm_id &Vm, incarnation Incarnation) {
+    duration Left = limiterLeaseEnd(Leader, {Vm, Incarnation}, Settings) - Now;
+    return std::max<std::int64_t>(toMilliseconds(Left), 0);
+  };
+  json Slots = json::array();
+  for (const auto &Slot : State.Limiters.Slots) {
+    json Entry = {{"slot", Slots.size()}};
+    if (Slot.Holder) {
+      Entry["vm"] = Slot.Holder->Vm.Value;
+      Entry["incarnation"] = Slot.Holder->Incarnation.Value;
+      Entry["address"] = toString(Slot.Holder->Address);
+      Entry["lease_ms"] = LeaseLeft(Slot.Holder->Vm, Slot.Holder->Incarnation);
+    }
+    if (Slot.Former) {
+      Entry["former"] = Slot.Former->Vm.Value;
+      Entry["former_incarnation"] = Slot.Former->Incarnation.Value;
+      Entry["lease_ms"] = LeaseLeft(Slot.Former->Vm, Slot.Former->Incarnation);
+    }
+    Slots.push_back(Entry);
+  }
+  return {{"revision", State.Limiters.Revision.Value}, {"slots", Slots}};
+}
+
 json tableStatusJson(const control_state &State, const leader_state &Leader,
                      time_point Now) {
   revision Latest = latestTableRevision(State);
--- a/modules/control/operator_json.h
+++ b/modules/control/operator_json.h
@@ -26,6 +26,12 @@
 nlohmann::json vmsJson(const control_state &State, const leader_state &Leader,
                        const decision_settings &Settings, time_point Now);
 
+/// Returns the limiter slots with their holders and the remaining time of the
+/// holders' limiter leases. No slots: no organisation has a limit.
+nlohmann::json limitersJson(const control_state &State,
+                            const leader_state &Leader,
+                            const decision_settings &Settings, time_point Now);
+
 /// Returns the table's version and the VMs that have not applied the latest
 /// change of a group yet.
 nlohmann::json tableStatusJson(const control_state &State,
--- a/modules/control/tests/limiter_simulation.cpp
+++ b/modules/control/tests/limiter_simulation.cpp
@@ -144,8 +144,9 @@
     Renewal.address = "10.0.0." + std::to_string(Index + 1) + ":1";
     Renewal.sent_at_us = Vm.Clock.at(Now).time_since_epoch().count();
     Renewal.draining = Vm.Draining;
-    Renewal.__set_limiter_revision(
-        static_cast<std::int64_t>(Vm.Member.Limiters.Revision.Value));
+    if (Vm.Member.Limiters.Revision != revision())
+      Renewal.__set_limiter_revision(
+          static_cast<std::int64_t>(Vm.Member.Limiters.Revision.Value));
     Renewals.push_back({Index, Renewal, Now, Now + delay(), random(0, 1) == 0});
   }
 }
--- a/modules/control/tests/test_control_service.cpp
+++ b/modules/control/tests/test_control_service.cpp
@@ -1,5 +1,7 @@
 #include "modules/control/control_service.h"
+#include "modules/control/internal_calls.h"
 #include "modules/control/operator_json.h"
+#include "modules/link/codec.h"
 #include "modules/membership/member_agent.h"
 #include "tests/temporary_folder.h"
 
@@ -193,8 +195,48 @@
       announce(Name);
     REQUIRE(runUntil([&] { return primaryIs("a"); }));
   }
+
+  /// Puts a version with one organisation in force and waits until all VMs have
+  /// it.
+  void submit(std::uint64_t Version, std::optional<operation_limit> Limit) {
+    deployment_proposal Proposal;
+    Proposal.Deployment.Version = deployment_version(Version);
+    organisation Organisation;
+    Organisation.Name = organisation_id("o");
+    Organisation.Limit = Limit;
+    Proposal.Deployment.Organisations = {Organisation};
+    group_limits Limits;
+    Limits.Group = group_id("fares");
+    Limits.MaxConnections = 25;
+    Proposal.Groups = {Limits};
+    Control->handleOperator(
+        "PUT", DeploymentPath, encode(makeDeploymentCommand(Proposal).change),
+        [](int Status, const std::string &) { CHECK(Status == 200); });
+    REQUIRE(runUntil([&] {
+      return forAll([&](const member_agent &Agent) {
+        return Agent.currentDeployment().Version == deployment_version(Version);
+      });
+    }));
+  }
+
+  template <typename Condition> bool forAll(Condition Holds) {
+    return Holds(*First.Agent) && Holds(*Second.Agent) && Holds(*Third.Agent);
+  }
+
+  /// Reports whether the VM knows a holder of every slot.
+  static bool knowsLimiters(const member_agent &Agent) {
+    const auto &Slots = Agent.limiters().Slots;
+    return Slots.size() == LimiterSlotCount &&
+           std::count(Slots.begin(), Slots.end(), std::nullopt) == 0;
+  }
 };
 
+std::size_t slotsOf(const limiter_view &View, const vm_id &Vm) {
+  return static_cast<std::size_t>(
+      std::count_if(View.Slots.begin(), View.Slots.end(),
+                    [&](const auto &Slot) { return Slot && Slot->Vm == Vm; }));
+}
+
 } // namespace
 
 TEST_CASE("control: a row, announcements and renewals lead to leases, "
@@ -242,6 +284,72 @@
     CHECK((Gateway["vm"] != Leaving.Value));
 }
 
+TEST_CASE("control: VMs learn the limiters and their leases, only while an "
+          "organisation has a limit") {
+  test_deployment Deployment;
+  Deployment.serve();
+  Deployment.submit(1, std::nullopt);
+  // Renewals after the deployment was applied.
+  time_point Applied = Deployment.Timers.now();
+  Deployment.runUntil([&] {
+    return Deployment.Timers.now() - Applied > fromMilliseconds(150);
+  });
+  CHECK(Deployment.forAll([](const member_agent &Agent) {
+    return Agent.limiters().Revision == revision() &&
+           Agent.limiters().LeaseEnd == time_point();
+  }));
+  CHECK(Deployment.ask("GET", "/v1/limiters").second["slots"].empty());
+  std::size_t Changes = 0;
+  Deployment.Third.Agent->onLimitersChanged([&] { ++Changes; });
+  Deployment.submit(2, operation_limit{10, 10});
+  REQUIRE(Deployment.runUntil([&] {
+    return Deployment.forAll([&](const member_agent &Agent) {
+      return test_deployment::knowsLimiters(Agent) &&
+             Agent.limiters().LeaseEnd > Deployment.Timers.now();
+    });
+  }));
+  CHECK(Changes > 0);
+  const auto &View = Deployment.Third.Agent->limiters();
+  for (const char *Name : {"one", "two", "three"})
+    CHECK(slotsOf(View, vm_id(Name)) >= 2);
+  auto Shown = Deployment.ask("GET", "/v1/limiters").second;
+  REQUIRE(Shown["slots"].size() == LimiterSlotCount);
+  CHECK(Shown["slots"][3]["vm"] == View.Slots[3]->Vm.Value);
+  CHECK(Shown["slots"][3]["lease_ms"] > 0);
+  Deployment.submit(3, std::nullopt);
+  REQUIRE(Deployment.runUntil([&] {
+    return Deployment.forAll([](const member_agent &Agent) {
+      return Agent.limiters().Slots.empty();
+    }) && Deployment.ask("GET", "/v1/limiters").second["slots"].empty();
+  }));
+}
+
+TEST_CASE("control: a draining VM may stop only after other VMs hold its "
+          "limiter slots or it has released them") {
+  test_deployment Deployment;
+  Deployment.serve();
+  Deployment.submit(1, operation_limit{10, 10});
+  REQUIRE(Deployment.runUntil(
+      [&] { return Deployment.forAll(&test_deployment::knowsLimiters); }));
+  vm_id Leaving("two");
+  bool Released = false;
+  Deployment.Second.Agent->drain([&] {
+    Released = true;
+    CHECK(slotsOf(Deployment.Second.Agent->limiters(), Leaving) == 0);
+  });
+  time_point Start = Deployment.Timers.now();
+  REQUIRE(Deployment.runUntil([&] { return Released; }));
+  REQUIRE(Deployment.runUntil([&] {
+    return Deployment.forAll([&](const member_agent &Agent) {
+      return test_deployment::knowsLimiters(Agent) &&
+             slotsOf(Agent.limiters(), Leaving) == 0;
+    });
+  }));
+  // The slots are handed over on the VM's report, long before its lease ends.
+  CHECK(Deployment.Timers.now() - Start <
+        decision_settings().LimiterLeaseTime / 2);
+}
+
 TEST_CASE("control: concurrent and resent edits, and invalid requests") {
   test_deployment Deployment;
   Deployment.serve();
--- a/modules/control/tests/test_limiter_assignment.cpp
+++ b/modules/control/tests/test_limiter_assignment.cpp
@@ -223,5 +223,12 @@
   limiter_fixture F;
   F.add("a", "z");
   F.Leader.Vms[vm_id("a")].LimiterRevision.reset();
+  // The first assignment, by which VMs become eligible.
+  REQUIRE(F.decide());
+  CHECK(F.State.Limiters.Slots.size() == LimiterSlotCount);
+  CHECK(F.slotsOf("a") == 0);
   CHECK_FALSE(F.decide());
+  F.report("a");
+  REQUIRE(F.decide());
+  CHECK(F.slotsOf("a") == LimiterSlotCount);
 }
--- a/modules/membership/member_agent.cpp
+++ b/modules/membership/member_agent.cpp
@@ -38,6 +38,7 @@
   gateway_hooks Gateway;
   member_state Member;
   std::vector<std::function<void(const group_view &)>> ViewListeners;
+  std::vector<std::function<void()>> LimiterListeners;
   control_selection Control;
   renewal_schedule Renewals;
   /// Where the last renewal was sent.
@@ -79,6 +80,8 @@
   void checkTimeouts();
   void onRenewalReply(link_id Link, link_message &&Message);
   void applyGrantedReply(const wire::renewal_reply &Reply, time_point SentAt);
+  /// Returns whether control waits for this VM's report.
+  bool applyLimiterReply(const wire::renewal_reply &Reply, time_point SentAt);
   void handleLateReply(const wire::renewal_reply &Reply, std::size_t Bytes);
   void handleRedirect(const std::string &Address);
   void updateControlEndpoints(const wire::renewal_reply &Reply);
@@ -102,25 +105,10 @@
 }
 
 wire::renewal member_agent::state::buildRenewal() {
-  wire::renewal Renewal;
-  Renewal.vm = Context.Self.Vm.Value;
-  Renewal.incarnation =
-      static_cast<std::int64_t>(Context.Self.Incarnation.Value);
-  Renewal.address = toString(Context.Self.InternalEndpoint);
-  Renewal.availability_zone = Context.Self.AvailabilityZone.Value;
-  Renewal.region = Context.Self.Region.Value;
-  Renewal.applied_revision = static_cast<std::int64_t>(Member.Applied.Value);
-  Renewal.after_revision =
-      static_cast<std::int64_t>(Member.AfterRevision.Value);
-  Renewal.after_group = Member.AfterGroup.Value;
+  wire::renewal Renewal = describeMember(Member, Context.Self);
   Renewal.draining = Draining;
-  Renewal.deployment_version =
-      static_cast<std::int64_t>(Member.Deployment.Version.Value);
   Renewal.control_store = static_cast<std::int64_t>(ControlStore.Value);
   Renewal.gateway = Settings.IsGateway;
-  Renewal.accepts_patches = true;
-  Renewal.accepts_pending_views = true;
-  Renewal.accepts_pushes = true;
   if (Gateway.BuildReports)
     Renewal.groups = Gateway.BuildReports();
   removeVisibleAnnouncements();
@@ -223,6 +211,7 @@
   updateControlEndpoints(Reply);
   auto Changed = applyRenewalReply(Member, Reply, SentAt);
   notifyViewListeners(Changed);
+  bool ConcernsOwnSlots = applyLimiterReply(Reply, SentAt);
   bool IsDeploymentNew = Member.Deployment.Version != Version;
   if (IsDeploymentNew)
     event("membership.deployment")
@@ -233,7 +222,7 @@
   // Reports to control at once that a change is applied that it waits for, or
   // requests the rest of an incomplete reply. Control sends a newer deployment
   // only then.
-  if (Reply.more || IsDeploymentNew ||
+  if (Reply.more || IsDeploymentNew || ConcernsOwnSlots ||
       (!Changed.empty() && ConcernsOwnGateways))
     scheduleEarlyRenewal();
   if (Reply.released && DrainCallback) {
@@ -243,6 +232,20 @@
   }
 }
 
+bool member_agent::state::applyLimiterReply(const wire::renewal_reply &Reply,
+                                            time_point SentAt) {
+  bool HeldSlot = holdsLimiterSlot(Member);
+  if (!applyLimiters(Member, Reply, SentAt))
+    return false;
+  bool HoldsSlot = holdsLimiterSlot(Member);
+  event("membership.limiters")
+      .with("revision", Member.Limiters.Revision.Value)
+      .with("holds_slot", HoldsSlot);
+  for (const auto &Listener : LimiterListeners)
+    Listener();
+  return HeldSlot || HoldsSlot;
+}
+
 void member_agent::state::onViewPush(link_id, link_message &&Message) {
   auto Push = decode<wire::view_push>(decompress(Message.Body, MaxFrameBytes),
                                       "control");
@@ -434,6 +437,14 @@
   return State->Member.Deployment;
 }
 
+const limiter_view &member_agent::limiters() const {
+  return State->Member.Limiters;
+}
+
+void member_agent::onLimitersChanged(std::function<void()> Callback) {
+  State->LimiterListeners.push_back(std::move(Callback));
+}
+
 void member_agent::attachControlStore(store_id Store) {
   State->ControlStore = Store;
 }
--- a/modules/membership/member_agent.h
+++ b/modules/membership/member_agent.h
@@ -9,6 +9,7 @@
 #include "modules/consensus/control_member.h"
 #include "modules/control/group_view.h"
 #include "modules/deployment/deployment.h"
+#include "modules/limits/limiter_view.h"
 #include "modules/link/link_hub.h"
 
 #include <functional>
@@ -79,6 +80,13 @@
   /// received yet.
   const deployment &currentDeployment() const;
 
+  /// Returns the assignment of limiters and this VM's limiter lease.
+  const limiter_view &limiters() const;
+
+  /// Registers a callback that is called after the assignment of limiters has
+  /// changed; not when only the lease is extended.
+  void onLimitersChanged(std::function<void()> Callback);
+
   /// Sets the id of this VM's control store, which every renewal then reports.
   void attachControlStore(store_id Store);
 
--- a/modules/membership/member_state.cpp
+++ b/modules/membership/member_state.cpp
@@ -74,7 +74,7 @@
   Renewal.accepts_patches = true;
   Renewal.accepts_pending_views = true;
   Renewal.accepts_pushes = true;
-  if (State.Deployment.Organisations || State.Limiters.Revision != revision())
+  if (State.Limiters.Revision != revision())
     Renewal.__set_limiter_revision(
         static_cast<std::int64_t>(State.Limiters.Revision.Value));
   return Renewal;
--- a/modules/membership/tests/test_member_state.cpp
+++ b/modules/membership/tests/test_member_state.cpp
@@ -179,3 +179,42 @@
   CHECK((State.AfterGroup == group_id("g")));
   CHECK((State.LeaseEnd == Start));
 }
+
+TEST_CASE("membership: the assignment of limiters never goes back, and the "
+          "limiter lease counts from before the renewal was sent") {
+  member_state State;
+  State.Self = vm_id("own");
+  State.Incarnation = incarnation(2);
+  wire::renewal_reply Reply;
+  Reply.__set_limiter_lease_ms(10000);
+  wire::limiter_assignment Assignment;
+  Assignment.revision = 7;
+  Assignment.slots.resize(LimiterSlotCount);
+  Assignment.slots[3].vm = "own";
+  Assignment.slots[3].incarnation = 2;
+  Assignment.slots[3].address = "10.0.0.1:1";
+  Reply.__set_limiters(Assignment);
+  CHECK_FALSE(applyLimiters(State, Reply, Start));
+  CHECK((State.Limiters.LeaseEnd == time_point()));
+  Reply.granted = true;
+  CHECK(applyLimiters(State, Reply, Start));
+  CHECK((State.Limiters.LeaseEnd == Start + fromMilliseconds(10000)));
+  CHECK(holdsLimiterSlot(State));
+  // An earlier reply that arrives late.
+  Reply.limiters.revision = 6;
+  Reply.limiters.slots[3].vm = "other";
+  CHECK_FALSE(applyLimiters(State, Reply, Start - fromMilliseconds(500)));
+  CHECK((State.Limiters.LeaseEnd == Start + fromMilliseconds(10000)));
+  CHECK(holdsLimiterSlot(State));
+  // A later process of this VM does not act on the slots of an earlier one.
+  State.Incarnation = incarnation(3);
+  CHECK_FALSE(holdsLimiterSlot(State));
+}
+
+TEST_CASE("membership: a renewal has no limiter revision before an assignment "
+          "of limiters is applied") {
+  member_state State;
+  CHECK_FALSE(describeMember(State, {}).__isset.limiter_revision);
+  State.Limiters.Revision = revision(7);
+  CHECK(describeMember(State, {}).limiter_revision == 7);
+}
