--- a/ctl/teasellock.cpp
+++ b/ctl/teasellock.cpp
@@ -109,6 +109,12 @@
                                 "lease_ms", "draining", "applied",
                                 "heard_ms_ago"});
              });
+  addCommand(App, "limiters", "which VM counts for each limiter slot",
+             "teasellock limiters", Selected, [](command_context &C) {
+               return showList(C, "/v1/limiters", "slots",
+                               {"slot", "vm", "incarnation", "address",
+                                "former", "lease_ms"});
+             });
   addCommand(App, "routes", "every route of the current deployment",
              "teasellock routes", Selected, [](command_context &C) {
                return showList(C, "/v1/deployment", "routes",
