Deployment, Platform: organisations, keys and limits of a configuration

Cause: tenants, api_keys, rates and public routes of a configuration were ignored. Change: the configuration is read into organisations with digests of their keys; checkDeployment() refuses shared keys, duplicate, empty and unusable names and bad rates; patches carry organisations only when they changed; NOAUTH and its SQLSTATE. A name with a space is refused because it is a field of the START message; an empty key because it would admit callers without one.

--- a/modules/deployment/deployment.cpp
+++ b/modules/deployment/deployment.cpp
@@ -1,6 +1,8 @@
 #include "modules/deployment/deployment.h"
 
 #include <algorithm>
+#include <cmath>
+#include <map>
 #include <set>
 #include <utility>
 
@@ -42,6 +44,45 @@
     Problems.push_back({Location, "the staleness must not be negative"});
 }
 
+bool isValidRate(double Rate) { return std::isfinite(Rate) && Rate >= 0; }
+
+/// The name is a field of the first message to an upstream, so it can't contain
+/// a separator.
+bool isValidName(const std::string &Name) {
+  return std::all_of(Name.begin(), Name.end(), [](char Char) {
+    auto Byte = static_cast<unsigned char>(Char);
+    return Byte > 0x20 && Byte != 0x7f;
+  });
+}
+
+/// Problems never contain a key: they are logged.
+void checkOrganisations(const std::vector<organisation> &Organisations,
+                        std::vector<deployment_problem> &Problems) {
+  std::set<organisation_id> Names;
+  std::map<key_digest, organisation_id> Holders;
+  for (const auto &Organisation : Organisations) {
+    const auto &Name = Organisation.Name;
+    std::string Location = "organisation " + Name.Value;
+    if (Name.Value.empty())
+      Problems.push_back({Location, "the name is empty"});
+    if (!isValidName(Name.Value))
+      Problems.push_back(
+          {Location, "the name has a space or a control character"});
+    if (!Names.insert(Name).second)
+      Problems.push_back({Location, "is named twice"});
+    const auto &Limit = Organisation.Limit;
+    if (Limit &&
+        !(isValidRate(Limit->RatePerSecond) && isValidRate(Limit->Burst)))
+      Problems.push_back(
+          {Location, "the rate and the burst must be at least 0 and finite"});
+    for (const auto &Key : Organisation.Keys) {
+      const auto &Holder = Holders.emplace(Key, Name).first->second;
+      if (Holder != Name)
+        Problems.push_back({Location, "shares a key with " + Holder.Value});
+    }
+  }
+}
+
 } // namespace
 
 std::vector<deployment_problem>
@@ -61,6 +102,8 @@
       Problems.push_back({"route " + Route.Name,
                           "another route serves " + Route.Database.Value});
   }
+  if (const auto &Organisations = Proposal.Deployment.Organisations)
+    checkOrganisations(*Organisations, Problems);
   return Problems;
 }
 
@@ -101,7 +144,8 @@
   return Result;
 }
 
-std::vector<organisation> fromWire(const wire::organisation_list &Organisations) {
+std::vector<organisation>
+fromWire(const wire::organisation_list &Organisations) {
   std::vector<organisation> Result;
   for (const auto &Entry : Organisations.entries) {
     auto &Organisation = Result.emplace_back();
--- a/modules/deployment/deployment.h
+++ b/modules/deployment/deployment.h
@@ -136,7 +136,8 @@
                        const database_id &Database);
 
 wire::organisation_list toWire(const std::vector<organisation> &Organisations);
-std::vector<organisation> fromWire(const wire::organisation_list &Organisations);
+std::vector<organisation>
+fromWire(const wire::organisation_list &Organisations);
 wire::route toWire(const route &Route);
 route fromWire(const wire::route &Route);
 wire::deployment toWire(const deployment &Deployment);
--- a/modules/deployment/deployment_patch.cpp
+++ b/modules/deployment/deployment_patch.cpp
@@ -52,13 +52,19 @@
   }
 };
 
-std::size_t addedRouteCount(const wire::deployment_patch &Patch) {
-  std::size_t Count = 0;
+/// Returns the number of routes and organisations that the patch contains.
+std::size_t entryCount(const wire::deployment_patch &Patch) {
+  std::size_t Count = Patch.organisations.entries.size();
   for (const auto &Piece : Patch.pieces)
     Count += Piece.added.size();
   return Count;
 }
 
+std::size_t entryCount(const deployment &Deployment) {
+  const auto &Organisations = Deployment.Organisations;
+  return Deployment.Routes.size() + (Organisations ? Organisations->size() : 0);
+}
+
 deployment_version baseOf(const wire::deployment_patch &Patch) {
   return deployment_version(static_cast<std::uint64_t>(Patch.base_version));
 }
@@ -95,6 +101,10 @@
   Patch.version = static_cast<std::int64_t>(Next.Version.Value);
   Patch.pieces = std::move(Builder.Pieces);
   Patch.idle_transaction_ms = toMilliseconds(Next.IdleTransactionTimeout);
+  if (Next.Organisations && Next.Organisations == Base.Organisations)
+    Patch.keeps_organisations = true;
+  else if (Next.Organisations)
+    Patch.__set_organisations(toWire(*Next.Organisations));
   return Patch;
 }
 
@@ -104,6 +114,10 @@
   if (Version <= Deployment.Version ||
       (!IsFull && baseOf(Patch) != Deployment.Version))
     return false;
+  // Without this check a malformed patch would remove the need for keys.
+  if (Patch.keeps_organisations && (IsFull || !Deployment.Organisations))
+    throw error("deployment.patch", toString(Version),
+                "the base has no organisations to keep");
   deployment Next;
   Next.Version = Version;
   Next.IdleTransactionTimeout = fromMilliseconds(Patch.idle_transaction_ms);
@@ -115,6 +129,10 @@
     for (const auto &Route : Piece.added)
       Next.Routes.push_back(fromWire(Route));
   }
+  if (Patch.keeps_organisations)
+    Next.Organisations = std::move(Deployment.Organisations);
+  else if (Patch.__isset.organisations)
+    Next.Organisations = fromWire(Patch.organisations);
   Deployment = std::move(Next);
   return true;
 }
@@ -124,11 +142,12 @@
   Patches.push_back(makePatch(History.Newest, Next));
   History.Newest = Next;
   std::size_t Added = 0;
+  std::size_t Whole = entryCount(Next);
   std::size_t Useful = 0;
   for (auto Patch = Patches.rbegin();
        Patch != Patches.rend() && Useful < MaxPatches; ++Patch, ++Useful) {
-    Added += addedRouteCount(*Patch);
-    if (Added > Next.Routes.size())
+    Added += entryCount(*Patch);
+    if (Added > Whole)
       break;
   }
   Patches.erase(Patches.begin(),
--- a/modules/deployment/deployment_patch.h
+++ b/modules/deployment/deployment_patch.h
@@ -28,8 +28,8 @@
   std::deque<wire::deployment_patch> Patches;
 };
 
-/// Adds a version. Forgets patches that are of no use because all routes
-/// together would be fewer.
+/// Adds a version. Forgets patches that are of no use because all routes and
+/// organisations together would be fewer.
 void recordVersion(deployment_history &History, const deployment &Next);
 
 /// Returns the patches that lead from a version to the newest one: a single
--- a/modules/line/line_protocol.cpp
+++ b/modules/line/line_protocol.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::array<std::pair<line_error, const char *>, 14> SqlStates = {{
+constexpr std::array<std::pair<line_error, const char *>, 15> SqlStates = {{
     {line_error::Busy, "53300"},
     {line_error::Overloaded, "53400"},
     {line_error::Aborted, "40001"},
@@ -21,6 +21,7 @@
     {line_error::NoStatement, "26000"},
     {line_error::Malformed, "42601"},
     {line_error::NoDatabase, "3D000"},
+    {line_error::Unauthorized, "28000"},
     {line_error::Other, "XX000"},
 }};
 
@@ -56,6 +57,7 @@
   case line_error::Misrouted:
   case line_error::TooMany:
   case line_error::NoStatement:
+  case line_error::Unauthorized:
     return true;
   default:
     return false;
--- a/modules/line/line_protocol.h
+++ b/modules/line/line_protocol.h
@@ -48,6 +48,8 @@
   Malformed,
   /// No such database.
   NoDatabase,
+  /// Not executed: the caller's key is not known.
+  Unauthorized,
   /// An error code that this process does not know.
   Other,
 };
@@ -87,6 +89,8 @@
 /// The first message of a session.
 struct line_start {
   std::string Database;
+  /// In a deployment with organisations, the caller's key: to be hashed at once
+  /// and neither kept nor logged.
   std::string User;
 };
 
