Line: callers are admitted by their key, and operations run for its organisation

Cause: any caller of the line protocol was served whatever key it presented. An unknown key gets NOAUTH and a close, a removed one NOAUTH on its next statement; its transaction is rolled back, its idle session closed. Requests name the organisation, which stays the same for a transaction; line_effects::BeginsOperationOf tells for which organisation a submitted statement begins an operation.

--- a/modules/line/line_caller_state.cpp
+++ b/modules/line/line_caller_state.cpp
@@ -1,5 +1,7 @@
 #include "modules/line/line_caller_state.h"
 
+#include "modules/deployment/key_digest.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -32,6 +34,22 @@
   appendReady(State, Environment, Effects);
 }
 
+constexpr const char *UnknownKeyMessage = "the key is not known";
+
+const organisation_id *findOrganisation(const line_caller_state &State,
+                                        const line_environment &Environment) {
+  return State.Key && Environment.NeedsKeys()
+             ? Environment.FindOrganisation(*State.Key)
+             : nullptr;
+}
+
+/// Reports whether the deployment in force admits the caller to the route.
+bool isAuthorized(const line_caller_state &State,
+                  const line_environment &Environment, const route &Route) {
+  return Route.IsPublic || !Environment.NeedsKeys() ||
+         findOrganisation(State, Environment);
+}
+
 /// Resets the transaction state and releases the transaction if a gateway holds
 /// it.
 void endTransaction(line_caller_state &State, line_effects &Effects) {
@@ -48,7 +66,10 @@
 void handleStart(line_caller_state &State, const line_environment &Environment,
                  const line_start &Start, line_effects &Effects) {
   State.Database = database_id(Start.Database);
-  if (!Environment.FindRoute(State.Database)) {
+  if (!Start.User.empty())
+    State.Key = digestOf(Start.User);
+  const route *Route = Environment.FindRoute(State.Database);
+  if (!Route) {
     bool Known = Environment.IsDeploymentKnown();
     protocol(Environment)
         .AppendError(
@@ -58,6 +79,13 @@
     Effects.Close = true;
     return;
   }
+  if (!isAuthorized(State, Environment, *Route)) {
+    protocol(Environment)
+        .AppendError(Effects.Out, line_error::Unauthorized, UnknownKeyMessage);
+    State.Phase = line_caller_state::phase::Closed;
+    Effects.Close = true;
+    return;
+  }
   State.Phase = line_caller_state::phase::Ready;
   appendReady(State, Environment, Effects);
 }
@@ -90,7 +118,8 @@
   return Step;
 }
 
-void submitStatement(line_caller_state &State, const route &Route,
+void submitStatement(line_caller_state &State,
+                     const line_environment &Environment, const route &Route,
                      const line_statement &Statement,
                      transaction_id NextTransaction, line_effects &Effects) {
   wire::statement_request Request;
@@ -126,6 +155,12 @@
     Request.opens_transaction = State.OpeningAtGateway;
     Request.read_only = State.ReadOnly;
   }
+  if (State.TransactionStatus != 'T' || State.OpeningAtGateway) {
+    const auto *Organisation = findOrganisation(State, Environment);
+    State.Organisation = Organisation ? *Organisation : organisation_id();
+    Effects.BeginsOperationOf = State.Organisation;
+  }
+  Request.organisation = State.Organisation.Value;
   State.RequestId = Statement.Id;
   State.Phase = line_caller_state::phase::Busy;
   Effects.Submit = std::move(Request);
@@ -156,8 +191,8 @@
                        "no transaction is open", Effects);
   bool Commit = Statement.Verb == line_verb::Commit;
   if (State.TransactionStatus == 'T' && Commit && !State.IdleTimedOut)
-    return submitStatement(State, *State.Route, Statement, NextTransaction,
-                           Effects);
+    return submitStatement(State, Environment, *State.Route, Statement,
+                           NextTransaction, Effects);
   bool Failed = Commit;
   endTransaction(State, Effects);
   if (Failed)
@@ -176,13 +211,27 @@
     return appendError(State, Environment, line_error::NoStatement,
                        "no prepared statement " + Statement.Name, Effects);
   if (State.TransactionStatus == 'T')
-    return submitStatement(State, *State.Route, Statement, NextTransaction,
-                           Effects);
+    return submitStatement(State, Environment, *State.Route, Statement,
+                           NextTransaction, Effects);
   const route *Route = Environment.FindRoute(State.Database);
   if (!Route)
     return appendError(State, Environment, line_error::NoDatabase,
                        "the database is no longer served", Effects);
-  submitStatement(State, *Route, Statement, NextTransaction, Effects);
+  submitStatement(State, Environment, *Route, Statement, NextTransaction,
+                  Effects);
+}
+
+/// Refuses a statement of a caller without a known key. An open transaction is
+/// rolled back, so that nothing of it is kept.
+void refuseUnauthorized(line_caller_state &State,
+                        const line_environment &Environment,
+                        bool EndsTransaction, line_effects &Effects) {
+  bool InTransaction = State.TransactionStatus == 'T';
+  endTransaction(State, Effects);
+  if (InTransaction && !EndsTransaction)
+    State.TransactionStatus = 'E';
+  appendError(State, Environment, line_error::Unauthorized, UnknownKeyMessage,
+              Effects);
 }
 
 void handleStatement(line_caller_state &State,
@@ -194,6 +243,13 @@
   if (State.TransactionStatus == 'E' && !EndsTransaction)
     return appendError(State, Environment, line_error::Malformed,
                        "the transaction has failed; end it first", Effects);
+  const route *Route = State.TransactionStatus == 'I'
+                           ? Environment.FindRoute(State.Database)
+                           : nullptr;
+  if (State.TransactionStatus == 'T')
+    Route = &*State.Route;
+  if (Route && !isAuthorized(State, Environment, *Route))
+    return refuseUnauthorized(State, Environment, EndsTransaction, Effects);
   if (State.IdleTimedOut && !EndsTransaction) {
     State.TransactionStatus = 'E';
     return appendError(
@@ -313,6 +369,14 @@
   State.IdleTimedOut = true;
 }
 
+bool isKeyRevoked(const line_caller_state &State,
+                  const line_environment &Environment) {
+  if (State.Phase == line_caller_state::phase::Start)
+    return false;
+  const route *Route = Environment.FindRoute(State.Database);
+  return Route && !isAuthorized(State, Environment, *Route);
+}
+
 bool isIdle(const line_caller_state &State) {
   return State.Phase != line_caller_state::phase::Busy &&
          State.TransactionStatus == 'I';
--- a/modules/line/line_caller_state.h
+++ b/modules/line/line_caller_state.h
@@ -22,6 +22,11 @@
   /// Reports whether a deployment has been received. Before that, an unknown
   /// database name can't be told from one that does not exist.
   std::function<bool()> IsDeploymentKnown;
+  /// Reports whether callers need a key on routes that are not public. Callers
+  /// then have organisations.
+  std::function<bool()> NeedsKeys;
+  /// Returns the organisation that holds a key, or null if none does.
+  std::function<const organisation_id *(const key_digest &)> FindOrganisation;
 };
 
 /// A prepared statement of a session.
@@ -35,6 +40,11 @@
   enum class phase { Start, Ready, Busy, Closed };
   phase Phase = phase::Start;
   database_id Database;
+  /// Digest of the key that the caller presented, if it presented any.
+  std::optional<key_digest> Key;
+  /// The organisation that the current operation runs for; it stays the same
+  /// until the operation ends. Empty if the caller has none.
+  organisation_id Organisation;
   /// As reported to the caller: 'I' (idle), 'T' (in a transaction) or 'E' (in
   /// a failed transaction).
   char TransactionStatus = 'I';
@@ -70,6 +80,10 @@
   std::optional<transaction_id> Release;
   /// Request to submit to a gateway. At most one is in flight for a session.
   std::optional<wire::statement_request> Submit;
+  /// Set if the submitted statement begins an operation, that is, if it is
+  /// outside a transaction or the first one of a transaction: the organisation
+  /// that it runs for, which is empty if the caller has none.
+  std::optional<organisation_id> BeginsOperationOf;
   /// Whether to close the connection once Out has been written.
   bool Close = false;
 };
@@ -94,6 +108,11 @@
 /// nothing when no transaction is open or a request is in flight.
 void endIdleTransaction(line_caller_state &State, line_effects &Effects);
 
+/// Reports whether the session's caller needs a key and has none that is known.
+/// Its next statement will be refused.
+bool isKeyRevoked(const line_caller_state &State,
+                  const line_environment &Environment);
+
 /// Reports whether the session can be closed without failing a statement or a
 /// transaction.
 bool isIdle(const line_caller_state &State);
--- a/modules/line/line_listener.cpp
+++ b/modules/line/line_listener.cpp
@@ -3,6 +3,7 @@
 #include "core/error.h"
 #include "core/event_log.h"
 #include "core/listen_socket.h"
+#include "modules/deployment/organisation_index.h"
 #include "modules/line/line_caller_state.h"
 
 #include <cerrno>
@@ -50,6 +51,8 @@
     std::optional<request_id> Request;
     time_point LastActivityAt;
     bool Closing = false;
+    /// The caller's key was removed: the session is closed once it is idle.
+    bool KeyRevoked = false;
   };
 
   daemon_context &Context;
@@ -57,6 +60,9 @@
   statement_router &Router;
   line_listener_settings Settings;
   line_environment Environment;
+  organisation_index Organisations;
+  /// The version that the keys of the open sessions were last checked against.
+  deployment_version KeysCheckedAgainst;
   int Listener = -1;
   descriptor_watch ListenerWatch;
   timer_subscription AcceptRetryTimer;
@@ -83,6 +89,10 @@
     Environment.IsDeploymentKnown = [&Member] {
       return Member.currentDeployment().Version != deployment_version();
     };
+    Environment.NeedsKeys = [this] { return currentOrganisations().NeedsKeys; };
+    Environment.FindOrganisation = [this](const key_digest &Key) {
+      return findOrganisation(currentOrganisations(), Key);
+    };
   }
 
   ~state() {
@@ -94,6 +104,10 @@
   }
 
   time_point now() const { return Context.Timers.now(); }
+  const organisation_index &currentOrganisations() {
+    updateIndex(Organisations, Member.currentDeployment());
+    return Organisations;
+  }
   connection *findConnection(caller_id Id) {
     auto Found = Connections.find(Id);
     return Found == Connections.end() ? nullptr : Found->second.get();
@@ -114,6 +128,8 @@
   void checkConnections();
   void checkIdleTimeouts(connection &Connection);
   bool shouldCloseForDrain(const connection &Connection) const;
+  bool shouldClose(const connection &Connection) const;
+  void checkKeys();
   void checkDrained();
 };
 
@@ -300,7 +316,7 @@
       Connection->Out.size() - Connection->OutStart > MaxOutputBytes)
     return closeConnection(Id);
   bool Written = Connection->Out.empty();
-  if (Written && (Connection->Closing || shouldCloseForDrain(*Connection)))
+  if (Written && (Connection->Closing || shouldClose(*Connection)))
     return closeConnection(Id);
   bool WantsRead =
       !Connection->Closing && Connection->Input.size() <= MaxLineBytes;
@@ -336,6 +352,28 @@
   return !Busy && Since >= Settings.DrainTransactionPeriod;
 }
 
+bool line_listener::state::shouldClose(const connection &Connection) const {
+  bool IsRevoked = Connection.KeyRevoked && isIdle(Connection.Caller) &&
+                   Connection.Input.empty();
+  return IsRevoked || shouldCloseForDrain(Connection);
+}
+
+/// Finds the sessions whose key a new version of the deployment has removed.
+void line_listener::state::checkKeys() {
+  auto Version = Member.currentDeployment().Version;
+  if (std::exchange(KeysCheckedAgainst, Version) == Version)
+    return;
+  std::uint64_t Revoked = 0;
+  for (auto &[Id, Connection] : Connections) {
+    Connection->KeyRevoked = isKeyRevoked(Connection->Caller, Environment);
+    Revoked += Connection->KeyRevoked;
+  }
+  if (Revoked > 0)
+    event("caller.keys_revoked")
+        .with("version", Version.Value)
+        .with("sessions", Revoked);
+}
+
 void line_listener::state::checkIdleTimeouts(connection &Connection) {
   duration Idle = now() - Connection.LastActivityAt;
   bool StartTimedOut =
@@ -351,6 +389,7 @@
 }
 
 void line_listener::state::checkConnections() {
+  checkKeys();
   std::vector<caller_id> Affected;
   for (auto &[Id, Connection] : Connections) {
     checkIdleTimeouts(*Connection);
@@ -359,7 +398,7 @@
         !Connection->Input.empty();
     if (WasHeldBack)
       processInput(*Connection);
-    if (WasHeldBack || Connection->Closing || shouldCloseForDrain(*Connection))
+    if (WasHeldBack || Connection->Closing || shouldClose(*Connection))
       Affected.push_back(Id);
   }
   for (auto Id : Affected)
--- a/modules/line/tests/test_line_caller_state.cpp
+++ b/modules/line/tests/test_line_caller_state.cpp
@@ -1,3 +1,5 @@
+#include "modules/deployment/key_digest.h"
+#include "modules/deployment/organisation_index.h"
 #include "modules/line/line_caller_state.h"
 #include "platform/line_codec.h"
 
@@ -10,6 +12,7 @@
 /// One session of an entry with one route, from database "db" to group "g".
 struct session_harness {
   deployment Deployment;
+  organisation_index Organisations;
   line_environment Environment;
   line_caller_state Caller;
   line_effects Effects;
@@ -29,6 +32,24 @@
       return findRoute(Deployment, Database);
     };
     Environment.IsDeploymentKnown = [] { return true; };
+    Environment.NeedsKeys = [this] { return organisations().NeedsKeys; };
+    Environment.FindOrganisation = [this](const key_digest &Key) {
+      return findOrganisation(organisations(), Key);
+    };
+  }
+
+  const organisation_index &organisations() {
+    updateIndex(Organisations, Deployment);
+    return Organisations;
+  }
+
+  /// Puts a new version into force in which the organisations hold these keys.
+  void setKeys(const std::map<std::string, std::string> &OrganisationByKey) {
+    Deployment.Version.Value += 1;
+    Deployment.Organisations.emplace();
+    for (const auto &[Key, Name] : OrganisationByKey)
+      Deployment.Organisations->push_back(
+          {organisation_id(Name), {digestOf(Key)}, std::nullopt, 0});
   }
 
   std::string sendMessage(const std::string &Line) {
@@ -196,3 +217,118 @@
         "ERR ABORTED the transaction was idle for too long and was rolled "
         "back\r\nREADY E -\r\n");
 }
+
+// Guards against requests of unknown keys that reach an upstream.
+TEST_CASE("line: a session needs a key that the deployment has") {
+  for (const char *Start : {"START db wrong", "START db", "START db k1 x"}) {
+    session_harness Session;
+    Session.setKeys({{"k1", "o1"}});
+    CAPTURE(Start);
+    CHECK(Session.sendMessage(Start) == "ERR NOAUTH the key is not known\r\n");
+    CHECK(Session.Effects.Close);
+  }
+  session_harness Session;
+  Session.setKeys({{"k1", "o1"}});
+  CHECK(Session.sendMessage("START nowhere wrong").starts_with("ERR NODB"));
+  session_harness Known;
+  Known.setKeys({{"k1", "o1"}});
+  CHECK(Known.sendMessage("START db k1") == "READY I -\r\n");
+  Known.sendMessage("QUERY 1 READ a");
+  REQUIRE(Known.Effects.Submit);
+  CHECK(Known.Effects.Submit->organisation == "o1");
+  REQUIRE(Known.Effects.BeginsOperationOf);
+  CHECK((*Known.Effects.BeginsOperationOf == organisation_id("o1")));
+}
+
+// Guards against sessions that keep the rights they had when they started.
+TEST_CASE("line: an open session follows its key") {
+  session_harness Session;
+  Session.setKeys({{"k1", "o1"}});
+  Session.sendMessage("START db k1");
+  Session.setKeys({{"k1", "o2"}});
+  Session.sendMessage("QUERY 1 READ a");
+  CHECK(Session.Effects.Submit->organisation == "o2");
+  Session.deliverReply(session_harness::answeredReply("DONE s\r\n"));
+  Session.setKeys({{"k2", "o2"}});
+  CHECK(isKeyRevoked(Session.Caller, Session.Environment));
+  for (const char *Statement : {"READ a", "WRITE a b", "BEGIN", "SET a b"}) {
+    CHECK(Session.sendMessage("QUERY 2 " + std::string(Statement)) ==
+          "ERR NOAUTH the key is not known\r\nREADY I -\r\n");
+    CHECK_FALSE(Session.Effects.Submit);
+  }
+  Session.setKeys({{"k1", "o1"}});
+  CHECK_FALSE(isKeyRevoked(Session.Caller, Session.Environment));
+  Session.sendMessage("QUERY 3 READ a");
+  CHECK(Session.Effects.Submit);
+}
+
+// Guards against a commit for a key that was removed.
+TEST_CASE("line: a removed key fails its transaction, commit included") {
+  for (bool Commit : {false, true}) {
+    session_harness Session;
+    Session.setKeys({{"k1", "o1"}});
+    Session.sendMessage("START db k1");
+    Session.sendMessage("QUERY 1 BEGIN");
+    Session.sendMessage("QUERY 2 WRITE a b");
+    Session.deliverReply(session_harness::answeredReply("DONE s\r\n"));
+    Session.setKeys({});
+    std::string Out =
+        Session.sendMessage(Commit ? "QUERY 3 COMMIT" : "QUERY 3 READ a");
+    CHECK(Out == std::string("ERR NOAUTH the key is not known\r\nREADY ") +
+                     (Commit ? "I" : "E") + " -\r\n");
+    CHECK_FALSE(Session.Effects.Submit);
+    CHECK(Session.Effects.Release);
+    if (!Commit)
+      CHECK(Session.sendMessage("QUERY 4 ROLLBACK") ==
+            "DONE -\r\nREADY I -\r\n");
+    CHECK(isIdle(Session.Caller));
+  }
+}
+
+// Guards against a transaction that runs for two organisations, and against one
+// that is counted more than once.
+TEST_CASE("line: a transaction runs for one organisation and begins once") {
+  session_harness Session;
+  Session.setKeys({{"k1", "o1"}});
+  Session.sendMessage("START db k1");
+  Session.sendMessage("QUERY 1 BEGIN");
+  CHECK_FALSE(Session.Effects.BeginsOperationOf);
+  Session.setKeys({{"k1", "o2"}});
+  Session.sendMessage("QUERY 2 READ a");
+  CHECK((Session.Effects.BeginsOperationOf == organisation_id("o2")));
+  Session.deliverReply(session_harness::answeredReply("DONE s\r\n"));
+  Session.setKeys({{"k1", "o3"}});
+  Session.sendMessage("QUERY 3 READ a");
+  CHECK(Session.Effects.Submit->organisation == "o2");
+  CHECK_FALSE(Session.Effects.BeginsOperationOf);
+  Session.deliverReply(session_harness::answeredReply("DONE s\r\n"));
+  Session.sendMessage("QUERY 4 COMMIT");
+  CHECK(Session.Effects.Submit->organisation == "o2");
+  CHECK_FALSE(Session.Effects.BeginsOperationOf);
+  Session.deliverReply(session_harness::answeredReply("DONE s\r\n"));
+  Session.sendMessage("QUERY 5 READ a");
+  CHECK(Session.Effects.Submit->organisation == "o3");
+}
+
+// Guards against public routes that refuse callers, and against operations on
+// them that are counted for the wrong organisation.
+TEST_CASE("line: a public route needs no key and names a known one") {
+  session_harness Session;
+  Session.setKeys({{"k1", "o1"}});
+  Session.Deployment.Routes.front().IsPublic = true;
+  CHECK(Session.sendMessage("START db wrong") == "READY I -\r\n");
+  Session.sendMessage("QUERY 1 READ a");
+  CHECK(Session.Effects.Submit->organisation.empty());
+  CHECK((Session.Effects.BeginsOperationOf == organisation_id()));
+  session_harness Known;
+  Known.setKeys({{"k1", "o1"}});
+  Known.Deployment.Routes.front().IsPublic = true;
+  Known.sendMessage("START db k1");
+  Known.sendMessage("QUERY 1 READ a");
+  CHECK(Known.Effects.Submit->organisation == "o1");
+  Known.deliverReply(session_harness::answeredReply("DONE s\r\n"));
+  Known.setKeys({});
+  CHECK_FALSE(isKeyRevoked(Known.Caller, Known.Environment));
+  Known.sendMessage("QUERY 2 READ a");
+  CHECK(Known.Effects.Submit->organisation.empty());
+}
