Operators: show organisations with limits and fingerprints of keys

Cause: operators could not see which organisations and keys are in force. Deployments without organisations are shown as before.

--- a/ctl/show_commands.cpp
+++ b/ctl/show_commands.cpp
@@ -81,7 +81,8 @@
     return Succeeded;
   }
   std::vector<std::vector<std::string>> Lines = {Fields};
-  for (const json &Row : Response.Body.at(List)) {
+  // A deployment may have none of the listed things.
+  for (const json &Row : Response.Body.value(List, json::array())) {
     std::vector<std::string> Line;
     for (const auto &Field : Fields)
       Line.push_back(cellText(Row, Field));
--- a/ctl/teasellock.cpp
+++ b/ctl/teasellock.cpp
@@ -116,6 +116,13 @@
                                 "max_staleness_ms", "timeout_ms", "target_ms",
                                 "priority"});
              });
+  addCommand(App, "organisations",
+             "every organisation: fingerprints of its keys, limits",
+             "teasellock organisations", Selected, [](command_context &C) {
+               return showList(
+                   C, "/v1/deployment", "organisations",
+                   {"organisation", "keys", "rate_per_s", "burst", "priority"});
+             });
   addCommand(App, "group", "details of one group",
              "teasellock group despacho-1", Selected,
              [&](command_context &C) {
--- a/modules/control/operator_json.cpp
+++ b/modules/control/operator_json.cpp
@@ -2,6 +2,7 @@
 
 #include "modules/control/leases.h"
 #include "modules/control/promotion.h"
+#include "modules/deployment/key_digest.h"
 #include "modules/table/table_json.h"
 
 #include <algorithm>
@@ -99,6 +100,19 @@
           {"priority", Route.Priority}};
 }
 
+/// Operators see which keys an organisation has, but no key or digest.
+json organisationJson(const organisation &Organisation) {
+  json Keys = json::array();
+  for (const auto &Key : Organisation.Keys)
+    Keys.push_back(fingerprintOf(Key));
+  const auto &Limit = Organisation.Limit;
+  return {{"organisation", Organisation.Name.Value},
+          {"keys", Keys},
+          {"rate_per_s", Limit ? json(Limit->RatePerSecond) : json()},
+          {"burst", Limit ? json(Limit->Burst) : json()},
+          {"priority", Organisation.Priority}};
+}
+
 std::string waitingText(const group_state &Group, const leader_state &Leader) {
   auto Orders = Leader.Orders.find(Group.Group);
   return Orders == Leader.Orders.end() ? "" : Orders->second.WaitingReason;
@@ -124,7 +138,15 @@
   json Routes = json::array();
   for (const auto &Route : Deployment.Routes)
     Routes.push_back(routeJson(Route));
-  return {{"version", Deployment.Version.Value}, {"routes", Routes}};
+  json Result = {{"version", Deployment.Version.Value}, {"routes", Routes}};
+  if (!Deployment.Organisations)
+    return Result;
+  for (std::size_t Index = 0; Index < Deployment.Routes.size(); ++Index)
+    Result["routes"][Index]["public"] = Deployment.Routes[Index].IsPublic;
+  Result["organisations"] = json::array();
+  for (const auto &Organisation : *Deployment.Organisations)
+    Result["organisations"].push_back(organisationJson(Organisation));
+  return Result;
 }
 
 json groupJson(const group_state &Group, const leader_state &Leader) {
--- a/modules/control/tests/test_control_service.cpp
+++ b/modules/control/tests/test_control_service.cpp
@@ -1,5 +1,6 @@
 #include "modules/control/control_service.h"
 #include "modules/control/operator_json.h"
+#include "modules/deployment/key_digest.h"
 #include "modules/membership/member_agent.h"
 #include "tests/temporary_folder.h"
 
@@ -341,4 +342,24 @@
   CHECK(Shown["routes"][0]["database"] == "fares-live");
   CHECK(Shown["routes"][0]["consistency"] == "bounded_staleness");
   CHECK(Shown["routes"][0]["max_staleness_ms"] == 1500);
+  CHECK_FALSE(Shown.contains("organisations"));
+}
+
+// Guards against keys or whole digests in what operators are shown.
+TEST_CASE("control: operators see fingerprints of keys, and limits") {
+  deployment Given;
+  Given.Routes.emplace_back().IsPublic = true;
+  auto Digest = digestOf("secret");
+  Given.Organisations = {
+      {organisation_id("o1"), {Digest}, operation_limit{5, 10}, 1},
+      {organisation_id("o2"), {}, std::nullopt, 0}};
+  auto Shown = deploymentJson(Given);
+  CHECK(Shown["routes"][0]["public"] == true);
+  const auto &First = Shown["organisations"][0];
+  CHECK(First["organisation"] == "o1");
+  CHECK(First["keys"][0] == fingerprintOf(Digest));
+  CHECK(First["keys"][0].get<std::string>().size() == 8);
+  CHECK(First["rate_per_s"] == 5);
+  CHECK(First["burst"] == 10);
+  CHECK(Shown["organisations"][1]["rate_per_s"].is_null());
 }
