Line: gateways' connections belong to organisations

Cause: an upstream must execute a statement only on a connection that was opened under the name of its organisation, and all of them were opened under one fixed name. Change: a connection is opened for an organisation and used by its statements alone. If the gateway's share is used up, the least recently used idle one gives way. While others wait that hold fewer, an organisation at its fair share waits; connections that remain when all have their share are still used. An unused connection is not replaced before the statement that waits for it has used it. The choice is a pure function. Idle connections are kept for 5 s, and none are opened in advance, where the deployment has organisations; without organisations the choice is as before.

--- a/modules/gateway/gateway_service.cpp
+++ b/modules/gateway/gateway_service.cpp
@@ -44,7 +44,10 @@
 
   membership_hooks hooks() {
     return {[this] { return Member.isLeaseValid(); },
-            [this] { Member.renewEarly(); }};
+            [this] { Member.renewEarly(); },
+            [this] {
+              return Member.currentDeployment().Organisations.has_value();
+            }};
   }
 
   void attach() {
--- a/modules/gateway/group_handler.h
+++ b/modules/gateway/group_handler.h
@@ -17,6 +17,8 @@
   std::function<bool()> IsLeaseValid;
   /// Requests that the next report to control is sent without delay.
   std::function<void()> RenewEarly;
+  /// Reports whether the deployment has organisations.
+  std::function<bool()> HasOrganisations = [] { return false; };
 };
 
 /// Identifies a statement among those of all entries. Link 0 is this VM's own
--- a/modules/line/line_group.cpp
+++ b/modules/line/line_group.cpp
@@ -27,6 +27,10 @@
 /// upstreams count its connections for seconds, and its next incarnation needs
 /// connections too.
 constexpr duration IdleConnectionTimeout = std::chrono::milliseconds(1000);
+/// In a deployment with organisations idle connections are kept for longer,
+/// because an organisation can't use those of others: a new connection takes
+/// about 12 ms and a slot of the upstream.
+constexpr duration OrganisationIdleTimeout = std::chrono::milliseconds(5000);
 /// The part of a gateway's connection share that is reserved for probes.
 constexpr std::uint32_t ReservedProbeConnections = 1;
 
@@ -168,9 +172,10 @@
     for (std::uint32_t ConnectionCount =
              Upstream.ConnectionsInUse + Upstream.ConnectionsOpening +
              static_cast<std::uint32_t>(Upstream.IdleSessions.size());
-         ConnectionCount < PreopenedConnections && canConnect(Upstream);
+         !Member.HasOrganisations() && ConnectionCount < PreopenedConnections &&
+         canConnect(Upstream);
          ++ConnectionCount)
-      connect(Id);
+      connect(Id, organisation_id());
   }
   std::vector<upstream_id> Departed;
   for (const auto &[Id, Upstream] : Upstreams)
@@ -202,13 +207,18 @@
 // Connections
 //===----------------------------------------------------------------------===//
 
-void line_group::connect(const upstream_id &Id) {
+void line_group::connect(const upstream_id &Id,
+                         const organisation_id &Organisation) {
   auto &Upstream = Upstreams.at(Id);
   std::uint64_t Attempt = ++LastId;
   ++Upstream.ConnectionsOpening;
+  ++Upstream.ConnectionUses[Organisation].Opening;
   line_target Target{Upstream.Announcement.Address, View.Group.Value,
-                     Settings.User, Id, Settings.ConnectTimeout};
+                     Organisation.Value.empty() ? Settings.User
+                                                : Organisation.Value,
+                     Id, Settings.ConnectTimeout};
   Connecting[Attempt].Upstream = Id;
+  Connecting[Attempt].Organisation = Organisation;
   Connecting[Attempt].Connection = std::make_unique<line_connection>(
       Context, protocol(), std::move(Target),
       [Weak = weak_from_this(), Id,
@@ -226,10 +236,14 @@
   if (Extracted.empty() || !Upstream)
     return;
   Session->Connection = std::move(Extracted.mapped().Connection);
+  Session->Organisation = std::move(Extracted.mapped().Organisation);
+  Session->IsUnused = true;
   --Upstream->ConnectionsOpening;
+  --Upstream->ConnectionUses[Session->Organisation].Opening;
   if (!Opening.Problem) {
     Upstream->ConnectDelay = duration::zero();
     ++Upstream->ConnectionsInUse;
+    ++Upstream->ConnectionUses[Session->Organisation].InUse;
     return releaseSession(Id, std::move(Session));
   }
   Upstream->ConnectDelay =
@@ -255,6 +269,7 @@
     return startQueued();
   }
   --Upstream->ConnectionsInUse;
+  --Upstream->ConnectionUses[Session->Organisation].InUse;
   if (!Session->Connection->isOpen())
     return startQueued();
   auto *Connection = Session->Connection.get();
@@ -280,13 +295,16 @@
 
 void line_group::closeSession(const upstream_id &Id,
                               std::unique_ptr<line_session> Session) {
+  if (auto *Upstream = findUpstream(Id)) {
+    --Upstream->ConnectionsInUse;
+    if (Session)
+      --Upstream->ConnectionUses[Session->Organisation].InUse;
+  }
   if (Session) {
     Session->Connection->close();
     Context.Loop.post(
         [KeepAlive = std::shared_ptr<line_session>(std::move(Session))] {});
   }
-  if (auto *Upstream = findUpstream(Id))
-    --Upstream->ConnectionsInUse;
 }
 
 void line_group::trimIdleSessions(line_upstream &Upstream) {
@@ -297,9 +315,12 @@
              Limit)
     Upstream.IdleSessions.erase(Upstream.IdleSessions.begin());
   // Sessions are taken from the back, so the front is the longest unused.
-  while (Upstream.IdleSessions.size() > PreopenedConnections &&
-         now() - Upstream.IdleSessions.front()->LastUsedAt >
-             IdleConnectionTimeout)
+  bool HasOrganisations = Member.HasOrganisations();
+  std::size_t Kept = HasOrganisations ? 0 : PreopenedConnections;
+  duration Timeout =
+      HasOrganisations ? OrganisationIdleTimeout : IdleConnectionTimeout;
+  while (Upstream.IdleSessions.size() > Kept &&
+         now() - Upstream.IdleSessions.front()->LastUsedAt > Timeout)
     Upstream.IdleSessions.erase(Upstream.IdleSessions.begin());
 }
 
--- a/modules/line/line_group_state.h
+++ b/modules/line/line_group_state.h
@@ -1,11 +1,12 @@
 /// Internal declarations of the group gateway for the line protocol, shared by
-/// its source files: connections and scheduling in line_group.cpp and
-/// line_group_statements.cpp, outcomes in line_group_outcomes.cpp, probes and
-/// reports in line_group_probes.cpp, orders of control in
-/// line_group_pauses.cpp.
+/// its source files: connections and scheduling in line_group.cpp,
+/// line_group_connections.cpp and line_group_statements.cpp, outcomes in
+/// line_group_outcomes.cpp, probes and reports in line_group_probes.cpp, orders
+/// of control in line_group_pauses.cpp.
 #pragma once
 
 #include "modules/line/admission_control.h"
+#include "modules/line/connection_choice.h"
 #include "modules/line/line_connection.h"
 #include "modules/line/line_group.h"
 #include "modules/line/queue_order.h"
@@ -23,6 +24,10 @@
 /// A connection for statements and the state of its session at the upstream.
 struct line_session {
   std::unique_ptr<line_connection> Connection;
+  /// The organisation that it was opened for; empty for callers without one.
+  organisation_id Organisation;
+  /// No statement has used it since it was opened.
+  bool IsUnused = false;
   session_values Values;
   /// The changes of the batch in flight, in its order.
   std::vector<session_change> PendingChanges;
@@ -51,6 +56,9 @@
   /// Statements that found no free connection in the current pass over the
   /// queue.
   std::uint32_t ConnectionDemand = 0;
+  /// The connections in use and being opened, and the waiting statements, by
+  /// organisation.
+  std::map<organisation_id, connection_use> ConnectionUses;
   /// Statements sent to the upstream and not yet answered.
   std::uint32_t InFlight = 0;
   /// No connection is opened before this, after one has failed.
@@ -133,6 +141,8 @@
   upstream_id Upstream;
   std::optional<position> RequiredPosition;
   std::unique_ptr<line_session> Session;
+  /// The upstreams where it waits for a connection.
+  std::vector<upstream_id> WaitsAt;
   /// Why it has not been executed so far.
   std::string Reason;
   /// Its caller has disconnected, or ended the transaction that it opens.
@@ -142,6 +152,9 @@
   const wire::statement_request &request() const { return Arrived.Statement; }
   const wire::line_step &step() const { return Arrived.Statement.line; }
   line_attempt_key key() const { return {Id, Attempts}; }
+  organisation_id organisation() const {
+    return organisation_id(request().organisation);
+  }
   transaction_key transactionKey() const {
     return transactionKeyOf(Arrived.Key, request());
   }
@@ -178,6 +191,7 @@
 /// A connection that is being opened.
 struct line_opening {
   upstream_id Upstream;
+  organisation_id Organisation;
   std::unique_ptr<line_connection> Connection;
 };
 
@@ -254,7 +268,7 @@
   std::uint32_t connectionLimit() const;
   std::uint32_t maxInFlightOn(const line_upstream &Upstream) const;
   bool canConnect(const line_upstream &Upstream) const;
-  void connect(const upstream_id &Id);
+  void connect(const upstream_id &Id, const organisation_id &Organisation);
   void onConnected(const upstream_id &Id, std::uint64_t Attempt,
                    const line_connect_result &Opening);
   void releaseSession(const upstream_id &Id,
@@ -265,12 +279,29 @@
   void trimIdleSessions(line_upstream &Upstream);
   bool canAccept(const line_upstream &Upstream) const;
 
+  // line_group_connections.cpp
+  bool usesOrganisations() const;
+  connection_pool poolOf(const line_upstream &Upstream) const;
+  void updateWaiting();
+  void recordWaiting(line_pending_statement &Statement, const upstream_id &Id);
+  void forgetWaiting(line_pending_statement &Statement);
+  bool hasIdleConnection(const line_upstream &Upstream,
+                         const organisation_id &Organisation) const;
+  bool canGetConnection(const line_upstream &Upstream,
+                        const organisation_id &Organisation) const;
+  bool claimConnection(line_pending_statement &Statement,
+                       const upstream_id &Id);
+  void takeIdleSession(line_pending_statement &Statement,
+                       line_upstream &Upstream);
+  void replaceIdleSession(line_upstream &Upstream, std::size_t Index);
+
   // line_group_statements.cpp
   void startQueued();
   bool tryStart(line_pending_statement &Statement);
   bool tryStartOn(line_pending_statement &Statement, const upstream_id &Id,
                   std::optional<position> After);
-  std::vector<read_candidate> readCandidates() const;
+  std::vector<read_candidate>
+  readCandidates(const organisation_id &Organisation) const;
   bool tryStartRead(line_pending_statement &Statement);
   void prepareSession(line_pending_statement &Statement);
   line_session *findSession(line_attempt_key Key);
@@ -353,6 +384,8 @@
   line_group_settings Settings;
   group_view View;
   bool IsAssigned = false;
+  /// Whether a statement of an organisation has arrived.
+  bool HasServedOrganisations = false;
   gateway_share Share;
   /// See primaryGateways().
   std::size_t PrimaryGatewayCount = 0;
--- a/modules/line/line_group_statements.cpp
+++ b/modules/line/line_group_statements.cpp
@@ -18,9 +18,6 @@
 constexpr duration InterRegionCost = std::chrono::milliseconds(60);
 /// Added when a connection must be opened first.
 constexpr duration ConnectCost = std::chrono::milliseconds(15);
-/// Connections that may be opened to one upstream concurrently: each takes a
-/// slot there for as long as a statement.
-constexpr std::uint32_t MaxConcurrentConnects = 2;
 /// The latest answer's weight in an upstream's average latency is one divided
 /// by this.
 constexpr int LatencyWeightDivisor = 8;
@@ -68,6 +65,8 @@
     Statement->ReadRequirement.Floor = fromWire(Arrived.Statement.floor);
   Statement->Span = Context.Tracer.startSpan(
       "gateway.statement", parseTraceParent(Arrived.TraceParent));
+  HasServedOrganisations =
+      HasServedOrganisations || !Arrived.Statement.organisation.empty();
   Statement->Arrived = std::move(Arrived);
   auto &Added = *Statement;
   PendingStatements[Added.Id] = std::move(Statement);
@@ -159,6 +158,7 @@
     StartQueuedAgain = false;
     for (auto &[Id, Upstream] : Upstreams)
       Upstream.ConnectionDemand = 0;
+    updateWaiting();
     std::vector<std::uint64_t> Waiting;
     for (const auto &[Rank, Id] : Queue)
       Waiting.push_back(Id);
@@ -171,6 +171,7 @@
 }
 
 bool line_group::tryStart(line_pending_statement &Statement) {
+  forgetWaiting(Statement);
   if (Statement.Destination == line_destination::AnyUpstream)
     return tryStartRead(Statement);
   auto Primary = findPrimary();
@@ -185,7 +186,8 @@
   return tryStartOn(Statement, *Primary, std::nullopt);
 }
 
-std::vector<read_candidate> line_group::readCandidates() const {
+std::vector<read_candidate>
+line_group::readCandidates(const organisation_id &Organisation) const {
   std::vector<read_candidate> Candidates;
   auto Primary = findPrimary();
   for (const auto &[Id, Upstream] : Upstreams) {
@@ -197,11 +199,8 @@
     Candidate.IsPrimary = Primary == Id;
     Candidate.DistanceCost =
         distanceCostTo(Context.Self, Upstream.Announcement);
-    bool Opens = Upstream.ConnectionsOpening > 0 || canConnect(Upstream);
-    Candidate.HasConnection =
-        !Upstream.IdleSessions.empty() ||
-        (Opens && Upstream.ConnectionDemand < MaxConcurrentConnects);
-    if (Upstream.IdleSessions.empty())
+    Candidate.HasConnection = canGetConnection(Upstream, Organisation);
+    if (!hasIdleConnection(Upstream, Organisation))
       Candidate.DistanceCost += ConnectCost;
     Candidate.Latency = Upstream.Latency;
     Candidate.InFlight = Upstream.InFlight;
@@ -219,11 +218,14 @@
       probe(*Primary);
     return false;
   }
-  auto Candidates = readCandidates();
+  auto Candidates = readCandidates(Statement.organisation());
   if (const auto *Best =
           chooseUpstream(Candidates, *Required, Statement.TriedUpstreams))
     return tryStartOn(Statement, Best->Upstream, Required);
   Statement.Reason = "no upstream with the data has a free connection";
+  for (const auto &Candidate : Candidates)
+    if (Candidate.IsPrimary || Candidate.Applied >= *Required)
+      recordWaiting(Statement, Candidate.Upstream);
   // When every upstream has failed, all may be tried again.
   if (Statement.TriedUpstreams.size() >= Candidates.size())
     Statement.TriedUpstreams.clear();
@@ -238,25 +240,8 @@
     Statement.Reason = "the upstream accepts no more statements";
     return false;
   }
-  if (Upstream.IdleSessions.empty()) {
-    Statement.Reason = "no connection is free";
-    ++Upstream.ConnectionDemand;
-    if (Upstream.ConnectionsOpening < MaxConcurrentConnects &&
-        canConnect(Upstream))
-      connect(Id);
+  if (!claimConnection(Statement, Id))
     return false;
-  }
-  // A connection with the same session settings saves messages.
-  auto Best = std::find_if(Upstream.IdleSessions.begin(),
-                           Upstream.IdleSessions.end(), [&](const auto &Idle) {
-                             return Idle->Values.Settings ==
-                                    Statement.request().settings;
-                           });
-  if (Best == Upstream.IdleSessions.end())
-    Best = std::prev(Upstream.IdleSessions.end());
-  Statement.Session = std::move(*Best);
-  Upstream.IdleSessions.erase(Best);
-  ++Upstream.ConnectionsInUse;
   ++Upstream.InFlight;
   Statement.Upstream = Id;
   Statement.RequiredPosition = After;
--- a/tests/line_group_fixture.h
+++ b/tests/line_group_fixture.h
@@ -28,7 +28,8 @@
   std::shared_ptr<group_handler> Gateway;
 
   /// The gateway knows the first KnownUpstreams of the three.
-  explicit line_group_fixture(std::size_t KnownUpstreams = 3) {
+  explicit line_group_fixture(std::size_t KnownUpstreams = 3,
+                              bool HasOrganisations = false) {
     View.Group = group_id("g");
     View.Revision = revision(1);
     View.Row.Group = View.Group;
@@ -44,9 +45,11 @@
     View.Gateways.push_back(Share);
     Settings.Protocol = &platform::lineProtocol();
     Settings.ProbeTimeout = fromMilliseconds(200);
-    Gateway =
-        makeLineGroup(Context, membership_hooks{[] { return true; }, [] {}},
-                      Settings, View.Group);
+    Gateway = makeLineGroup(
+        Context,
+        membership_hooks{[] { return true; }, [] {},
+                         [HasOrganisations] { return HasOrganisations; }},
+        Settings, View.Group);
     Gateway->apply(View);
     REQUIRE(runUntil([&] { return countReachable() == KnownUpstreams; }));
   }
@@ -127,6 +130,7 @@
     std::string Arguments = "";
     /// Negative: reads see every acknowledged write.
     duration MaxStaleness = fromMilliseconds(-1);
+    std::string Organisation = "";
   };
 
   struct collected_reply {
@@ -151,6 +155,7 @@
     Arrived.Key = {link_id(1), request_id(++LastRequest)};
     auto &Request = Arrived.Statement;
     Request.group = View.Group.Value;
+    Request.organisation = Statement.Organisation;
     Request.term = 1;
     Request.access =
         Writes ? wire::statement_access::write : wire::statement_access::read;
--- a/tests/soak/upstream_group.cpp
+++ b/tests/soak/upstream_group.cpp
@@ -263,6 +263,18 @@
   return Count;
 }
 
+std::set<std::string>
+upstream_group::usersOf(const std::string &StatementId) const {
+  auto Found = State->UsersOfStatements.find(StatementId);
+  return Found == State->UsersOfStatements.end() ? std::set<std::string>()
+                                                 : Found->second;
+}
+
+std::uint64_t upstream_group::sessionsOf(const std::string &User) const {
+  auto Found = State->SessionsOfUsers.find(User);
+  return Found == State->SessionsOfUsers.end() ? 0 : Found->second;
+}
+
 std::uint64_t upstream_group::unknownNames() const {
   return State->UnknownNames;
 }
--- a/tests/soak/upstream_group.h
+++ b/tests/soak/upstream_group.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 
 namespace teasellock::soak {
 
@@ -84,6 +85,10 @@
   /// Returns how often a prepared statement was executed under a name that its
   /// session did not have.
   std::uint64_t unknownNames() const;
+  /// Returns the users of the sessions that a statement has reached.
+  std::set<std::string> usersOf(const std::string &StatementId) const;
+  /// Returns how many sessions a user has opened so far.
+  std::uint64_t sessionsOf(const std::string &User) const;
   /// Returns the number of transactions that are open at the upstreams.
   std::size_t openTransactions() const;
 
--- a/tests/soak/upstream_group_state.h
+++ b/tests/soak/upstream_group_state.h
@@ -1,6 +1,9 @@
 /// Private state of upstream_group, shared by its sources.
 #pragma once
 
+#include <map>
+#include <set>
+
 #include "tests/soak/upstream_group.h"
 #include "tests/soak/upstream_session.h"
 
@@ -25,6 +28,8 @@
   std::uint64_t LastSignature = 0;
   std::uint64_t Promotions = 0;
   std::uint64_t UnknownNames = 0;
+  std::map<std::string, std::set<std::string>> UsersOfStatements;
+  std::map<std::string, std::uint64_t> SessionsOfUsers;
   term NewestTerm{1};
   timer_subscription ReplicationTimer;
   std::vector<timer_subscription> PendingPromotions;
--- a/tests/soak/upstream_session.h
+++ b/tests/soak/upstream_session.h
@@ -52,6 +52,8 @@
 struct upstream_session {
   std::unique_ptr<stand_in::connection> Connection;
   bool IsStarted = false;
+  /// The user that its START message named.
+  std::string User;
   bool IsClosed = false;
   bool IsBusy = false;
   bool TransactionFailed = false;
--- a/tests/soak/upstream_statements.cpp
+++ b/tests/soak/upstream_statements.cpp
@@ -101,6 +101,8 @@
     return Session.Connection->flush();
   }
   Session.IsStarted = true;
+  Session.User = Line.substr(Expected.size(), Blank - Expected.size());
+  ++SessionsOfUsers[Session.User];
   sendReady(Server, Session);
 }
 
@@ -173,6 +175,7 @@
     std::size_t Index, const session_pointer &Session,
     const upstream_statement &Statement) {
   auto &Server = Servers[Index];
+  UsersOfStatements[Statement.Id].insert(Session->User);
   if (executeImmediately(Server, *Session, Statement))
     return;
   if (Server.Node.RunningStatements >=
