Line: statements wait for a connection also while an upstream accepts none

Cause: a connection opened for a statement lost its protection from being replaced when the upstream accepted no statements for the moment, and reads counted as waiting at upstreams that they had already tried. Change: such statements stay recorded as waiting; upstreams that were tried don't count. A test with statements of higher priority that arrive in between guards the protection.

--- a/modules/line/line_group_connections.cpp
+++ b/modules/line/line_group_connections.cpp
@@ -59,6 +59,20 @@
   ++Upstream->ConnectionUses[Statement.organisation()].Waiting;
 }
 
+/// Records a read as waiting at every upstream that may still execute it. This
+/// includes those that accept no statements at the moment: a connection that
+/// was opened for the read must not be replaced meanwhile.
+void line_group::recordWaitingRead(line_pending_statement &Statement,
+                                   const position &Required) {
+  if (!usesOrganisations())
+    return;
+  auto Primary = findPrimary();
+  for (const auto &[Id, Upstream] : Upstreams)
+    if ((Primary == Id || Upstream.Applied >= Required) &&
+        !Upstream.UnreachableSince && !Statement.TriedUpstreams.contains(Id))
+      recordWaiting(Statement, Id);
+}
+
 void line_group::forgetWaiting(line_pending_statement &Statement) {
   for (const auto &Id : Statement.WaitsAt) {
     auto *Upstream = findUpstream(Id);
--- a/modules/line/line_group_state.h
+++ b/modules/line/line_group_state.h
@@ -284,6 +284,8 @@
   connection_pool poolOf(const line_upstream &Upstream) const;
   void updateWaiting();
   void recordWaiting(line_pending_statement &Statement, const upstream_id &Id);
+  void recordWaitingRead(line_pending_statement &Statement,
+                         const position &Required);
   void forgetWaiting(line_pending_statement &Statement);
   bool hasIdleConnection(const line_upstream &Upstream,
                          const organisation_id &Organisation) const;
--- a/modules/line/line_group_statements.cpp
+++ b/modules/line/line_group_statements.cpp
@@ -223,9 +223,7 @@
           chooseUpstream(Candidates, *Required, Statement.TriedUpstreams))
     return tryStartOn(Statement, Best->Upstream, Required);
   Statement.Reason = "no upstream with the data has a free connection";
-  for (const auto &Candidate : Candidates)
-    if (Candidate.IsPrimary || Candidate.Applied >= *Required)
-      recordWaiting(Statement, Candidate.Upstream);
+  recordWaitingRead(Statement, *Required);
   // When every upstream has failed, all may be tried again.
   if (Statement.TriedUpstreams.size() >= Candidates.size())
     Statement.TriedUpstreams.clear();
@@ -238,6 +236,7 @@
   auto &Upstream = Upstreams.at(Id);
   if (!canAccept(Upstream)) {
     Statement.Reason = "the upstream accepts no more statements";
+    recordWaiting(Statement, Id);
     return false;
   }
   if (!claimConnection(Statement, Id))
--- a/tests/line_group_fixture.h
+++ b/tests/line_group_fixture.h
@@ -131,6 +131,8 @@
     /// Negative: reads see every acknowledged write.
     duration MaxStaleness = fromMilliseconds(-1);
     std::string Organisation = "";
+    /// 0 is the highest priority.
+    std::int32_t Priority = 0;
   };
 
   struct collected_reply {
@@ -156,6 +158,7 @@
     auto &Request = Arrived.Statement;
     Request.group = View.Group.Value;
     Request.organisation = Statement.Organisation;
+    Request.priority = Statement.Priority;
     Request.term = 1;
     Request.access =
         Writes ? wire::statement_access::write : wire::statement_access::read;
--- a/tests/test_line_group_organisations.cpp
+++ b/tests/test_line_group_organisations.cpp
@@ -53,9 +53,10 @@
       CHECK(line_group_fixture::succeeded(Reply->Reply));
     }
   }
-  for (const auto &[Id, User] : Expected) {
-    CAPTURE(Id);
-    CHECK((Fixture.Upstreams.usersOf(Id) == std::set<std::string>{User}));
+  for (const auto &Entry : Expected) {
+    CAPTURE(Entry.first);
+    CHECK((Fixture.Upstreams.usersOf(Entry.first) ==
+           std::set<std::string>{Entry.second}));
   }
 }
 
@@ -118,3 +119,32 @@
   for (int Number = 1; Number <= Organisations; ++Number)
     CHECK(Fixture.Upstreams.sessionsOf(organisationOf(Number)) == 1);
 }
+
+// Guards against statements whose new connection is closed for others of higher
+// priority before it was used.
+TEST_CASE(
+    "line group: each statement that waits opens one connection at most") {
+  organisations_fixture Fixture;
+  constexpr int OrganisationCount = 40;
+  std::vector<std::shared_ptr<line_group_fixture::collected_reply>> Replies;
+  for (int Number = 1; Number <= OrganisationCount; ++Number) {
+    auto Waiting =
+        Fixture.makeStatement("w" + std::to_string(Number),
+                              wire::line_verb::write, organisationOf(Number));
+    Waiting.Priority = 1;
+    Replies.push_back(Fixture.start(Waiting));
+  }
+  for (int Number = 1; Number <= 2 * OrganisationCount; ++Number) {
+    Fixture.run(fromMilliseconds(1));
+    Replies.push_back(Fixture.start(Fixture.makeStatement(
+        "p" + std::to_string(Number), wire::line_verb::write,
+        "p" + std::to_string(Number))));
+  }
+  for (const auto &Reply : Replies) {
+    REQUIRE(Fixture.runUntil([&] { return Reply->Done; }));
+    CAPTURE(Reply->Reply.problem);
+    CHECK(line_group_fixture::succeeded(Reply->Reply));
+  }
+  for (int Number = 1; Number <= OrganisationCount; ++Number)
+    CHECK(Fixture.Upstreams.sessionsOf(organisationOf(Number)) <= 1);
+}
