Control: the wire type of organisations has a name of its own

Cause: a struct and a field of it had the name 'organisations', which C++ does not allow: the generated code did not compile. Change: the struct is organisation_list; generated code as thrift writes it. Result: control_messages_types.cpp compiles again; fields and their numbers are as before.

--- a/modules/control/control_messages.thrift
+++ b/modules/control/control_messages.thrift
@@ -84,7 +84,7 @@
 }
 
 /// The organisations of a version.
-struct organisations {
+struct organisation_list {
   1: list<organisation> entries;
 }
 
@@ -94,7 +94,7 @@
   2: list<route> routes;
   3: i64 idle_transaction_ms;
   /// Absent: callers need no key.
-  4: optional organisations organisations;
+  4: optional organisation_list organisations;
 }
 
 /// A part of a new version's routes: some of the version before, then others.
@@ -113,7 +113,7 @@
   3: list<deployment_piece> pieces;
   4: i64 idle_transaction_ms;
   /// Set if the version has organisations that differ from those of the base.
-  5: optional organisations organisations;
+  5: optional organisation_list organisations;
   /// The organisations are those of the base.
   6: bool keeps_organisations;
 }
--- a/modules/control/gen/control_messages_types.cpp
+++ b/modules/control/gen/control_messages_types.cpp
@@ -1416,21 +1416,21 @@
 }
 
 
-organisations::~organisations() noexcept {
+organisation_list::~organisation_list() noexcept {
 }
 
 
-void organisations::__set_entries(const std::vector<organisation> & val) {
+void organisation_list::__set_entries(const std::vector<organisation> & val) {
   this->entries = val;
 }
-std::ostream& operator<<(std::ostream& out, const organisations& obj)
+std::ostream& operator<<(std::ostream& out, const organisation_list& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t organisations::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t organisation_list::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1483,10 +1483,10 @@
   return xfer;
 }
 
-uint32_t organisations::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t organisation_list::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("organisations");
+  xfer += oprot->writeStructBegin("organisation_list");
 
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 1);
   {
@@ -1505,33 +1505,33 @@
   return xfer;
 }
 
-void swap(organisations &a, organisations &b) {
+void swap(organisation_list &a, organisation_list &b) {
   using ::std::swap;
   swap(a.entries, b.entries);
   swap(a.__isset, b.__isset);
 }
 
-organisations::organisations(const organisations& other49) {
+organisation_list::organisation_list(const organisation_list& other49) {
   entries = other49.entries;
   __isset = other49.__isset;
 }
-organisations::organisations(organisations&& other50) noexcept {
+organisation_list::organisation_list(organisation_list&& other50) noexcept {
   entries = std::move(other50.entries);
   __isset = other50.__isset;
 }
-organisations& organisations::operator=(const organisations& other51) {
+organisation_list& organisation_list::operator=(const organisation_list& other51) {
   entries = other51.entries;
   __isset = other51.__isset;
   return *this;
 }
-organisations& organisations::operator=(organisations&& other52) noexcept {
+organisation_list& organisation_list::operator=(organisation_list&& other52) noexcept {
   entries = std::move(other52.entries);
   __isset = other52.__isset;
   return *this;
 }
-void organisations::printTo(std::ostream& out) const {
+void organisation_list::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "organisations(";
+  out << "organisation_list(";
   out << "entries=" << to_string(entries);
   out << ")";
 }
@@ -1553,7 +1553,7 @@
   this->idle_transaction_ms = val;
 }
 
-void deployment::__set_organisations(const organisations& val) {
+void deployment::__set_organisations(const organisation_list& val) {
   this->organisations = val;
 __isset.organisations = true;
 }
@@ -1911,7 +1911,7 @@
   this->idle_transaction_ms = val;
 }
 
-void deployment_patch::__set_organisations(const organisations& val) {
+void deployment_patch::__set_organisations(const organisation_list& val) {
   this->organisations = val;
 __isset.organisations = true;
 }
--- a/modules/control/gen/control_messages_types.h
+++ b/modules/control/gen/control_messages_types.h
@@ -45,7 +45,7 @@
 
 class organisation;
 
-class organisations;
+class organisation_list;
 
 class deployment;
 
@@ -567,39 +567,39 @@
 
 std::ostream& operator<<(std::ostream& out, const organisation& obj);
 
-typedef struct _organisations__isset {
-  _organisations__isset() : entries(false) {}
+typedef struct _organisation_list__isset {
+  _organisation_list__isset() : entries(false) {}
   bool entries :1;
-} _organisations__isset;
+} _organisation_list__isset;
 
-class organisations : public virtual ::apache::thrift::TBase {
+class organisation_list : public virtual ::apache::thrift::TBase {
  public:
 
-  organisations(const organisations&);
-  organisations(organisations&&) noexcept;
-  organisations& operator=(const organisations&);
-  organisations& operator=(organisations&&) noexcept;
-  organisations() noexcept {
+  organisation_list(const organisation_list&);
+  organisation_list(organisation_list&&) noexcept;
+  organisation_list& operator=(const organisation_list&);
+  organisation_list& operator=(organisation_list&&) noexcept;
+  organisation_list() noexcept {
   }
 
-  virtual ~organisations() noexcept;
+  virtual ~organisation_list() noexcept;
   std::vector<organisation>  entries;
 
-  _organisations__isset __isset;
+  _organisation_list__isset __isset;
 
   void __set_entries(const std::vector<organisation> & val);
 
-  bool operator == (const organisations & rhs) const
+  bool operator == (const organisation_list & rhs) const
   {
     if (!(entries == rhs.entries))
       return false;
     return true;
   }
-  bool operator != (const organisations &rhs) const {
+  bool operator != (const organisation_list &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const organisations & ) const;
+  bool operator < (const organisation_list & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -607,9 +607,9 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(organisations &a, organisations &b);
+void swap(organisation_list &a, organisation_list &b);
 
-std::ostream& operator<<(std::ostream& out, const organisations& obj);
+std::ostream& operator<<(std::ostream& out, const organisation_list& obj);
 
 typedef struct _deployment__isset {
   _deployment__isset() : version(false), routes(false), idle_transaction_ms(false), organisations(false) {}
@@ -635,7 +635,7 @@
   int64_t version;
   std::vector<route>  routes;
   int64_t idle_transaction_ms;
-  organisations organisations;
+  organisation_list organisations;
 
   _deployment__isset __isset;
 
@@ -645,7 +645,7 @@
 
   void __set_idle_transaction_ms(const int64_t val);
 
-  void __set_organisations(const organisations& val);
+  void __set_organisations(const organisation_list& val);
 
   bool operator == (const deployment & rhs) const
   {
@@ -764,7 +764,7 @@
   int64_t version;
   std::vector<deployment_piece>  pieces;
   int64_t idle_transaction_ms;
-  organisations organisations;
+  organisation_list organisations;
   bool keeps_organisations;
 
   _deployment_patch__isset __isset;
@@ -777,7 +777,7 @@
 
   void __set_idle_transaction_ms(const int64_t val);
 
-  void __set_organisations(const organisations& val);
+  void __set_organisations(const organisation_list& val);
 
   void __set_keeps_organisations(const bool val);
 
--- a/modules/deployment/deployment.cpp
+++ b/modules/deployment/deployment.cpp
@@ -85,8 +85,8 @@
   return nullptr;
 }
 
-wire::organisations toWire(const std::vector<organisation> &Organisations) {
-  wire::organisations Result;
+wire::organisation_list toWire(const std::vector<organisation> &Organisations) {
+  wire::organisation_list Result;
   for (const auto &Organisation : Organisations) {
     auto &Entry = Result.entries.emplace_back();
     Entry.name = Organisation.Name.Value;
@@ -101,7 +101,8 @@
   return Result;
 }
 
-std::vector<organisation> fromWire(const wire::organisations &Organisations) {
+std::vector<organisation>
+fromWire(const wire::organisation_list &Organisations) {
   std::vector<organisation> Result;
   for (const auto &Entry : Organisations.entries) {
     auto &Organisation = Result.emplace_back();
--- a/modules/deployment/deployment.h
+++ b/modules/deployment/deployment.h
@@ -135,8 +135,9 @@
 const route *findRoute(const deployment &Deployment,
                        const database_id &Database);
 
-wire::organisations toWire(const std::vector<organisation> &Organisations);
-std::vector<organisation> fromWire(const wire::organisations &Organisations);
+wire::organisation_list toWire(const std::vector<organisation> &Organisations);
+std::vector<organisation>
+fromWire(const wire::organisation_list &Organisations);
 wire::route toWire(const route &Route);
 route fromWire(const wire::route &Route);
 wire::deployment toWire(const deployment &Deployment);
