Limits: tests of a replaced limiter and of the number of metrics

Cause: a request in flight to a former limiter was sent again only by the retry after its validity as far as the tests showed. Change: two tests.

--- a/modules/limits/tests/test_limit_service.cpp
+++ b/modules/limits/tests/test_limit_service.cpp
@@ -181,15 +181,54 @@
   CHECK(Vms.Limiter.count(limit_verdict::Unavailable) == 1);
 }
 
-// Guards against callers that wait in vain for a former limiter.
+// Guards against callers that wait for the answer of a former limiter.
 TEST_CASE("limits: waiting callers are served by the next limiter") {
   limit_vms Vms;
-  Vms.First.acquire(2);
-  CHECK(Vms.First.Outcomes.empty());
+  // A VM that receives requests and does not answer them.
+  limit_vm Silent(Vms.Loop, Vms.Timers, "silent");
+  Silent.Hub.registerReceiver(message_kind(400), message_kind(400),
+                              [](link_id, link_message &&) {});
+  auto &Hub = Vms.First.Hub;
+  link_id ToSilent = Hub.linkTo(Silent.Address);
+  link_id ToSecond = Hub.linkTo(Vms.Second.Address);
+  REQUIRE(Vms.runUntil(
+      [&] { return Hub.isOpen(ToSilent) && Hub.isOpen(ToSecond); }));
+  auto &Requests =
+      Vms.First.Metrics.counterOf("teasellock_limit_batches_total");
+  Vms.First.setLimiter(Silent);
+  Vms.First.acquire(1);
+  CHECK(Requests.Value == 1);
   Vms.Second.setLimiter(Vms.Second);
   Vms.First.setLimiter(Vms.Second);
-  REQUIRE(Vms.runUntil([&] { return Vms.First.Outcomes.size() == 2; }));
-  CHECK(Vms.First.count(limit_verdict::Granted) == 2);
+  CHECK(Requests.Value == 2);
+  REQUIRE(Vms.runUntil([&] { return Vms.First.Outcomes.size() == 1; }));
+  CHECK(Vms.First.count(limit_verdict::Granted) == 1);
+}
+
+// Guards against as many time series as there are names.
+TEST_CASE("limits: at most 100 organisations have metrics of their own") {
+  limit_vms Vms;
+  auto &Vm = Vms.Limiter;
+  Vm.setLimiter(Vm);
+  Vm.Deployment.Organisations->clear();
+  for (int Number = 0; Number < 120; ++Number)
+    Vm.Deployment.Organisations->push_back(
+        {organisation_id("o" + std::to_string(Number)),
+         {},
+         operation_limit{Rate, Rate},
+         0});
+  Vm.Deployment.Version = deployment_version(2);
+  for (const auto &Organisation : *Vm.Deployment.Organisations)
+    Vm.acquire(1, Organisation.Name);
+  auto ValueOf = [&](const char *Name) {
+    return Vm.Metrics
+        .counterOf("teasellock_limit_operations_total",
+                   {{"organisation", Name}, {"result", "granted"}})
+        .Value;
+  };
+  CHECK(ValueOf("o0") == 1);
+  CHECK(ValueOf("o99") == 1);
+  CHECK(ValueOf("other") == 20);
 }
 
 // Guards against a bucket that fills up while another VM is the limiter.
