Line: an operation of a limited organisation starts when it is granted

Cause: nothing asked the limits before a statement went to a gateway. Change: operation_starter submits the first statement of an operation once limit_service has granted it, refuses it as TOOMANY (limit reached) or BUSY (no limiter) by the same path as refusals of gateways, and gives operations back that no upstream executed or whose caller left meanwhile. line_effects has BeginsOperationOf, set from the request's organisation. The daemon starts the service for the line protocol with an empty view: members do not receive the assignment yet. Without organisations nothing is asked and nothing is sent. No request has an organisation yet, so that BeginsOperationOf is only tested to be empty without one.

--- a/main/daemon_process.cpp
+++ b/main/daemon_process.cpp
@@ -58,6 +58,8 @@
                                                 Settings.GatewaySettings);
   Router = std::make_unique<statement_router>(Context, Hub, Member,
                                               Gateway.get(), Settings.Routing);
+  if (Settings.UseLineProtocol)
+    Limits = std::make_unique<limit_service>(Context, Hub, limitHooks());
   createEntryServer();
   Admin = std::make_unique<admin_service>(Context, Member, Control.get(),
                                           Settings.Admin);
@@ -70,12 +72,20 @@
     return;
   if (Settings.UseLineProtocol)
     LineListener = std::make_unique<line_listener>(
-        Context, Member, *Router, Settings.LineListenerSettings);
+        Context, Member, *Router, *Limits, Settings.LineListenerSettings);
   else
     CallerServer = std::make_unique<caller_server>(Context, Member, *Router,
                                                    Settings.CallerSettings);
 }
 
+limit_hooks daemon_process::limitHooks() {
+  // Members do not receive the assignment of limiters yet.
+  auto NoLimiters = std::make_shared<const limiter_view>();
+  return {
+      [NoLimiters]() -> const limiter_view & { return *NoLimiters; },
+      [this]() -> const deployment & { return Member.currentDeployment(); }};
+}
+
 void daemon_process::configurePlatform() {
   if (Settings.UseLineProtocol) {
     Settings.LineGroupSettings.Protocol = &platform::lineProtocol();
@@ -158,6 +168,8 @@
     Router->start();
   if (CallerServer)
     CallerServer->start();
+  if (Limits)
+    Limits->start(LineListener != nullptr);
   if (LineListener)
     LineListener->start();
   watchSettingsFile();
--- a/main/daemon_process.h
+++ b/main/daemon_process.h
@@ -23,6 +23,7 @@
 
 private:
   void createEntryServer();
+  limit_hooks limitHooks();
   void configurePlatform();
   void watchSettingsFile();
   void reloadSettings();
@@ -42,6 +43,7 @@
   std::unique_ptr<gateway_service> Gateway;
   std::unique_ptr<statement_router> Router;
   std::unique_ptr<caller_server> CallerServer;
+  std::unique_ptr<limit_service> Limits;
   std::unique_ptr<line_listener> LineListener;
   std::unique_ptr<control_service> Control;
   std::unique_ptr<admin_service> Admin;
--- a/modules/line/line_caller_state.cpp
+++ b/modules/line/line_caller_state.cpp
@@ -126,6 +126,10 @@
     Request.opens_transaction = State.OpeningAtGateway;
     Request.read_only = State.ReadOnly;
   }
+  bool BeginsOperation =
+      State.TransactionStatus != 'T' || State.OpeningAtGateway;
+  if (!Request.organisation.empty() && BeginsOperation)
+    Effects.BeginsOperationOf = organisation_id(Request.organisation);
   State.RequestId = Statement.Id;
   State.Phase = line_caller_state::phase::Busy;
   Effects.Submit = std::move(Request);
--- a/modules/line/line_caller_state.h
+++ b/modules/line/line_caller_state.h
@@ -70,6 +70,8 @@
   std::optional<transaction_id> Release;
   /// Request to submit to a gateway. At most one is in flight for a session.
   std::optional<wire::statement_request> Submit;
+  /// Submit begins an operation of this organisation, which its limit counts.
+  std::optional<organisation_id> BeginsOperationOf;
   /// Whether to close the connection once Out has been written.
   bool Close = false;
 };
--- a/modules/line/line_listener.cpp
+++ b/modules/line/line_listener.cpp
@@ -4,6 +4,7 @@
 #include "core/event_log.h"
 #include "core/listen_socket.h"
 #include "modules/line/line_caller_state.h"
+#include "modules/line/operation_starter.h"
 
 #include <cerrno>
 #include <cstring>
@@ -34,7 +35,7 @@
 constexpr unsigned TcpUserTimeoutMs = 10000;
 constexpr std::string_view LineEnd = "\r\n";
 
-using caller_id = strong_type<struct line_caller_tag, std::uint64_t>;
+using caller_id = line_caller_id;
 
 } // namespace
 
@@ -55,6 +56,7 @@
   daemon_context &Context;
   member_agent &Member;
   statement_router &Router;
+  operation_starter Operations;
   line_listener_settings Settings;
   line_environment Environment;
   int Listener = -1;
@@ -70,8 +72,9 @@
   std::shared_ptr<state *> Self = std::make_shared<state *>(this);
 
   state(daemon_context &Context, member_agent &Member, statement_router &Router,
-        line_listener_settings ListenerSettings)
+        limit_service &Limits, line_listener_settings ListenerSettings)
       : Context(Context), Member(Member), Router(Router),
+        Operations(Context.Loop, Limits, operationHooks()),
         Settings(std::move(ListenerSettings)),
         Callers(Context.Metrics.gaugeOf("teasellock_callers")),
         StatementSeconds(
@@ -106,6 +109,7 @@
   void processInput(connection &Connection);
   bool isAwaitingDeployment(const connection &Connection) const;
   void applyEffects(connection &Connection, line_effects Effects);
+  operation_hooks operationHooks();
   void submit(connection &Connection, wire::statement_request Request);
   void onReply(caller_id Id, const wire::statement_reply &Reply);
   bool flush(connection &Connection);
@@ -228,11 +232,26 @@
   Connection.Out += Effects.Out;
   if (Effects.Release)
     Router.release(*Effects.Release);
-  if (Effects.Submit)
+  if (Effects.Submit && Effects.BeginsOperationOf)
+    Operations.begin(Connection.Id, *Effects.BeginsOperationOf,
+                     std::move(*Effects.Submit));
+  else if (Effects.Submit)
     submit(Connection, std::move(*Effects.Submit));
   Connection.Closing = Connection.Closing || Effects.Close;
 }
 
+operation_hooks line_listener::state::operationHooks() {
+  return {[this](caller_id Id, wire::statement_request Request) {
+            auto *Connection = findConnection(Id);
+            if (Connection)
+              submit(*Connection, std::move(Request));
+            return Connection != nullptr;
+          },
+          [this](caller_id Id, const wire::statement_reply &Reply) {
+            onReply(Id, Reply);
+          }};
+}
+
 void line_listener::state::submit(connection &Connection,
                                   wire::statement_request Request) {
   span Span = Context.Tracer.startSpan("entry.statement", {});
@@ -260,6 +279,7 @@
     return;
   Connection->Request.reset();
   Connection->LastActivityAt = now();
+  Operations.handleReply(Id, Reply);
   if (!Reply.code.empty())
     event("caller.failed")
         .with("id", Connection->Caller.RequestId)
@@ -317,6 +337,7 @@
   ::close(Connection.Socket);
   if (Connection.Request)
     Router.cancel(*Connection.Request);
+  Operations.handleDisconnect(Id);
   line_effects Effects;
   handleDisconnect(Connection.Caller, Effects);
   if (Effects.Release)
@@ -375,9 +396,9 @@
 }
 
 line_listener::line_listener(daemon_context &Context, member_agent &Member,
-                             statement_router &Router,
+                             statement_router &Router, limit_service &Limits,
                              line_listener_settings Settings)
-    : State(std::make_unique<state>(Context, Member, Router,
+    : State(std::make_unique<state>(Context, Member, Router, Limits,
                                     std::move(Settings))) {}
 
 line_listener::~line_listener() = default;
--- a/modules/line/line_listener.h
+++ b/modules/line/line_listener.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/daemon_context.h"
+#include "modules/limits/limit_service.h"
 #include "modules/line/line_protocol.h"
 #include "modules/membership/member_agent.h"
 #include "modules/routing/statement_router.h"
@@ -30,7 +31,8 @@
 class line_listener {
 public:
   line_listener(daemon_context &Context, member_agent &Member,
-                statement_router &Router, line_listener_settings Settings);
+                statement_router &Router, limit_service &Limits,
+                line_listener_settings Settings);
   ~line_listener();
 
   /// Starts to accept connections and returns the endpoint it listens on.
