--- a/modules/link/link_hub.h
+++ b/modules/link/link_hub.h
@@ -21,8 +21,8 @@
 /// reconnects; an accepted link ends with its connection.
 using link_id = strong_type<struct link_id_tag, std::uint64_t>;
 
-/// The type of a frame's message. Each module has its own range: link 1 to 99,
-/// control 100 to 199, consensus 200 to 299, gateway 300 to 399.
+/// The type of a frame's message. Ranges by module: link 1 to 99, control 100
+/// to 199, consensus 200 to 299, gateway 300 to 399, limits 400 to 499.
 using message_kind = strong_type<struct message_kind_tag, std::int16_t>;
 
 /// The VM at the other end of a link, and the incarnation of its process.
