--- a/modules/line/line_listener.cpp
+++ b/modules/line/line_listener.cpp
@@ -5,6 +5,7 @@
 #include "core/listen_socket.h"
 #include "modules/deployment/organisation_index.h"
 #include "modules/line/line_caller_state.h"
+#include "modules/line/operation_starter.h"
 
 #include <cerrno>
 #include <cstring>
@@ -40,7 +41,7 @@
 /// limit.
 constexpr duration LimitLogInterval = std::chrono::seconds(1);
 
-using caller_id = strong_type<struct line_caller_tag, std::uint64_t>;
+using caller_id = line_caller_id;
 
 /// Returns the bytes of a request that its caller determines.
 std::size_t sizeOf(const wire::statement_request &Request) {
@@ -86,6 +87,7 @@
   daemon_context &Context;
   member_agent &Member;
   statement_router &Router;
+  operation_starter Operations;
   line_listener_settings Settings;
   line_environment Environment;
   organisation_index Organisations;
@@ -109,8 +111,9 @@
   std::shared_ptr<state *> Self = std::make_shared<state *>(this);
 
   state(daemon_context &Context, member_agent &Member, statement_router &Router,
-        line_listener_settings ListenerSettings)
+        limit_service &Limits, line_listener_settings ListenerSettings)
       : Context(Context), Member(Member), Router(Router),
+        Operations(Context.Loop, Limits, operationHooks()),
         Settings(std::move(ListenerSettings)),
         Callers(Context.Metrics.gaugeOf("teasellock_callers")),
         BufferedBytes(
@@ -163,6 +166,7 @@
   void processInput(connection &Connection);
   bool isAwaitingDeployment(const connection &Connection) const;
   void applyEffects(connection &Connection, line_effects Effects);
+  operation_hooks operationHooks();
   void submit(connection &Connection, wire::statement_request Request);
   void refuseInFlight(connection &Connection);
   void onReply(caller_id Id, const wire::statement_reply &Reply);
@@ -345,7 +349,10 @@
   Connection.Out += Effects.Out;
   if (Effects.Release)
     Router.release(*Effects.Release);
-  if (Effects.Submit)
+  if (Effects.Submit && Effects.BeginsOperationOf)
+    Operations.begin(Connection.Id, *Effects.BeginsOperationOf,
+                     std::move(*Effects.Submit));
+  else if (Effects.Submit)
     submit(Connection, std::move(*Effects.Submit));
   Connection.Closing = Connection.Closing || Effects.Close;
 }
@@ -366,6 +373,18 @@
   });
 }
 
+operation_hooks line_listener::state::operationHooks() {
+  return {[this](caller_id Id, wire::statement_request Request) {
+            auto *Connection = findConnection(Id);
+            if (Connection)
+              submit(*Connection, std::move(Request));
+            return Connection != nullptr;
+          },
+          [this](caller_id Id, const wire::statement_reply &Reply) {
+            onReply(Id, Reply);
+          }};
+}
+
 void line_listener::state::submit(connection &Connection,
                                   wire::statement_request Request) {
   std::size_t Bytes = sizeOf(Request);
@@ -399,6 +418,7 @@
   Connection->Request.reset();
   endInFlight(*Connection);
   Connection->LastActivityAt = now();
+  Operations.handleReply(Id, Reply);
   if (!Reply.code.empty())
     event("caller.failed")
         .with("id", Connection->Caller.RequestId)
@@ -480,6 +500,7 @@
   ::close(Connection.Socket);
   if (Connection.Request)
     Router.cancel(*Connection.Request);
+  Operations.handleDisconnect(Id);
   line_effects Effects;
   handleDisconnect(Connection.Caller, Effects);
   if (Effects.Release)
@@ -573,9 +594,9 @@
 }
 
 line_listener::line_listener(daemon_context &Context, member_agent &Member,
-                             statement_router &Router,
+                             statement_router &Router, limit_service &Limits,
                              line_listener_settings Settings)
-    : State(std::make_unique<state>(Context, Member, Router,
+    : State(std::make_unique<state>(Context, Member, Router, Limits,
                                     std::move(Settings))) {}
 
 line_listener::~line_listener() = default;
