Consensus: a candidate's own vote waits after a start too

Cause: a store that restarts refuses its vote for an election timeout, because a leader that it answered just before acts on that answer for half of one without asking again. It counted its own vote at once, though. A store that answered the leader, restarted and began a pre-vote 83 ms later could win with one other store that had lost its link to the leader, while the leader still granted leases. Change: the own vote counts only while no leader may be active. The fuzz test checks that no ready leader of an earlier term would grant leases, and has restarts of all stores, or all but the leader, with spread starts.

--- a/modules/consensus/consensus_election.cpp
+++ b/modules/consensus/consensus_election.cpp
@@ -46,8 +46,12 @@
 }
 
 /// Returns the candidate's own vote, which counts only while it is a voter.
-std::set<store_id> initialVotes(const consensus_state &State) {
-  if (!isVoter(State))
+/// Like that of any voter, it does not count while a leader may be active: a
+/// store that answered one just before it restarted must not help to elect
+/// another at once.
+std::set<store_id> initialVotes(const consensus_state &State,
+                                const consensus_input &Input) {
+  if (!isVoter(State) || isLeaderActive(State, Input.Now))
     return {};
   return {State.Self};
 }
@@ -58,7 +62,7 @@
   State.HardState.Term += 1;
   State.HardState.VotedFor = State.Self;
   Effects.Disk.push_back(State.HardState);
-  State.Votes = initialVotes(State);
+  State.Votes = initialVotes(State, Input);
   requestVotes(State, false, Effects);
   if (State.Votes.size() >= quorumSize(currentMembers(State)))
     becomeLeader(State, Input, Effects);
@@ -70,7 +74,7 @@
                    consensus_effects &Effects) {
   resetElectionTimer(State, Input);
   State.Leader = store_id();
-  State.Votes = initialVotes(State);
+  State.Votes = initialVotes(State, Input);
   if (!State.Rules.PreVote ||
       State.Votes.size() >= quorumSize(currentMembers(State))) {
     startElection(State, Input, Effects);
--- a/modules/consensus/tests/simulated_group.h
+++ b/modules/consensus/tests/simulated_group.h
@@ -56,6 +56,9 @@
   /// Simulates a loss of power in one of the VM's next file operations.
   void crashDuringOperation(int Vm, int Operations);
   void restart(int Vm);
+  /// Restarts all VMs but those in the mask within a short time, in any order,
+  /// some later than others. Those in the mask can't reach them from then on.
+  void restartAll(int KeptMask);
   /// Replaces a disk by an empty one, unless some membership would lose its
   /// majority.
   void wipe(int Vm);
@@ -74,6 +77,8 @@
   /// membership has lost its majority.
   bool checkRecovery();
 
+  /// Returns the leader as a mask of VMs, for partition() and restartAll().
+  int leaderMask() const;
   /// Returns the leader with the highest term, or -1 if there is none.
   int currentLeader() const;
   std::uint64_t termOf(int Vm) const;
@@ -114,6 +119,9 @@
   void apply(vm &Node);
   void checkCommitted(int Vm);
   void checkLeader(vm &Node);
+  /// Checks that no leader would grant leases without asking a quorum while a
+  /// leader of a later term exists.
+  void checkLeases() const;
   void advanceReplacement(int Vm);
   void replaceInOneStep(vm &Node);
   void compactIfNeeded(vm &Node);
--- a/modules/consensus/tests/test_consensus_fuzz.cpp
+++ b/modules/consensus/tests/test_consensus_fuzz.cpp
@@ -17,6 +17,7 @@
   Crash,
   CrashDuringOperation,
   Restart,
+  RestartAll,
   Wipe,
   Partition,
   Isolate,
@@ -96,6 +97,9 @@
     return Group.crashDuringOperation(Step.First, Step.Second);
   case fuzz_action::Restart:
     return Group.restart(Step.First);
+  case fuzz_action::RestartAll:
+    // All VMs, or all but the leader.
+    return Group.restartAll(Step.First % 2 == 0 ? 0 : Group.leaderMask());
   case fuzz_action::Wipe:
     return Group.wipe(Step.First);
   case fuzz_action::Partition:
@@ -129,6 +133,24 @@
                                              {2, action::Wipe}}));
 }
 
+/// Restarts of all or nearly all VMs at once.
+rc::Gen<fuzz_step> restartStep() {
+  using action = fuzz_action;
+  return stepWithAction(
+      rc::gen::weightedElement<fuzz_action>({{4, action::RestartAll},
+                                             {12, action::Deliver},
+                                             {6, action::RunWithoutFaults},
+                                             {3, action::Drop},
+                                             {2, action::Duplicate},
+                                             {4, action::Tick},
+                                             {1, action::Partition},
+                                             {2, action::Isolate},
+                                             {3, action::Heal},
+                                             {2, action::Propose},
+                                             {2, action::Replace},
+                                             {2, action::Change}}));
+}
+
 struct fuzz_statistics {
   std::size_t Runs = 0;
   std::size_t Steps = 0;
@@ -228,6 +250,16 @@
   CHECK_MESSAGE(!Found.has_value(), Found.value_or(""));
 }
 
+TEST_CASE("consensus: fuzz of restarts of all VMs finds no violated "
+          "invariant") {
+  fuzz_statistics Statistics;
+  std::optional<std::string> Found =
+      fuzz({}, 1000, restartStep(), true, Statistics);
+  MESSAGE(Statistics.Runs << " runs, " << Statistics.Steps << " steps, "
+                          << Statistics.Committed << " entries committed");
+  CHECK_MESSAGE(!Found.has_value(), Found.value_or(""));
+}
+
 TEST_CASE("consensus: fuzz finds votes that are not synced") {
   simulation_rules Rules;
   Rules.SyncVotes = false;
