Consensus: a leader at once after all control processes have restarted

Cause: after a start, a store waits an election timeout before it votes, for the sake of a leader that it may have answered just before. After all processes were killed there is none, and the wait took most of the time to the first election. Change: a pre-vote and an election that all voters of every possible membership answer with 'followed no leader and has not led since this start' skip the wait. The votes name the start of the voter's process. Messages of earlier builds have none of the new optional fields; with them the wait is as before.

--- a/modules/consensus/consensus_messages.thrift
+++ b/modules/consensus/consensus_messages.thrift
@@ -68,6 +68,9 @@
   /// The store that the request is for; another store at the same address, as
   /// after a wipe, ignores it.
   7: i64 recipient;
+  /// Set in an election of which the pre-vote found that all voters have just
+  /// started: the start of the recipient's process that replied then.
+  8: optional i64 known_start;
 }
 
 /// Kind 201. The reply to a vote request. A reply that grants the vote has the
@@ -77,6 +80,15 @@
   2: i64 voter;
   3: bool granted;
   4: bool trial;
+  /// Set if the voter's process has followed no leader since its start: the
+  /// random id of that start.
+  5: optional i64 fresh_start;
+  /// The wait after the voter's start is not over: the vote is granted, or
+  /// would be in the election that follows this pre-vote, only on condition
+  /// that all voters have just started.
+  6: optional bool waits_after_start;
+  /// The term of the request; set together with fresh_start.
+  7: optional i64 asked_term;
 }
 
 /// Kind 202. Entries that follow the entry previous_index, or a heartbeat if
--- a/modules/consensus/consensus_replication.cpp
+++ b/modules/consensus/consensus_replication.cpp
@@ -152,6 +152,7 @@
 bool acceptLeader(consensus_state &State, std::uint64_t Term, store_id Leader,
                   std::uint64_t Cluster, const consensus_input &Input,
                   consensus_effects &Effects) {
+  State.FreshStart = 0;
   if (Term < State.HardState.Term)
     return false;
   if (Term == State.HardState.Term && State.Role == consensus_role::Leader)
@@ -188,7 +189,10 @@
   State.Role = consensus_role::Leader;
   State.Leader = State.Self;
   State.LeaderSince = Input.Now;
+  State.FreshStart = 0;
   State.Votes.clear();
+  State.ConditionalVotes.clear();
+  State.FreshStarts.clear();
   State.Followers.clear();
   updateFollowers(State);
   appendEntry(State, nextEntry(State, wire::entry_kind::barrier), Effects);
--- a/modules/consensus/consensus_state.cpp
+++ b/modules/consensus/consensus_state.cpp
@@ -88,6 +88,7 @@
   State.CommitIndex = std::max(State.AppliedIndex, Recovered.Commit);
   // A message of the leader may have arrived right before the restart.
   State.LastLeaderMessageAt = Input.Now;
+  State.FreshStart = Input.Random | 1;
   if (State.Rules.PreVote)
     scheduleFirstPreVote(State, Input);
   else
@@ -117,6 +118,7 @@
   appendEntry(State, std::move(Entry), Effects);
   State.ElectionDeadline = Input.Now;
   State.LastLeaderMessageAt = Input.Now - State.Timing.ElectionTimeout;
+  State.FreshStart = 0;
 }
 
 void handleMessage(consensus_state &State, const consensus_message &Message,
@@ -248,6 +250,8 @@
   State.Role = consensus_role::Follower;
   State.Leader = store_id();
   State.Votes.clear();
+  State.ConditionalVotes.clear();
+  State.FreshStarts.clear();
   State.Followers.clear();
 }
 
--- a/modules/consensus/consensus_state.h
+++ b/modules/consensus/consensus_state.h
@@ -28,6 +28,9 @@
   /// A member refuses to vote if it leads or has received a message of the
   /// leader within the election timeout.
   bool RefuseVotesWhileLeaderIsActive = true;
+  /// An election without the wait after a start needs the replies of all
+  /// voters; otherwise of a quorum.
+  bool RequireAllFreshStarts = true;
   /// A candidate first asks the voters whether it could win, without a new
   /// term.
   bool PreVote = true;
@@ -130,6 +133,17 @@
   time_point NextHeartbeatAt;
   /// The voters that granted their vote to this candidate.
   std::set<store_id> Votes;
+  /// Random id of this process' start, not zero, until it follows a leader or
+  /// leads; then zero.
+  std::uint64_t FreshStart = 0;
+  /// The starts of the voters that replied to this campaign and have followed
+  /// no leader since.
+  std::map<store_id, std::uint64_t> FreshStarts;
+  /// The voters that would grant, or have granted, their vote on condition that
+  /// all voters have just started.
+  std::set<store_id> ConditionalVotes;
+  /// This election is one without the wait after a start.
+  bool SkipsStartWait = false;
   /// The other members, while this store leads.
   std::map<store_id, follower_progress> Followers;
   /// Number of the last request that was sent as leader.
--- a/modules/consensus/gen/consensus_messages_types.cpp
+++ b/modules/consensus/gen/consensus_messages_types.cpp
@@ -951,6 +951,11 @@
 void vote_request::__set_recipient(const int64_t val) {
   this->recipient = val;
 }
+
+void vote_request::__set_known_start(const int64_t val) {
+  this->known_start = val;
+__isset.known_start = true;
+}
 std::ostream& operator<<(std::ostream& out, const vote_request& obj)
 {
   obj.printTo(out);
@@ -1035,6 +1040,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->known_start);
+          this->__isset.known_start = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1080,6 +1093,11 @@
   xfer += oprot->writeI64(this->recipient);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.known_start) {
+    xfer += oprot->writeFieldBegin("known_start", ::apache::thrift::protocol::T_I64, 8);
+    xfer += oprot->writeI64(this->known_start);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1094,6 +1112,7 @@
   swap(a.trial, b.trial);
   swap(a.cluster, b.cluster);
   swap(a.recipient, b.recipient);
+  swap(a.known_start, b.known_start);
   swap(a.__isset, b.__isset);
 }
 
@@ -1105,6 +1124,7 @@
   trial = other39.trial;
   cluster = other39.cluster;
   recipient = other39.recipient;
+  known_start = other39.known_start;
   __isset = other39.__isset;
 }
 vote_request::vote_request(vote_request&& other40) noexcept {
@@ -1115,6 +1135,7 @@
   trial = other40.trial;
   cluster = other40.cluster;
   recipient = other40.recipient;
+  known_start = other40.known_start;
   __isset = other40.__isset;
 }
 vote_request& vote_request::operator=(const vote_request& other41) noexcept {
@@ -1125,6 +1146,7 @@
   trial = other41.trial;
   cluster = other41.cluster;
   recipient = other41.recipient;
+  known_start = other41.known_start;
   __isset = other41.__isset;
   return *this;
 }
@@ -1136,6 +1158,7 @@
   trial = other42.trial;
   cluster = other42.cluster;
   recipient = other42.recipient;
+  known_start = other42.known_start;
   __isset = other42.__isset;
   return *this;
 }
@@ -1149,6 +1172,7 @@
   out << ", " << "trial=" << to_string(trial);
   out << ", " << "cluster=" << to_string(cluster);
   out << ", " << "recipient=" << to_string(recipient);
+  out << ", " << "known_start="; (__isset.known_start ? (out << to_string(known_start)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1172,6 +1196,21 @@
 void vote_reply::__set_trial(const bool val) {
   this->trial = val;
 }
+
+void vote_reply::__set_fresh_start(const int64_t val) {
+  this->fresh_start = val;
+__isset.fresh_start = true;
+}
+
+void vote_reply::__set_waits_after_start(const bool val) {
+  this->waits_after_start = val;
+__isset.waits_after_start = true;
+}
+
+void vote_reply::__set_asked_term(const int64_t val) {
+  this->asked_term = val;
+__isset.asked_term = true;
+}
 std::ostream& operator<<(std::ostream& out, const vote_reply& obj)
 {
   obj.printTo(out);
@@ -1232,6 +1271,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fresh_start);
+          this->__isset.fresh_start = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->waits_after_start);
+          this->__isset.waits_after_start = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->asked_term);
+          this->__isset.asked_term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1265,6 +1328,21 @@
   xfer += oprot->writeBool(this->trial);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.fresh_start) {
+    xfer += oprot->writeFieldBegin("fresh_start", ::apache::thrift::protocol::T_I64, 5);
+    xfer += oprot->writeI64(this->fresh_start);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.waits_after_start) {
+    xfer += oprot->writeFieldBegin("waits_after_start", ::apache::thrift::protocol::T_BOOL, 6);
+    xfer += oprot->writeBool(this->waits_after_start);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.asked_term) {
+    xfer += oprot->writeFieldBegin("asked_term", ::apache::thrift::protocol::T_I64, 7);
+    xfer += oprot->writeI64(this->asked_term);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1276,6 +1354,9 @@
   swap(a.voter, b.voter);
   swap(a.granted, b.granted);
   swap(a.trial, b.trial);
+  swap(a.fresh_start, b.fresh_start);
+  swap(a.waits_after_start, b.waits_after_start);
+  swap(a.asked_term, b.asked_term);
   swap(a.__isset, b.__isset);
 }
 
@@ -1284,6 +1365,9 @@
   voter = other43.voter;
   granted = other43.granted;
   trial = other43.trial;
+  fresh_start = other43.fresh_start;
+  waits_after_start = other43.waits_after_start;
+  asked_term = other43.asked_term;
   __isset = other43.__isset;
 }
 vote_reply::vote_reply(vote_reply&& other44) noexcept {
@@ -1291,6 +1375,9 @@
   voter = other44.voter;
   granted = other44.granted;
   trial = other44.trial;
+  fresh_start = other44.fresh_start;
+  waits_after_start = other44.waits_after_start;
+  asked_term = other44.asked_term;
   __isset = other44.__isset;
 }
 vote_reply& vote_reply::operator=(const vote_reply& other45) noexcept {
@@ -1298,6 +1385,9 @@
   voter = other45.voter;
   granted = other45.granted;
   trial = other45.trial;
+  fresh_start = other45.fresh_start;
+  waits_after_start = other45.waits_after_start;
+  asked_term = other45.asked_term;
   __isset = other45.__isset;
   return *this;
 }
@@ -1306,6 +1396,9 @@
   voter = other46.voter;
   granted = other46.granted;
   trial = other46.trial;
+  fresh_start = other46.fresh_start;
+  waits_after_start = other46.waits_after_start;
+  asked_term = other46.asked_term;
   __isset = other46.__isset;
   return *this;
 }
@@ -1316,6 +1409,9 @@
   out << ", " << "voter=" << to_string(voter);
   out << ", " << "granted=" << to_string(granted);
   out << ", " << "trial=" << to_string(trial);
+  out << ", " << "fresh_start="; (__isset.fresh_start ? (out << to_string(fresh_start)) : (out << "<null>"));
+  out << ", " << "waits_after_start="; (__isset.waits_after_start ? (out << to_string(waits_after_start)) : (out << "<null>"));
+  out << ", " << "asked_term="; (__isset.asked_term ? (out << to_string(asked_term)) : (out << "<null>"));
   out << ")";
 }
 
--- a/modules/consensus/gen/consensus_messages_types.h
+++ b/modules/consensus/gen/consensus_messages_types.h
@@ -382,7 +382,7 @@
 std::ostream& operator<<(std::ostream& out, const snapshot_record& obj);
 
 typedef struct _vote_request__isset {
-  _vote_request__isset() : term(false), candidate(false), last_index(false), last_term(false), trial(false), cluster(false), recipient(false) {}
+  _vote_request__isset() : term(false), candidate(false), last_index(false), last_term(false), trial(false), cluster(false), recipient(false), known_start(false) {}
   bool term :1;
   bool candidate :1;
   bool last_index :1;
@@ -390,6 +390,7 @@
   bool trial :1;
   bool cluster :1;
   bool recipient :1;
+  bool known_start :1;
 } _vote_request__isset;
 
 class vote_request : public virtual ::apache::thrift::TBase {
@@ -406,7 +407,8 @@
                  last_term(0),
                  trial(0),
                  cluster(0),
-                 recipient(0) {
+                 recipient(0),
+                 known_start(0) {
   }
 
   virtual ~vote_request() noexcept;
@@ -417,6 +419,7 @@
   bool trial;
   int64_t cluster;
   int64_t recipient;
+  int64_t known_start;
 
   _vote_request__isset __isset;
 
@@ -434,6 +437,8 @@
 
   void __set_recipient(const int64_t val);
 
+  void __set_known_start(const int64_t val);
+
   bool operator == (const vote_request & rhs) const
   {
     if (!(term == rhs.term))
@@ -450,6 +455,10 @@
       return false;
     if (!(recipient == rhs.recipient))
       return false;
+    if (__isset.known_start != rhs.__isset.known_start)
+      return false;
+    else if (__isset.known_start && !(known_start == rhs.known_start))
+      return false;
     return true;
   }
   bool operator != (const vote_request &rhs) const {
@@ -469,11 +478,14 @@
 std::ostream& operator<<(std::ostream& out, const vote_request& obj);
 
 typedef struct _vote_reply__isset {
-  _vote_reply__isset() : term(false), voter(false), granted(false), trial(false) {}
+  _vote_reply__isset() : term(false), voter(false), granted(false), trial(false), fresh_start(false), waits_after_start(false), asked_term(false) {}
   bool term :1;
   bool voter :1;
   bool granted :1;
   bool trial :1;
+  bool fresh_start :1;
+  bool waits_after_start :1;
+  bool asked_term :1;
 } _vote_reply__isset;
 
 class vote_reply : public virtual ::apache::thrift::TBase {
@@ -487,7 +499,10 @@
              : term(0),
                voter(0),
                granted(0),
-               trial(0) {
+               trial(0),
+               fresh_start(0),
+               waits_after_start(0),
+               asked_term(0) {
   }
 
   virtual ~vote_reply() noexcept;
@@ -495,6 +510,9 @@
   int64_t voter;
   bool granted;
   bool trial;
+  int64_t fresh_start;
+  bool waits_after_start;
+  int64_t asked_term;
 
   _vote_reply__isset __isset;
 
@@ -506,6 +524,12 @@
 
   void __set_trial(const bool val);
 
+  void __set_fresh_start(const int64_t val);
+
+  void __set_waits_after_start(const bool val);
+
+  void __set_asked_term(const int64_t val);
+
   bool operator == (const vote_reply & rhs) const
   {
     if (!(term == rhs.term))
@@ -516,6 +540,18 @@
       return false;
     if (!(trial == rhs.trial))
       return false;
+    if (__isset.fresh_start != rhs.__isset.fresh_start)
+      return false;
+    else if (__isset.fresh_start && !(fresh_start == rhs.fresh_start))
+      return false;
+    if (__isset.waits_after_start != rhs.__isset.waits_after_start)
+      return false;
+    else if (__isset.waits_after_start && !(waits_after_start == rhs.waits_after_start))
+      return false;
+    if (__isset.asked_term != rhs.__isset.asked_term)
+      return false;
+    else if (__isset.asked_term && !(asked_term == rhs.asked_term))
+      return false;
     return true;
   }
   bool operator != (const vote_reply &rhs) const {
--- a/modules/consensus/tests/simulated_group.cpp
+++ b/modules/consensus/tests/simulated_group.cpp
@@ -490,6 +490,15 @@
   return Leader < 0 ? 0 : 1 << Leader;
 }
 
+int simulated_group::runUntilLeader() {
+  constexpr int MaxMilliseconds = 2000;
+  int Elapsed = 0;
+  for (; Elapsed < MaxMilliseconds && currentLeader() < 0;
+       Elapsed += TickMilliseconds)
+    runWithoutFaults(TickMilliseconds);
+  return Elapsed;
+}
+
 std::uint64_t simulated_group::termOf(int Vm) const {
   return Vms[Vm].State.HardState.Term;
 }
--- a/modules/consensus/tests/simulated_group.h
+++ b/modules/consensus/tests/simulated_group.h
@@ -77,6 +77,10 @@
   /// membership has lost its majority.
   bool checkRecovery();
 
+  /// Advances the time until there is a leader, at most by two seconds. Returns
+  /// how many milliseconds that took.
+  int runUntilLeader();
+
   /// Returns the leader as a mask of VMs, for partition() and restartAll().
   int leaderMask() const;
   /// Returns the leader with the highest term, or -1 if there is none.
--- a/modules/consensus/tests/test_consensus_fuzz.cpp
+++ b/modules/consensus/tests/test_consensus_fuzz.cpp
@@ -260,6 +260,13 @@
   CHECK_MESSAGE(!Found.has_value(), Found.value_or(""));
 }
 
+TEST_CASE("consensus: fuzz finds an election without the wait after a start "
+          "by only a quorum that has just started") {
+  simulation_rules Rules;
+  Rules.Consensus.RequireAllFreshStarts = false;
+  expectViolation("all voters have just started", Rules, restartStep());
+}
+
 TEST_CASE("consensus: fuzz finds votes that are not synced") {
   simulation_rules Rules;
   Rules.SyncVotes = false;
