Daemon: SIGHUP is blocked from the first instruction until its handler is set

Cause: the handler of SIGHUP was set at the end of the start, so that a reload that arrived before ended the process.

Change: a .preinit_array entry blocks SIGHUP before the constructors of the libraries run; event_loop::onSignal() unblocks a signal once its handler is set (libev leaves the mask as it is), so that a pending one is delivered. SIGTERM and SIGINT keep their default action until then.

--- a/core/event_loop.cpp
+++ b/core/event_loop.cpp
@@ -2,6 +2,7 @@
 
 #include "core/guarded_call.h"
 
+#include <csignal>
 #include <deque>
 #include <ev.h>
 #include <list>
@@ -159,6 +160,11 @@
       },
       Signal);
   ev_signal_start(State->Loop, &Watch.Watcher);
+  // libev leaves the mask as it is.
+  sigset_t Signals;
+  sigemptyset(&Signals);
+  sigaddset(&Signals, Signal);
+  pthread_sigmask(SIG_UNBLOCK, &Signals, nullptr);
 }
 
 void event_loop::post(std::function<void()> Task) {
--- a/core/event_loop.h
+++ b/core/event_loop.h
@@ -58,6 +58,8 @@
                          std::function<void(readiness)> Callback);
 
   /// Calls Callback on each delivery of a signal, until the loop is destroyed.
+  /// Unblocks the signal in the calling thread, so that one that is pending is
+  /// delivered.
   void onSignal(int Signal, std::function<void()> Callback);
 
   /// Queues Task to run after the current callback has returned. Must be
--- a/main/daemon_process.cpp
+++ b/main/daemon_process.cpp
@@ -125,7 +125,7 @@
 /// without a signal.
 void daemon_process::watchSettingsFile() {
   // Without a settings file SIGHUP changes nothing, but it must not terminate
-  // the process.
+  // the process. The signal is blocked until now; see main/teasellockd.cpp.
   Loop.onSignal(SIGHUP, [this] { reloadSettings(); });
   if (!LoadSettings)
     return;
--- a/main/teasellockd.cpp
+++ b/main/teasellockd.cpp
@@ -9,6 +9,23 @@
 
 namespace {
 
+/// Blocks SIGHUP, whose default action would end the process, until the daemon
+/// has set its handler. SIGTERM and SIGINT keep their default action until
+/// then.
+void blockReload(int, char **, char **) {
+  sigset_t Signals;
+  sigemptyset(&Signals);
+  sigaddset(&Signals, SIGHUP);
+  sigprocmask(SIG_BLOCK, &Signals, nullptr);
+}
+
+/// The dynamic loader calls this before the constructors of all libraries,
+/// which take several milliseconds. Threads inherit the mask.
+using preinit_function = void (*)(int, char **, char **);
+[[gnu::used,
+  gnu::section(".preinit_array")]] const preinit_function BlockReloadFirst =
+    blockReload;
+
 constexpr int ExitBadSettings = 2;
 constexpr int ExitFailure = 1;
 /// Environment variable that names the settings file if no flag does.
