--- a/tests/soak/upstream_group.cpp
+++ b/tests/soak/upstream_group.cpp
@@ -225,6 +225,11 @@
 
 void upstream_group::setLag(duration Lag) { State->Settings.Lag = Lag; }
 
+void upstream_group::selectFaults(
+    std::function<statement_fault(const std::string &Verb)> SelectFault) {
+  State->SelectFault = std::move(SelectFault);
+}
+
 void upstream_group::setLeaving(std::size_t Upstream, bool Leaving) {
   State->Servers.at(Upstream).Node.IsLeaving = Leaving;
 }
--- a/tests/soak/upstream_group.h
+++ b/tests/soak/upstream_group.h
@@ -21,6 +21,19 @@
   Silent,
 };
 
+/// How an upstream answers one statement of a session instead of executing it.
+enum class statement_fault {
+  None,
+  /// The error READONLY.
+  ReadOnly,
+  /// An error of the statement itself.
+  Failed,
+  /// The connection is closed.
+  Reset,
+  /// No answer, to this statement or a later one of the connection.
+  Silent,
+};
+
 /// Size and timing of a group.
 struct group_settings {
   group_id Group;
@@ -71,6 +84,10 @@
   /// reconnects it.
   void cutReplication(std::size_t Upstream, bool Cut);
   void setLag(duration Lag);
+  /// Sets the function that selects the fault of each further statement by its
+  /// verb. It is not called for orders and status requests.
+  void selectFaults(
+      std::function<statement_fault(const std::string &Verb)> SelectFault);
   /// Sets whether the upstream announces that it is leaving.
   void setLeaving(std::size_t Upstream, bool Leaving);
   /// Drops all further bytes of the upstreams' open connections.
--- a/tests/soak/upstream_group_state.h
+++ b/tests/soak/upstream_group_state.h
@@ -21,6 +21,8 @@
   timer_service &Timers;
   oracle &Oracle;
   group_settings Settings;
+  /// May be empty; see selectFaults().
+  std::function<statement_fault(const std::string &Verb)> SelectFault;
   std::vector<server> Servers;
   std::uint64_t LastSignature = 0;
   std::uint64_t Promotions = 0;
@@ -43,6 +45,8 @@
                    const std::string &Line);
   void queueStatement(std::size_t Index, const session_pointer &Session,
                       const upstream_statement &Statement);
+  bool injectFault(std::size_t Index, const session_pointer &Session,
+                   const upstream_statement &Statement);
   void execute(std::size_t Index, const session_pointer &Session,
                const upstream_statement &Statement);
   bool executeImmediately(server &Server, upstream_session &Session,
--- a/tests/soak/upstream_statements.cpp
+++ b/tests/soak/upstream_statements.cpp
@@ -1,5 +1,6 @@
 #include "tests/soak/upstream_group_state.h"
 
+#include <set>
 #include <utility>
 
 namespace teasellock::soak {
@@ -173,7 +174,8 @@
     std::size_t Index, const session_pointer &Session,
     const upstream_statement &Statement) {
   auto &Server = Servers[Index];
-  if (executeImmediately(Server, *Session, Statement))
+  if (injectFault(Index, Session, Statement) ||
+      executeImmediately(Server, *Session, Statement))
     return;
   if (Server.Node.RunningStatements >=
       Settings.ConcurrentStatements + QueueLength)
@@ -197,6 +199,41 @@
       });
 }
 
+/// Answers a statement with the fault that the settings select for it. Returns
+/// false if they select none.
+bool upstream_group::state::injectFault(std::size_t Index,
+                                        const session_pointer &Session,
+                                        const upstream_statement &Statement) {
+  const std::set<std::string> Orders{"STATUS", "PAUSE", "DEMOTE", "RESUME"};
+  if (!SelectFault || Orders.contains(Statement.Verb))
+    return false;
+  auto Fault = SelectFault(Statement.Verb);
+  switch (Fault) {
+  case statement_fault::None:
+    return false;
+  case statement_fault::ReadOnly:
+  case statement_fault::Failed:
+    // A commit ends its transaction, whatever the answer is.
+    if (Statement.Verb == "COMMIT") {
+      Session->Transaction.reset();
+      Session->TransactionFailed = false;
+    }
+    sendError(Servers[Index], *Session,
+              Fault == statement_fault::ReadOnly ? "READONLY" : "FAILED");
+    return true;
+  case statement_fault::Reset:
+    Session->IsClosed = true;
+    Loop.post([this, Index, Session] {
+      std::erase(Servers[Index].Sessions, Session);
+    });
+    return true;
+  case statement_fault::Silent:
+    Session->IsBusy = true;
+    return true;
+  }
+  return true;
+}
+
 /// Executes statements that don't count towards the limit. Returns false for
 /// others.
 bool upstream_group::state::executeImmediately(
