Soak: faults around promotions, callers that leave early, questions at the end

New faults: a leaving primary that is down for 700 ms, and a replica that starts while the failed primary is replaced. One caller of 12 leaves within 6 ms after it has sent the first statement of a transaction.

At the end every group must have committed a write, and within 8 s after all callers have left no upstream may hold a transaction or an unanswered statement.

A caller ignores what its abandoned connection still receives: with callers that leave early the soak itself crashed.

--- a/tests/soak/deployment.h
+++ b/tests/soak/deployment.h
@@ -57,6 +57,10 @@
   void setPromotionLossProbability(double Share) {
     PromotionLossProbability = Share;
   }
+  /// Runs a step of a fault after a delay.
+  void runLater(duration Delay, std::function<void()> Step) {
+    LaterSteps.push_back(Context.Timers.after(Delay, std::move(Step)));
+  }
   /// Whether control has acknowledged a version of the deployment.
   bool isDeployed() const { return AcknowledgedVersion > 0; }
   std::uint64_t acknowledgedVersion() const { return AcknowledgedVersion; }
@@ -91,6 +95,7 @@
   std::map<std::string, std::uint64_t> HighestTokens;
   double PromotionLossProbability = 0;
   std::vector<timer_subscription> DelayedPromotions;
+  std::vector<timer_subscription> LaterSteps;
   std::uint64_t Version = 1;
   std::uint64_t AcknowledgedVersion = 0;
   std::uint64_t Sequence = 0;
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::int64_t MaxGapMs = 1200;
+constexpr std::int64_t MaxPromotionFaultGapMs = 8000;
 constexpr std::int64_t MinDurationMs = 200;
 constexpr std::int64_t MaxDurationMs = 4000;
 /// Minimum time between two lost disks: the control group needs it to replace
@@ -23,14 +24,23 @@
 constexpr std::size_t TornBytes = 37;
 
 constexpr std::array FaultNames = {
-    "kill_entry",       "kill_every_entry", "freeze_entry",
-    "stop_entry",       "kill_control",     "kill_every_control",
-    "freeze_control",   "wipe_control",     "tear_log",
-    "cut_vm",           "delay_vm",         "reset_vm",
-    "silence_links",    "reload_entry",     "crash_upstream",
-    "silence_upstream", "cut_primary",      "lag_replicas",
-    "leaving_primary",  "lose_orders",      "silence_upstreams",
-    "reset_upstreams",  "change_deployment"};
+    "kill_entry",       "kill_every_entry",  "freeze_entry",
+    "stop_entry",       "kill_control",      "kill_every_control",
+    "freeze_control",   "wipe_control",      "tear_log",
+    "cut_vm",           "delay_vm",          "reset_vm",
+    "silence_links",    "reload_entry",      "crash_upstream",
+    "silence_upstream", "cut_primary",       "lag_replicas",
+    "leaving_primary",  "lose_orders",       "silence_upstreams",
+    "reset_upstreams",  "change_deployment", "blinking_primary",
+    "joining_replica"};
+
+/// When the primary of BlinkingPrimary goes down after it has announced that it
+/// is leaving, and for how long.
+constexpr duration BlinkDelay = std::chrono::milliseconds(450);
+constexpr duration BlinkTime = std::chrono::milliseconds(700);
+/// When the replica of JoiningReplica starts after the primary has failed: it
+/// is replaced within about a second.
+constexpr duration JoinDelay = std::chrono::milliseconds(700);
 
 using undo_function = std::function<void()>;
 
@@ -144,6 +154,26 @@
   return nullptr;
 }
 
+undo_function blink(soak_deployment &Deployment, upstream_group &Group) {
+  std::size_t Upstream = Group.primaryIndex();
+  Group.setLeaving(Upstream, true);
+  Deployment.runLater(BlinkDelay, [&Group, Upstream] {
+    Group.injectFault(Upstream, upstream_fault::Crashed);
+  });
+  Deployment.runLater(BlinkDelay + BlinkTime,
+                      [&Group, Upstream] { Group.recover(Upstream); });
+  return [&Group, Upstream] { Group.setLeaving(Upstream, false); };
+}
+
+undo_function joinReplica(soak_deployment &Deployment, upstream_group &Group) {
+  std::size_t Primary = Group.primaryIndex();
+  std::size_t Replica = (Primary + 1) % Group.size();
+  Group.injectFault(Replica, upstream_fault::Crashed);
+  Group.injectFault(Primary, upstream_fault::Crashed);
+  Deployment.runLater(JoinDelay, [&Group, Replica] { Group.recover(Replica); });
+  return [&Group, Primary] { Group.recover(Primary); };
+}
+
 undo_function beginUpstreamFault(soak_deployment &Deployment,
                                  const fault &Fault) {
   auto &Group =
@@ -166,6 +196,10 @@
     Group.setLeaving(Upstream, true);
     return [&Group, Upstream] { Group.setLeaving(Upstream, false); };
   }
+  case fault_kind::BlinkingPrimary:
+    return blink(Deployment, Group);
+  case fault_kind::JoiningReplica:
+    return joinReplica(Deployment, Group);
   case fault_kind::LoseOrders:
     Deployment.setPromotionLossProbability(0.5);
     return [&Deployment] { Deployment.setPromotionLossProbability(0); };
@@ -181,6 +215,27 @@
   }
 }
 
+/// Adds faults around promotions. They have a generator of their own, so that
+/// the other faults of a seed stay the same.
+void addPromotionFaults(std::vector<fault> &Faults, std::uint64_t Seed,
+                        duration Span) {
+  std::mt19937_64 Random(Seed + 1);
+  auto Draw = [&](std::int64_t Min, std::int64_t Max) {
+    return std::uniform_int_distribution<std::int64_t>(Min, Max)(Random);
+  };
+  duration At{};
+  while (At < Span) {
+    At += fromMilliseconds(Draw(0, MaxPromotionFaultGapMs));
+    fault Fault;
+    Fault.StartOffset = At;
+    Fault.Duration = fromMilliseconds(Draw(MinDurationMs, MaxDurationMs));
+    Fault.Kind = Draw(0, 1) == 0 ? fault_kind::BlinkingPrimary
+                                 : fault_kind::JoiningReplica;
+    Fault.TargetSelector = Random();
+    Faults.push_back(Fault);
+  }
+}
+
 } // namespace
 
 const char *toString(fault_kind Kind) {
@@ -201,7 +256,7 @@
     Fault.StartOffset = At;
     Fault.Duration = fromMilliseconds(Draw(MinDurationMs, MaxDurationMs));
     Fault.Kind = static_cast<fault_kind>(
-        Draw(0, static_cast<std::int64_t>(FaultNames.size()) - 1));
+        Draw(0, static_cast<std::int64_t>(fault_kind::ChangeDeployment)));
     Fault.TargetSelector = Random();
     bool LosesDisk = Fault.Kind == fault_kind::WipeControl;
     if (LosesDisk && DiskLostAt && At - *DiskLostAt < DiskRecoveryPeriod)
@@ -210,6 +265,7 @@
       DiskLostAt = At;
     Faults.push_back(Fault);
   }
+  addPromotionFaults(Faults, Seed, Span);
   return Faults;
 }
 
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -30,6 +30,11 @@
   SilenceUpstreams,
   ResetUpstreams,
   ChangeDeployment,
+  /// The primary announces that it is leaving and is down for under a second
+  /// meanwhile.
+  BlinkingPrimary,
+  /// A replica that was down starts while the failed primary is replaced.
+  JoiningReplica,
 };
 
 /// Returns the name of a kind, for logs.
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -15,6 +15,9 @@
 constexpr duration StartTimeout = std::chrono::seconds(15);
 /// Every caller must be served again within this time after the last fault.
 constexpr duration RecoveryTimeout = std::chrono::seconds(12);
+/// After the callers have left, nothing of their transactions may remain at the
+/// upstreams for longer than this. Entries end idle transactions after 3 s.
+constexpr duration LeavingTimeout = std::chrono::seconds(8);
 constexpr duration CheckPeriod = std::chrono::milliseconds(100);
 /// Accepted number of process exits that no signal of the test explains.
 constexpr std::size_t MaxUnexpectedExits = 0;
@@ -40,7 +43,7 @@
   int report() const;
 
 private:
-  enum class phase { Starting, Faults, Recovering };
+  enum class phase { Starting, Faults, Recovering, Leaving };
 
   duration elapsed() const { return Context.Timers.now() - StartedAt; }
   void check();
@@ -48,6 +51,9 @@
   void begin(const fault &Fault);
   void startRecovery();
   void checkRecovery();
+  bool hasWritten(std::size_t Group) const;
+  void startLeaving();
+  void checkLeaving();
 
   daemon_context &Context;
   const soak_options &Options;
@@ -58,6 +64,8 @@
   timer_subscription CheckTimer;
   std::vector<timer_subscription> FaultTimers;
   std::vector<std::function<void()>> UndoActions;
+  /// Log length of each group's primary when the last fault ended.
+  std::vector<std::size_t> LogSizes;
 };
 
 void soak_test::check() {
@@ -76,6 +84,8 @@
     return;
   case phase::Recovering:
     return checkRecovery();
+  case phase::Leaving:
+    return checkLeaving();
   }
 }
 
@@ -113,6 +123,8 @@
   for (auto &End : UndoActions)
     if (End)
       std::exchange(End, nullptr)();
+  for (const auto &Group : Deployment.Groups)
+    LogSizes.push_back(Group->primaryLog().size());
   event("soak.recovering");
 }
 
@@ -126,14 +138,20 @@
       std::all_of(Deployment.Callers.begin(), Deployment.Callers.end(), Served);
   for (auto Version : Deployment.reportedVersions())
     AllRecovered = AllRecovered && Version >= Deployment.acknowledgedVersion();
+  for (std::size_t Group = 0; Group < LogSizes.size(); ++Group)
+    AllRecovered = AllRecovered && hasWritten(Group);
   if (AllRecovered)
-    return Context.Loop.stop();
+    return startLeaving();
   if (elapsed() < RecoveryTimeout)
     return;
   for (std::size_t Index = 0; Index < Deployment.Callers.size(); ++Index)
     if (!Served(Deployment.Callers[Index]))
       Oracle.reportViolation("recover", "caller " + std::to_string(Index + 1) +
                                             " is not served again");
+  for (std::size_t Group = 0; Group < LogSizes.size(); ++Group)
+    if (!hasWritten(Group))
+      Oracle.reportViolation("write", "group " + std::to_string(Group + 1) +
+                                          " takes no write at the end");
   for (auto Version : Deployment.reportedVersions())
     if (Version < Deployment.acknowledgedVersion())
       Oracle.reportViolation(
@@ -143,6 +161,33 @@
   Context.Loop.stop();
 }
 
+/// Reports whether the group has committed a write since the last fault ended.
+bool soak_test::hasWritten(std::size_t Group) const {
+  return Deployment.Groups[Group]->primaryLog().size() > LogSizes[Group];
+}
+
+void soak_test::startLeaving() {
+  Phase = phase::Leaving;
+  StartedAt = Context.Timers.now();
+  for (auto &Caller : Deployment.Callers)
+    Caller->stop();
+  event("soak.leaving");
+}
+
+/// Checks that upstreams hold no transaction or statement of a caller any more.
+void soak_test::checkLeaving() {
+  std::size_t Left = 0;
+  for (const auto &Group : Deployment.Groups)
+    Left += Group->openTransactions() + Group->busyConnections();
+  if (Left > 0 && elapsed() < LeavingTimeout)
+    return;
+  if (Left > 0)
+    Oracle.reportViolation("left", std::to_string(Left) +
+                                       " transactions or statements are open "
+                                       "after all callers have left");
+  Context.Loop.stop();
+}
+
 int soak_test::report() const {
   caller_counts Sum;
   for (const auto &Caller : Deployment.Callers) {
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -11,6 +11,10 @@
 constexpr duration AnswerTimeout = std::chrono::milliseconds(4000);
 constexpr duration ReconnectPause = std::chrono::milliseconds(50);
 constexpr duration OperationPause = std::chrono::milliseconds(10);
+/// One caller of this many leaves within MaxOpeningMs after it has sent the
+/// first statement of a transaction, without waiting for the result.
+constexpr std::uint64_t LeavingShare = 12;
+constexpr std::uint64_t MaxOpeningMs = 6;
 constexpr std::uint64_t Items = 20;
 constexpr std::uint64_t MaxTransactionStatements = 4;
 /// Mean number of operations in a session.
@@ -163,11 +167,19 @@
                (Step.Writes && Transaction == 0);
   std::string Bytes;
   protocol().AppendStatement(Bytes, StatementId, Step.SentText, std::nullopt);
-  AnswerTimer =
-      Context.Timers.after(AnswerTimeout, [this] { abandonConnection(); });
+  bool Opens = Transaction != 0 && NextStep == 1;
+  bool Leaves = Opens && randomBelow(LeavingShare) == 0;
+  AnswerTimer = Context.Timers.after(
+      Leaves ? std::chrono::milliseconds(randomBelow(MaxOpeningMs))
+             : AnswerTimeout,
+      [this] { abandonConnection(); });
   Connection->executeBatch(
       std::move(Bytes), 1,
-      [this](const line_batch_result &Run) { handleBatchResult(Run); });
+      [this, Used = Connection.get()](const line_batch_result &Run) {
+        // An abandoned connection may receive its answer before it is closed.
+        if (Used == Connection.get())
+          handleBatchResult(Run);
+      });
 }
 
 void soak_caller::handleBatchResult(const line_batch_result &Run) {
@@ -225,6 +237,14 @@
   executeStep();
 }
 
+void soak_caller::stop() {
+  Stopped = true;
+  PauseTimer.cancel();
+  AnswerTimer.cancel();
+  if (Connection)
+    Connection->close();
+}
+
 void soak_caller::endOperation() {
   if (!Stopped)
     nextOperation();
--- a/tests/soak/soak_caller.h
+++ b/tests/soak/soak_caller.h
@@ -39,8 +39,8 @@
   const caller_counts &counts() const { return Counts; }
   /// Time of the last operation that succeeded.
   time_point lastSuccess() const { return LastSuccess; }
-  /// Starts no further operation or session after the current operation.
-  void stop() { Stopped = true; }
+  /// Closes the session, also within an operation, and starts no other.
+  void stop();
 
 private:
   enum class step_kind {
--- a/tests/soak/upstream_group.cpp
+++ b/tests/soak/upstream_group.cpp
@@ -268,6 +268,14 @@
   return Count;
 }
 
+std::size_t upstream_group::busyConnections() const {
+  std::size_t Count = 0;
+  for (const auto &Server : State->Servers)
+    for (const auto &Session : Server.Sessions)
+      Count += Session->IsBusy ? 1 : 0;
+  return Count;
+}
+
 std::uint64_t upstream_group::unknownNames() const {
   return State->UnknownNames;
 }
--- a/tests/soak/upstream_group.h
+++ b/tests/soak/upstream_group.h
@@ -103,6 +103,8 @@
   std::uint64_t unknownNames() const;
   /// Returns the number of transactions that are open at the upstreams.
   std::size_t openTransactions() const;
+  /// Returns the number of connections whose statement has no answer yet.
+  std::size_t busyConnections() const;
 
 private:
   struct state;
