--- a/main/daemon_process.cpp
+++ b/main/daemon_process.cpp
@@ -59,7 +59,7 @@
   Router = std::make_unique<statement_router>(Context, Hub, Member,
                                               Gateway.get(), Settings.Routing);
   if (Settings.UseLineProtocol)
-    Limits = std::make_unique<limit_service>(Context, Hub, limitHooks());
+    createLimitService();
   createEntryServer();
   Admin = std::make_unique<admin_service>(Context, Member, Control.get(),
                                           Settings.Admin);
@@ -78,11 +78,14 @@
                                                    Settings.CallerSettings);
 }
 
+void daemon_process::createLimitService() {
+  Limits = std::make_unique<limit_service>(Context, Hub, limitHooks());
+  Member.onLimitersChanged([this] { Limits->handleViewChange(); });
+}
+
 limit_hooks daemon_process::limitHooks() {
-  // Members do not receive the assignment of limiters yet.
-  auto NoLimiters = std::make_shared<const limiter_view>();
   return {
-      [NoLimiters]() -> const limiter_view & { return *NoLimiters; },
+      [this]() -> const limiter_view & { return Member.limiters(); },
       [this]() -> const deployment & { return Member.currentDeployment(); }};
 }
 
@@ -135,7 +138,7 @@
 /// without a signal.
 void daemon_process::watchSettingsFile() {
   // Without a settings file SIGHUP changes nothing, but it must not terminate
-  // the process.
+  // the process. The signal is blocked until now; see main/teasellockd.cpp.
   Loop.onSignal(SIGHUP, [this] { reloadSettings(); });
   if (!LoadSettings)
     return;
--- a/main/daemon_process.h
+++ b/main/daemon_process.h
@@ -23,6 +23,7 @@
 
 private:
   void createEntryServer();
+  void createLimitService();
   limit_hooks limitHooks();
   void configurePlatform();
   void watchSettingsFile();
--- a/tests/soak/upstream_group.cpp
+++ b/tests/soak/upstream_group.cpp
@@ -225,6 +225,11 @@
 
 void upstream_group::setLag(duration Lag) { State->Settings.Lag = Lag; }
 
+void upstream_group::selectFaults(
+    std::function<statement_fault(const std::string &Verb)> SelectFault) {
+  State->SelectFault = std::move(SelectFault);
+}
+
 void upstream_group::setLeaving(std::size_t Upstream, bool Leaving) {
   State->Servers.at(Upstream).Node.IsLeaving = Leaving;
 }
@@ -275,6 +280,14 @@
   return Found == State->SessionsOfUsers.end() ? 0 : Found->second;
 }
 
+std::size_t upstream_group::busyConnections() const {
+  std::size_t Count = 0;
+  for (const auto &Server : State->Servers)
+    for (const auto &Session : Server.Sessions)
+      Count += Session->IsBusy ? 1 : 0;
+  return Count;
+}
+
 std::uint64_t upstream_group::unknownNames() const {
   return State->UnknownNames;
 }
--- a/tests/soak/upstream_group.h
+++ b/tests/soak/upstream_group.h
@@ -22,6 +22,19 @@
   Silent,
 };
 
+/// How an upstream answers one statement of a session instead of executing it.
+enum class statement_fault {
+  None,
+  /// The error READONLY.
+  ReadOnly,
+  /// An error of the statement itself.
+  Failed,
+  /// The connection is closed.
+  Reset,
+  /// No answer, to this statement or a later one of the connection.
+  Silent,
+};
+
 /// Size and timing of a group.
 struct group_settings {
   group_id Group;
@@ -72,6 +85,10 @@
   /// reconnects it.
   void cutReplication(std::size_t Upstream, bool Cut);
   void setLag(duration Lag);
+  /// Sets the function that selects the fault of each further statement by its
+  /// verb. It is not called for orders and status requests.
+  void selectFaults(
+      std::function<statement_fault(const std::string &Verb)> SelectFault);
   /// Sets whether the upstream announces that it is leaving.
   void setLeaving(std::size_t Upstream, bool Leaving);
   /// Drops all further bytes of the upstreams' open connections.
@@ -91,6 +108,8 @@
   std::uint64_t sessionsOf(const std::string &User) const;
   /// Returns the number of transactions that are open at the upstreams.
   std::size_t openTransactions() const;
+  /// Returns the number of connections whose statement has no answer yet.
+  std::size_t busyConnections() const;
 
 private:
   struct state;
