Consensus: a leader that is made a non-voter steps down

Cause: a leader stepped down once its removal was committed, but went on leading when a committed membership had it as a non-voter. The proof for elections without the wait after a start relies on it that only voters lead: such a leader is not asked. Change: it steps down as soon as a membership in which it is no voter is committed. The new test fails without the change (the same store still leads).

--- a/modules/consensus/consensus_election.cpp
+++ b/modules/consensus/consensus_election.cpp
@@ -62,15 +62,16 @@
 /// for half an election timeout without asking again. Let L be another process
 /// that leads when this candidate wins, and that has committed an entry of its
 /// term. L is a voter of a membership that this candidate has: committed
-/// memberships are in the log of every candidate that can win, and L leads on
-/// until its removal is committed. So L replied to this election that it had
-/// not led since its start, and became leader after that reply. The election
-/// began after the pre-vote, in which every voter had named its start, and a
-/// voter's vote counts only if its process is still the same. So every voter's
-/// process had started before L led. The quorum that answered L and the quorum
-/// of this election have a voter in common. Had it answered L before it voted,
-/// it would have followed a leader since its start and kept to the usual wait.
-/// If it answered L after it voted, L's term is the later one.
+/// memberships are in the log of every candidate that can win, and a leader
+/// that is no voter any more steps down as soon as that is committed. So L
+/// replied to this election that it had not led since its start, and became
+/// leader after that reply. The election began after the pre-vote, in which
+/// every voter had named its start, and a voter's vote counts only if its
+/// process is still the same. So every voter's process had started before L
+/// led. The quorum that answered L and the quorum of this election have a voter
+/// in common. Had it answered L before it voted, it would have followed a
+/// leader since its start and kept to the usual wait. If it answered L after it
+/// voted, L's term is the later one.
 bool haveAllJustStarted(const consensus_state &State) {
   if (State.FreshStart == 0)
     return false;
--- a/modules/consensus/consensus_replication.cpp
+++ b/modules/consensus/consensus_replication.cpp
@@ -262,8 +262,8 @@
       (IsOwnTerm || !State.Rules.CommitOwnTermOnly))
     State.CommitIndex = QuorumIndex;
   sendToIdleFollowers(State, Input, Effects);
-  bool IsRemoved = findMember(currentMembers(State), State.Self) == nullptr;
-  if (IsRemoved && State.CommitIndex >= State.Memberships.back().Index)
+  // Elections without the wait after a start rely on it that only voters lead.
+  if (!isVoter(State) && State.CommitIndex >= State.Memberships.back().Index)
     stepDown(State, State.HardState.Term, Input, Effects);
 }
 
--- a/modules/consensus/tests/test_consensus_restart.cpp
+++ b/modules/consensus/tests/test_consensus_restart.cpp
@@ -91,3 +91,20 @@
     CHECK_FALSE(bool(Reply.__isset.fresh_start));
   }
 }
+
+TEST_CASE("consensus: a leader that is no voter any more steps down once that "
+          "is committed") {
+  simulated_group Group({}, 1);
+  Group.initialise();
+  int Leader = Group.currentLeader();
+  REQUIRE(Leader >= 0);
+  // Odd numbers make the member with that number modulo the count of VMs a
+  // non-voter, and multiples of three remove it.
+  int Choice = Leader;
+  while (Choice % 2 == 0 || Choice % 3 == 0)
+    Choice += simulated_group::VmCount;
+  Group.proposeRandomMembership(Leader, Choice);
+  Group.runWithoutFaults(2000);
+  CHECK(Group.currentLeader() >= 0);
+  CHECK(Group.currentLeader() != Leader);
+}
