--- a/tests/test_line_listener_keys.cpp
+++ b/tests/test_line_listener_keys.cpp
@@ -43,6 +43,11 @@
   deployment Deployment;
   std::unique_ptr<member_agent> Member;
   std::unique_ptr<statement_router> Router;
+  limit_service Limits{
+      Entry.Context,
+      Entry.Hub,
+      {[this]() -> const limiter_view & { return Member->limiters(); },
+       [this]() -> const deployment & { return Member->currentDeployment(); }}};
   std::unique_ptr<line_listener> Listener;
   endpoint Address;
 
@@ -75,9 +80,10 @@
     Settings.Listen = {"127.0.0.1", 0};
     Settings.Protocol = &platform::lineProtocol();
     Listener = std::make_unique<line_listener>(Entry.Context, *Member, *Router,
-                                               Settings);
+                                               Limits, Settings);
     Member->start();
     Router->start();
+    Limits.start(true);
     Address = Listener->start();
   }
 
