Line: a gateway's limit in flight follows BUSY answers and latency

Cause: a gateway's part of a primary is computed for the gateways of the primary's region. When all replicas lag, the other gateways send their reads to the primary too, and all parts together exceed its queue, which rejects statements, also those of open transactions.

Change: in_flight_limit lowers the limit by a factor on a BUSY answer or a long queue, at most once in the time of an answer, with a phase that differs between gateways, and raises it by small steps. Without such signs the limit is the fixed one.

Not measured on a deployment.

--- a/modules/line/line_group.cpp
+++ b/modules/line/line_group.cpp
@@ -65,13 +65,17 @@
                                  1);
 }
 
-std::uint32_t line_group::maxInFlightOn(const line_upstream &Upstream) const {
+std::uint32_t line_group::fixedLimitOn(const line_upstream &Upstream) const {
   std::size_t Gateways =
       Upstream.IsPrimary ? PrimaryGatewayCount : View.Gateways.size();
   return maxInFlight(Upstream.LatencyTrend, Upstream.Announcement.Slots,
                      Gateways);
 }
 
+std::uint32_t line_group::maxInFlightOn(const line_upstream &Upstream) const {
+  return limitInForce(Upstream.FlightLimit, fixedLimitOn(Upstream));
+}
+
 bool line_group::canConnect(const line_upstream &Upstream) const {
   std::uint32_t ConnectionCount =
       Upstream.ConnectionsInUse + Upstream.ConnectionsOpening +
@@ -156,6 +160,7 @@
       continue;
     auto &Upstream = Upstreams[Id];
     Upstream.Announcement = Announcement;
+    Upstream.FlightLimit.Phase = phaseOf(Context.Self.Vm, Id);
     // The probe connects first: if the upstream has few free connections,
     // nothing is known of it without a probe.
     if (!Known)
--- a/modules/line/line_group_state.h
+++ b/modules/line/line_group_state.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "modules/line/admission_control.h"
+#include "modules/line/in_flight_limit.h"
 #include "modules/line/line_connection.h"
 #include "modules/line/line_group.h"
 #include "modules/line/queue_order.h"
@@ -80,6 +81,7 @@
   /// Moving average over the latest statements, from sending to the answer.
   duration Latency{};
   latency_trend LatencyTrend;
+  in_flight_limit FlightLimit;
   /// When the oldest write was sent that is unanswered, if no write has been
   /// answered since.
   std::optional<time_point> WriteUnansweredSince;
@@ -252,6 +254,7 @@
   void armDeadlineTimer();
   void expireStatements();
   std::uint32_t connectionLimit() const;
+  std::uint32_t fixedLimitOn(const line_upstream &Upstream) const;
   std::uint32_t maxInFlightOn(const line_upstream &Upstream) const;
   bool canConnect(const line_upstream &Upstream) const;
   void connect(const upstream_id &Id);
--- a/modules/line/line_group_statements.cpp
+++ b/modules/line/line_group_statements.cpp
@@ -459,6 +459,8 @@
     if (Queue.empty())
       recordExecutionTime(Estimates, Statement.kind(), Elapsed);
     recordLatency(Upstream->LatencyTrend, Elapsed);
+    recordExecuted(Upstream->FlightLimit, Upstream->LatencyTrend,
+                   Upstream->InFlight, fixedLimitOn(*Upstream), now());
     Upstream->Latency += (Elapsed - Upstream->Latency) / LatencyWeightDivisor;
     if (Statement.changesData())
       Upstream->WriteUnansweredSince.reset();
