Line: an overload does not become the usual latency

Cause: the baseline latency rose by 1/4096 of the difference with every answer, so that after a minute of overload it was four times as high, and the gateways took the upstream for calm again and filled its queue.

--- a/modules/line/tests/test_in_flight_limit.cpp
+++ b/modules/line/tests/test_in_flight_limit.cpp
@@ -35,7 +35,9 @@
   struct result {
     int Arrivals = 0;
     int Rejected = 0;
+    /// Sums over time of the slots in use and the length of the queue.
     std::int64_t BusySlotMs = 0;
+    std::int64_t QueuedMs = 0;
   };
 
   std::vector<gateway> Gateways{6};
@@ -119,6 +121,7 @@
         Queue.pop_front();
       }
       Result.BusySlotMs += static_cast<std::int64_t>(Running.size());
+      Result.QueuedMs += static_cast<std::int64_t>(Queue.size());
     }
     return Result;
   }
@@ -156,3 +159,12 @@
   for (const auto &Gateway : Upstream.Gateways)
     CHECK(Gateway.Limit.Limit == 0);
 }
+
+// Guards against an overload that counts as the usual state after some time:
+// the upstream's queue, which knows no priorities, then becomes ever longer.
+TEST_CASE("line: an upstream's queue stays short in a minute of overload") {
+  shared_upstream Upstream(true);
+  Upstream.run(0, 60000, 1.5);
+  auto Later = Upstream.run(60000, 70000, 1.5);
+  CHECK(Later.QueuedMs < 10000 * 4 * shared_upstream::Slots);
+}
