Line: the expected wait counts what is in flight and queued

Cause: the expected wait was the average interval between starts while statements waited. It was 0 at a gateway whose queue had just begun, and that of an earlier overload at another, so statements waited for over a second and were refused then, or were refused although the upstream had free places.

The decisions on waits have a source file of their own.

Not measured on a deployment.

--- a/modules/line/admission_control.cpp
+++ b/modules/line/admission_control.cpp
@@ -10,6 +10,10 @@
 constexpr int IntervalWeightDivisor = 8;
 /// Longer intervals are pauses of the upstream and don't reflect its rate.
 constexpr duration MaxStartInterval = std::chrono::milliseconds(100);
+/// With fewer intervals the average still depends on an earlier queue.
+constexpr std::uint32_t MinRateSamples = 8;
+/// A rate without starts for this long is not that of the present queue.
+constexpr duration MaxRateAge = std::chrono::milliseconds(500);
 /// A new statement may wait in the queue for its target latency divided by
 /// this: an operation has several statements, and each takes its own time
 /// besides.
@@ -42,7 +46,10 @@
 } // namespace
 
 void recordStart(queue_rate &Rate, std::size_t StillWaiting, time_point Now) {
-  if (Rate.IsBacklogged) {
+  if (!Rate.IsBacklogged) {
+    Rate.Samples = 0;
+  } else {
+    ++Rate.Samples;
     duration Interval = std::min(Now - Rate.LastStartAt, MaxStartInterval);
     Rate.StartInterval +=
         (Interval - Rate.StartInterval) / IntervalWeightDivisor;
@@ -55,6 +62,22 @@
   return Rate.StartInterval * static_cast<std::int64_t>(QueueDepth);
 }
 
+duration estimatedWait(const queue_load &Load) {
+  if (Load.Limit == 0)
+    return duration::zero();
+  auto Excess = static_cast<std::int64_t>(Load.InFlight) + 1 -
+                static_cast<std::int64_t>(Load.Limit);
+  duration Work = Load.WorkBefore + Load.ExecutionTime * Excess;
+  return std::max(duration::zero(), Work / Load.Limit);
+}
+
+duration expectedWait(const queue_rate &Rate, std::size_t QueueDepth,
+                      const queue_load &Load, time_point Now) {
+  bool IsMeasured = Rate.IsBacklogged && Rate.Samples >= MinRateSamples &&
+                    Now - Rate.LastStartAt <= MaxRateAge;
+  return IsMeasured ? expectedWait(Rate, QueueDepth) : estimatedWait(Load);
+}
+
 void recordLatency(latency_trend &Trend, duration Latency) {
   if (Trend.Typical == duration::zero())
     Trend.Typical = Latency;
--- a/modules/line/admission_control.h
+++ b/modules/line/admission_control.h
@@ -22,6 +22,8 @@
   bool IsBacklogged = false;
   /// Average interval between two starts while statements wait.
   duration StartInterval{};
+  /// Intervals measured since statements began to wait.
+  std::uint32_t Samples = 0;
 };
 
 /// Records that a statement left the queue and was started.
@@ -31,6 +33,28 @@
 /// it.
 duration expectedWait(const queue_rate &Rate, std::size_t QueueDepth);
 
+/// What a queued statement waits for.
+struct queue_load {
+  /// Expected execution times of the statements before it, summed.
+  duration WorkBefore{};
+  /// Mean time of the statements in flight.
+  duration ExecutionTime{};
+  /// Statements in flight, and how many may be, on all upstreams that may serve
+  /// the statement.
+  std::uint32_t InFlight = 0;
+  std::uint32_t Limit = 0;
+};
+
+/// Returns the expected wait from what is in flight and queued. It needs no
+/// earlier starts, so that it also holds for the first statements that wait.
+/// Zero if no upstream may serve the statement now: nothing is known then.
+duration estimatedWait(const queue_load &Load);
+
+/// Returns the expected wait by the measured rate if it is that of the present
+/// queue, and otherwise by the load. QueueDepth statements are before it.
+duration expectedWait(const queue_rate &Rate, std::size_t QueueDepth,
+                      const queue_load &Load, time_point Now);
+
 /// The time that a statement has left for waiting.
 struct wait_budget {
   /// Target latency of its route; zero when it has none.
--- a/modules/line/line_group.cpp
+++ b/modules/line/line_group.cpp
@@ -132,17 +132,6 @@
                       "this VM is no longer a gateway", true);
 }
 
-/// Checks the expected waits again: statements of faster kinds that arrived
-/// later may have made a wait too long.
-void line_group::refuseOverlongWaits() {
-  std::vector<std::uint64_t> Waiting;
-  for (const auto &[Place, Id] : Queue)
-    Waiting.push_back(Id);
-  for (auto Id : Waiting)
-    if (auto *Statement = findStatement(Id))
-      refuseIfWaitTooLong(*Statement);
-}
-
 void line_group::applyUpstreams() {
   std::set<upstream_id> Present;
   for (const auto &Announcement : View.Upstreams) {
--- a/modules/line/line_group_state.h
+++ b/modules/line/line_group_state.h
@@ -1,8 +1,8 @@
 /// Internal declarations of the group gateway for the line protocol, shared by
 /// its source files: connections and scheduling in line_group.cpp and
-/// line_group_statements.cpp, outcomes in line_group_outcomes.cpp, probes and
-/// reports in line_group_probes.cpp, orders of control in
-/// line_group_pauses.cpp.
+/// line_group_statements.cpp, outcomes in line_group_outcomes.cpp, refusals of
+/// overlong waits in line_group_waits.cpp, probes and reports in
+/// line_group_probes.cpp, orders of control in line_group_pauses.cpp.
 #pragma once
 
 #include "modules/line/admission_control.h"
@@ -248,7 +248,6 @@
   void applyUpstreams();
   void removeUpstream(const upstream_id &Id);
   void refuseQueued();
-  void refuseOverlongWaits();
   void endWorkWithoutLease();
   void tick();
   void armDeadlineTimer();
@@ -289,10 +288,6 @@
   void closeExpiredAttempts();
   void endDetachedAttempt(line_detached_attempt &Detached);
   void updateGauges();
-  std::string describeUpstreams() const;
-  bool refuseIfWaitTooLong(line_pending_statement &Statement);
-  queue_rate &rateOf(const line_pending_statement &Statement);
-  std::size_t queueDepthBefore(const line_pending_statement &Statement) const;
   void continueTransaction(line_pending_statement &Statement,
                            line_transaction &Transaction);
   wire::statement_reply replyOf(const line_pending_statement &Statement,
@@ -323,6 +318,14 @@
                     const std::string &Reason);
   void releaseFailedSession(line_pending_statement &Statement);
 
+  // line_group_waits.cpp
+  queue_rate &rateOf(const line_pending_statement &Statement);
+  std::size_t queueDepthBefore(const line_pending_statement &Statement) const;
+  queue_load queueLoadBefore(const line_pending_statement &Statement) const;
+  std::string describeUpstreams() const;
+  bool refuseIfWaitTooLong(line_pending_statement &Statement);
+  void refuseOverlongWaits();
+
   // line_group_probes.cpp
   std::optional<upstream_id> findPrimary() const;
   void handleLeadership(const upstream_id &Id, bool IsPrimary, term Term);
--- a/modules/line/line_group_statements.cpp
+++ b/modules/line/line_group_statements.cpp
@@ -92,63 +92,6 @@
   armDeadlineTimer();
 }
 
-queue_rate &line_group::rateOf(const line_pending_statement &Statement) {
-  return Statement.Destination == line_destination::AnyUpstream ? ReadRate
-                                                                : PrimaryRate;
-}
-
-std::size_t
-line_group::queueDepthBefore(const line_pending_statement &Statement) const {
-  bool Read = Statement.Destination == line_destination::AnyUpstream;
-  std::size_t Depth = 0;
-  for (const auto &[Rank, Id] : Queue) {
-    if (Id == Statement.Id)
-      break;
-    const auto &Other = *PendingStatements.at(Id);
-    Depth += (Other.Destination == line_destination::AnyUpstream) == Read;
-  }
-  return Depth;
-}
-
-/// Describes the state of all upstreams, for the reason of a refusal.
-std::string line_group::describeUpstreams() const {
-  std::string Text;
-  for (const auto &[Id, Upstream] : Upstreams) {
-    Text += Text.empty() ? "" : " ";
-    Text += Id.Value + (Upstream.IsPrimary ? " leads" : "") + " at " +
-            toString(Upstream.Applied) + " last message " +
-            std::to_string(toMilliseconds(now() - Upstream.LastReceivedAt)) +
-            " ms ago running " + std::to_string(Upstream.InFlight) + " idle " +
-            std::to_string(Upstream.IdleSessions.size()) + " in use " +
-            std::to_string(Upstream.ConnectionsInUse) +
-            (Upstream.UnreachableSince ? " unreachable" : "") +
-            (canAccept(Upstream) ? "" : " accepts no statements") + ";";
-  }
-  return Text;
-}
-
-/// Refuses a queued statement that is expected to wait too long. Reports
-/// whether it did.
-bool line_group::refuseIfWaitTooLong(line_pending_statement &Statement) {
-  auto Primary = findPrimary();
-  // During a failover the rate of the queue says nothing about the wait.
-  if (!Primary || isFenced(Statement))
-    return false;
-  wait_budget Budget;
-  Budget.Target = fromMilliseconds(Statement.request().target_ms);
-  Budget.Remaining = Statement.Deadline - now();
-  Budget.Latency = Upstreams.at(*Primary).Latency;
-  Budget.Waited = now() - Statement.ArrivedAt;
-  duration Wait = expectedWait(rateOf(Statement), queueDepthBefore(Statement));
-  if (canWait(Budget, Wait))
-    return false;
-  refuseStatement(Statement, line_error::Overloaded,
-                  "the expected wait in the queue is " +
-                      std::to_string(toMilliseconds(Wait)) +
-                      " ms: " + Statement.Reason + "; " + describeUpstreams());
-  return true;
-}
-
 void line_group::startQueued() {
   if (StartingQueued) {
     StartQueuedAgain = true;
--- a/modules/line/queue_order.cpp
+++ b/modules/line/queue_order.cpp
@@ -27,6 +27,14 @@
   Estimate.Mean += (ExecutionTime - Estimate.Mean) / Estimate.Samples;
 }
 
+std::optional<duration> knownExecutionTime(const execution_estimates &Estimates,
+                                           const statement_kind &Kind) {
+  auto Found = Estimates.find(Kind);
+  if (Found == Estimates.end() || !isKnown(Found->second))
+    return std::nullopt;
+  return Found->second.Mean;
+}
+
 std::uint32_t executionTimeRank(const execution_estimates &Estimates,
                                 const statement_kind &Kind) {
   auto Own = Estimates.find(Kind);
--- a/modules/line/queue_order.h
+++ b/modules/line/queue_order.h
@@ -12,6 +12,7 @@
 #include <compare>
 #include <cstdint>
 #include <map>
+#include <optional>
 
 namespace teasellock {
 
@@ -39,6 +40,11 @@
 void recordExecutionTime(execution_estimates &Estimates,
                          const statement_kind &Kind, duration ExecutionTime);
 
+/// Returns the mean execution time of a kind, or nothing while it has too few
+/// samples.
+std::optional<duration> knownExecutionTime(const execution_estimates &Estimates,
+                                           const statement_kind &Kind);
+
 /// Returns the number of kinds that are notably faster than this one, or zero
 /// while this kind has too few samples.
 std::uint32_t executionTimeRank(const execution_estimates &Estimates,
--- a/modules/line/tests/test_admission_control.cpp
+++ b/modules/line/tests/test_admission_control.cpp
@@ -127,3 +127,41 @@
     recordLatency(Trend, fromMilliseconds(40));
   CHECK(maxInFlight(Trend, 3, 7) == 6);
 }
+
+// Guards against a gateway that expects no wait because its queue has been
+// empty until now, and refuses the same statements a second later.
+TEST_CASE("line: the first statements that wait are told a true wait") {
+  queue_load Load;
+  Load.ExecutionTime = fromMilliseconds(40);
+  Load.InFlight = 4;
+  Load.Limit = 4;
+  // One of the four ends in 10 ms on average.
+  CHECK((estimatedWait(Load) == fromMilliseconds(10)));
+  // Thirty statements of 40 ms each wait before.
+  Load.WorkBefore = fromMilliseconds(1200);
+  queue_rate Rate;
+  CHECK((expectedWait(Rate, 30, Load, timeAt(0)) == fromMilliseconds(310)));
+  // A free place is used at once.
+  Load = {{}, fromMilliseconds(40), 1, 4};
+  CHECK((estimatedWait(Load) == duration::zero()));
+  Load.Limit = 0;
+  CHECK((estimatedWait(Load) == duration::zero()));
+}
+
+// Guards against refusals by the rate of an overload that has ended.
+TEST_CASE("line: the rate of an earlier queue does not count") {
+  queue_rate Rate;
+  for (int Start = 0; Start < 20; ++Start)
+    recordStart(Rate, 5, timeAt(Start * 80));
+  queue_load Load;
+  Load.ExecutionTime = fromMilliseconds(20);
+  Load.InFlight = 4;
+  Load.Limit = 4;
+  Load.WorkBefore = fromMilliseconds(200);
+  CHECK((expectedWait(Rate, 10, Load, timeAt(1530)) > fromMilliseconds(600)));
+  CHECK((expectedWait(Rate, 10, Load, timeAt(2500)) == fromMilliseconds(55)));
+  // The queue becomes empty and grows again.
+  recordStart(Rate, 0, timeAt(2500));
+  recordStart(Rate, 10, timeAt(2600));
+  CHECK((expectedWait(Rate, 10, Load, timeAt(2610)) == fromMilliseconds(55)));
+}
