Line: no refusal after half of the target latency

Cause: a statement that waited was refused only once its wait exceeded its whole target, so callers waited for over a second and were then refused.

Change: until half of its target has passed, a waiting statement is refused as soon as it can't be answered within the target. After that it is kept until its deadline, and goes before later statements of its priority, so that the wait that it was admitted for is true. The limit on arrival stays half of the target.

Not measured on a deployment.

--- a/modules/line/admission_control.cpp
+++ b/modules/line/admission_control.cpp
@@ -121,9 +121,15 @@
     return false;
   if (Budget.Target <= duration::zero())
     return true;
-  if (Budget.Waited > duration::zero())
-    return Budget.Waited + Wait <= Budget.Target;
-  return Wait <= Budget.Target / TargetWaitDivisor;
+  if (Budget.Waited <= duration::zero())
+    return Wait <= Budget.Target / TargetWaitDivisor;
+  return isOverdue(Budget) ||
+         Budget.Waited + Wait + Budget.Latency <= Budget.Target;
+}
+
+bool isOverdue(const wait_budget &Budget) {
+  return Budget.Target > duration::zero() &&
+         Budget.Waited > Budget.Target / TargetWaitDivisor;
 }
 
 } // namespace teasellock
--- a/modules/line/admission_control.h
+++ b/modules/line/admission_control.h
@@ -68,11 +68,17 @@
 };
 
 /// Reports whether a statement may wait for Wait from now on. It must be
-/// answered before its deadline. A new statement may wait for a part of its
-/// target only, as the rest of the operation needs time too; one that already
-/// waits may use all of its target.
+/// answered before its deadline. A new statement may wait for half of its
+/// target only, as the rest of the operation needs time too. One that already
+/// waits must still meet its target. Once it has waited for half of the target
+/// it is not refused for its target any more: its caller would have waited in
+/// vain, and would send it again.
 bool canWait(const wait_budget &Budget, duration Wait);
 
+/// Reports whether a statement has waited so long that it must be executed
+/// before later statements of its priority.
+bool isOverdue(const wait_budget &Budget);
+
 /// Latency of an upstream: the typical latency now, and the baseline that it
 /// has when it is not congested.
 struct latency_trend {
--- a/modules/line/line_group_state.h
+++ b/modules/line/line_group_state.h
@@ -324,6 +324,7 @@
   queue_load queueLoadBefore(const line_pending_statement &Statement) const;
   std::string describeUpstreams() const;
   bool refuseIfWaitTooLong(line_pending_statement &Statement);
+  void moveForward(line_pending_statement &Statement);
   void refuseOverlongWaits();
 
   // line_group_probes.cpp
--- a/modules/line/line_group_waits.cpp
+++ b/modules/line/line_group_waits.cpp
@@ -79,6 +79,17 @@
   return Text;
 }
 
+/// Moves a queued statement before the later ones of its priority, also those
+/// of faster kinds.
+void line_group::moveForward(line_pending_statement &Statement) {
+  auto Entry = Queue.extract(Statement.QueueKey);
+  Statement.QueueKey.ExecutionTimeRank = 0;
+  if (Entry.empty())
+    return;
+  Entry.key() = Statement.QueueKey;
+  Queue.insert(std::move(Entry));
+}
+
 /// Refuses a queued statement that is expected to wait too long. Reports
 /// whether it did.
 bool line_group::refuseIfWaitTooLong(line_pending_statement &Statement) {
@@ -93,8 +104,11 @@
   Budget.Waited = now() - Statement.ArrivedAt;
   duration Wait = expectedWait(rateOf(Statement), queueDepthBefore(Statement),
                                queueLoadBefore(Statement), now());
-  if (canWait(Budget, Wait))
+  if (canWait(Budget, Wait)) {
+    if (isOverdue(Budget))
+      moveForward(Statement);
     return false;
+  }
   refuseStatement(Statement, line_error::Overloaded,
                   "the expected wait in the queue is " +
                       std::to_string(toMilliseconds(Wait)) +
--- a/modules/line/tests/test_admission_control.cpp
+++ b/modules/line/tests/test_admission_control.cpp
@@ -57,6 +57,55 @@
   }
 };
 
+/// A primary that executes a statement every 6 ms, and for two seconds every
+/// 24 ms. It receives one every 5 ms; expected waits are checked again every
+/// 100 ms.
+struct slow_phase_simulation {
+  static constexpr std::int64_t TargetMs = 400;
+  static constexpr std::int64_t TimeoutMs = 2500;
+
+  int Refused = 0;
+  int RefusedLate = 0;
+  int AnsweredAfterDeadline = 0;
+  queue_rate Rate;
+  std::deque<std::int64_t> Waiting;
+  std::int64_t ExecutionMs = 6;
+
+  /// Removes the statement at an index of the queue if it can't wait.
+  bool refuse(std::size_t Index, std::int64_t Now) {
+    std::int64_t Waited = Now - Waiting[Index];
+    wait_budget Budget{fromMilliseconds(TargetMs),
+                       fromMilliseconds(TimeoutMs - Waited),
+                       fromMilliseconds(ExecutionMs), fromMilliseconds(Waited)};
+    if (canWait(Budget, expectedWait(Rate, Index)))
+      return false;
+    ++Refused;
+    RefusedLate += Waited > TargetMs / 2;
+    Waiting.erase(Waiting.begin() + static_cast<std::ptrdiff_t>(Index));
+    return true;
+  }
+
+  void simulate(std::int64_t DurationMs) {
+    std::int64_t FreeAt = 0;
+    for (std::int64_t Now = 0; Now < DurationMs; ++Now) {
+      ExecutionMs = Now >= 2000 && Now < 4000 ? 24 : 6;
+      if (Now % 5 == 0) {
+        Waiting.push_back(Now);
+        refuse(Waiting.size() - 1, Now);
+      }
+      if (Now % 100 == 0)
+        for (std::size_t Index = 0; Index < Waiting.size();)
+          Index += refuse(Index, Now) ? 0 : 1;
+      if (Now < FreeAt || Waiting.empty())
+        continue;
+      AnsweredAfterDeadline += Now + ExecutionMs - Waiting.front() > TimeoutMs;
+      Waiting.pop_front();
+      recordStart(Rate, Waiting.size(), timeAt(Now));
+      FreeAt = Now + ExecutionMs;
+    }
+  }
+};
+
 } // namespace
 
 TEST_CASE("line: a primary with more statements than its slots can run still "
@@ -165,3 +214,29 @@
   recordStart(Rate, 10, timeAt(2600));
   CHECK((expectedWait(Rate, 10, Load, timeAt(2610)) == fromMilliseconds(55)));
 }
+
+// Guards against callers that wait for most of their target latency and are
+// then refused: they have no time left to try again.
+TEST_CASE("line: nothing is refused after half of its target latency") {
+  slow_phase_simulation Simulation;
+  Simulation.simulate(8000);
+  CHECK(Simulation.RefusedLate == 0);
+  CHECK(Simulation.AnsweredAfterDeadline == 0);
+  // The upstream can't execute all: some are refused in time.
+  CHECK(Simulation.Refused > 0);
+}
+
+// Guards against refusals of statements that would still meet their target.
+TEST_CASE("line: a waiting statement is not refused while it can meet its "
+          "target") {
+  wait_budget Budget{fromMilliseconds(400), fromMilliseconds(2500),
+                     fromMilliseconds(30), fromMilliseconds(150)};
+  CHECK(canWait(Budget, fromMilliseconds(220)));
+  CHECK_FALSE(canWait(Budget, fromMilliseconds(221)));
+  CHECK_FALSE(isOverdue(Budget));
+  Budget.Waited = fromMilliseconds(201);
+  CHECK(isOverdue(Budget));
+  CHECK(canWait(Budget, fromMilliseconds(221)));
+  // Not beyond its deadline.
+  CHECK_FALSE(canWait(Budget, fromMilliseconds(2471)));
+}
