Line: positions are learnt from every answer of an upstream

Cause: the position in the READY message was ignored where it opens a connection, ends a rollback or an attempt that nobody waits for, or follows a refused BEGIN; and reads that waited for a replica's position were tried at the next tick (up to 100 ms later), not when a probe's answer brought it.

Change: one function records the position of all these answers, and an answer to a probe that raises it starts the queue. No further messages are sent.

Not measured; no test of its own, as there is no decision in it.

--- a/modules/line/line_group.cpp
+++ b/modules/line/line_group.cpp
@@ -224,6 +224,7 @@
   if (!Opening.Problem) {
     Upstream->ConnectDelay = duration::zero();
     ++Upstream->ConnectionsInUse;
+    recordPosition(*Upstream, Opening.Ready);
     return releaseSession(Id, std::move(Session));
   }
   Upstream->ConnectDelay =
--- a/modules/line/line_group_outcomes.cpp
+++ b/modules/line/line_group_outcomes.cpp
@@ -39,6 +39,9 @@
     return false;
   auto &Detached = Extracted.mapped();
   endDetachedAttempt(Detached);
+  if (auto *Upstream = findUpstream(Detached.Upstream))
+    for (const auto &Answer : Result.Answers)
+      recordPosition(*Upstream, Answer.Ready);
   bool IsIdle =
       !Result.ConnectionLost && Result.Answers.back().Ready.State == 'I';
   if (IsIdle)
--- a/modules/line/line_group_probes.cpp
+++ b/modules/line/line_group_probes.cpp
@@ -80,6 +80,13 @@
   Member.RenewEarly();
 }
 
+/// Records the position that an answer of the upstream reports.
+void line_group::recordPosition(line_upstream &Upstream,
+                                const line_ready &Ready) {
+  if (Ready.Position)
+    Upstream.Applied = std::max(Upstream.Applied, *Ready.Position);
+}
+
 void line_group::handleUnreachable(const upstream_id &Id,
                                    const std::string &Problem, bool Refused) {
   auto *Upstream = findUpstream(Id);
@@ -147,6 +154,7 @@
         Upstream->ProbeConnectionOpening = false;
         if (!Opening.Problem) {
           Self->handleReachable(*Upstream);
+          recordPosition(*Upstream, Opening.Ready);
           return Self->sendNextProbeRequest(Id);
         }
         Upstream->ProbeNotBefore = Self->now() + ProbeConnectDelay;
@@ -183,13 +191,19 @@
     return;
   auto Request = std::move(*Upstream->ProbeInFlight);
   Upstream->ProbeInFlight.reset();
+  position Before = Upstream->Applied;
+  bool HasAdvanced = false;
   if (!Result.ConnectionLost) {
     handleReachable(*Upstream);
     if (Result.Answers.back().Ready.Position)
       Upstream->Applied = *Result.Answers.back().Ready.Position;
+    HasAdvanced = Upstream->Applied > Before;
   }
   Request.OnResult(Result);
   sendNextProbeRequest(Id);
+  // Reads may wait for this position.
+  if (HasAdvanced && !Queue.empty())
+    startQueued();
 }
 
 //===----------------------------------------------------------------------===//
--- a/modules/line/line_group_state.h
+++ b/modules/line/line_group_state.h
@@ -331,6 +331,7 @@
   std::optional<upstream_id> findPrimary() const;
   void handleLeadership(const upstream_id &Id, bool IsPrimary, term Term);
   void handleReachable(line_upstream &Upstream);
+  static void recordPosition(line_upstream &Upstream, const line_ready &Ready);
   void handleUnreachable(const upstream_id &Id, const std::string &Problem,
                          bool Refused);
   void enqueueProbeRequest(const upstream_id &Id, line_probe_request Request);
--- a/modules/line/line_group_statements.cpp
+++ b/modules/line/line_group_statements.cpp
@@ -272,6 +272,9 @@
     return;
   if (Result.ConnectionLost)
     return handleLostAttempt(*Statement, Result.Problem);
+  if (auto *Upstream = findUpstream(Statement->Upstream))
+    for (const auto &Answer : Result.Answers)
+      recordPosition(*Upstream, Answer.Ready);
   for (const auto &Answer : Result.Answers)
     if (Answer.Failure)
       return handleFailure(*Statement, *Answer.Failure);
@@ -279,8 +282,6 @@
   bool OnPrimary = Statement->Destination != line_destination::AnyUpstream;
   if (auto *Upstream = findUpstream(Statement->Upstream)) {
     handleReachable(*Upstream);
-    if (Last.Ready.Position)
-      Upstream->Applied = *Last.Ready.Position;
   }
   if (OnPrimary && Last.Ready.State == 'T' && Last.Ready.Position &&
       (Statement->opensTransaction() ||
@@ -394,8 +395,7 @@
   if (!Upstream)
     return;
   handleReachable(*Upstream);
-  if (Answer.Ready.Position && *Answer.Ready.Position > Upstream->Applied)
-    Upstream->Applied = *Answer.Ready.Position;
+  recordPosition(*Upstream, Answer.Ready);
   duration Elapsed = now() - Statement.SentAt;
   StatementSeconds.observe(Elapsed);
   if (!Answer.Failure) {
