Line: a read is not refused while a late replica catches up in time

Cause: when both replicas apply late, the expected wait of a read was that of the primary's queue, and the read was refused although a replica was about to reach the position that it needs.

Change: expectedCatchUp() derives from the samples of the primary's position how long ago the primary was where a replica is, and so when the replica will be where the read needs it. The read's expected wait is the lower of both. While reads wait, the present probes of 100 ms learn the position.

Test: a replica that applies 3,250 ms late has the data for a read that tolerates 2,500 ms within 300 ms (the samples' spacing) after the true time. Not measured on a deployment.

--- a/modules/line/line_group_state.h
+++ b/modules/line/line_group_state.h
@@ -322,6 +322,7 @@
   queue_rate &rateOf(const line_pending_statement &Statement);
   std::size_t queueDepthBefore(const line_pending_statement &Statement) const;
   queue_load queueLoadBefore(const line_pending_statement &Statement) const;
+  duration catchUpWait(const line_pending_statement &Statement) const;
   std::string describeUpstreams() const;
   bool refuseIfWaitTooLong(line_pending_statement &Statement);
   void moveForward(line_pending_statement &Statement);
--- a/modules/line/line_group_waits.cpp
+++ b/modules/line/line_group_waits.cpp
@@ -62,6 +62,30 @@
   return Load;
 }
 
+/// Returns when a replica is expected to have the data that a read needs and to
+/// answer it, or the maximum if that is not known.
+duration
+line_group::catchUpWait(const line_pending_statement &Statement) const {
+  duration Best = duration::max();
+  if (Statement.Destination != line_destination::AnyUpstream)
+    return Best;
+  auto Required = requiredPosition(Statement.ReadRequirement, PositionHistory);
+  auto Primary = findPrimary();
+  for (const auto &[Id, Upstream] : Upstreams) {
+    // A paused replica applies nothing more, and one that has the data was not
+    // chosen for another reason.
+    if (!Required || Primary == Id || Upstream.Paused ||
+        Upstream.UnreachableSince || !canAccept(Upstream) ||
+        Upstream.Applied >= *Required)
+      continue;
+    auto CatchUp = expectedCatchUp(PositionHistory, Upstream.Applied,
+                                   Upstream.LastReceivedAt, *Required, now());
+    if (CatchUp)
+      Best = std::min(Best, *CatchUp);
+  }
+  return Best;
+}
+
 /// Describes the state of all upstreams, for the reason of a refusal.
 std::string line_group::describeUpstreams() const {
   std::string Text;
@@ -104,6 +128,7 @@
   Budget.Waited = now() - Statement.ArrivedAt;
   duration Wait = expectedWait(rateOf(Statement), queueDepthBefore(Statement),
                                queueLoadBefore(Statement), now());
+  Wait = std::min(Wait, catchUpWait(Statement));
   if (canWait(Budget, Wait)) {
     if (isOverdue(Budget))
       moveForward(Statement);
--- a/modules/line/read_choice.cpp
+++ b/modules/line/read_choice.cpp
@@ -57,6 +57,24 @@
   return std::max(*Requirement.Floor, Oldest->Position);
 }
 
+std::optional<duration>
+expectedCatchUp(const position_history &History, const position &Applied,
+                time_point KnownAt, const position &Required, time_point Now) {
+  if (Applied >= Required)
+    return duration::zero();
+  auto AtRequired = std::find_if(History.begin(), History.end(),
+                                 [&](const position_sample &Sample) {
+                                   return Sample.Position >= Required;
+                                 });
+  auto BeyondApplied = std::find_if(
+      History.begin(), History.end(),
+      [&](const position_sample &Sample) { return Sample.Position > Applied; });
+  if (AtRequired == History.end() || BeyondApplied == History.begin())
+    return std::nullopt;
+  duration Lag = KnownAt - std::prev(BeyondApplied)->RequestedAt;
+  return std::max(duration::zero(), AtRequired->RequestedAt + Lag - Now);
+}
+
 const read_candidate *
 chooseUpstream(const std::vector<read_candidate> &Candidates,
                const position &Required, const std::set<upstream_id> &Tried) {
--- a/modules/line/read_choice.h
+++ b/modules/line/read_choice.h
@@ -50,6 +50,14 @@
 std::optional<position> requiredPosition(const read_requirement &Requirement,
                                          const position_history &History);
 
+/// Returns the time until a replica is expected to have applied a position, if
+/// it goes on to lag as it does now: it was known to have applied Applied at
+/// KnownAt. Late by at most the spacing of the samples. Empty if the samples
+/// don't reach back that far.
+std::optional<duration>
+expectedCatchUp(const position_history &History, const position &Applied,
+                time_point KnownAt, const position &Required, time_point Now);
+
 /// An upstream that may serve a read.
 struct read_candidate {
   upstream_id Upstream;
--- a/modules/line/tests/test_read_choice.cpp
+++ b/modules/line/tests/test_read_choice.cpp
@@ -142,3 +142,38 @@
   CHECK(chooseUpstream({Primary, Replica}, positionAt(1, 4), {})
             ->Upstream.Value == "p");
 }
+
+// Guards against reads that are refused because the primary has a long queue,
+// although a replica that applies late will have their data sooner.
+TEST_CASE("line: a read waits for a late replica that catches up in time") {
+  constexpr std::int64_t LagMs = 3250;
+  constexpr std::int64_t SpacingMs = 300;
+  position_history History;
+  for (std::int64_t Now = 0; Now <= 9000; Now += SpacingMs)
+    addPositionSample(
+        History, {timeAt(Now), positionAt(1, static_cast<std::uint64_t>(Now))},
+        fromMilliseconds(100), fromMilliseconds(10000));
+  for (std::int64_t Staleness : {0, 1500, 2500}) {
+    CAPTURE(Staleness);
+    read_requirement Requirement;
+    Requirement.ArrivedAt = timeAt(9000);
+    Requirement.MaxStaleness = fromMilliseconds(Staleness);
+    auto Required = requiredPosition(Requirement, History);
+    REQUIRE(Required);
+    // The replica was heard of 100 ms ago.
+    auto Wait = expectedCatchUp(History, positionAt(1, 8900 - LagMs),
+                                timeAt(8900), *Required, timeAt(9000));
+    REQUIRE(Wait);
+    auto Actual = fromMilliseconds(static_cast<std::int64_t>(Required->Offset) +
+                                   LagMs - 9000);
+    CHECK((*Wait >= Actual));
+    CHECK((*Wait <= Actual + fromMilliseconds(SpacingMs)));
+  }
+  CHECK(
+      (expectedCatchUp(History, positionAt(1, 9000), timeAt(9000),
+                       positionAt(1, 8000), timeAt(9000)) == duration::zero()));
+  // Nothing is known of a replica that is behind all samples.
+  History.erase(History.begin());
+  CHECK_FALSE(expectedCatchUp(History, positionAt(1, 100), timeAt(9000),
+                              positionAt(1, 8000), timeAt(9000)));
+}
