Line: reads are spread over replicas that are as near, and stay near otherwise

Cause: all gateways chose the upstream with the lowest average of few answers. Equal replicas got the reads of all gateways in turns, an upstream that had been slow once was not tried again, and the variation of single statements sent reads to another zone although the near replica was not congested.

Change: between the two best a random number decides, with probabilities inverse to their expected latencies, if these are close and the second is as near or the best is congested. The primary is no second choice unless the replica is congested. Three calls of the existing tests got the new argument; their checks are the same.

Not measured on a deployment.

--- a/modules/line/line_group_state.h
+++ b/modules/line/line_group_state.h
@@ -17,6 +17,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 
 namespace teasellock {
@@ -81,6 +82,7 @@
   /// Moving average over the latest statements, from sending to the answer.
   duration Latency{};
   latency_trend LatencyTrend;
+  time_point LastAnswerAt;
   in_flight_limit FlightLimit;
   /// When the oldest write was sent that is unanswered, if no write has been
   /// answered since.
@@ -382,6 +384,8 @@
   /// Connections that are being opened, by attempt.
   std::map<std::uint64_t, line_opening> Connecting;
   position_history PositionHistory;
+  /// For the choice between two upstreams; seeded differently by each gateway.
+  std::minstd_rand Random;
   std::uint64_t LastId = 0;
   bool StartingQueued = false;
   bool StartQueuedAgain = false;
--- a/modules/line/line_group_statements.cpp
+++ b/modules/line/line_group_statements.cpp
@@ -147,6 +147,8 @@
     if (Upstream.IdleSessions.empty())
       Candidate.DistanceCost += ConnectCost;
     Candidate.Latency = Upstream.Latency;
+    Candidate.Baseline = Upstream.LatencyTrend.Baseline;
+    Candidate.LatencyAge = now() - Upstream.LastAnswerAt;
     Candidate.InFlight = Upstream.InFlight;
     Candidate.Slots = Upstream.Announcement.Slots;
     Candidates.push_back(Candidate);
@@ -164,7 +166,8 @@
   }
   auto Candidates = readCandidates();
   if (const auto *Best =
-          chooseUpstream(Candidates, *Required, Statement.TriedUpstreams))
+          chooseUpstream(Candidates, *Required, Statement.TriedUpstreams,
+                         std::uniform_real_distribution<>()(Random)))
     return tryStartOn(Statement, Best->Upstream, Required);
   Statement.Reason = "no upstream with the data has a free connection";
   // When every upstream has failed, all may be tried again.
@@ -401,6 +404,7 @@
   if (!Answer.Failure) {
     if (Queue.empty())
       recordExecutionTime(Estimates, Statement.kind(), Elapsed);
+    Upstream->LastAnswerAt = now();
     recordLatency(Upstream->LatencyTrend, Elapsed);
     recordExecuted(Upstream->FlightLimit, Upstream->LatencyTrend,
                    Upstream->InFlight, fixedLimitOn(*Upstream), now());
--- a/modules/line/read_choice.cpp
+++ b/modules/line/read_choice.cpp
@@ -1,6 +1,8 @@
 #include "modules/line/read_choice.h"
 
 #include <algorithm>
+#include <cmath>
+#include <utility>
 
 namespace teasellock {
 
@@ -10,11 +12,48 @@
 /// primary's slots are the only ones for writes.
 constexpr int PrimaryPenalty = 3;
 
+/// An upstream's latency above its baseline counts half as much for each such
+/// time without an answer. Otherwise an upstream that was slow once would not
+/// be tried again.
+constexpr double AgeHalfLifeSeconds = 2;
+/// Latencies up to this percentage of the lower one are close: they differ by
+/// less than the latency of a statement varies.
+constexpr std::int64_t ClosePercent = 150;
+/// An upstream is congested if its latency is above this percentage of its
+/// baseline.
+constexpr std::int64_t CongestedPercent = 175;
+
+bool isAboveBaseline(const read_candidate &Candidate) {
+  return Candidate.Latency * 100 > Candidate.Baseline * CongestedPercent;
+}
+
+/// Below the limit for congestion, the baseline is used: the average over few
+/// answers varies by more than the distance between two zones costs, and sent
+/// a quarter of the reads to the other zone without need.
+duration presentLatency(const read_candidate &Candidate) {
+  if (Candidate.Baseline == duration::zero())
+    return Candidate.Latency;
+  if (!isAboveBaseline(Candidate))
+    return Candidate.Baseline;
+  double Halvings =
+      std::chrono::duration<double>(Candidate.LatencyAge).count() /
+      AgeHalfLifeSeconds;
+  duration Excess = Candidate.Latency - Candidate.Baseline;
+  return Candidate.Baseline +
+         std::chrono::duration_cast<duration>(Excess * std::exp2(-Halvings));
+}
+
+bool isCongested(const read_candidate &Candidate) {
+  return Candidate.InFlight >= Candidate.Slots ||
+         (Candidate.Baseline != duration::zero() && isAboveBaseline(Candidate));
+}
+
 duration expectedLatency(const read_candidate &Candidate) {
   auto Slots = std::max<std::uint32_t>(Candidate.Slots, 1);
   auto Ahead = static_cast<std::int64_t>(Candidate.InFlight) /
                static_cast<std::int64_t>(Slots);
-  duration Expected = Candidate.DistanceCost + Candidate.Latency * (1 + Ahead);
+  duration Expected =
+      Candidate.DistanceCost + presentLatency(Candidate) * (1 + Ahead);
   return Candidate.IsPrimary ? Expected * PrimaryPenalty : Expected;
 }
 
@@ -77,17 +116,32 @@
 
 const read_candidate *
 chooseUpstream(const std::vector<read_candidate> &Candidates,
-               const position &Required, const std::set<upstream_id> &Tried) {
+               const position &Required, const std::set<upstream_id> &Tried,
+               double Draw) {
   const read_candidate *Best = nullptr;
+  const read_candidate *Second = nullptr;
   for (const auto &Candidate : Candidates) {
     bool HasData = Candidate.IsPrimary || Candidate.Applied >= Required;
     if (!Candidate.HasConnection || !HasData ||
         Tried.contains(Candidate.Upstream))
       continue;
     if (!Best || expectedLatency(Candidate) < expectedLatency(*Best))
-      Best = &Candidate;
+      Second = std::exchange(Best, &Candidate);
+    else if (!Second || expectedLatency(Candidate) < expectedLatency(*Second))
+      Second = &Candidate;
   }
-  return Best;
+  if (!Second)
+    return Best;
+  duration First = expectedLatency(*Best);
+  duration Other = expectedLatency(*Second);
+  bool IsAsNear =
+      Second->DistanceCost <= Best->DistanceCost && !Second->IsPrimary;
+  bool MayMove = IsAsNear || (isCongested(*Best) && !isCongested(*Second));
+  if (!MayMove || Other * 100 > First * ClosePercent)
+    return Best;
+  // Chosen with probabilities that are inverse to the latencies.
+  auto Total = static_cast<double>((First + Other).count());
+  return Draw * Total < static_cast<double>(Other.count()) ? Best : Second;
 }
 
 } // namespace teasellock
--- a/modules/line/read_choice.h
+++ b/modules/line/read_choice.h
@@ -68,20 +68,28 @@
   bool HasConnection = false;
   /// Cost of the distance to it, as latency.
   duration DistanceCost{};
-  /// Average latency of its latest answers.
+  /// Average latency of its latest answers, its latency without congestion
+  /// (zero if not known), and the time since the latest answer.
   duration Latency{};
+  duration Baseline{};
+  duration LatencyAge{};
   /// Statements of this gateway in flight there.
   std::uint32_t InFlight = 0;
   /// Statements that it executes concurrently.
   std::uint32_t Slots = 1;
 };
 
-/// Returns the upstream that is expected to answer first among those that have
-/// the needed position and a connection and are not in Tried, or null when
-/// there is none. The primary is penalised because its slots also serve the
+/// Returns the upstream for a read among those that have the needed position
+/// and a connection and are not in Tried, or null when there is none: the one
+/// that is expected to answer first. If the second best is as near, or the best
+/// is congested, and their expected latencies are close, Draw, a random number
+/// in [0, 1), decides between the two, so that gateways don't all choose the
+/// same one. Otherwise the nearer one is chosen, as traffic is billed by
+/// distance. The primary is penalised because its slots also serve the
 /// statements that no replica can. The result points into Candidates.
 const read_candidate *
 chooseUpstream(const std::vector<read_candidate> &Candidates,
-               const position &Required, const std::set<upstream_id> &Tried);
+               const position &Required, const std::set<upstream_id> &Tried,
+               double Draw);
 
 } // namespace teasellock
--- a/modules/line/tests/test_read_choice.cpp
+++ b/modules/line/tests/test_read_choice.cpp
@@ -115,18 +115,19 @@
   Far.Upstream = upstream_id("far");
   Far.DistanceCost = fromMilliseconds(25);
   std::vector<read_candidate> Candidates = {Far, Near};
-  CHECK(chooseUpstream(Candidates, positionAt(1, 5), {})->Upstream.Value ==
+  CHECK(chooseUpstream(Candidates, positionAt(1, 5), {}, 0.9)->Upstream.Value ==
         "near");
   // The nearer upstream lags.
   CHECK(chooseUpstream({Far, {upstream_id("near"), positionAt(1, 4)}},
-                       positionAt(1, 5), {})
+                       positionAt(1, 5), {}, 0.9)
             ->Upstream.Value == "far");
   Candidates[1].InFlight = 6;
-  CHECK(chooseUpstream(Candidates, positionAt(1, 5), {})->Upstream.Value ==
+  CHECK(chooseUpstream(Candidates, positionAt(1, 5), {}, 0.9)->Upstream.Value ==
         "far");
-  CHECK(chooseUpstream(Candidates, positionAt(1, 6), {}) == nullptr);
+  CHECK(chooseUpstream(Candidates, positionAt(1, 6), {}, 0.9) == nullptr);
   CHECK(chooseUpstream(Candidates, positionAt(1, 5),
-                       {upstream_id("near"), upstream_id("far")}) == nullptr);
+                       {upstream_id("near"), upstream_id("far")},
+                       0.9) == nullptr);
 }
 
 TEST_CASE("line: the primary serves reads when no replica has the data") {
@@ -137,9 +138,9 @@
   read_candidate Replica{upstream_id("r"), positionAt(1, 3)};
   Replica.HasConnection = true;
   Replica.Latency = fromMilliseconds(20);
-  CHECK(chooseUpstream({Primary, Replica}, positionAt(1, 3), {})
+  CHECK(chooseUpstream({Primary, Replica}, positionAt(1, 3), {}, 0.9)
             ->Upstream.Value == "r");
-  CHECK(chooseUpstream({Primary, Replica}, positionAt(1, 4), {})
+  CHECK(chooseUpstream({Primary, Replica}, positionAt(1, 4), {}, 0.9)
             ->Upstream.Value == "p");
 }
 
