Line: reads avoid upstreams that fail statements or lose connections

Cause: an upstream that fails part of its statements, resets connections or alternates between down and up answers most probes, and was chosen for all reads of its zone again at once.

Change: upstream_score is the share of failures in the gateway's own evidence (FAILED answers, reads without an answer, lost connections, unreachability) and halves in 4 s. Above 10% it multiplies the upstream's expected latency, so that it gets few reads, and more as the score falls. It is not reported to others.

Measured in the test's model, of 3,000 reads with one of four failing: 164 sent to the upstream; 3,000 with a factor of 1, at which two tests fail. One failure in forty changes nothing. Not measured on a deployment.

--- a/modules/line/line_group_statements.cpp
+++ b/modules/line/line_group_statements.cpp
@@ -149,6 +149,7 @@
     Candidate.Latency = Upstream.Latency;
     Candidate.Baseline = Upstream.LatencyTrend.Baseline;
     Candidate.LatencyAge = now() - Upstream.LastAnswerAt;
+    Candidate.CostFactor = costFactor(Upstream.Score, now());
     Candidate.InFlight = Upstream.InFlight;
     Candidate.Slots = Upstream.Announcement.Slots;
     Candidates.push_back(Candidate);
@@ -401,6 +402,11 @@
   recordPosition(*Upstream, Answer.Ready);
   duration Elapsed = now() - Statement.SentAt;
   StatementSeconds.observe(Elapsed);
+  bool HasFailed = Answer.Failure && Answer.Failure->Code == line_error::Failed;
+  recordEvidence(Upstream->Score,
+                 HasFailed ? upstream_evidence::Failed
+                           : upstream_evidence::Answered,
+                 now());
   if (!Answer.Failure) {
     if (Queue.empty())
       recordExecutionTime(Estimates, Statement.kind(), Elapsed);
--- a/modules/line/read_choice.cpp
+++ b/modules/line/read_choice.cpp
@@ -44,7 +44,7 @@
 }
 
 bool isCongested(const read_candidate &Candidate) {
-  return Candidate.InFlight >= Candidate.Slots ||
+  return Candidate.InFlight >= Candidate.Slots || Candidate.CostFactor > 1 ||
          (Candidate.Baseline != duration::zero() && isAboveBaseline(Candidate));
 }
 
@@ -54,6 +54,8 @@
                static_cast<std::int64_t>(Slots);
   duration Expected =
       Candidate.DistanceCost + presentLatency(Candidate) * (1 + Ahead);
+  Expected =
+      std::chrono::duration_cast<duration>(Expected * Candidate.CostFactor);
   return Candidate.IsPrimary ? Expected * PrimaryPenalty : Expected;
 }
 
--- a/modules/line/read_choice.h
+++ b/modules/line/read_choice.h
@@ -73,6 +73,8 @@
   duration Latency{};
   duration Baseline{};
   duration LatencyAge{};
+  /// See costFactor().
+  double CostFactor = 1;
   /// Statements of this gateway in flight there.
   std::uint32_t InFlight = 0;
   /// Statements that it executes concurrently.
