Membership: a VM that control never answered drains at once

Cause: on SIGTERM a VM waits until control confirms that its assignments are released. One that has had no granted renewal has none, but waited for the drain timeout of 30 s, because control may be unreachable.

Change: without a granted renewal, and with none in flight, draining ends at once. A group that control assigns in a reply still under way waits for its lease, as when the process is killed.

--- a/modules/membership/member_agent.cpp
+++ b/modules/membership/member_agent.cpp
@@ -48,6 +48,8 @@
       PendingAnnouncements;
   forwarded_requests ForwardedRequests;
   bool Draining = false;
+  /// Control has granted a renewal of this incarnation.
+  bool IsRegistered = false;
   store_id ControlStore;
   std::function<void()> DrainCallback;
   timer_subscription RenewalTimer;
@@ -78,6 +80,7 @@
   wire::renewal buildRenewal();
   void scheduleEarlyRenewal();
   void checkTimeouts();
+  void finishDrain();
   void onRenewalReply(link_id Link, link_message &&Message);
   void applyGrantedReply(const wire::renewal_reply &Reply, time_point SentAt);
   /// Returns whether control waits for this VM's report.
@@ -148,6 +151,10 @@
 void member_agent::state::checkTimeouts() {
   expireRequests(ForwardedRequests, now());
   std::size_t Expired = expireRenewals(Renewals, now());
+  // Control assigns groups and limiter slots only in granted replies. Without
+  // one there is nothing to release, and control may be unreachable.
+  if (!IsRegistered && Renewals.InFlight.empty())
+    finishDrain();
   if (Expired == 0)
     return;
   UnansweredRenewals.add(Expired);
@@ -155,6 +162,14 @@
   renew();
 }
 
+void member_agent::state::finishDrain() {
+  if (!DrainCallback)
+    return;
+  auto Callback = std::move(DrainCallback);
+  DrainCallback = nullptr;
+  Callback();
+}
+
 void member_agent::state::onRenewalReply(link_id, link_message &&Message) {
   auto Reply = decode<wire::renewal_reply>(Message.Body, "control");
   auto SentAt = recordRenewalReply(Renewals, Message.Request);
@@ -206,6 +221,7 @@
 
 void member_agent::state::applyGrantedReply(const wire::renewal_reply &Reply,
                                             time_point SentAt) {
+  IsRegistered = true;
   bool ConcernsOwnGateways = concernsOwnGateways(Member, Reply.groups);
   auto Version = Member.Deployment.Version;
   updateControlEndpoints(Reply);
@@ -225,11 +241,8 @@
   if (Reply.more || IsDeploymentNew || ConcernsOwnSlots ||
       (!Changed.empty() && ConcernsOwnGateways))
     scheduleEarlyRenewal();
-  if (Reply.released && DrainCallback) {
-    auto Callback = std::move(DrainCallback);
-    DrainCallback = nullptr;
-    Callback();
-  }
+  if (Reply.released)
+    finishDrain();
 }
 
 bool member_agent::state::applyLimiterReply(const wire::renewal_reply &Reply,
--- a/tests/test_daemon_start.cpp
+++ b/tests/test_daemon_start.cpp
@@ -172,3 +172,15 @@
   // gracefully and is not ended by a signal.
   CHECK((*End == SIGTERM || *End == 0));
 }
+
+// Guards against a shutdown that lasts until the drain timeout of 30 s: a
+// daemon that control never answered has no assignment, and waited for control
+// to confirm its release.
+TEST_CASE("daemon: SIGTERM ends a daemon that never reached control") {
+  daemon_child Daemon;
+  REQUIRE(Daemon.awaitOutput("event=daemon.started"));
+  Daemon.sendSignal(SIGTERM);
+  auto End = Daemon.awaitEnd();
+  REQUIRE(End.has_value());
+  CHECK(*End == 0);
+}
