Control: a promotion waits for acknowledged writes that no known replica has

Change: a gateway's answer to the order to pause tells the end of the primary's log at its last acknowledged commit, in the field that gateways for SQL use. If no paused replica has that position, the order to promote waits until the interval of announcements has passed since the pauses began. The end of the log may lie beyond the acknowledged commit, with commits that no replica has; the replacement then takes up to 1.5 s longer.

--- a/modules/control/leader_state.h
+++ b/modules/control/leader_state.h
@@ -125,6 +125,8 @@
   /// When each gateway was last sent a fence that pauses the replicas.
   std::map<gateway_incarnation, time_point> FenceSentAt;
   std::map<upstream_id, paused_replica> PausedReplicas;
+  /// No gateway that answered has acknowledged a commit beyond this position.
+  position Acknowledged;
   /// The attempt that this leader itself has committed; it sends no order for
   /// attempts of earlier leaders.
   std::uint32_t DecidedAttempt = 0;
--- a/modules/control/pause_answers.cpp
+++ b/modules/control/pause_answers.cpp
@@ -125,7 +125,13 @@
   if ((Rules.RequireAllReplicas && !Answers.Missing.empty()) ||
       (Rules.CheckDirty && Group.Dirty && MayCoverWrites))
     return nullptr;
-  return highestReplica(Group, Answers.Confirmed);
+  const auto *Best = highestReplica(Group, Answers.Confirmed);
+  bool MayBeAnnounced =
+      !Answers.isOlderThan(Settings.AnnouncementInterval, Now);
+  if (Rules.CheckAcknowledged && MayBeAnnounced && Best &&
+      Best->second.Received < Answers.Progress->Acknowledged)
+    return nullptr;
+  return Best;
 }
 
 const candidate *candidateAfterDemotion(const group_state &Group,
--- a/modules/control/pause_answers.h
+++ b/modules/control/pause_answers.h
@@ -48,7 +48,8 @@
 
 /// Returns the upstream to promote if all replicas are paused, or null. The
 /// writes of a lost replica are waited for as long as that or the former
-/// primary may still come back.
+/// primary may still come back. Acknowledged writes that no known replica has
+/// are waited for until every replica that runs must have announced itself.
 const candidate *candidateOfPauses(const group_state &Group,
                                    const leader_state &Leader,
                                    const pause_answers &Answers,
--- a/modules/control/pause_progress.cpp
+++ b/modules/control/pause_progress.cpp
@@ -28,6 +28,8 @@
   if (!Group.Promotion || Progress == Leader.PausePromotions.end() ||
       static_cast<std::uint64_t>(Reply.term) != Group.Term.Value)
     return;
+  Progress->second.Acknowledged =
+      std::max(Progress->second.Acknowledged, fromWire(Reply.acknowledged));
   for (const auto &[Name, Probe] : parseReports(Reply.upstreams)) {
     auto Known = Group.Upstreams.find(Name);
     if (!Probe.Reachable || !Probe.Paused || Known == Group.Upstreams.end())
--- a/modules/control/pause_progress.h
+++ b/modules/control/pause_progress.h
@@ -16,7 +16,7 @@
                       time_point Now);
 
 /// Records which replicas a gateway's reply to such a request reports as
-/// paused.
+/// paused, and the highest position that the gateway may have acknowledged.
 void recordPauseReply(const group_state &Group, leader_state &Leader,
                       const wire::fence_reply &Reply, time_point Now);
 
--- a/modules/control/pause_promotion.h
+++ b/modules/control/pause_promotion.h
@@ -38,6 +38,9 @@
   bool CheckUnsettledOrders = true;
   /// A new leader waits until it must have heard of every replica.
   bool AwaitAnnouncements = true;
+  /// If no known replica has all writes that gateways may have acknowledged,
+  /// waits until every replica that runs must have announced itself.
+  bool CheckAcknowledged = true;
   /// Gateways neither write to the primary nor acknowledge its commits once the
   /// replicas are being paused. Evaluated only by the tests' simulation.
   bool FenceGateways = true;
--- a/modules/control/tests/pause_simulation.cpp
+++ b/modules/control/tests/pause_simulation.cpp
@@ -189,8 +189,10 @@
   if (Replica.Log.size() > Acknowledged.size() &&
       Replica.Log.back().first == PrimaryTerm &&
       judgeCommit(WriteFence, lastPosition(Replica)) ==
-          commit_verdict::Acknowledge)
+          commit_verdict::Acknowledge) {
     Acknowledged = Replica.Log;
+    AcknowledgedEnd = std::max(AcknowledgedEnd, lastPosition(Primary));
+  }
 }
 
 void pause_simulation::announceInTime(std::size_t Id) {
@@ -209,9 +211,11 @@
   auto Announced = Leader.LastAnnouncements;
   Leader = leader_state();
   Leader.LastAnnouncements = Announced;
-  if (Scenario.ControlRestarts)
+  if (Scenario.ControlRestarts) {
     ControlUpAt = Now + fromMilliseconds(
                             static_cast<std::int64_t>(pick(MaxControlDownMs)));
+    AcknowledgedEnd = {};
+  }
   Leader.LeadingSince = std::max(Now, ControlUpAt);
 }
 
@@ -254,6 +258,7 @@
     closeWriteFence(WriteFence, term(PauseTerm.Value - 1), Group.Revision);
   position Covered;
   wire::fence_reply Reply;
+  Reply.acknowledged = toWire(AcknowledgedEnd);
   Reply.group = Group.Group.Value;
   Reply.term = static_cast<std::int64_t>(Group.Term.Value);
   if (IsAccepted && DemotionTarget == name(PrimaryNumber))
--- a/modules/control/tests/pause_simulation.h
+++ b/modules/control/tests/pause_simulation.h
@@ -27,7 +27,8 @@
   bool PrimaryIsLost = false;
   /// Control is down for a while now and then, and a further replica starts at
   /// any time. Upstreams announce themselves when they start and then once per
-  /// AnnouncementInterval.
+  /// AnnouncementInterval. The gateway restarts with control, and forgets what
+  /// it has acknowledged.
   bool ControlRestarts = false;
   /// A further replica starts at any time while control works. Its first
   /// announcement may go to a control VM that does not answer; it then repeats
@@ -178,6 +179,8 @@
   /// The newest term that an upstream has told the gateway.
   std::uint64_t ReportedTerm = 0;
   std::vector<entry> Acknowledged;
+  /// The highest end of the primary's log when it confirmed a commit.
+  position AcknowledgedEnd;
   std::vector<order> Orders;
   std::uint64_t Fence = 0;
   write_fence WriteFence;
--- a/modules/control/tests/test_pause_promotion.cpp
+++ b/modules/control/tests/test_pause_promotion.cpp
@@ -55,6 +55,10 @@
     Rules.AwaitAnnouncements = false;
     Scenario = ControlRestart;
   }
+  SUBCASE("acknowledged positions") {
+    Rules.CheckAcknowledged = false;
+    Scenario = LateAnnouncement;
+  }
   SUBCASE("no writes while replicas are paused") {
     Rules.FenceGateways = false;
     Scenario = JoinDuringFailover;
--- a/modules/line/line_group_outcomes.cpp
+++ b/modules/line/line_group_outcomes.cpp
@@ -228,6 +228,8 @@
                                        const line_answer &Answer) {
   switch (judgeCommit(WriteFence, Answer.Ready.Position)) {
   case commit_verdict::Acknowledge:
+    if (Answer.Ready.Position)
+      Acknowledged = std::max(Acknowledged, *Answer.Ready.Position);
     return handleSuccess(Statement, Answer);
   case commit_verdict::AwaitPauses:
     HeldCommits.push_back({Statement.key(), Answer});
--- a/modules/line/line_group_pauses.cpp
+++ b/modules/line/line_group_pauses.cpp
@@ -120,6 +120,7 @@
   wire::fence_reply Reply;
   Reply.group = View.Group.Value;
   Reply.term = Pause.FencedTerm;
+  Reply.acknowledged = toWire(Acknowledged);
   for (const auto &[Id, Upstream] : Upstreams) {
     auto Report = reportOf(Id, Upstream);
     // Only replicas that answered this order certainly had their position read
--- a/modules/line/line_group_state.h
+++ b/modules/line/line_group_state.h
@@ -401,6 +401,9 @@
   std::map<line_attempt_key, line_detached_attempt> DetachedAttempts;
   write_fence WriteFence;
   std::vector<line_held_commit> HeldCommits;
+  /// Highest end of a primary's log when it confirmed a commit that this
+  /// gateway acknowledged.
+  position Acknowledged;
   /// Rates of the reads that any upstream may serve, and of the statements that
   /// only the primary may.
   queue_rate ReadRate;
--- a/tests/test_line_group_failover.cpp
+++ b/tests/test_line_group_failover.cpp
@@ -106,3 +106,13 @@
   CHECK(Fixture.succeeded(Write->Reply));
   CHECK(Fixture.Upstreams.statusOf(Primary).IsPrimary);
 }
+
+// Guards against a promotion that control decides without the acknowledged
+// writes of a replica that it does not know: the gateway must tell how far it
+// has acknowledged.
+TEST_CASE("line: the answer to a pause tells what the gateway acknowledged") {
+  line_group_fixture Fixture(2);
+  REQUIRE(Fixture.succeeded(Fixture.finish(
+      {"w1", wire::line_verb::write, "WRITE item a", 0, false, {}})));
+  CHECK((fromWire(Fixture.fence().acknowledged) == position{term(1), 1}));
+}
