Control: limiter slots move to VMs that hold fewer

Cause: at the start the VM that registers first was the only one to which slots could be assigned, and kept all eight.

Change: while no slot is being handed over and no VMs register, slots are taken from renewing VMs that hold at least two more than the VM that would get them, or that host a control store while another VM has fewer. They are released and assigned by the existing two steps.

--- a/modules/control/limiter_assignment.cpp
+++ b/modules/control/limiter_assignment.cpp
@@ -163,6 +163,51 @@
   }
 }
 
+/// Reports whether another VM would hold the slot better: it has fewer other
+/// slots, or as many and is not the host of a control store.
+bool shouldMove(const limiter_input &Input,
+                const std::vector<limiter_slot> &OtherSlots,
+                const vm_record &Holder, const vm_record &Other) {
+  auto [HolderSlots, HolderHostsControl, InHolderZone] =
+      costOf(Input, OtherSlots, Holder);
+  auto [Slots, HostsControl, InZone] = costOf(Input, OtherSlots, Other);
+  return std::tie(Slots, HostsControl) <
+         std::tie(HolderSlots, HolderHostsControl);
+}
+
+/// Takes slots from VMs that hold more than others. The VM that registers first
+/// gets all slots: if it froze, no organisation with a limit would be served
+/// until its lease had ended.
+void balanceSlots(const limiter_input &Input, limiter_assignment &Next,
+                  std::vector<limiter_change> &Changes) {
+  if (areVmsRegistering(Input.Leader, Input.Settings, Input.Now))
+    return;
+  // The former holder of a slot has not released it yet.
+  for (const auto &Slot : Next.Slots)
+    if (!Slot.Holder || Slot.Former)
+      return;
+  auto Planned = Next.Slots;
+  for (std::size_t Index = 0; Index < Planned.size(); ++Index) {
+    auto Holder = *Planned[Index].Holder;
+    const auto *Record = findVm(Input, Holder.Vm);
+    // A VM that is silent does not release a slot before its lease has ended.
+    if (!Record || !isEligible(Input, *Record))
+      continue;
+    Planned[Index].Holder.reset();
+    const auto *Other = chooseHolder(Input, Planned);
+    if (!Other || !shouldMove(Input, Planned, *Record, *Other)) {
+      Planned[Index].Holder = Holder;
+      continue;
+    }
+    Planned[Index].Holder = holderOf(*Other);
+    Next.Slots[Index].Holder.reset();
+    Next.Slots[Index].Former = {Holder.Vm, Holder.Incarnation,
+                                revision(CommandRevision)};
+    Changes.push_back({Index, Holder.Vm, Holder.Incarnation,
+                       "removed: another VM has fewer slots"});
+  }
+}
+
 bool isInUse(const limiter_slot &Slot) { return Slot.Holder || Slot.Former; }
 
 } // namespace
@@ -182,9 +227,11 @@
     releaseSlot(Input, Index, Next.Slots[Index], Decision.Changes);
   if (HasLimits)
     assignFreeSlots(Input, Next, Decision.Changes);
+  if (HasLimits && Decision.Changes.empty())
+    balanceSlots(Input, Next, Decision.Changes);
   // With limits, the first assignment has no holders yet: VMs become eligible
   // by reporting that they have applied it.
-  else if (std::none_of(Next.Slots.begin(), Next.Slots.end(), isInUse))
+  if (!HasLimits && std::none_of(Next.Slots.begin(), Next.Slots.end(), isInUse))
     Next.Slots.clear();
   if (Next != State.Limiters)
     Decision.Next = std::move(Next);
--- a/modules/control/tests/test_limiter_assignment.cpp
+++ b/modules/control/tests/test_limiter_assignment.cpp
@@ -166,6 +166,59 @@
   CHECK(isReleased(F.State, vm_id("a")));
 }
 
+// Guards against a start at which the first VM keeps all slots: while it was
+// frozen, no organisation with a limit was served for the lease of 10 s.
+TEST_CASE("limiters: slots move from the first VM to those that register "
+          "later, and settle") {
+  limiter_fixture F;
+  F.add("a", "z");
+  REQUIRE(F.decide());
+  for (const char *Name : {"b", "c", "d"})
+    F.add(Name, "z");
+  F.Leader.LimiterLeaseEnds[{vm_id("a"), incarnation(1)}] =
+      F.Now + F.Settings.LimiterLeaseTime;
+  REQUIRE(F.decide());
+  CHECK(F.slotsOf("a") == 2);
+  CHECK_FALSE(F.decide());
+  F.report("a");
+  REQUIRE(F.decide());
+  for (const char *Name : {"a", "b", "c", "d"})
+    CHECK(F.slotsOf(Name) == 2);
+  CHECK_FALSE(F.decide());
+}
+
+// Guards against slots that stay on the host of a control store, whose failure
+// takes both away.
+TEST_CASE("limiters: a slot moves from the host of a control store to a VM "
+          "without slots") {
+  limiter_fixture F;
+  for (int Index = 0; Index < 8; ++Index)
+    F.add("vm" + std::to_string(Index), "z");
+  F.Leader.ControlHosts = {"10.0.0.1"};
+  REQUIRE(F.decide());
+  CHECK(F.slotsOf("vm0") == 1);
+  F.add("vm8", "z");
+  REQUIRE(F.decide());
+  CHECK(F.slotsOf("vm0") == 0);
+  F.report("vm0");
+  REQUIRE(F.decide());
+  CHECK(F.slotsOf("vm8") == 1);
+  CHECK_FALSE(F.decide());
+}
+
+// Guards against a slot that is taken from a frozen VM, which can't release it
+// and may be back before its lease has ended.
+TEST_CASE("limiters: slots are not taken from a silent VM to balance them") {
+  limiter_fixture F;
+  F.add("a", "z");
+  REQUIRE(F.decide());
+  F.Leader.LimiterLeaseEnds[{vm_id("a"), incarnation(1)}] =
+      F.Now + F.Settings.LimiterLeaseTime;
+  F.Now += F.Settings.VmTimeout + fromMilliseconds(1);
+  F.add("b", "z");
+  CHECK_FALSE(F.decide());
+}
+
 TEST_CASE("limiters: a silent holder keeps its slots until its lease has "
           "ended") {
   limiter_fixture F;
