Admin: operators read all of the deployment in force that has effect

Cause: GET /v1/deployment lacked the limits of the groups, the idle timeout, the number of gateway VMs and, without organisations, which routes are public; so a configuration could not be compared with it.

The answer still has no key or digest.

--- a/modules/control/control_operators.cpp
+++ b/modules/control/control_operators.cpp
@@ -120,7 +120,7 @@
   else if (Resource == "limiters")
     Answer(200, toText(limitersJson(Replicated, Leader, Settings, now())));
   else if (Resource == "deployment")
-    Answer(200, toText(deploymentJson(Replicated.Deployment.Deployment)));
+    Answer(200, toText(deploymentJson(Replicated)));
   else if (Resource == "proposals")
     Answer(200, toText(proposalsJson(Leader)));
   else
--- a/modules/control/operator_json.cpp
+++ b/modules/control/operator_json.cpp
@@ -3,6 +3,7 @@
 #include "modules/control/leases.h"
 #include "modules/control/limiter_assignment.h"
 #include "modules/control/promotion.h"
+#include "modules/deployment/consistency_name.h"
 #include "modules/deployment/key_digest.h"
 #include "modules/table/table_json.h"
 
@@ -79,26 +80,16 @@
   return Result;
 }
 
-const char *toText(consistency Consistency) {
-  switch (Consistency) {
-  case consistency::Primary:
-    return "primary";
-  case consistency::BoundedStaleness:
-    return "bounded_staleness";
-  default:
-    return "read_your_writes";
-  }
-}
-
 json routeJson(const route &Route) {
   return {{"route", Route.Name},
           {"database", Route.Database.Value},
           {"group", Route.Group.Value},
-          {"consistency", toText(Route.Consistency)},
+          {"consistency", nameOf(Route.Consistency)},
           {"max_staleness_ms", toMilliseconds(Route.MaxStaleness)},
           {"timeout_ms", toMilliseconds(Route.StatementTimeout)},
           {"target_ms", toMilliseconds(Route.TargetLatency)},
-          {"priority", Route.Priority}};
+          {"priority", Route.Priority},
+          {"public", Route.IsPublic}};
 }
 
 /// Operators see which keys an organisation has, but no key or digest.
@@ -135,15 +126,24 @@
   return {{"version", State.TableVersion.Value}, {"rows", Rows}};
 }
 
-json deploymentJson(const deployment &Deployment) {
+json deploymentJson(const control_state &State) {
+  const auto &Deployment = State.Deployment.Deployment;
   json Routes = json::array();
   for (const auto &Route : Deployment.Routes)
     Routes.push_back(routeJson(Route));
-  json Result = {{"version", Deployment.Version.Value}, {"routes", Routes}};
+  json Groups = json::array();
+  for (const auto &Row : tableRows(State))
+    Groups.push_back({{"group", Row.Group.Value},
+                      {"max_connections", Row.MaxConnections},
+                      {"ack_replicas", Row.AckReplicas}});
+  json Result = {{"version", Deployment.Version.Value},
+                 {"routes", Routes},
+                 {"groups", Groups},
+                 {"idle_transaction_ms",
+                  toMilliseconds(Deployment.IdleTransactionTimeout)},
+                 {"gateway_vms", State.Index.GatewayVmCount}};
   if (!Deployment.Organisations)
     return Result;
-  for (std::size_t Index = 0; Index < Deployment.Routes.size(); ++Index)
-    Result["routes"][Index]["public"] = Deployment.Routes[Index].IsPublic;
   Result["organisations"] = json::array();
   for (const auto &Organisation : *Deployment.Organisations)
     Result["organisations"].push_back(organisationJson(Organisation));
--- a/modules/control/operator_json.h
+++ b/modules/control/operator_json.h
@@ -10,8 +10,10 @@
 /// Returns the rows of the table and its version.
 nlohmann::json tableJson(const control_state &State);
 
-/// Returns a deployment's version and routes.
-nlohmann::json deploymentJson(const deployment &Deployment);
+/// Returns the deployment in force: version, routes, limits of the groups,
+/// organisations with fingerprints of their keys, and the number of VMs to
+/// which groups may be assigned.
+nlohmann::json deploymentJson(const control_state &State);
 
 /// Returns one group: its state, the gateways' latest probes, and the reason if
 /// a promotion waits.
--- a/modules/control/tests/test_control_service.cpp
+++ b/modules/control/tests/test_control_service.cpp
@@ -437,7 +437,10 @@
   auto Empty = Deployment.ask("GET", "/v1/deployment");
   CHECK(Empty.first == 200);
   CHECK(Empty.second["version"] == 0);
-  deployment Given;
+  CHECK(Empty.second["groups"][0]["group"] == "fares");
+  CHECK(Empty.second["gateway_vms"] == 3);
+  control_state State;
+  auto &Given = State.Deployment.Deployment;
   Given.Version = deployment_version(7);
   route Route;
   Route.Database = database_id("fares-live");
@@ -445,23 +448,28 @@
   Route.Consistency = consistency::BoundedStaleness;
   Route.MaxStaleness = fromMilliseconds(1500);
   Given.Routes.push_back(Route);
-  auto Shown = deploymentJson(Given);
+  Given.IdleTransactionTimeout = fromMilliseconds(3000);
+  auto Shown = deploymentJson(State);
   CHECK(Shown["version"] == 7);
   CHECK(Shown["routes"][0]["database"] == "fares-live");
   CHECK(Shown["routes"][0]["consistency"] == "bounded_staleness");
   CHECK(Shown["routes"][0]["max_staleness_ms"] == 1500);
+  CHECK(Shown["routes"][0]["public"] == false);
+  CHECK(Shown["idle_transaction_ms"] == 3000);
+  CHECK(Shown["groups"].empty());
   CHECK_FALSE(Shown.contains("organisations"));
 }
 
 // Guards against keys or whole digests in what operators are shown.
 TEST_CASE("control: operators see fingerprints of keys, and limits") {
-  deployment Given;
+  control_state State;
+  auto &Given = State.Deployment.Deployment;
   Given.Routes.emplace_back().IsPublic = true;
   auto Digest = digestOf("secret");
   Given.Organisations = {
       {organisation_id("o1"), {Digest}, operation_limit{5, 10}, 1},
       {organisation_id("o2"), {}, std::nullopt, 0}};
-  auto Shown = deploymentJson(Given);
+  auto Shown = deploymentJson(State);
   CHECK(Shown["routes"][0]["public"] == true);
   const auto &First = Shown["organisations"][0];
   CHECK(First["organisation"] == "o1");
