Ctl: teasellock check, for a configuration before it is sent

Cause: only control told whether a configuration is valid, once it was sent.

Change: teasellock check FILE [--against-current] [--json] prints errors, warnings and differences from the version in force. Its exit codes are 0 to 3; 3 also stands for invalid arguments, since 1 and 2 would be read as findings. Differences alone leave the exit code 0. The limit of a request's body is now in http_server.h, as the command reports a longer file as an error.

--- a/ctl/commands.h
+++ b/ctl/commands.h
@@ -22,6 +22,16 @@
   Different = 4,
 };
 
+/// Exit codes of the check of a configuration.
+enum check_exit_code {
+  NothingFound = 0,
+  OnlyWarnings = 1,
+  ErrorsFound = 2,
+  /// The file can't be read, the arguments are invalid, or the deployment in
+  /// force is not known.
+  NotChecked = 3,
+};
+
 /// The API client and the output format of a command.
 struct command_context {
   api_client Client;
@@ -47,6 +57,12 @@
 /// Prints which VMs have applied the current table.
 int tableStatus(command_context &Context);
 
+/// Checks a configuration in the platform's JSON format and prints the findings
+/// and, if AgainstCurrent, the differences from the deployment in force. File
+/// "-" is standard input. Returns a check_exit_code and throws no error.
+int checkConfiguration(command_context &Context, const std::string &File,
+                       bool AgainstCurrent);
+
 /// Fetches Path and prints the objects of its field List, one per line, with
 /// the given fields as columns.
 int showList(command_context &Context, const std::string &Path,
--- a/ctl/table_commands.cpp
+++ b/ctl/table_commands.cpp
@@ -1,5 +1,6 @@
 #include "core/error.h"
 #include "ctl/commands.h"
+#include "ctl/text_file.h"
 #include "ctl/text_table.h"
 #include "modules/table/table_file.h"
 #include "modules/table/table_json.h"
@@ -7,7 +8,6 @@
 #include <fstream>
 #include <iostream>
 #include <random>
-#include <sstream>
 
 namespace teasellock {
 
@@ -17,24 +17,10 @@
 constexpr int StatusBadRequest = 400;
 constexpr int StatusOk = 200;
 
-std::string readFile(const std::string &Name) {
-  if (Name == "-") {
-    std::ostringstream Text;
-    Text << std::cin.rdbuf();
-    return Text.str();
-  }
-  std::ifstream In(Name, std::ios::binary);
-  std::ostringstream Text;
-  Text << In.rdbuf();
-  if (!In)
-    throw error("table.read", Name, "cannot be read");
-  return Text.str();
-}
-
 /// Reads and validates a file and prints all problems. Returns whether the file
 /// is valid.
 bool loadValidTable(const std::string &Name, std::vector<table_row> &Rows) {
-  table_file File = parseTable(readFile(Name));
+  table_file File = parseTable(readTextFile("table.read", Name));
   for (const auto &Problem : File.Problems)
     std::cerr << Name << ": " << toString(Problem) << "\n";
   Rows = std::move(File.Rows);
--- a/ctl/teasellock.cpp
+++ b/ctl/teasellock.cpp
@@ -25,6 +25,7 @@
   std::string EditId;
   std::uint64_t BaseVersion = 0;
   bool Force = false;
+  bool AgainstCurrent = false;
   std::string OldStore;
   std::string NewStore;
   std::vector<std::string> Members;
@@ -95,6 +96,23 @@
              "teasellock table status", Selected, tableStatus);
 }
 
+void addCheckCommand(CLI::App &App, arguments &Args, command &Selected) {
+  auto *Check = addCommand(
+      App, "check",
+      "check a configuration before it is sent (exit code 1: warnings, 2: "
+      "errors, 3: not checked)",
+      "teasellock check configuration.json --against-current", Selected,
+      [&](command_context &C) {
+        return checkConfiguration(C, Args.File, Args.AgainstCurrent);
+      });
+  Check
+      ->add_option("file", Args.File,
+                   "JSON file in the platform's format, - for standard input")
+      ->required();
+  Check->add_flag("--against-current", Args.AgainstCurrent,
+                  "also print the differences from the version in force");
+}
+
 void addGroupCommands(CLI::App &App, arguments &Args, command &Selected) {
   addCommand(App, "groups", "every group: primary, term, gateways",
              "teasellock groups --watch", Selected, [](command_context &C) {
@@ -261,10 +279,15 @@
   App.add_flag("--json", Args.Json, "print JSON");
   App.add_flag("--watch", Args.Watch, "print again every second");
   addTableCommands(App, Args, Selected);
+  addCheckCommand(App, Args, Selected);
   addGroupCommands(App, Args, Selected);
   addProposalCommands(App, Args, Selected);
   addControlCommands(App, Args, Selected);
   addTraceCommand(App, Args, Selected);
+  // Scripts read other exit codes of the check as findings.
+  auto FailureCode = [&App](int Usual) {
+    return App.got_subcommand("check") ? int(NotChecked) : Usual;
+  };
   try {
     App.parse(ArgumentCount, Arguments);
     if (Args.Vms.empty())
@@ -272,9 +295,9 @@
     return runSelected(Args, Selected);
   } catch (const CLI::ParseError &Problem) {
     int Code = App.exit(Problem);
-    return Code == 0 ? Succeeded : BadInput;
+    return Code == 0 ? int(Succeeded) : FailureCode(BadInput);
   } catch (const std::exception &Problem) {
     std::cerr << "teasellock: " << Problem.what() << "\n";
-    return Failed;
+    return FailureCode(Failed);
   }
 }
--- a/modules/admin/http_server.cpp
+++ b/modules/admin/http_server.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-constexpr std::size_t MaxBodyBytes = 16 * 1024 * 1024;
 constexpr unsigned MaxConnections = 256;
 constexpr unsigned IdleTimeoutSeconds = 30;
 constexpr int StatusBadRequest = 400;
@@ -115,7 +114,7 @@
   if (Exchange.IsTooLarge || Exchange.IsRejected)
     return;
   auto &Body = Exchange.Request.Body;
-  Exchange.IsTooLarge = Body.size() + Data.size() > MaxBodyBytes;
+  Exchange.IsTooLarge = Body.size() + Data.size() > MaxRequestBodyBytes;
   Exchange.IsRejected = Body.size() + Data.size() > FreeBodyBytes &&
                         BodyBytes + Data.size() > MaxBodyMemoryBytes;
   if (Exchange.IsTooLarge || Exchange.IsRejected)
--- a/modules/admin/http_server.h
+++ b/modules/admin/http_server.h
@@ -30,6 +30,9 @@
 /// further calls are ignored.
 using http_reply = std::function<void(http_response)>;
 
+/// Size of the body of one request at most.
+constexpr std::size_t MaxRequestBodyBytes = 16 * 1024 * 1024;
+
 /// Memory for the bodies of requests that are being received, if the memory of
 /// the process is not known.
 constexpr std::size_t DefaultBodyMemoryBytes = 256 * 1024 * 1024;
@@ -37,9 +40,9 @@
 /// Returns the memory for the bodies of requests that are being received.
 std::size_t bodyMemoryFor(const process_resources &Resources);
 
-/// An HTTP/1.1 server on one endpoint. Bodies of more than 16 MiB are answered
-/// with status 413, and those that would exceed the memory for all bodies with
-/// status 503.
+/// An HTTP/1.1 server on one endpoint. Bodies of more than MaxRequestBodyBytes
+/// are answered with status 413, and those that would exceed the memory for all
+/// bodies with status 503.
 class http_server {
 public:
   /// Handler is called for each request. If it throws error, the response has
