Check: connections are not compared with VMs of the gateway role

Cause: control assigns a group to no more gateways than its connections allow, so that a deployment with more VMs than connections is right; the warning came in each of them and made exit code 1 the normal one.

Change: the finding, its field of GET /v1/deployment and their texts go.

--- a/ctl/check_command.cpp
+++ b/ctl/check_command.cpp
@@ -32,7 +32,7 @@
   Problems.insert(Problems.end(), Added.begin(), Added.end());
 }
 
-deployment_in_force fetchDeployment(command_context &Context) {
+deployment_summary fetchDeployment(command_context &Context) {
   api_response Response = Context.Client.call("GET", "/v1/deployment");
   if (Response.Status != StatusOk)
     throw error(
@@ -41,17 +41,14 @@
   return parseDeploymentInForce(Response.Body);
 }
 
-/// Returns the number of gateway VMs.
-std::size_t compareToCurrent(command_context &Context,
-                             const deployment_proposal &Proposal,
-                             configuration_report &Report) {
+void compareToCurrent(command_context &Context,
+                      const deployment_proposal &Proposal,
+                      configuration_report &Report) {
   auto Current = fetchDeployment(Context);
-  Report.Differences = diffDeployments(Current.Summary, summaryOf(Proposal));
+  Report.Differences = diffDeployments(Current, summaryOf(Proposal));
   Report.DifferencesKnown = true;
-  if (auto Problem =
-          checkVersion(Current.Summary.Version, Proposal.Deployment.Version))
+  if (auto Problem = checkVersion(Current.Version, Proposal.Deployment.Version))
     Report.Warnings.push_back(*Problem);
-  return Current.GatewayVms;
 }
 
 void checkProposal(command_context &Context,
@@ -59,14 +56,13 @@
                    configuration_report &Report) {
   append(Report.Errors, checkDeployment(Proposal));
   append(Report.Warnings, findUnusedEntries(Proposal));
-  std::optional<std::size_t> GatewayVms;
+  append(Report.Warnings, findLimitConflicts(Proposal));
   try {
     if (AgainstCurrent)
-      GatewayVms = compareToCurrent(Context, Proposal, Report);
+      compareToCurrent(Context, Proposal, Report);
   } catch (const std::exception &Problem) {
     Report.Failure = Problem.what();
   }
-  append(Report.Warnings, findLimitConflicts(Proposal, GatewayVms));
 }
 
 configuration_report makeReport(command_context &Context,
--- a/modules/admin/deployment_json.cpp
+++ b/modules/admin/deployment_json.cpp
@@ -70,22 +70,20 @@
 
 } // namespace
 
-deployment_in_force parseDeploymentInForce(const nlohmann::json &Json) {
-  deployment_in_force Result;
-  auto &Summary = Result.Summary;
+deployment_summary parseDeploymentInForce(const nlohmann::json &Json) {
+  deployment_summary Summary;
   Summary.Version = deployment_version(read<std::uint64_t>(Json, "version"));
   Summary.IdleTransactionTimeout = readDuration(Json, "idle_transaction_ms");
   for (const auto &Route : readList(Json, "routes"))
     Summary.Routes.push_back(parseRoute(Route));
   for (const auto &Group : readList(Json, "groups"))
     Summary.Groups.push_back(parseGroup(Group));
-  Result.GatewayVms = read<std::size_t>(Json, "gateway_vms");
   if (!Json.contains("organisations"))
-    return Result;
+    return Summary;
   auto &Organisations = Summary.Organisations.emplace();
   for (const auto &Organisation : readList(Json, "organisations"))
     Organisations.push_back(parseOrganisation(Organisation));
-  return Result;
+  return Summary;
 }
 
 } // namespace teasellock
--- a/modules/control/operator_json.cpp
+++ b/modules/control/operator_json.cpp
@@ -140,8 +140,7 @@
                  {"routes", Routes},
                  {"groups", Groups},
                  {"idle_transaction_ms",
-                  toMilliseconds(Deployment.IdleTransactionTimeout)},
-                 {"gateway_vms", State.Index.GatewayVmCount}};
+                  toMilliseconds(Deployment.IdleTransactionTimeout)}};
   if (!Deployment.Organisations)
     return Result;
   Result["organisations"] = json::array();
--- a/modules/control/operator_json.h
+++ b/modules/control/operator_json.h
@@ -10,9 +10,8 @@
 /// Returns the rows of the table and its version.
 nlohmann::json tableJson(const control_state &State);
 
-/// Returns the deployment in force: version, routes, limits of the groups,
-/// organisations with fingerprints of their keys, and the number of VMs to
-/// which groups may be assigned.
+/// Returns the deployment in force: version, routes, limits of the groups, and
+/// organisations with fingerprints of their keys.
 nlohmann::json deploymentJson(const control_state &State);
 
 /// Returns one group: its state, the gateways' latest probes, and the reason if
--- a/modules/deployment/deployment_check.cpp
+++ b/modules/deployment/deployment_check.cpp
@@ -116,23 +116,17 @@
 }
 
 void findConnectionConflicts(const group_limits &Limits,
-                             std::size_t Organisations,
-                             std::optional<std::size_t> GatewayVms,
-                             problems &Problems) {
+                             std::size_t Organisations, problems &Problems) {
   // 0: as many as the upstreams announce, which is not known here.
   if (Limits.MaxConnections == 0)
     return;
-  std::string Connections = "the connections to each upstream (" +
-                            std::to_string(Limits.MaxConnections) +
-                            ") are fewer than the ";
   if (Limits.MaxConnections < Organisations)
     Problems.push_back(
-        {locationOf(Limits), Connections + std::to_string(Organisations) +
+        {locationOf(Limits), "the connections to each upstream (" +
+                                 std::to_string(Limits.MaxConnections) +
+                                 ") are fewer than the " +
+                                 std::to_string(Organisations) +
                                  " organisations with a limit above 0"});
-  if (GatewayVms && Limits.MaxConnections < *GatewayVms)
-    Problems.push_back({locationOf(Limits), Connections +
-                                                std::to_string(*GatewayVms) +
-                                                " VMs with the gateway role"});
 }
 
 void findBurstConflict(const organisation &Organisation, problems &Problems) {
@@ -163,15 +157,14 @@
 }
 
 std::vector<deployment_problem>
-findLimitConflicts(const deployment_proposal &Proposal,
-                   std::optional<std::size_t> GatewayVms) {
+findLimitConflicts(const deployment_proposal &Proposal) {
   const auto &Deployment = Proposal.Deployment;
   problems Problems;
   for (const auto &Route : Deployment.Routes)
     findTimeoutConflicts(Route, Deployment.IdleTransactionTimeout, Problems);
   std::size_t Organisations = limitedOrganisations(Deployment);
   for (const auto &Limits : Proposal.Groups)
-    findConnectionConflicts(Limits, Organisations, GatewayVms, Problems);
+    findConnectionConflicts(Limits, Organisations, Problems);
   if (Deployment.Organisations)
     for (const auto &Organisation : *Deployment.Organisations)
       findBurstConflict(Organisation, Problems);
--- a/modules/deployment/deployment_check.h
+++ b/modules/deployment/deployment_check.h
@@ -5,8 +5,6 @@
 
 #include "modules/deployment/deployment.h"
 
-#include <cstddef>
-#include <optional>
 #include <vector>
 
 namespace teasellock {
@@ -17,10 +15,8 @@
 std::vector<deployment_problem>
 findUnusedEntries(const deployment_proposal &Proposal);
 
-/// Returns the limits that contradict each other. GatewayVms is the number of
-/// VMs to which groups may be assigned; nullopt if it is not known.
+/// Returns the limits that contradict each other.
 std::vector<deployment_problem>
-findLimitConflicts(const deployment_proposal &Proposal,
-                   std::optional<std::size_t> GatewayVms);
+findLimitConflicts(const deployment_proposal &Proposal);
 
 } // namespace teasellock
