Gateway, line: one measure of a statement's size

Cause: sizeOf(statement_request) and the check of a statement's bytes existed at the listener and at the gateway service, with two constants of 4 KiB.

Change: modules/gateway/statement_size has the function, the constant OrdinaryStatementBytes and the check fitsBeside(). canSend() of the listener uses it and still admits a statement that is alone; the gateway does not admit one above its limit, as before. FreeBytesPerCaller stays for what a caller may buffer, which is another limit.

--- a/modules/gateway/gateway_service.cpp
+++ b/modules/gateway/gateway_service.cpp
@@ -3,6 +3,7 @@
 #include "core/event_log.h"
 #include "modules/gateway/group_gateway.h"
 #include "modules/gateway/refusals.h"
+#include "modules/gateway/statement_size.h"
 #include "modules/link/codec.h"
 
 namespace teasellock {
@@ -15,19 +16,6 @@
 const message_kind ReleaseKind(303);
 /// The link id that denotes this VM's own entry.
 const link_id LocalLink(0);
-/// Statements up to this size are accepted whatever others occupy.
-constexpr std::size_t OrdinaryStatementBytes = 4 * 1024;
-
-/// Returns the bytes of a statement and of the session values that it needs.
-std::size_t sizeOf(const wire::statement_request &Request) {
-  std::size_t Bytes = Request.line.text.size() + Request.line.shape.size() +
-                      Request.line.arguments.size();
-  for (const auto &Step : Request.steps)
-    Bytes += Step.sql.size();
-  for (const auto &[Name, Value] : Request.settings)
-    Bytes += Name.size() + Value.size();
-  return Bytes;
-}
 
 } // namespace
 
@@ -145,8 +133,7 @@
     if (Found == Groups.end())
       return refuse(Arrived, "this VM does not know the group", true);
     std::size_t Bytes = sizeOf(Arrived.Statement);
-    if (Bytes > OrdinaryStatementBytes &&
-        StatementBytes + Bytes > Settings.MaxStatementBytes)
+    if (!fitsBeside(StatementBytes, Bytes, Settings.MaxStatementBytes))
       return refuse(Arrived,
                     "the statements at the gateway use too much memory", false);
     countBytes(Arrived, Bytes);
--- a/modules/line/caller_limits.cpp
+++ b/modules/line/caller_limits.cpp
@@ -1,5 +1,7 @@
 #include "modules/line/caller_limits.h"
 
+#include "modules/gateway/statement_size.h"
+
 #include <algorithm>
 
 namespace teasellock {
@@ -51,8 +53,8 @@
 
 bool canSend(const caller_limits &Limits, std::size_t InFlightBytes,
              std::size_t Bytes) {
-  return Bytes <= FreeBytesPerCaller || InFlightBytes == 0 ||
-         InFlightBytes + Bytes <= Limits.MaxInFlightBytes;
+  return InFlightBytes == 0 ||
+         fitsBeside(InFlightBytes, Bytes, Limits.MaxInFlightBytes);
 }
 
 } // namespace teasellock
--- a/modules/line/caller_limits.h
+++ b/modules/line/caller_limits.h
@@ -56,7 +56,8 @@
                          std::size_t &Counted, std::size_t Bytes);
 
 /// Reports whether a statement of Bytes may be sent to a gateway beside those
-/// in flight. A statement of ordinary size always may.
+/// in flight. A statement of ordinary size always may, and so may the only one:
+/// it would never be sent otherwise.
 bool canSend(const caller_limits &Limits, std::size_t InFlightBytes,
              std::size_t Bytes);
 
--- a/modules/line/line_listener.cpp
+++ b/modules/line/line_listener.cpp
@@ -4,6 +4,7 @@
 #include "core/event_log.h"
 #include "core/listen_socket.h"
 #include "modules/deployment/organisation_index.h"
+#include "modules/gateway/statement_size.h"
 #include "modules/line/line_caller_state.h"
 #include "modules/line/operation_starter.h"
 
@@ -43,15 +44,6 @@
 
 using caller_id = line_caller_id;
 
-/// Returns the bytes of a request that its caller determines.
-std::size_t sizeOf(const wire::statement_request &Request) {
-  std::size_t Bytes = Request.line.text.size() + Request.line.shape.size() +
-                      Request.line.arguments.size();
-  for (const auto &[Name, Value] : Request.settings)
-    Bytes += Name.size() + Value.size();
-  return Bytes;
-}
-
 } // namespace
 
 struct line_listener::state {
--- a/modules/line/tests/test_caller_limits.cpp
+++ b/modules/line/tests/test_caller_limits.cpp
@@ -1,3 +1,4 @@
+#include "modules/gateway/statement_size.h"
 #include "modules/line/caller_limits.h"
 
 #include <doctest/doctest.h>
@@ -62,7 +63,7 @@
           "within the limit") {
   auto Limits = limitsFor({112 * Megabyte, 400});
   CHECK(canSend(Limits, 0, Megabyte));
-  CHECK(canSend(Limits, Limits.MaxInFlightBytes, FreeBytesPerCaller));
+  CHECK(canSend(Limits, Limits.MaxInFlightBytes, OrdinaryStatementBytes));
   CHECK_FALSE(canSend(Limits, Limits.MaxInFlightBytes, Megabyte));
 }
 
