--- a/modules/line/tests/test_operation_starter.cpp
+++ b/modules/line/tests/test_operation_starter.cpp
@@ -1,6 +1,5 @@
-#include "modules/line/line_caller_state.h"
 #include "modules/line/operation_starter.h"
-#include "platform/line_codec.h"
+#include "modules/line/tests/line_session_harness.h"
 
 #include <doctest/doctest.h>
 
@@ -11,37 +10,11 @@
 const organisation_id Organisation("miny420");
 
 /// A session whose statements are refused.
-struct refused_session {
-  deployment Deployment;
-  line_environment Environment;
-  line_caller_state Caller;
-  line_effects Effects;
-
-  refused_session() {
-    route Route;
-    Route.Database = database_id("db");
-    Route.Group = group_id("g");
-    Deployment.Version = deployment_version(1);
-    Deployment.Routes.push_back(Route);
-    Environment.Protocol = &platform::lineProtocol();
-    Environment.FindRoute = [this](const database_id &Database) {
-      return findRoute(Deployment, Database);
-    };
-    Environment.IsDeploymentKnown = [] { return true; };
-    Environment.NeedsKeys = [] { return false; };
-    send("START db key");
-  }
-  std::string send(const std::string &Line) {
-    Effects = {};
-    handleCallerMessage(Caller, Environment,
-                        platform::lineProtocol().ParseCaller(Line),
-                        transaction_id(1), Effects);
-    return Effects.Out;
-  }
+struct refused_session : line_session_harness {
+  refused_session() { sendMessage("START db key"); }
+
   std::string refuse(limit_verdict Verdict) {
-    Effects = {};
-    handleReply(Caller, Environment, refusalOf(Verdict, Organisation), Effects);
-    return Effects.Out;
+    return deliverReply(refusalOf(Verdict, Organisation));
   }
 };
 
@@ -198,7 +171,7 @@
 // against one code for both causes.
 TEST_CASE("line: a reached limit is TOOMANY, an unavailable limiter BUSY") {
   refused_session Session;
-  Session.send("QUERY 1 WRITE x 1");
+  Session.sendMessage("QUERY 1 WRITE x 1");
   REQUIRE(Session.Effects.Submit);
   // Empty: the caller has no organisation.
   REQUIRE(Session.Effects.BeginsOperationOf.has_value());
@@ -206,7 +179,7 @@
   auto Reached = Session.refuse(limit_verdict::LimitReached);
   CHECK(Reached.starts_with("ERR TOOMANY "));
   CHECK(Reached.ends_with("READY I -\r\n"));
-  Session.send("QUERY 2 READ x");
+  Session.sendMessage("QUERY 2 READ x");
   auto Unavailable = Session.refuse(limit_verdict::Unavailable);
   CHECK(Unavailable.starts_with("ERR BUSY "));
   CHECK(Unavailable.ends_with("READY I -\r\n"));
@@ -216,16 +189,16 @@
 // counts as open at a gateway that never had it.
 TEST_CASE("line: a refused first statement fails its transaction") {
   refused_session Session;
-  Session.send("QUERY 1 BEGIN");
-  Session.send("QUERY 2 READ x");
+  Session.sendMessage("QUERY 1 BEGIN");
+  Session.sendMessage("QUERY 2 READ x");
   REQUIRE(Session.Effects.Submit);
   CHECK(Session.Effects.Submit->opens_transaction);
   auto Refused = Session.refuse(limit_verdict::LimitReached);
   CHECK(Refused.starts_with("ERR TOOMANY "));
   CHECK(Refused.ends_with("READY E -\r\n"));
-  Session.send("QUERY 3 READ x");
+  Session.sendMessage("QUERY 3 READ x");
   CHECK_FALSE(Session.Effects.Submit);
-  CHECK(Session.send("QUERY 4 ROLLBACK").ends_with("READY I -\r\n"));
+  CHECK(Session.sendMessage("QUERY 4 ROLLBACK").ends_with("READY I -\r\n"));
   CHECK(isIdle(Session.Caller));
 }
 
