Tests: one start of the soak and the misuse program

Cause: tests/soak/main.cpp and tests/misuse/main.cpp had the same flags for the deployment and the same code around the run.

Change: tests/soak/test_program has both. The soak still handles SIGTERM and SIGINT itself; the misuse program does not, as before.

The other crowds were not run.

--- a/tests/misuse/main.cpp
+++ b/tests/misuse/main.cpp
@@ -3,12 +3,9 @@
 /// and descriptors stay under their bounds, and that an ordinary caller is
 /// served afterwards. Checks no times. What the oracle says of the upstreams is
 /// not used: it knows only the ordinary callers' statements.
-#include "core/event_log.h"
 #include "tests/misuse/scenarios.h"
-#include "tests/soak/deployment.h"
+#include "tests/soak/test_program.h"
 
-#include <CLI/CLI.hpp>
-#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
@@ -151,15 +148,10 @@
   return Passed ? 0 : 1;
 }
 
-int run(const misuse_options &Options, const scenario &Scenario) {
-  std::filesystem::create_directories(Options.Deployment.Folder);
-  event_loop Loop;
-  timer_service Timers(Loop);
-  metrics Metrics;
-  tracer Tracer;
-  daemon_context Context{Loop, Timers, Metrics, Tracer, {}};
+int run(daemon_context &Context, const misuse_options &Options,
+        const scenario &Scenario) {
   misuse_test Test(Context, Options, Scenario);
-  Loop.run();
+  Context.Loop.run();
   return Test.report();
 }
 
@@ -172,14 +164,7 @@
   Deployment.Entries = 3;
   Deployment.Groups = 1;
   Deployment.Callers = 3;
-  App.add_option("--program", Deployment.Program, "path of teasellockd")
-      ->required()
-      ->check(CLI::ExistingFile);
-  App.add_option("--folder", Deployment.Folder,
-                 "empty folder for logs and data")
-      ->required();
-  App.add_option("--network", Deployment.Network,
-                 "number of the loopback network");
+  soak::declareDeploymentFlags(App, Deployment);
   App.add_option("--entry-settings", Deployment.EntrySettings,
                  "settings file of the entry VMs");
   App.add_option("--scenario", Options.Scenario, "name of the crowd")
@@ -190,14 +175,8 @@
     std::cerr << "teasellock_misuse: unknown scenario\n";
     return 2;
   }
-  std::signal(SIGPIPE, SIG_IGN);
-  startEventLog(severity::Warning);
-  int Verdict = 1;
-  try {
-    Verdict = run(Options, *Scenario);
-  } catch (const std::exception &Problem) {
-    std::cerr << "teasellock_misuse: " << Problem.what() << "\n";
-  }
-  stopEventLog();
-  return Verdict;
+  return soak::runTest("teasellock_misuse", severity::Warning, Deployment,
+                       [&](daemon_context &Context) {
+                         return run(Context, Options, *Scenario);
+                       });
 }
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,10 +1,8 @@
-#include "core/error.h"
 #include "core/event_log.h"
 #include "tests/soak/faults.h"
+#include "tests/soak/test_program.h"
 
-#include <CLI/CLI.hpp>
 #include <csignal>
-#include <filesystem>
 #include <iostream>
 
 using namespace teasellock;
@@ -220,12 +218,7 @@
 
 void declareFlags(CLI::App &App, soak_options &Options) {
   auto &Deployment = Options.Deployment;
-  App.add_option("--program", Deployment.Program, "path of teasellockd")
-      ->required()
-      ->check(CLI::ExistingFile);
-  App.add_option("--folder", Deployment.Folder,
-                 "empty folder for logs and data")
-      ->required();
+  declareDeploymentFlags(App, Deployment);
   App.add_option("--seed", Deployment.Seed,
                  "seed of the random faults and load");
   App.add_option("--seconds", Options.Seconds, "duration of the faults")
@@ -234,23 +227,14 @@
   App.add_option("--controls", Deployment.Controls)->check(CLI::Range(3, 7));
   App.add_option("--groups", Deployment.Groups)->check(CLI::Range(1, 40));
   App.add_option("--callers", Deployment.Callers)->check(CLI::Range(1, 2000));
-  App.add_option(
-      "--network", Deployment.Network,
-      "number of the loopback network; concurrent tests need different ones");
   App.add_flag("!--calm", Options.Faults, "no faults");
 }
 
-int run(const soak_options &Options) {
-  std::filesystem::create_directories(Options.Deployment.Folder);
-  event_loop Loop;
-  timer_service Timers(Loop);
-  metrics Metrics;
-  tracer Tracer;
-  daemon_context Context{Loop, Timers, Metrics, Tracer, {}};
-  Loop.onSignal(SIGTERM, [&Loop] { Loop.stop(); });
-  Loop.onSignal(SIGINT, [&Loop] { Loop.stop(); });
+int run(daemon_context &Context, const soak_options &Options) {
+  Context.Loop.onSignal(SIGTERM, [&Context] { Context.Loop.stop(); });
+  Context.Loop.onSignal(SIGINT, [&Context] { Context.Loop.stop(); });
   soak_test Run(Context, Options);
-  Loop.run();
+  Context.Loop.run();
   return Run.report();
 }
 
@@ -261,14 +245,7 @@
   soak_options Options;
   declareFlags(App, Options);
   CLI11_PARSE(App, Count, Arguments);
-  std::signal(SIGPIPE, SIG_IGN);
-  startEventLog(severity::Info);
-  int Verdict = 1;
-  try {
-    Verdict = run(Options);
-  } catch (const std::exception &Problem) {
-    std::cerr << "teasellock_soak: " << Problem.what() << "\n";
-  }
-  stopEventLog();
-  return Verdict;
+  return runTest(
+      "teasellock_soak", severity::Info, Options.Deployment,
+      [&](daemon_context &Context) { return run(Context, Options); });
 }
