Line: limits, keys and sockets of callers out of the listener

Change: line_caller_connection has one caller's socket, buffers and pure decisions on timeouts; caller_usage counts the memory of all callers and closes for limits; deployment_lookup finds routes and keys and marks sessions whose key was removed. The listener keeps accepting, effects, statements and drains. Behaviour is unchanged.

--- a/modules/line/line_listener.cpp
+++ b/modules/line/line_listener.cpp
@@ -3,16 +3,14 @@
 #include "core/error.h"
 #include "core/event_log.h"
 #include "core/listen_socket.h"
-#include "modules/deployment/organisation_index.h"
 #include "modules/gateway/statement_size.h"
-#include "modules/line/line_caller_state.h"
+#include "modules/line/caller_usage.h"
+#include "modules/line/deployment_lookup.h"
+#include "modules/line/line_caller_connection.h"
 #include "modules/line/operation_starter.h"
 
 #include <cerrno>
 #include <cstring>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <set>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -21,7 +19,6 @@
 namespace {
 
 constexpr int ListenBacklog = 1024;
-constexpr std::size_t ReadBytes = 16 * 1024;
 /// A connection with more unsent output than this is closed: its caller does
 /// not read.
 constexpr std::size_t MaxOutputBytes = 4 * MaxLineBytes;
@@ -31,130 +28,65 @@
 /// How long a caller's first message is held back until a deployment is known:
 /// callers abandon a session after 2 s.
 constexpr duration DeploymentTimeout = std::chrono::milliseconds(1500);
-/// TCP_USER_TIMEOUT in milliseconds, for peers that lost power.
-constexpr unsigned TcpUserTimeoutMs = 10000;
 constexpr std::string_view LineEnd = "\r\n";
 
 /// A connection without a first message is closed for another one only after
 /// this.
 constexpr duration UnstartedGracePeriod = std::chrono::seconds(1);
-/// Shortest time between two log lines about callers that are closed for a
-/// limit.
-constexpr duration LimitLogInterval = std::chrono::seconds(1);
 
 using caller_id = line_caller_id;
+using connection = line_caller_connection;
 
 } // namespace
 
 struct line_listener::state {
-  struct connection {
-    caller_id Id;
-    int Socket = -1;
-    descriptor_watch Watch;
-    std::string Input;
-    std::string Out;
-    std::size_t OutStart = 0;
-    line_caller_state Caller;
-    std::optional<request_id> Request;
-    time_point LastActivityAt;
-    time_point AcceptedAt;
-    /// When the message that is not complete yet began.
-    std::optional<time_point> MessageStartedAt;
-    /// Since when no byte of the output could be written.
-    std::optional<time_point> UnreadSince;
-    /// What it counts for in Buffered, and the bytes of the statement in
-    /// flight.
-    std::size_t CountedBytes = 0;
-    std::size_t InFlightBytes = 0;
-    bool Closing = false;
-    /// The caller's key was removed: the session is closed once it is idle.
-    bool KeyRevoked = false;
-
-    std::size_t unsentBytes() const { return Out.size() - OutStart; }
-    std::size_t bufferedBytes() const {
-      return Input.size() + Out.size() + Caller.StoredBytes;
-    }
-  };
-
   daemon_context &Context;
   member_agent &Member;
   statement_router &Router;
   operation_starter Operations;
   line_listener_settings Settings;
+  deployment_lookup Lookup;
   line_environment Environment;
-  organisation_index Organisations;
-  /// The version that the keys of the open sessions were last checked against.
-  deployment_version KeysCheckedAgainst;
+  caller_usage Usage;
   int Listener = -1;
   descriptor_watch ListenerWatch;
   timer_subscription AcceptRetryTimer;
   timer_subscription CheckTimer;
-  std::map<caller_id, std::unique_ptr<connection>> Connections;
+  line_caller_connections Connections;
   std::uint64_t LastCallerId = 0;
-  buffer_usage Buffered;
-  std::size_t InFlightBytes = 0;
   std::optional<time_point> DrainingSince;
   std::function<void()> OnDrained;
-  gauge &Callers;
-  gauge &BufferedBytes;
-  counter &ClosedForLimits;
   latency_histogram &StatementSeconds;
-  time_point LimitLoggedAt;
   std::shared_ptr<state *> Self = std::make_shared<state *>(this);
 
   state(daemon_context &Context, member_agent &Member, statement_router &Router,
         limit_service &Limits, line_listener_settings ListenerSettings)
       : Context(Context), Member(Member), Router(Router),
         Operations(Context.Loop, Limits, operationHooks()),
-        Settings(std::move(ListenerSettings)),
-        Callers(Context.Metrics.gaugeOf("teasellock_callers")),
-        BufferedBytes(
-            Context.Metrics.gaugeOf("teasellock_caller_buffered_bytes")),
-        ClosedForLimits(Context.Metrics.counterOf(
-            "teasellock_callers_closed_for_limits_total")),
+        Settings(std::move(ListenerSettings)), Lookup(Member),
+        Environment(Lookup.makeEnvironment(Settings.Protocol)),
+        Usage(Context, Settings.Limits),
         StatementSeconds(
-            Context.Metrics.histogramOf("teasellock_statement_seconds")) {
-    Environment.Protocol = Settings.Protocol;
-    Environment.FindRoute = [&Member](const database_id &Database) {
-      return findRoute(Member.currentDeployment(), Database);
-    };
-    Environment.IsDeploymentKnown = [&Member] {
-      return Member.currentDeployment().Version != deployment_version();
-    };
-    Environment.NeedsKeys = [this] { return currentOrganisations().NeedsKeys; };
-    Environment.FindOrganisation = [this](const key_digest &Key) {
-      return findOrganisation(currentOrganisations(), Key);
-    };
-  }
+            Context.Metrics.histogramOf("teasellock_statement_seconds")) {}
 
   ~state() {
     Self.reset();
-    for (auto &[Id, Connection] : Connections)
-      ::close(Connection->Socket);
     if (Listener >= 0)
       ::close(Listener);
   }
 
   time_point now() const { return Context.Timers.now(); }
-  const organisation_index &currentOrganisations() {
-    updateIndex(Organisations, Member.currentDeployment());
-    return Organisations;
-  }
   connection *findConnection(caller_id Id) {
     auto Found = Connections.find(Id);
     return Found == Connections.end() ? nullptr : Found->second.get();
   }
 
-  const caller_limits &limits() const { return Settings.Limits; }
+  const caller_limits &limits() const { return Usage.limits(); }
 
   void acceptConnections();
   bool closeUnstartedConnection();
-  void closeForLimit(connection &Connection, const char *Reason);
-  bool isWithinBuffers(connection &Connection);
-  void endInFlight(connection &Connection);
   void addConnection(int Socket);
   void onReady(caller_id Id, readiness Ready);
-  bool readFrom(connection &Connection);
   void processInput(connection &Connection);
   bool isAwaitingDeployment(const connection &Connection) const;
   void applyEffects(connection &Connection, line_effects Effects);
@@ -162,7 +94,6 @@
   void submit(connection &Connection, wire::statement_request Request);
   void refuseInFlight(connection &Connection);
   void onReply(caller_id Id, const wire::statement_reply &Reply);
-  bool flush(connection &Connection);
   void continueInput(caller_id Id);
   void flushAndUpdate(caller_id Id);
   void closeConnection(caller_id Id);
@@ -170,7 +101,6 @@
   void checkIdleTimeouts(connection &Connection);
   bool shouldCloseForDrain(const connection &Connection) const;
   bool shouldClose(const connection &Connection) const;
-  void checkKeys();
   void checkDrained();
 };
 
@@ -204,20 +134,14 @@
     ::close(Socket);
     return;
   }
-  int Enable = 1;
-  ::setsockopt(Socket, IPPROTO_TCP, TCP_NODELAY, &Enable, sizeof(Enable));
-  ::setsockopt(Socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &TcpUserTimeoutMs,
-               sizeof(TcpUserTimeoutMs));
-  auto Connection = std::make_unique<connection>();
-  Connection->Id = caller_id(++LastCallerId);
-  Connection->Socket = Socket;
-  Connection->LastActivityAt = now();
-  Connection->AcceptedAt = now();
+  configureCallerSocket(Socket);
+  auto Connection =
+      std::make_unique<connection>(caller_id(++LastCallerId), Socket, now());
   Connection->Watch = Context.Loop.watch(
       Socket, {true, false},
       [this, Id = Connection->Id](readiness Ready) { onReady(Id, Ready); });
   Connections[Connection->Id] = std::move(Connection);
-  Callers.set(static_cast<double>(Connections.size()));
+  Usage.setCallers(Connections.size());
 }
 
 /// Makes room for a new connection: closes the oldest one that has not sent its
@@ -228,70 +152,27 @@
       return false;
     if (Connection->Caller.Phase != line_caller_state::phase::Start)
       continue;
-    closeForLimit(*Connection, "more callers wait than may be open");
+    Usage.closeForLimit(*Connection, "more callers wait than may be open");
     closeConnection(Id);
     return true;
   }
   return false;
 }
 
-void line_listener::state::closeForLimit(connection &Connection,
-                                         const char *Reason) {
-  ClosedForLimits.add();
-  if (now() - LimitLoggedAt >= LimitLogInterval) {
-    LimitLoggedAt = now();
-    event("caller.closed_for_limit", severity::Warning)
-        .with("reason", Reason)
-        .with("input_bytes",
-              static_cast<std::uint64_t>(Connection.Input.size()))
-        .with("output_bytes",
-              static_cast<std::uint64_t>(Connection.unsentBytes()))
-        .with("buffered_bytes", static_cast<std::uint64_t>(Buffered.Total))
-        .with("callers", static_cast<std::uint64_t>(Connections.size()));
-  }
-  Connection.Closing = true;
-}
-
-/// Counts what a connection buffers. Returns false if it has to be closed.
-bool line_listener::state::isWithinBuffers(connection &Connection) {
-  bool Fits = recordBufferedBytes(Buffered, limits(), Connection.CountedBytes,
-                                  Connection.bufferedBytes());
-  BufferedBytes.set(static_cast<double>(Buffered.Total));
-  if (!Fits)
-    closeForLimit(Connection, "callers buffer too many bytes");
-  return Fits;
-}
-
-void line_listener::state::endInFlight(connection &Connection) {
-  InFlightBytes -= std::exchange(Connection.InFlightBytes, 0);
-}
-
 void line_listener::state::onReady(caller_id Id, readiness Ready) {
   auto *Connection = findConnection(Id);
   if (!Connection)
     return;
-  if (Ready.Readable && !readFrom(*Connection))
+  if (Ready.Readable && !receive(*Connection, now()))
     return closeConnection(Id);
-  if (Ready.Writable && !flush(*Connection))
+  if (Ready.Writable && !flush(*Connection, now()))
     return closeConnection(Id);
   processInput(*Connection);
-  if (!isWithinBuffers(*Connection))
+  if (!Usage.recordBuffers(*Connection))
     return closeConnection(Id);
   flushAndUpdate(Id);
 }
 
-bool line_listener::state::readFrom(connection &Connection) {
-  char Buffer[ReadBytes];
-  ssize_t Count = ::recv(Connection.Socket, Buffer, sizeof(Buffer), 0);
-  if (Count > 0) {
-    Connection.Input.append(Buffer, static_cast<std::size_t>(Count));
-    Connection.LastActivityAt = now();
-    return true;
-  }
-  return Count < 0 &&
-         (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
-}
-
 void line_listener::state::processInput(connection &Connection) {
   std::size_t Start = 0;
   while (!Connection.Closing && !isAwaitingDeployment(Connection) &&
@@ -316,14 +197,7 @@
     }
     applyEffects(Connection, std::move(Effects));
   }
-  Connection.Input.erase(0, Start);
-  // A long message leaves a large buffer behind.
-  if (Connection.Input.capacity() > Connection.Input.size() + ReadBytes)
-    Connection.Input.shrink_to_fit();
-  if (Connection.Input.empty())
-    Connection.MessageStartedAt.reset();
-  else if (Start > 0 || !Connection.MessageStartedAt)
-    Connection.MessageStartedAt = now();
+  removeInput(Connection, Start, now());
 }
 
 /// Reports whether the first message is held back. A VM that has just started
@@ -379,11 +253,8 @@
 
 void line_listener::state::submit(connection &Connection,
                                   wire::statement_request Request) {
-  std::size_t Bytes = sizeOf(Request);
-  if (!canSend(limits(), InFlightBytes, Bytes))
+  if (!Usage.beginStatement(Connection, sizeOf(Request)))
     return refuseInFlight(Connection);
-  Connection.InFlightBytes = Bytes;
-  InFlightBytes += Bytes;
   span Span = Context.Tracer.startSpan("entry.statement", {});
   Span.setAttribute("group", Request.group);
   std::string TraceParent = toTraceParent(Span.context());
@@ -408,7 +279,7 @@
   if (!Connection)
     return;
   Connection->Request.reset();
-  endInFlight(*Connection);
+  Usage.endStatement(*Connection);
   Connection->LastActivityAt = now();
   Operations.handleReply(Id, Reply);
   if (!Reply.code.empty())
@@ -422,33 +293,11 @@
   teasellock::handleReply(Connection->Caller, Environment, Reply, Effects);
   applyEffects(*Connection, std::move(Effects));
   processInput(*Connection);
-  if (!isWithinBuffers(*Connection))
+  if (!Usage.recordBuffers(*Connection))
     return closeConnection(Id);
   flushAndUpdate(Id);
 }
 
-bool line_listener::state::flush(connection &Connection) {
-  auto &Out = Connection.Out;
-  while (Connection.OutStart < Out.size()) {
-    ssize_t Count = ::send(Connection.Socket, Out.data() + Connection.OutStart,
-                           Out.size() - Connection.OutStart, MSG_NOSIGNAL);
-    if (Count > 0) {
-      Connection.OutStart += static_cast<std::size_t>(Count);
-      Connection.UnreadSince.reset();
-      continue;
-    }
-    if (errno == EINTR)
-      continue;
-    if (!Connection.UnreadSince)
-      Connection.UnreadSince = now();
-    return errno == EAGAIN || errno == EWOULDBLOCK;
-  }
-  std::string().swap(Out);
-  Connection.OutStart = 0;
-  Connection.UnreadSince.reset();
-  return true;
-}
-
 /// Handles the messages that were held back until the output had been written.
 void line_listener::state::continueInput(caller_id Id) {
   std::weak_ptr<state *> Weak = Self;
@@ -467,7 +316,7 @@
   if (!Connection)
     return;
   bool WasHeldBack = Connection->unsentBytes() > limits().MaxUnreadBytes;
-  if (!flush(*Connection) || Connection->unsentBytes() > MaxOutputBytes)
+  if (!flush(*Connection, now()) || Connection->unsentBytes() > MaxOutputBytes)
     return closeConnection(Id);
   if (WasHeldBack && Connection->unsentBytes() <= limits().MaxUnreadBytes)
     continueInput(Id);
@@ -485,11 +334,8 @@
   if (Extracted.empty())
     return;
   auto &Connection = *Extracted.mapped();
-  Buffered.Total -= Connection.CountedBytes;
-  endInFlight(Connection);
-  Callers.set(static_cast<double>(Connections.size()));
-  Connection.Watch = descriptor_watch();
-  ::close(Connection.Socket);
+  Usage.remove(Connection);
+  Usage.setCallers(Connections.size());
   if (Connection.Request)
     Router.cancel(*Connection.Request);
   Operations.handleDisconnect(Id);
@@ -518,39 +364,13 @@
   return IsRevoked || shouldCloseForDrain(Connection);
 }
 
-/// Finds the sessions whose key a new version of the deployment has removed.
-void line_listener::state::checkKeys() {
-  auto Version = Member.currentDeployment().Version;
-  if (std::exchange(KeysCheckedAgainst, Version) == Version)
-    return;
-  std::uint64_t Revoked = 0;
-  for (auto &[Id, Connection] : Connections) {
-    Connection->KeyRevoked = isKeyRevoked(Connection->Caller, Environment);
-    Revoked += Connection->KeyRevoked;
-  }
-  if (Revoked > 0)
-    event("caller.keys_revoked")
-        .with("version", Version.Value)
-        .with("sessions", Revoked);
-}
-
 void line_listener::state::checkIdleTimeouts(connection &Connection) {
   duration Idle = now() - Connection.LastActivityAt;
-  bool StartTimedOut =
-      Connection.Caller.Phase == line_caller_state::phase::Start &&
-      now() - Connection.AcceptedAt > limits().StartTimeout;
-  bool MessageTimedOut =
-      Connection.MessageStartedAt &&
-      Connection.Caller.Phase != line_caller_state::phase::Busy &&
-      now() - *Connection.MessageStartedAt > limits().MessageTimeout;
-  bool WriteTimedOut = Connection.UnreadSince &&
-                       now() - *Connection.UnreadSince > limits().WriteTimeout;
-  if (!Connection.Closing && (StartTimedOut || MessageTimedOut))
-    closeForLimit(Connection, "a message is not complete in time");
-  if (!Connection.Closing && WriteTimedOut) {
-    closeForLimit(Connection, "the output is not read");
-    Connection.Out.clear();
-    Connection.OutStart = 0;
+  if (!Connection.Closing && isInputOverdue(Connection, limits(), now()))
+    Usage.closeForLimit(Connection, "a message is not complete in time");
+  if (!Connection.Closing && isOutputOverdue(Connection, limits(), now())) {
+    Usage.closeForLimit(Connection, "the output is not read");
+    discardOutput(Connection);
   }
   duration Limit = Member.currentDeployment().IdleTransactionTimeout;
   if (Limit <= duration::zero() || Idle <= Limit)
@@ -561,7 +381,7 @@
 }
 
 void line_listener::state::checkConnections() {
-  checkKeys();
+  Lookup.checkKeys(Connections, Environment);
   std::vector<caller_id> Affected;
   for (auto &[Id, Connection] : Connections) {
     checkIdleTimeouts(*Connection);
