Membership: orders to the gateway and announcements out of the agent

Change: gateway_orders receives the leader's fence, resume and promote requests; pending_announcements has the pure decisions on which announcements are sent. The agent keeps renewals, views, drain and forwarding. Behaviour is unchanged.

--- a/modules/membership/member_agent.cpp
+++ b/modules/membership/member_agent.cpp
@@ -5,38 +5,29 @@
 #include "modules/control/message_kinds.h"
 #include "modules/link/codec.h"
 #include "modules/membership/control_selection.h"
+#include "modules/membership/gateway_orders.h"
 #include "modules/membership/member_state.h"
 #include "modules/membership/operator_forwarding.h"
+#include "modules/membership/pending_announcements.h"
 #include "modules/membership/renewal_schedule.h"
 
-#include <algorithm>
-
 namespace teasellock {
 
 namespace {
 
 /// Minimum time between an early renewal and the one before it.
 const duration MinRenewalInterval = fromMilliseconds(5);
-/// An announcement is sent with every renewal until the views show it, but not
-/// for longer than this, as the platform repeats it.
-const duration AnnouncementTimeout = fromMilliseconds(3000);
 /// Timeout of a forwarded operator request.
 const duration ForwardTimeout = fromMilliseconds(10000);
 
-/// An announcement that the views don't reflect yet.
-struct pending_announcement {
-  upstream_announcement Announcement;
-  time_point ReceivedAt;
-};
-
 } // namespace
 
 struct member_agent::state {
   daemon_context &Context;
   link_hub &Hub;
   membership_settings Settings;
-  gateway_hooks Gateway;
   member_state Member;
+  gateway_orders Orders;
   std::vector<std::function<void(const group_view &)>> ViewListeners;
   std::vector<std::function<void()>> LimiterListeners;
   control_selection Control;
@@ -44,8 +35,7 @@
   /// Where the last renewal was sent.
   std::optional<endpoint> RenewalTarget;
   time_point LastRenewalAt;
-  std::map<std::pair<group_id, upstream_id>, pending_announcement>
-      PendingAnnouncements;
+  pending_announcements Announcements;
   forwarded_requests ForwardedRequests;
   bool Draining = false;
   /// Control has granted a renewal of this incarnation.
@@ -60,6 +50,7 @@
 
   state(daemon_context &Context, link_hub &Hub, membership_settings Settings)
       : Context(Context), Hub(Hub), Settings(std::move(Settings)),
+        Orders(Hub, Member),
         UnansweredRenewals(Context.Metrics.counterOf(
             "teasellock_membership_unanswered_renewals_total")),
         LateReplies(Context.Metrics.counterOf(
@@ -90,15 +81,8 @@
   void updateControlEndpoints(const wire::renewal_reply &Reply);
   void onViewPush(link_id Link, link_message &&Message);
   void notifyViewListeners(const std::vector<group_id> &Changed);
-  void onFence(link_id Link, link_message &&Message);
-  void onResume(link_id Link, link_message &&Message);
-  void onPromote(link_id Link, link_message &&Message);
   void onOperatorReply(link_id Link, link_message &&Message);
   void forward(forwarded_request Request);
-  void removeVisibleAnnouncements();
-  template <typename Reply>
-  void sendReply(link_id Link, request_id Request, std::int16_t Kind,
-                 const Reply &Body);
 };
 
 std::optional<endpoint> member_agent::state::chooseControl() {
@@ -112,10 +96,9 @@
   Renewal.draining = Draining;
   Renewal.control_store = static_cast<std::int64_t>(ControlStore.Value);
   Renewal.gateway = Settings.IsGateway;
-  if (Gateway.BuildReports)
-    Renewal.groups = Gateway.BuildReports();
-  removeVisibleAnnouncements();
-  for (const auto &[Key, Pending] : PendingAnnouncements)
+  Renewal.groups = Orders.buildReports();
+  removeVisible(Announcements, Member.Views, now());
+  for (const auto &[Key, Pending] : Announcements)
     Renewal.announcements.push_back(toWire(Pending.Announcement));
   return Renewal;
 }
@@ -292,71 +275,6 @@
     Control.Named = std::move(Named);
 }
 
-void member_agent::state::onResume(link_id, link_message &&Message) {
-  auto Resume = decode<wire::resume>(Message.Body, "control");
-  event("membership.resume").with("group", Resume.group);
-  if (Gateway.Resume)
-    Gateway.Resume(group_id(Resume.group));
-}
-
-template <typename Reply>
-void member_agent::state::sendReply(link_id Link, request_id Request,
-                                    std::int16_t Kind, const Reply &Body) {
-  Hub.send(Link, {message_kind(Kind), Request, encode(Body), ""});
-}
-
-void member_agent::state::onFence(link_id Link, link_message &&Message) {
-  auto Fence = decode<wire::fence>(Message.Body, "control");
-  event("membership.fence").with("group", Fence.group).with("term", Fence.term);
-  auto Request = Message.Request;
-  if (!Gateway.Fence) {
-    // A VM without the gateway role has never acknowledged anything.
-    wire::fence_reply Reply;
-    Reply.group = Fence.group;
-    Reply.term = Fence.term;
-    sendReply(Link, Request, FenceReplyKind, Reply);
-    return;
-  }
-  Gateway.Fence(Fence, [this, Link, Request](wire::fence_reply Reply) {
-    sendReply(Link, Request, FenceReplyKind, Reply);
-  });
-}
-
-void member_agent::state::onPromote(link_id Link, link_message &&Message) {
-  auto Order = decode<wire::promote>(Message.Body, "control");
-  auto Request = Message.Request;
-  std::string Problem = Gateway.Promote ? promotionRefusal(Member, Order)
-                                        : "this VM is not a gateway";
-  event("membership.promote")
-      .with("group", Order.group)
-      .with("upstream", Order.upstream)
-      .with("term", Order.term)
-      .with("problem", Problem);
-  if (!Problem.empty()) {
-    wire::promote_reply Reply;
-    Reply.group = Order.group;
-    Reply.upstream = Order.upstream;
-    Reply.term = Order.term;
-    Reply.problem = Problem;
-    sendReply(Link, Request, PromoteReplyKind, Reply);
-    return;
-  }
-  Gateway.Promote(Order, [this, Link, Request](wire::promote_reply Reply) {
-    sendReply(Link, Request, PromoteReplyKind, Reply);
-  });
-}
-
-void member_agent::state::removeVisibleAnnouncements() {
-  std::erase_if(PendingAnnouncements, [&](const auto &Entry) {
-    const auto &[Announcement, ReceivedAt] = Entry.second;
-    auto View = Member.Views.find(Announcement.Group);
-    bool IsVisible = View != Member.Views.end() &&
-                     std::count(View->second.Upstreams.begin(),
-                                View->second.Upstreams.end(), Announcement) > 0;
-    return IsVisible || now() - ReceivedAt > AnnouncementTimeout;
-  });
-}
-
 void member_agent::state::forward(forwarded_request Request) {
   auto Target = chooseControl();
   auto Number = Hub.nextRequest();
@@ -393,13 +311,11 @@
   };
   Receive(RenewalReplyKind, &state::onRenewalReply);
   Receive(ViewPushKind, &state::onViewPush);
-  Receive(FenceKind, &state::onFence);
-  Receive(PromoteKind, &state::onPromote);
-  Receive(ResumeKind, &state::onResume);
   Receive(OperatorReplyKind, &state::onOperatorReply);
   Hub.registerReceiver(
       message_kind(NudgeKind), message_kind(NudgeKind),
       [this](link_id, link_message &&) { scheduleEarlyRenewal(); });
+  Orders.start();
   link_events Events;
   Events.Opened = [this](link_id, const link_peer &) {
     if (!teasellock::isLeaseValid(Member, now()))
@@ -423,7 +339,7 @@
 member_agent::~member_agent() = default;
 
 void member_agent::attachGateway(gateway_hooks Hooks) {
-  State->Gateway = std::move(Hooks);
+  State->Orders.attach(std::move(Hooks));
 }
 
 void member_agent::start() { State->start(); }
@@ -476,11 +392,8 @@
 revision member_agent::appliedRevision() const { return State->Member.Applied; }
 
 void member_agent::announce(const upstream_announcement &Announcement) {
-  State->PendingAnnouncements[{Announcement.Group, Announcement.Upstream}] = {
-      Announcement, State->now()};
-  State->removeVisibleAnnouncements();
-  if (State->PendingAnnouncements.contains(
-          {Announcement.Group, Announcement.Upstream}))
+  if (addAnnouncement(State->Announcements, Announcement, State->Member.Views,
+                      State->now()))
     State->scheduleEarlyRenewal();
 }
 
