--- a/tests/stand_in/session_execution.cpp
+++ b/tests/stand_in/session_execution.cpp
@@ -40,6 +40,7 @@
   case statement_kind::Show:
   case statement_kind::Reset:
   case statement_kind::DiscardAll:
+  case statement_kind::Deallocate:
   case statement_kind::AlterSystem:
     return executeSetting(Statement);
   default:
@@ -197,6 +198,12 @@
     Settings = StartupSettings;
     Prepared.clear();
     return Result;
+  case statement_kind::Deallocate:
+    if (Prepared.erase(Name) == 0)
+      throw sql_error("26000",
+                      "prepared statement \"" + Name + "\" does not exist");
+    Result.CommandTag = "DEALLOCATE";
+    return Result;
   case statement_kind::AlterSystem:
     Server.alterSystem(Name, Statement.Text);
     Result.CommandTag = "ALTER SYSTEM";
--- a/tests/stand_in/statement.h
+++ b/tests/stand_in/statement.h
@@ -62,6 +62,7 @@
   Show,
   Reset,
   DiscardAll,
+  Deallocate,
   AlterSystem
 };
 
@@ -74,7 +75,8 @@
 /// A parsed statement. Kind determines which members are used.
 struct statement {
   statement_kind Kind = statement_kind::Empty;
-  /// The table, or the setting of SET, SHOW, RESET and ALTER SYSTEM.
+  /// The table, the setting of SET, SHOW, RESET and ALTER SYSTEM, or the
+  /// prepared statement of DEALLOCATE.
   std::string Name;
   std::string Text; // value of SET and ALTER SYSTEM
   bool IfExists = false;
--- a/tests/stand_in/statement_parser.cpp
+++ b/tests/stand_in/statement_parser.cpp
@@ -298,6 +298,8 @@
     Statement.Kind = statement_kind::DiscardAll;
     return Statement;
   }
+  if (Reader.acceptWord("deallocate"))
+    return parseNamed(Reader, statement_kind::Deallocate);
   Reader.throwSyntaxError();
 }
 
