Upstream: execution of operations out of the connection

Change: operation_execution decides what is sent and what becomes of each result, libpq_support has the conversions, and the connection opens, waits and closes. The execution returns a step instead of closing the connection itself. Behaviour is unchanged.

--- a/modules/upstream/upstream_connection.cpp
+++ b/modules/upstream/upstream_connection.cpp
@@ -1,7 +1,7 @@
 #include "modules/upstream/upstream_connection.h"
 
-#include "modules/upstream/message_encoder.h"
-#include "modules/upstream/statement_cache.h"
+#include "modules/upstream/libpq_support.h"
+#include "modules/upstream/operation_execution.h"
 
 #include <cerrno>
 #include <cstring>
@@ -9,108 +9,6 @@
 
 namespace teasellock {
 
-namespace {
-
-constexpr std::size_t MaxPreparedStatements = 256;
-constexpr const char *FeatureNotSupported = "0A000";
-constexpr const char *InvalidStatementName = "26000";
-
-/// One message exchange of an operation.
-enum class phase_kind {
-  Query,
-  Prepare,
-  Execute,
-  ExecuteUnprepared,
-  Describe,
-  Deallocate,
-};
-
-struct phase {
-  phase_kind Kind;
-  std::size_t Operation;
-  std::string Name;
-};
-
-struct result_deleter {
-  void operator()(PGresult *Result) const { PQclear(Result); }
-};
-using result_ptr = std::unique_ptr<PGresult, result_deleter>;
-
-text_table toTable(const PGresult *Result) {
-  text_table Table;
-  for (int Row = 0; Row < PQntuples(Result); ++Row) {
-    std::vector<std::string> &Values = Table.Rows.emplace_back();
-    for (int Column = 0; Column < PQnfields(Result); ++Column)
-      Values.emplace_back(PQgetvalue(Result, Row, Column));
-  }
-  return Table;
-}
-
-bool changesSession(std::string_view Tag) {
-  static constexpr std::string_view Tags[] = {
-      "SET",     "RESET", "PREPARE",        "DEALLOCATE", "DECLARE CURSOR",
-      "LISTEN",  "LOAD",  "DEALLOCATE ALL", "DISCARD",    "DISCARD ALL",
-      "UNLISTEN"};
-  for (std::string_view Known : Tags)
-    if (Tag == Known)
-      return true;
-  return false;
-}
-
-/// The parameters of one execution as arrays for libpq.
-struct parameter_arrays {
-  std::vector<const char *> Values;
-  std::vector<int> Lengths;
-  std::vector<int> Formats;
-
-  explicit parameter_arrays(const std::vector<wire::parameter> &Parameters) {
-    for (const wire::parameter &Parameter : Parameters) {
-      Values.push_back(Parameter.null_value ? nullptr
-                                            : Parameter.value.c_str());
-      Lengths.push_back(static_cast<int>(Parameter.value.size()));
-      Formats.push_back(Parameter.format);
-    }
-  }
-};
-
-std::vector<Oid> toOids(const std::vector<std::int32_t> &Types) {
-  return std::vector<Oid>(Types.begin(), Types.end());
-}
-
-std::string trimmed(const char *Text) {
-  std::string Line(Text ? Text : "");
-  while (!Line.empty() && Line.back() == '\n')
-    Line.pop_back();
-  return Line;
-}
-
-PGconn *startConnection(const upstream_target &Target) {
-  std::string Port = std::to_string(Target.Address.Port);
-  std::vector<const char *> Names;
-  std::vector<const char *> Values;
-  auto Add = [&](const char *Name, const std::string &Value) {
-    if (Value.empty())
-      return;
-    Names.push_back(Name);
-    Values.push_back(Value.c_str());
-  };
-  Add("hostaddr", Target.Address.Address);
-  Add("port", Port);
-  Add("dbname", Target.Database);
-  Add("user", Target.User);
-  Add("password", Target.Password);
-  Add("application_name", Target.ApplicationName);
-  Add("sslmode", Target.SslMode);
-  Add("sslrootcert", Target.SslRootCertificate);
-  static const std::string Disable = "disable";
-  Add("gssencmode", Disable);
-  Names.push_back(nullptr);
-  Values.push_back(nullptr);
-  return PQconnectStartParams(Names.data(), Values.data(), 0);
-}
-
-} // namespace
-
 upstream_operation hiddenQuery(std::string Sql) {
   upstream_operation Operation;
   Operation.Step.kind = wire::step_kind::simple;
@@ -135,8 +33,7 @@
 struct upstream_connection::state
     : std::enable_shared_from_this<upstream_connection::state> {
   state(daemon_context &Context, upstream_target Target)
-      : Context(Context), Target(std::move(Target)),
-        Prepared(MaxPreparedStatements), Encoder({}) {}
+      : Context(Context), Target(std::move(Target)) {}
 
   ~state() {
     if (Connection)
@@ -155,18 +52,11 @@
   bool Open = false;
   bool Closed = false;
   time_point LastReceivedAt;
-  statement_cache Prepared;
 
   // The current execution.
   bool Running = false;
-  std::vector<upstream_operation> Operations;
-  std::vector<phase> Phases;
-  std::size_t CurrentPhase = 0;
-  bool Pipelined = false;
-  bool DescribedRows = false;
   execution_callbacks Events;
-  execution_result Result;
-  message_encoder Encoder;
+  operation_execution Execution;
 
   std::string peer() const { return toString(Target.Address); }
 
@@ -174,7 +64,7 @@
     Connection = startConnection(Target);
     if (!Connection || PQstatus(Connection) == CONNECTION_BAD) {
       std::string Problem =
-          Connection ? trimmed(PQerrorMessage(Connection)) : "out of memory";
+          Connection ? problemOf(Connection) : "out of memory";
       Context.Loop.post(
           [Self = shared_from_this(), Problem] { Self->failOpening(Problem); });
       return;
@@ -190,13 +80,8 @@
 
   static void receiveNotice(void *Argument, const PGresult *Notice) {
     auto *Self = static_cast<state *>(Argument);
-    if (Self->Running && !Self->Events.Collect && !Self->isHidden())
-      Self->Encoder.noticeResponse(Notice);
-  }
-
-  bool isHidden() const {
-    return CurrentPhase < Phases.size() &&
-           Operations[Phases[CurrentPhase].Operation].Hidden;
+    if (Self->Running)
+      Self->Execution.handleNotice(Notice);
   }
 
   void watchSocket(readiness Wanted) {
@@ -227,7 +112,7 @@
   void pollConnecting() {
     PostgresPollingStatusType Status = PQconnectPoll(Connection);
     if (Status == PGRES_POLLING_FAILED)
-      return failOpening(trimmed(PQerrorMessage(Connection)));
+      return failOpening(problemOf(Connection));
     if (Status == PGRES_POLLING_READING)
       return watchSocket({true, false});
     if (Status == PGRES_POLLING_WRITING)
@@ -269,22 +154,29 @@
     });
   }
 
-  void execute(std::vector<upstream_operation> NewOperations,
+  void execute(std::vector<upstream_operation> Operations,
                execution_callbacks NewEvents) {
-    Operations = std::move(NewOperations);
     Events = std::move(NewEvents);
-    Result = execution_result();
-    Encoder = message_encoder(Events.OnPart);
-    Running = true;
-    CurrentPhase = 0;
-    if (Closed || !Open) {
-      Running = false;
+    if (Closed || !Open)
       return reportLater("connection is closed");
+    Running = true;
+    carryOut(Execution.begin(Connection, std::move(Operations), Events.OnPart,
+                             Events.Collect));
+  }
+
+  void carryOut(execution_step Step) {
+    switch (Step) {
+    case execution_step::Continue:
+      return;
+    case execution_step::Flush:
+      if (!flush())
+        handleConnectionLoss();
+      return;
+    case execution_step::Finish:
+      return finish(std::nullopt);
+    case execution_step::ConnectionLost:
+      return handleConnectionLoss();
     }
-    buildPhases();
-    Result.Sent = true;
-    if (!send())
-      handleConnectionLoss();
   }
 
   void reportLater(const std::string &Problem) {
@@ -297,105 +189,6 @@
         });
   }
 
-  void buildPhases() {
-    Phases.clear();
-    Pipelined = true;
-    if (transactionStatus() == 'I' && !Operations.empty())
-      for (std::string &Name : std::exchange(EvictedStatements, {}))
-        Phases.push_back({phase_kind::Deallocate, 0, std::move(Name)});
-    for (std::size_t Index = 0; Index < Operations.size(); ++Index) {
-      const wire::statement_step &Step = Operations[Index].Step;
-      if (Step.kind == wire::step_kind::simple) {
-        Phases.push_back({phase_kind::Query, Index, ""});
-        Pipelined = false;
-      } else if (!Operations[Index].Prepare) {
-        Phases.push_back({phase_kind::ExecuteUnprepared, Index, ""});
-      } else {
-        addPrepared(Index);
-      }
-    }
-  }
-
-  void addPrepared(std::size_t Index) {
-    const wire::statement_step &Step = Operations[Index].Step;
-    phase_kind Kind = Step.kind == wire::step_kind::describe
-                          ? phase_kind::Describe
-                          : phase_kind::Execute;
-    if (const std::string *Name =
-            Prepared.find(Step.sql, Step.parameter_types)) {
-      Phases.push_back({Kind, Index, *Name});
-      return;
-    }
-    std::string Name = Prepared.add(Step.sql, Step.parameter_types);
-    Phases.push_back({phase_kind::Prepare, Index, Name});
-    Phases.push_back({Kind, Index, Name});
-  }
-
-  bool send() {
-    if (!Pipelined) {
-      if (PQpipelineStatus(Connection) != PQ_PIPELINE_OFF &&
-          PQexitPipelineMode(Connection) != 1)
-        return false;
-      return sendPhase(Phases[CurrentPhase]) && flush();
-    }
-    if (PQpipelineStatus(Connection) == PQ_PIPELINE_OFF &&
-        PQenterPipelineMode(Connection) != 1)
-      return false;
-    for (const phase &Phase : Phases)
-      if (!sendPhase(Phase))
-        return false;
-    if (PQpipelineSync(Connection) != 1)
-      return false;
-    PQsetSingleRowMode(Connection);
-    return flush();
-  }
-
-  bool sendPhase(const phase &Phase) {
-    const wire::statement_step &Step = Operations[Phase.Operation].Step;
-    DescribedRows = false;
-    bool Sent = false;
-    switch (Phase.Kind) {
-    case phase_kind::Query:
-      Sent = PQsendQuery(Connection, Step.sql.c_str()) == 1;
-      break;
-    case phase_kind::Prepare: {
-      std::vector<Oid> Types = toOids(Step.parameter_types);
-      Sent = PQsendPrepare(Connection, Phase.Name.c_str(), Step.sql.c_str(),
-                           static_cast<int>(Types.size()), Types.data()) == 1;
-      break;
-    }
-    case phase_kind::Execute:
-    case phase_kind::ExecuteUnprepared:
-      Sent = sendExecute(Phase, Step);
-      break;
-    case phase_kind::Deallocate:
-      Sent = PQsendQueryParams(Connection, ("DEALLOCATE " + Phase.Name).c_str(),
-                               0, nullptr, nullptr, nullptr, nullptr, 0) == 1;
-      break;
-    case phase_kind::Describe:
-      Sent = PQsendDescribePrepared(Connection, Phase.Name.c_str()) == 1;
-      break;
-    }
-    if (Sent && !Pipelined)
-      PQsetSingleRowMode(Connection);
-    return Sent;
-  }
-
-  bool sendExecute(const phase &Phase, const wire::statement_step &Step) {
-    parameter_arrays Arrays(Step.parameters);
-    int Count = static_cast<int>(Arrays.Values.size());
-    if (Phase.Kind == phase_kind::Execute)
-      return PQsendQueryPrepared(Connection, Phase.Name.c_str(), Count,
-                                 Arrays.Values.data(), Arrays.Lengths.data(),
-                                 Arrays.Formats.data(),
-                                 Step.result_format) == 1;
-    std::vector<Oid> Types = toOids(Step.parameter_types);
-    Types.resize(static_cast<std::size_t>(Count), 0);
-    return PQsendQueryParams(Connection, Step.sql.c_str(), Count, Types.data(),
-                             Arrays.Values.data(), Arrays.Lengths.data(),
-                             Arrays.Formats.data(), Step.result_format) == 1;
-  }
-
   bool flush() {
     int Status = PQflush(Connection);
     bool Wanted = Status == 1;
@@ -415,10 +208,8 @@
     auto Self = shared_from_this();
     while (Running && !Closed && !PQisBusy(Connection)) {
       result_ptr Next(PQgetResult(Connection));
-      if (!Next)
-        endPhase();
-      else
-        handleResult(Next.get());
+      carryOut(Next ? Execution.handleResult(Next.get())
+                    : Execution.handleEndOfResults(Connection));
     }
     if (Running && !Closed && PQstatus(Connection) == CONNECTION_BAD)
       handleConnectionLoss();
@@ -438,209 +229,25 @@
   void handleConnectionLoss() {
     if (Closed)
       return;
-    Result.ConnectionLost = true;
-    Result.Problem = trimmed(PQerrorMessage(Connection));
     auto Callback = std::exchange(OnLost, nullptr);
     if (Running)
-      return finish();
+      return finish(problemOf(Connection));
     close();
     if (Callback)
       Callback();
   }
 
-  void endPhase() {
-    if (PQstatus(Connection) == CONNECTION_BAD)
-      return handleConnectionLoss();
-    if (Pipelined) {
-      ++CurrentPhase;
-      DescribedRows = false;
-      PQsetSingleRowMode(Connection);
-      return;
-    }
-    ++CurrentPhase;
-    if (Result.Failure || CurrentPhase == Phases.size())
-      return finish();
-    if (!sendPhase(Phases[CurrentPhase]) || !flush())
-      handleConnectionLoss();
-  }
-
-  void handleResult(PGresult *Next) {
-    switch (PQresultStatus(Next)) {
-    case PGRES_PIPELINE_SYNC:
-      return finish();
-    case PGRES_PIPELINE_ABORTED:
-      return removePreparation();
-    case PGRES_FATAL_ERROR:
-    case PGRES_BAD_RESPONSE:
-    case PGRES_NONFATAL_ERROR:
-      return handleError(Next);
-    case PGRES_COPY_IN:
-    case PGRES_COPY_OUT:
-    case PGRES_COPY_BOTH:
-      return refuseCopy();
-    default:
-      handleSuccess(Next);
-    }
-  }
-
-  void removePreparation() {
-    if (Phases[CurrentPhase].Kind == phase_kind::Prepare)
-      Prepared.remove(Phases[CurrentPhase].Name);
-  }
-
-  void handleError(PGresult *Next) {
-    const char *Code = PQresultErrorField(Next, PG_DIAG_SQLSTATE);
-    // An error without a code originates from libpq: the connection is lost.
-    if (!Code)
-      return handleConnectionLoss();
-    removePreparation();
-    // A cached plan that is no longer valid, or a name that the server no
-    // longer knows.
-    if ((std::string_view(Code) == FeatureNotSupported ||
-         std::string_view(Code) == InvalidStatementName) &&
-        Phases[CurrentPhase].Kind == phase_kind::Execute)
-      Prepared.remove(Phases[CurrentPhase].Name);
-    const char *Text = PQresultErrorField(Next, PG_DIAG_MESSAGE_PRIMARY);
-    if (!Result.Failure)
-      Result.Failure = operation_failure{Phases[CurrentPhase].Operation, Code,
-                                         Text ? Text : ""};
-    if (!Events.Collect)
-      Encoder.errorResponse(Next);
-  }
-
-  void refuseCopy() {
-    std::string Text = "COPY is not supported through teasellock";
-    Result.Failure = operation_failure{Phases[CurrentPhase].Operation,
-                                       FeatureNotSupported, Text};
-    Result.Problem = Text;
-    Result.Messages = Encoder.extractRemaining() +
-                      makeErrorResponse(FeatureNotSupported, Text);
-    ShouldCloseAfterwards = true;
-    finish();
-  }
-
-  void handleSuccess(PGresult *Next) {
-    const phase &Phase = Phases[CurrentPhase];
-    if (Phase.Kind == phase_kind::Prepare ||
-        Phase.Kind == phase_kind::Deallocate)
-      return;
-    const upstream_operation &Operation = Operations[Phase.Operation];
-    ExecStatusType Status = PQresultStatus(Next);
-    if (Phase.Kind == phase_kind::Describe) {
-      Encoder.parameterDescription(Next);
-      PQnfields(Next) > 0 ? Encoder.rowDescription(Next) : Encoder.noData();
-      return;
-    }
-    if (Events.Collect)
-      return collect(Next);
-    if (!Operation.Hidden)
-      encode(Next, Status, Operation.Step);
-    // One row in single-row mode: the command has not completed.
-    if (Status == PGRES_SINGLE_TUPLE)
-      return;
-    DescribedRows = false;
-    countCommand(Next, Operation.Hidden);
-  }
-
-  void collect(const PGresult *Next) {
-    // In single-row mode each row is a result, and the last result is empty.
-    if (!DescribedRows) {
-      Result.Tables.emplace_back();
-      DescribedRows = true;
-    }
-    text_table Rows = toTable(Next);
-    for (std::vector<std::string> &Row : Rows.Rows)
-      Result.Tables.back().Rows.push_back(std::move(Row));
-    if (PQresultStatus(Next) != PGRES_SINGLE_TUPLE)
-      DescribedRows = false;
-  }
-
-  void encode(const PGresult *Next, ExecStatusType Status,
-              const wire::statement_step &Step) {
-    bool Simple = Step.kind == wire::step_kind::simple;
-    if (Status == PGRES_EMPTY_QUERY) {
-      if (Step.describe_rows && !Simple)
-        Encoder.noData();
-      return Encoder.emptyQuery();
-    }
-    bool HasRows = Status == PGRES_SINGLE_TUPLE || Status == PGRES_TUPLES_OK;
-    if (!DescribedRows && (Simple || Step.describe_rows)) {
-      if (HasRows)
-        Encoder.rowDescription(Next);
-      else if (!Simple)
-        Encoder.noData();
-    }
-    DescribedRows = true;
-    if (HasRows)
-      Encoder.dataRows(Next);
-    if (Status != PGRES_SINGLE_TUPLE)
-      Encoder.commandComplete(Next);
-  }
-
-  void countCommand(PGresult *Next, bool Hidden) {
-    std::string_view Tag = PQcmdStatus(Next);
-    if (changesSession(Tag) && !Hidden)
-      Result.SessionChanged = true;
-    // DISCARD ALL deallocates the prepared statements, too.
-    if (Tag.starts_with("DISCARD") || Tag.starts_with("DEALLOCATE ALL")) {
-      Prepared.clear();
-      EvictedStatements.clear();
-    }
-    if (Hidden)
-      return;
-    ++Result.Completed;
-    if (Tag != "ROLLBACK")
-      Result.OnlyRollbacks = false;
-  }
-
-  void finish() {
+  void finish(std::optional<std::string> ConnectionProblem) {
     Running = false;
-    if (!Result.ConnectionLost)
-      Result.TransactionStatus = transactionStatus();
-    Result.Messages += Encoder.extractRemaining();
-    removeUnsentPreparations();
-    execution_result Finished = std::move(Result);
+    bool IsLost = ConnectionProblem.has_value();
+    auto Finished = Execution.finish(Connection, std::move(ConnectionProblem));
     auto Done = std::move(Events.OnDone);
     Events = execution_callbacks();
-    if (Finished.ConnectionLost || ShouldCloseAfterwards)
+    if (IsLost || Execution.mustClose())
       close();
-    else
-      evictStatements();
     if (Done)
       Done(std::move(Finished));
   }
-
-  // After an error in a sequence of simple queries the remaining phases were
-  // not sent.
-  void removeUnsentPreparations() {
-    if (Pipelined || !Result.Failure)
-      return;
-    for (std::size_t Index = CurrentPhase; Index < Phases.size(); ++Index)
-      if (Phases[Index].Kind == phase_kind::Prepare)
-        Prepared.remove(Phases[Index].Name);
-  }
-
-  char transactionStatus() const {
-    switch (PQtransactionStatus(Connection)) {
-    case PQTRANS_INTRANS:
-      return 'T';
-    case PQTRANS_INERROR:
-      return 'E';
-    default:
-      return 'I';
-    }
-  }
-
-  // Statements beyond the limit are deallocated together with the next
-  // execution; until then the server holds a few more.
-  void evictStatements() {
-    while (auto Name = Prepared.evict())
-      EvictedStatements.push_back(*Name);
-  }
-
-  /// Names of statements evicted from the cache and not yet deallocated.
-  std::vector<std::string> EvictedStatements;
-  bool ShouldCloseAfterwards = false;
 };
 
 upstream_connection::upstream_connection(
