Limits: four limiters share each organisation's limit

Cause: one VM counted all operations of an organisation.

Change: an organisation has four shares in four slots, each with a quarter of the rate and burst. An entry asks one share first, by a hash of its own name, and the next ones if that refuses, is silent for 75 ms or can't be reached. Callers and limiters are divided alike by a partition, so that a side's shares fit its callers. A new bucket starts with 2 operations in place of 5, since there are four. The messages name the share. limit_service is split: wire form, accounts of a limiter, and the pure choice of a share are files of their own.

The listener's simulated limiter decides on the share that is asked first and refuses the others.

--- a/modules/limits/gen/limit_messages_types.cpp
+++ b/modules/limits/gen/limit_messages_types.cpp
@@ -37,6 +37,10 @@
 void limit_request::__set_waiting(const int32_t val) {
   this->waiting = val;
 }
+
+void limit_request::__set_share(const int32_t val) {
+  this->share = val;
+}
 std::ostream& operator<<(std::ostream& out, const limit_request& obj)
 {
   obj.printTo(out);
@@ -105,6 +109,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->share);
+          this->__isset.share = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -142,6 +154,10 @@
   xfer += oprot->writeI32(this->waiting);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("share", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->share);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -154,6 +170,7 @@
   swap(a.returned, b.returned);
   swap(a.sent_at_us, b.sent_at_us);
   swap(a.waiting, b.waiting);
+  swap(a.share, b.share);
   swap(a.__isset, b.__isset);
 }
 
@@ -163,6 +180,7 @@
   returned = other0.returned;
   sent_at_us = other0.sent_at_us;
   waiting = other0.waiting;
+  share = other0.share;
   __isset = other0.__isset;
 }
 limit_request::limit_request(limit_request&& other1) noexcept {
@@ -171,6 +189,7 @@
   returned = other1.returned;
   sent_at_us = other1.sent_at_us;
   waiting = other1.waiting;
+  share = other1.share;
   __isset = other1.__isset;
 }
 limit_request& limit_request::operator=(const limit_request& other2) {
@@ -179,6 +198,7 @@
   returned = other2.returned;
   sent_at_us = other2.sent_at_us;
   waiting = other2.waiting;
+  share = other2.share;
   __isset = other2.__isset;
   return *this;
 }
@@ -188,6 +208,7 @@
   returned = other3.returned;
   sent_at_us = other3.sent_at_us;
   waiting = other3.waiting;
+  share = other3.share;
   __isset = other3.__isset;
   return *this;
 }
@@ -199,6 +220,7 @@
   out << ", " << "returned=" << to_string(returned);
   out << ", " << "sent_at_us=" << to_string(sent_at_us);
   out << ", " << "waiting=" << to_string(waiting);
+  out << ", " << "share=" << to_string(share);
   out << ")";
 }
 
@@ -222,6 +244,10 @@
 void limit_grant::__set_sent_at_us(const int64_t val) {
   this->sent_at_us = val;
 }
+
+void limit_grant::__set_share(const int32_t val) {
+  this->share = val;
+}
 std::ostream& operator<<(std::ostream& out, const limit_grant& obj)
 {
   obj.printTo(out);
@@ -282,6 +308,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->share);
+          this->__isset.share = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -315,6 +349,10 @@
   xfer += oprot->writeI64(this->sent_at_us);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("share", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->share);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -326,6 +364,7 @@
   swap(a.granted, b.granted);
   swap(a.limiter_ok, b.limiter_ok);
   swap(a.sent_at_us, b.sent_at_us);
+  swap(a.share, b.share);
   swap(a.__isset, b.__isset);
 }
 
@@ -334,6 +373,7 @@
   granted = other4.granted;
   limiter_ok = other4.limiter_ok;
   sent_at_us = other4.sent_at_us;
+  share = other4.share;
   __isset = other4.__isset;
 }
 limit_grant::limit_grant(limit_grant&& other5) noexcept {
@@ -341,6 +381,7 @@
   granted = other5.granted;
   limiter_ok = other5.limiter_ok;
   sent_at_us = other5.sent_at_us;
+  share = other5.share;
   __isset = other5.__isset;
 }
 limit_grant& limit_grant::operator=(const limit_grant& other6) {
@@ -348,6 +389,7 @@
   granted = other6.granted;
   limiter_ok = other6.limiter_ok;
   sent_at_us = other6.sent_at_us;
+  share = other6.share;
   __isset = other6.__isset;
   return *this;
 }
@@ -356,6 +398,7 @@
   granted = other7.granted;
   limiter_ok = other7.limiter_ok;
   sent_at_us = other7.sent_at_us;
+  share = other7.share;
   __isset = other7.__isset;
   return *this;
 }
@@ -366,6 +409,7 @@
   out << ", " << "granted=" << to_string(granted);
   out << ", " << "limiter_ok=" << to_string(limiter_ok);
   out << ", " << "sent_at_us=" << to_string(sent_at_us);
+  out << ", " << "share=" << to_string(share);
   out << ")";
 }
 
--- a/modules/limits/gen/limit_messages_types.h
+++ b/modules/limits/gen/limit_messages_types.h
@@ -26,12 +26,13 @@
 class limit_grant;
 
 typedef struct _limit_request__isset {
-  _limit_request__isset() : organisation(false), wanted(false), returned(false), sent_at_us(false), waiting(false) {}
+  _limit_request__isset() : organisation(false), wanted(false), returned(false), sent_at_us(false), waiting(false), share(false) {}
   bool organisation :1;
   bool wanted :1;
   bool returned :1;
   bool sent_at_us :1;
   bool waiting :1;
+  bool share :1;
 } _limit_request__isset;
 
 class limit_request : public virtual ::apache::thrift::TBase {
@@ -46,7 +47,8 @@
                   wanted(0),
                   returned(0),
                   sent_at_us(0),
-                  waiting(0) {
+                  waiting(0),
+                  share(0) {
   }
 
   virtual ~limit_request() noexcept;
@@ -55,6 +57,7 @@
   int32_t returned;
   int64_t sent_at_us;
   int32_t waiting;
+  int32_t share;
 
   _limit_request__isset __isset;
 
@@ -68,6 +71,8 @@
 
   void __set_waiting(const int32_t val);
 
+  void __set_share(const int32_t val);
+
   bool operator == (const limit_request & rhs) const
   {
     if (!(organisation == rhs.organisation))
@@ -80,6 +85,8 @@
       return false;
     if (!(waiting == rhs.waiting))
       return false;
+    if (!(share == rhs.share))
+      return false;
     return true;
   }
   bool operator != (const limit_request &rhs) const {
@@ -99,11 +106,12 @@
 std::ostream& operator<<(std::ostream& out, const limit_request& obj);
 
 typedef struct _limit_grant__isset {
-  _limit_grant__isset() : organisation(false), granted(false), limiter_ok(false), sent_at_us(false) {}
+  _limit_grant__isset() : organisation(false), granted(false), limiter_ok(false), sent_at_us(false), share(false) {}
   bool organisation :1;
   bool granted :1;
   bool limiter_ok :1;
   bool sent_at_us :1;
+  bool share :1;
 } _limit_grant__isset;
 
 class limit_grant : public virtual ::apache::thrift::TBase {
@@ -117,7 +125,8 @@
               : organisation(),
                 granted(0),
                 limiter_ok(0),
-                sent_at_us(0) {
+                sent_at_us(0),
+                share(0) {
   }
 
   virtual ~limit_grant() noexcept;
@@ -125,6 +134,7 @@
   int32_t granted;
   bool limiter_ok;
   int64_t sent_at_us;
+  int32_t share;
 
   _limit_grant__isset __isset;
 
@@ -136,6 +146,8 @@
 
   void __set_sent_at_us(const int64_t val);
 
+  void __set_share(const int32_t val);
+
   bool operator == (const limit_grant & rhs) const
   {
     if (!(organisation == rhs.organisation))
@@ -146,6 +158,8 @@
       return false;
     if (!(sent_at_us == rhs.sent_at_us))
       return false;
+    if (!(share == rhs.share))
+      return false;
     return true;
   }
   bool operator != (const limit_grant &rhs) const {
--- a/modules/limits/limit_bucket.h
+++ b/modules/limits/limit_bucket.h
@@ -1,5 +1,6 @@
-/// The token bucket of one organisation at its limiter, and the account of what
-/// each entry was granted from it. Pure functions of state, message and time.
+/// The token bucket of one share of an organisation's limit at its limiter, and
+/// the account of what each entry was granted from it. Pure functions of state,
+/// message and time.
 #pragma once
 
 #include "core/ids.h"
@@ -24,8 +25,8 @@
 constexpr duration BatchValidity = std::chrono::milliseconds(250);
 
 /// Operations that a new bucket holds at most: it does not know what an earlier
-/// limiter has just granted.
-constexpr double InitialOperations = 5;
+/// limiter has just granted. An organisation has four buckets.
+constexpr double InitialOperations = 2;
 
 /// A token bucket. One token is one operation.
 struct limit_bucket {
--- a/modules/limits/limit_holdings.cpp
+++ b/modules/limits/limit_holdings.cpp
@@ -122,12 +122,12 @@
 
 void resolveTimedOut(limit_holdings &Holdings, time_point Now,
                      limit_effects &Effects) {
-  while (!Holdings.Waiting.empty() &&
-         Holdings.Waiting.front().Deadline <= Now) {
-    Effects.Resolved.push_back(
-        {Holdings.Waiting.front().Ticket, limit_verdict::Unavailable, {}});
-    Holdings.Waiting.pop_front();
-  }
+  std::erase_if(Holdings.Waiting, [&](const waiting_caller &Caller) {
+    if (Now < Caller.Deadline)
+      return false;
+    Effects.Resolved.push_back({Caller.Ticket, limit_verdict::Unavailable, {}});
+    return true;
+  });
 }
 
 /// Refuses the callers that were counted in the request.
@@ -143,9 +143,21 @@
 
 } // namespace
 
-void handleCaller(limit_holdings &Holdings, limit_ticket Ticket, time_point Now,
-                  limit_effects &Effects) {
-  Holdings.Waiting.push_back({Ticket, Now + LimitWaitTimeout});
+const char *toString(limit_verdict Verdict) {
+  switch (Verdict) {
+  case limit_verdict::Granted:
+    return "granted";
+  case limit_verdict::LimitReached:
+    return "refused";
+  case limit_verdict::Unavailable:
+    return "unavailable";
+  }
+  return "";
+}
+
+void handleCaller(limit_holdings &Holdings, const waiting_caller &Caller,
+                  time_point Now, limit_effects &Effects) {
+  Holdings.Waiting.push_back(Caller);
   handleDue(Holdings, Now, Effects);
 }
 
@@ -186,6 +198,13 @@
   handleDue(Holdings, Now, Effects);
 }
 
+void handleLimiterLost(limit_holdings &Holdings, limit_effects &Effects) {
+  Holdings.InFlight.reset();
+  for (const auto &Caller : Holdings.Waiting)
+    Effects.Resolved.push_back({Caller.Ticket, limit_verdict::Unavailable, {}});
+  Holdings.Waiting.clear();
+}
+
 void handleGivenBack(limit_holdings &Holdings, time_point ValidUntil,
                      time_point Now, limit_effects &Effects) {
   addBatch(Holdings, {1, ValidUntil});
@@ -209,8 +228,8 @@
   };
   if (!Holdings.Batches.empty())
     Consider(Holdings.Batches.front().ValidUntil - ReturnLead);
-  if (!Holdings.Waiting.empty())
-    Consider(Holdings.Waiting.front().Deadline);
+  for (const auto &Caller : Holdings.Waiting)
+    Consider(Caller.Deadline);
   if (Holdings.InFlight)
     Consider(Holdings.InFlight->SentAt + BatchValidity);
   else if (!Holdings.Waiting.empty())
--- a/modules/limits/limit_holdings.h
+++ b/modules/limits/limit_holdings.h
@@ -1,7 +1,7 @@
-/// What an entry holds of one organisation's operations: those granted to it
-/// and not used, the callers that wait for one, and its request to the limiter.
-/// Pure functions of state, message and time; limit_service executes the
-/// effects.
+/// What an entry holds of one share of an organisation's limit: operations that
+/// were granted to it and not used, the callers that wait for one, and its
+/// request to the limiter. Pure functions of state, message and time;
+/// limit_service executes the effects.
 #pragma once
 
 #include "modules/limits/limit_bucket.h"
@@ -13,7 +13,7 @@
 
 namespace teasellock {
 
-/// How long a caller waits for an answer of the limiter.
+/// How long a caller waits for an operation.
 constexpr duration LimitWaitTimeout = std::chrono::milliseconds(300);
 
 /// An entry that starts operations at a high rate asks for this time's worth
@@ -29,10 +29,13 @@
   Granted,
   /// The organisation has used up its limit.
   LimitReached,
-  /// No limiter answered in time.
+  /// The limiter did not answer in time.
   Unavailable,
 };
 
+/// Returns the verdict's name in logs and metrics.
+const char *toString(limit_verdict Verdict);
+
 /// Number of a waiting caller; increases with each one.
 using limit_ticket = strong_type<struct limit_ticket_tag, std::uint64_t>;
 
@@ -65,7 +68,7 @@
   limit_ticket LastWaiting;
 };
 
-/// State of one organisation at an entry.
+/// State of one share of an organisation's limit at an entry.
 struct limit_holdings {
   /// The first valid ones first.
   std::deque<limit_batch> Batches;
@@ -103,8 +106,8 @@
 
 /// Handles a caller that wants to start an operation. It is resolved at once if
 /// one is in hand.
-void handleCaller(limit_holdings &Holdings, limit_ticket Ticket, time_point Now,
-                  limit_effects &Effects);
+void handleCaller(limit_holdings &Holdings, const waiting_caller &Caller,
+                  time_point Now, limit_effects &Effects);
 
 /// Handles the answer to a request. Answers to other requests than the one in
 /// flight are ignored.
@@ -120,6 +123,10 @@
 void handleLimiterChanged(limit_holdings &Holdings, time_point Now,
                           limit_effects &Effects);
 
+/// Handles that the limiter can no longer be reached: callers don't wait for
+/// it.
+void handleLimiterLost(limit_holdings &Holdings, limit_effects &Effects);
+
 /// Takes back an operation that certainly did not reach an upstream.
 void handleGivenBack(limit_holdings &Holdings, time_point ValidUntil,
                      time_point Now, limit_effects &Effects);
--- a/modules/limits/limit_service.cpp
+++ b/modules/limits/limit_service.cpp
@@ -1,7 +1,9 @@
 #include "modules/limits/limit_service.h"
 
 #include "core/event_log.h"
-#include "modules/limits/gen/limit_messages_types.h"
+#include "modules/limits/limit_codec.h"
+#include "modules/limits/limit_shares.h"
+#include "modules/limits/limiter_accounts.h"
 #include "modules/limits/limiter_slot.h"
 #include "modules/link/codec.h"
 
@@ -23,44 +25,27 @@
 /// Refusals of one organisation are logged at most this often.
 constexpr duration LogInterval = std::chrono::seconds(1);
 
-std::uint32_t toCount(std::int32_t Value) {
-  return static_cast<std::uint32_t>(std::max(Value, 0));
-}
-
-std::int32_t toWireCount(std::uint32_t Value) {
-  constexpr std::uint32_t Max = std::numeric_limits<std::int32_t>::max();
-  return static_cast<std::int32_t>(std::min(Value, Max));
-}
-
-std::int64_t toWireTime(time_point At) { return At.time_since_epoch().count(); }
-
-time_point fromWireTime(std::int64_t Microseconds) {
-  return time_point(duration(Microseconds));
-}
-
-const char *toString(limit_verdict Verdict) {
-  switch (Verdict) {
-  case limit_verdict::Granted:
-    return "granted";
-  case limit_verdict::LimitReached:
-    return "refused";
-  case limit_verdict::Unavailable:
-    return "unavailable";
-  }
-  return "";
-}
-
 } // namespace
 
 struct limit_service::state {
   using done = std::function<void(const limit_outcome &)>;
 
-  /// One organisation at this entry.
-  struct organisation_state {
+  struct pending_caller {
+    done Done;
+    caller_progress Progress;
+  };
+  /// One share of an organisation's limit at this entry.
+  struct share_state {
     limit_holdings Holdings;
-    std::map<limit_ticket, done> Callbacks;
+    /// Its limiter did not answer in time.
+    time_point SilentUntil;
     timer_subscription Timer;
     std::optional<time_point> TimerAt;
+  };
+  /// One organisation at this entry.
+  struct organisation_state {
+    std::array<share_state, LimitShares> Shares;
+    std::map<limit_ticket, pending_caller> Callers;
     /// By limit_verdict.
     std::array<counter *, 3> Verdicts{};
     std::optional<time_point> LoggedAt;
@@ -79,14 +64,14 @@
   bool ServesCallers = false;
   std::map<organisation_id, organisation_state> Organisations;
   /// Of the slots that this VM holds.
-  std::map<organisation_id, limit_account> Accounts;
+  limiter_accounts Accounts;
   std::array<slot_state, LimiterSlotCount> Slots;
-  /// End of the limiter lease when it was last checked.
-  time_point KnownLeaseEnd;
   /// Limits of the deployment of IndexedVersion.
   std::map<organisation_id, std::optional<operation_limit>> Limits;
   deployment_version IndexedVersion;
   std::uint64_t LastTicket = 0;
+  /// The share that callers of this VM ask first.
+  const std::uint32_t FirstShare;
   timer_subscription CheckTimer;
   counter &Batches;
   counter &Returned;
@@ -95,6 +80,7 @@
 
   state(daemon_context &Context, link_hub &Hub, limit_hooks Hooks)
       : Context(Context), Hub(Hub), Hooks(std::move(Hooks)),
+        FirstShare(firstShareOf(Context.Self.Vm)),
         Batches(Context.Metrics.counterOf("teasellock_limit_batches_total")),
         Returned(Context.Metrics.counterOf("teasellock_limit_returned_total")),
         Expired(Context.Metrics.counterOf("teasellock_limit_expired_total")) {}
@@ -104,24 +90,33 @@
   organisation_state &findOrCreate(const organisation_id &Name);
   void acquire(const organisation_id &Name, done Done);
   void giveBack(const organisation_id &Name, time_point ValidUntil);
-  void execute(const organisation_id &Name, limit_effects Effects);
-  void resolve(const organisation_id &Name, const limit_resolution &Resolution);
+  std::array<share_status, LimitShares>
+  statusOf(const organisation_id &Name,
+           const organisation_state &Organisation) const;
+  void ask(const organisation_id &Name, pending_caller Caller);
+  void execute(const organisation_id &Name, std::uint32_t Share,
+               limit_effects Effects);
+  void resolve(const organisation_id &Name, std::uint32_t Share,
+               const limit_resolution &Resolution);
+  void finish(const organisation_id &Name, const pending_caller &Caller,
+              const limit_outcome &Outcome);
   void logRefusal(const organisation_id &Name, organisation_state &Organisation,
                   limit_verdict Verdict);
-  void send(const organisation_id &Name, const limit_demand &Demand,
-            limit_effects &Effects);
-  void armTimer(const organisation_id &Name);
+  void send(const organisation_id &Name, std::uint32_t Share,
+            const limit_demand &Demand, limit_effects &Effects);
+  void armTimer(const organisation_id &Name, std::uint32_t Share);
   bool isHolder(std::uint32_t Slot) const;
-  void checkLease();
   void applyView();
   void applySlot(std::uint32_t Slot, const std::optional<limiter_holder> &New);
-  void restartRequests(const std::function<bool(std::uint32_t)> &IsAffected);
+  void handleReachability(const std::function<bool(std::uint32_t)> &IsAffected,
+                          bool IsReachable);
   std::optional<limit_answer> answer(const organisation_id &Name,
+                                     std::uint32_t Share,
                                      const limit_entry &Entry,
                                      const limit_demand &Demand);
   void onRequest(link_id Link, const link_message &Message);
   void onGrant(link_id Link, const link_message &Message);
-  void onLinkChanged(link_id Link);
+  void onLinkChanged(link_id Link, bool IsOpen);
   void check();
   void start();
 };
@@ -163,12 +158,44 @@
   if (!Limit || !*Limit)
     return Done({limit_verdict::Granted, {}});
   applyView();
-  auto &Organisation = findOrCreate(Name);
+  findOrCreate(Name);
+  caller_progress Progress;
+  Progress.Deadline = now() + LimitWaitTimeout;
+  ask(Name, {std::move(Done), Progress});
+}
+
+std::array<share_status, LimitShares>
+limit_service::state::statusOf(const organisation_id &Name,
+                               const organisation_state &Organisation) const {
+  std::array<share_status, LimitShares> Result;
+  for (std::uint32_t Share = 0; Share < LimitShares; ++Share) {
+    auto Slot = slotOfShare(Name, Share);
+    const auto &Link = Slots[Slot].Link;
+    Result[Share].IsReachable = isHolder(Slot) || (Link && Hub.isOpen(*Link));
+    Result[Share].SilentUntil = Organisation.Shares[Share].SilentUntil;
+  }
+  return Result;
+}
+
+/// Asks the next limiter for an operation, or ends the caller's wait if none is
+/// left.
+void limit_service::state::ask(const organisation_id &Name,
+                               pending_caller Caller) {
+  auto &Organisation = Organisations.at(Name);
+  auto Choice = chooseShare(Caller.Progress, statusOf(Name, Organisation),
+                            FirstShare, now());
+  if (!Choice)
+    return finish(Name, Caller,
+                  {Caller.Progress.LimitReached ? limit_verdict::LimitReached
+                                                : limit_verdict::Unavailable,
+                   {}});
+  Caller.Progress.Asked[Choice->Share] = true;
   limit_ticket Ticket(++LastTicket);
-  Organisation.Callbacks[Ticket] = std::move(Done);
+  Organisation.Callers[Ticket] = std::move(Caller);
   limit_effects Effects;
-  handleCaller(Organisation.Holdings, Ticket, now(), Effects);
-  execute(Name, std::move(Effects));
+  handleCaller(Organisation.Shares[Choice->Share].Holdings,
+               {Ticket, Choice->Deadline}, now(), Effects);
+  execute(Name, Choice->Share, std::move(Effects));
 }
 
 void limit_service::state::giveBack(const organisation_id &Name,
@@ -176,32 +203,57 @@
   if (ValidUntil <= now())
     return;
   limit_effects Effects;
-  handleGivenBack(findOrCreate(Name).Holdings, ValidUntil, now(), Effects);
-  execute(Name, std::move(Effects));
+  // A limiter takes back no more than it has granted to this entry lately, so
+  // that the share may be another one than that which granted the operation.
+  handleGivenBack(findOrCreate(Name).Shares[FirstShare].Holdings, ValidUntil,
+                  now(), Effects);
+  execute(Name, FirstShare, std::move(Effects));
 }
 
 void limit_service::state::execute(const organisation_id &Name,
-                                   limit_effects Effects) {
+                                   std::uint32_t Share, limit_effects Effects) {
   // The answer of this VM's own limiter may add effects.
   for (std::size_t Index = 0; Index < Effects.Send.size(); ++Index) {
     limit_demand Demand = Effects.Send[Index];
-    send(Name, Demand, Effects);
+    send(Name, Share, Demand, Effects);
   }
   Expired.add(Effects.Expired);
-  armTimer(Name);
+  armTimer(Name, Share);
   for (const auto &Resolution : Effects.Resolved)
-    resolve(Name, Resolution);
+    resolve(Name, Share, Resolution);
 }
 
+/// Ends the wait for one limiter. If it did not grant an operation, the next
+/// one is asked.
 void limit_service::state::resolve(const organisation_id &Name,
+                                   std::uint32_t Share,
                                    const limit_resolution &Resolution) {
   auto &Organisation = Organisations.at(Name);
-  Organisation.Verdicts[static_cast<std::size_t>(Resolution.Verdict)]->add();
-  if (Resolution.Verdict != limit_verdict::Granted)
-    logRefusal(Name, Organisation, Resolution.Verdict);
-  auto Callback = Organisation.Callbacks.extract(Resolution.Ticket);
-  if (!Callback.empty())
-    Callback.mapped()({Resolution.Verdict, Resolution.ValidUntil});
+  auto Caller = Organisation.Callers.extract(Resolution.Ticket);
+  if (Caller.empty())
+    return;
+  switch (Resolution.Verdict) {
+  case limit_verdict::Granted:
+    return finish(Name, Caller.mapped(),
+                  {limit_verdict::Granted, Resolution.ValidUntil});
+  case limit_verdict::LimitReached:
+    Caller.mapped().Progress.LimitReached = true;
+    break;
+  case limit_verdict::Unavailable:
+    Organisation.Shares[Share].SilentUntil = now() + SilentPeriod;
+    break;
+  }
+  ask(Name, std::move(Caller.mapped()));
+}
+
+void limit_service::state::finish(const organisation_id &Name,
+                                  const pending_caller &Caller,
+                                  const limit_outcome &Outcome) {
+  auto &Organisation = Organisations.at(Name);
+  Organisation.Verdicts[static_cast<std::size_t>(Outcome.Verdict)]->add();
+  if (Outcome.Verdict != limit_verdict::Granted)
+    logRefusal(Name, Organisation, Outcome.Verdict);
+  Caller.Done(Outcome);
 }
 
 /// Logs the first refusal in each interval, with the number of refusals since
@@ -214,15 +266,16 @@
     return;
   Organisation.LoggedAt = now();
   auto Count = std::exchange(Organisation.NotLogged, 0);
-  auto Slot = limiterSlotOf(Name);
-  const auto &Holder = Slots[Slot].Holder;
+  auto Status = statusOf(Name, Organisation);
+  auto Unreachable =
+      std::ranges::count(Status, false, &share_status::IsReachable);
   const auto *Limit = findLimit(Name);
   event Line("limit.refused");
   Line.with("organisation", Name.Value)
       .with("verdict", toString(Verdict))
       .with("count", Count)
-      .with("slot", static_cast<std::uint64_t>(Slot))
-      .with("limiter", Holder ? Holder->Vm.Value : std::string("none"));
+      .with("slot", static_cast<std::uint64_t>(limiterSlotOf(Name)))
+      .with("unreachable_limiters", static_cast<std::uint64_t>(Unreachable));
   if (Limit && *Limit)
     Line.with("rate_per_s", (*Limit)->RatePerSecond)
         .with("burst", (*Limit)->Burst);
@@ -230,43 +283,39 @@
 
 /// Sends a request. If this VM is the limiter, it is answered at once.
 void limit_service::state::send(const organisation_id &Name,
-                                const limit_demand &Demand,
+                                std::uint32_t Share, const limit_demand &Demand,
                                 limit_effects &Effects) {
   Returned.add(Demand.Returned);
-  auto &Holdings = Organisations.at(Name).Holdings;
-  auto Slot = limiterSlotOf(Name);
+  auto &Holdings = Organisations.at(Name).Shares[Share].Holdings;
+  auto Slot = slotOfShare(Name, Share);
   if (isHolder(Slot)) {
-    auto Answer =
-        answer(Name, {Context.Self.Vm, Context.Self.Incarnation}, Demand);
+    auto Answer = answer(Name, Share,
+                         {Context.Self.Vm, Context.Self.Incarnation}, Demand);
     return handleAnswer(Holdings, Answer.value_or(limit_answer{}), now(),
                         Effects);
   }
-  wire::limit_request Request;
-  Request.organisation = Name.Value;
-  Request.wanted = toWireCount(Demand.Wanted);
-  Request.waiting = toWireCount(Demand.Waiting);
-  Request.returned = toWireCount(Demand.Returned);
-  Request.sent_at_us = toWireTime(Demand.SentAt);
   auto Link = Slots[Slot].Link;
   if (!Link ||
-      !Hub.send(*Link, {RequestKind, Hub.nextRequest(), encode(Request), ""}))
+      !Hub.send(*Link, {RequestKind, Hub.nextRequest(),
+                        encodeLimitRequest({Name, Share, Demand}), ""}))
     return handleSendFailure(Holdings, Demand.SentAt, now());
   Batches.add();
 }
 
-void limit_service::state::armTimer(const organisation_id &Name) {
-  auto &Organisation = Organisations.at(Name);
-  auto Due = nextDue(Organisation.Holdings);
-  if (!Due || (Organisation.TimerAt && *Organisation.TimerAt <= *Due))
+void limit_service::state::armTimer(const organisation_id &Name,
+                                    std::uint32_t Share) {
+  auto &State = Organisations.at(Name).Shares[Share];
+  auto Due = nextDue(State.Holdings);
+  if (!Due || (State.TimerAt && *State.TimerAt <= *Due))
     return;
-  Organisation.TimerAt = Due;
+  State.TimerAt = Due;
   auto Span = std::max(duration(0), *Due - now());
-  Organisation.Timer = Context.Timers.after(Span, [this, Name] {
-    auto &Due = Organisations.at(Name);
+  State.Timer = Context.Timers.after(Span, [this, Name, Share] {
+    auto &Due = Organisations.at(Name).Shares[Share];
     Due.TimerAt.reset();
     limit_effects Effects;
     handleDue(Due.Holdings, now(), Effects);
-    execute(Name, std::move(Effects));
+    execute(Name, Share, std::move(Effects));
   });
 }
 
@@ -277,14 +326,6 @@
          Holder->Incarnation == Context.Self.Incarnation;
 }
 
-/// Forgets the buckets after a time without a lease: another VM may have been
-/// the limiter meanwhile, even if this one holds the slot again.
-void limit_service::state::checkLease() {
-  if (KnownLeaseEnd <= now())
-    Accounts.clear();
-  KnownLeaseEnd = Hooks.View().LeaseEnd;
-}
-
 void limit_service::state::applyView() {
   const auto &View = Hooks.View();
   std::array<bool, LimiterSlotCount> Changed{};
@@ -300,10 +341,11 @@
   }
   if (!HasChanged)
     return;
-  std::erase_if(Accounts, [&](const auto &Item) {
-    return !isHolder(limiterSlotOf(Item.first));
-  });
-  restartRequests([&](std::uint32_t Slot) { return Changed[Slot]; });
+  retainAccounts(Accounts,
+                 [&](const organisation_id &Name, std::uint32_t Share) {
+                   return isHolder(slotOfShare(Name, Share));
+                 });
+  handleReachability([&](std::uint32_t Slot) { return Changed[Slot]; }, true);
 }
 
 void limit_service::state::applySlot(std::uint32_t Slot,
@@ -318,45 +360,40 @@
     Hub.releaseLink(*Former);
 }
 
-/// Requests of the affected slots that have no answer are sent again.
-void limit_service::state::restartRequests(
-    const std::function<bool(std::uint32_t)> &IsAffected) {
-  std::vector<organisation_id> Affected;
+/// Handles that the limiters of the affected slots may be reached again, or no
+/// longer. Requests without an answer are sent again, or to other limiters.
+void limit_service::state::handleReachability(
+    const std::function<bool(std::uint32_t)> &IsAffected, bool IsReachable) {
+  std::vector<std::pair<organisation_id, std::uint32_t>> Affected;
   for (const auto &[Name, Organisation] : Organisations)
-    if (IsAffected(limiterSlotOf(Name)))
-      Affected.push_back(Name);
-  for (const auto &Name : Affected) {
+    for (std::uint32_t Share = 0; Share < LimitShares; ++Share)
+      if (IsAffected(slotOfShare(Name, Share)))
+        Affected.emplace_back(Name, Share);
+  for (const auto &[Name, Share] : Affected) {
+    auto &State = Organisations.at(Name).Shares[Share];
     limit_effects Effects;
-    handleLimiterChanged(Organisations.at(Name).Holdings, now(), Effects);
-    execute(Name, std::move(Effects));
+    if (IsReachable) {
+      State.SilentUntil = {};
+      handleLimiterChanged(State.Holdings, now(), Effects);
+    } else {
+      handleLimiterLost(State.Holdings, Effects);
+    }
+    execute(Name, Share, std::move(Effects));
   }
 }
 
 /// Answers a request as the limiter; nullopt if it gets no answer.
 std::optional<limit_answer>
-limit_service::state::answer(const organisation_id &Name,
+limit_service::state::answer(const organisation_id &Name, std::uint32_t Share,
                              const limit_entry &Entry,
                              const limit_demand &Demand) {
-  checkLease();
-  limit_answer Answer;
-  Answer.SentAt = Demand.SentAt;
+  applyLease(Accounts, Hooks.View().LeaseEnd, now());
   const auto *Limit = findLimit(Name);
   // An unknown organisation is one of a version that this VM does not have yet.
-  if (!isHolder(limiterSlotOf(Name)) || KnownLeaseEnd <= now() || !Limit)
-    return Answer;
-  Answer.IsLimiter = true;
-  Answer.Granted = Demand.Wanted;
-  if (!*Limit)
-    return Answer;
-  auto [Account, IsNew] = Accounts.try_emplace(Name);
-  if (IsNew)
-    Account->second.Bucket = makeBucket(**Limit, now());
-  applyLimit(Account->second.Bucket, **Limit, now());
-  auto Granted = handleDemand(Account->second, Entry, Demand, now());
-  if (!Granted)
-    return std::nullopt;
-  Answer.Granted = *Granted;
-  return Answer;
+  if (!isHolder(slotOfShare(Name, Share)) || !hasLease(Accounts, now()) ||
+      !Limit)
+    return limit_answer{0, false, Demand.SentAt};
+  return answerDemand(Accounts, {Name, Share}, *Limit, Entry, Demand, now());
 }
 
 void limit_service::state::onRequest(link_id Link,
@@ -364,47 +401,45 @@
   const auto *Peer = Hub.peerOf(Link);
   if (!Peer)
     return;
-  auto Request = decode<wire::limit_request>(Message.Body, Peer->Vm.Value);
-  limit_demand Demand{toCount(Request.wanted), toCount(Request.waiting),
-                      toCount(Request.returned),
-                      fromWireTime(Request.sent_at_us)};
+  auto Request = parseLimitRequest(Message.Body, Peer->Vm.Value);
   limit_entry Entry{Peer->Vm, Peer->Incarnation};
   applyView();
-  auto Answer = answer(organisation_id(Request.organisation), Entry, Demand);
-  if (!Answer || Demand.Wanted == 0)
+  auto Answer =
+      answer(Request.Organisation, Request.Share, Entry, Request.Demand);
+  if (!Answer || Request.Demand.Wanted == 0)
     return;
-  wire::limit_grant Grant;
-  Grant.organisation = Request.organisation;
-  Grant.granted = toWireCount(Answer->Granted);
-  Grant.limiter_ok = Answer->IsLimiter;
-  Grant.sent_at_us = Request.sent_at_us;
-  Hub.send(Link, {GrantKind, Message.Request, encode(Grant), ""});
+  Hub.send(Link,
+           {GrantKind, Message.Request,
+            encodeLimitGrant({Request.Organisation, Request.Share, *Answer}),
+            ""});
 }
 
 void limit_service::state::onGrant(link_id Link, const link_message &Message) {
-  auto Grant = decode<wire::limit_grant>(Message.Body, "limiter");
-  organisation_id Name(Grant.organisation);
-  auto Found = Organisations.find(Name);
+  auto Grant = parseLimitGrant(Message.Body);
+  auto Found = Organisations.find(Grant.Organisation);
   // A former limiter's answer: the request was sent again to the new one.
-  if (Found == Organisations.end() || Slots[limiterSlotOf(Name)].Link != Link)
+  if (Found == Organisations.end() ||
+      Slots[slotOfShare(Grant.Organisation, Grant.Share)].Link != Link)
     return;
+  auto &State = Found->second.Shares[Grant.Share];
+  if (Grant.Answer.IsLimiter)
+    State.SilentUntil = {};
   limit_effects Effects;
-  handleAnswer(Found->second.Holdings,
-               {toCount(Grant.granted), Grant.limiter_ok,
-                fromWireTime(Grant.sent_at_us)},
-               now(), Effects);
-  execute(Name, std::move(Effects));
+  handleAnswer(State.Holdings, Grant.Answer, now(), Effects);
+  execute(Grant.Organisation, Grant.Share, std::move(Effects));
 }
 
-void limit_service::state::onLinkChanged(link_id Link) {
-  restartRequests([&](std::uint32_t Slot) { return Slots[Slot].Link == Link; });
+void limit_service::state::onLinkChanged(link_id Link, bool IsOpen) {
+  handleReachability(
+      [&](std::uint32_t Slot) { return Slots[Slot].Link == Link; }, IsOpen);
 }
 
 void limit_service::state::check() {
-  checkLease();
+  applyLease(Accounts, Hooks.View().LeaseEnd, now());
   applyView();
-  std::erase_if(Accounts,
-                [&](const auto &Item) { return !findLimit(Item.first); });
+  retainAccounts(Accounts, [&](const organisation_id &Name, std::uint32_t) {
+    return findLimit(Name) != nullptr;
+  });
 }
 
 void limit_service::state::start() {
@@ -419,13 +454,13 @@
                          if (auto Alive = Weak.lock())
                            (*Alive)->onGrant(Link, Message);
                        });
-  auto OnChange = [Weak](link_id Link) {
+  auto OnChange = [Weak](link_id Link, bool IsOpen) {
     if (auto Alive = Weak.lock())
-      (*Alive)->onLinkChanged(Link);
+      (*Alive)->onLinkChanged(Link, IsOpen);
   };
   Hub.subscribe(
-      {[OnChange](link_id Link, const link_peer &) { OnChange(Link); },
-       [OnChange](link_id Link, const error &) { OnChange(Link); }});
+      {[OnChange](link_id Link, const link_peer &) { OnChange(Link, true); },
+       [OnChange](link_id Link, const error &) { OnChange(Link, false); }});
   CheckTimer = Context.Timers.every(CheckInterval, [this] { check(); });
   check();
 }
@@ -452,7 +487,7 @@
 }
 
 void limit_service::handleViewChange() {
-  State->checkLease();
+  applyLease(State->Accounts, State->Hooks.View().LeaseEnd, State->now());
   State->applyView();
 }
 
--- a/tests/line_listener_fixture.h
+++ b/tests/line_listener_fixture.h
@@ -49,7 +49,8 @@
   std::vector<std::string> ids() const;
 };
 
-/// The limiter of all organisations. Grants what the test decides.
+/// The limiter of all shares of all organisations. Grants what the test decides
+/// from the share that the entry asks first, and nothing from the others.
 struct simulated_limiter {
   struct received_request {
     link_id Link;
@@ -58,11 +59,12 @@
   };
 
   link_hub &Hub;
+  std::uint32_t FirstShare = 0;
   /// How many operations each of the next requests is granted; none after the
   /// last.
   std::deque<std::uint32_t> Grants;
   bool KeepsRequests = false;
-  /// Requests that want operations.
+  /// Requests that want operations of the first share.
   std::vector<received_request> Received;
   /// Operations that entries gave back.
   std::uint32_t Returned = 0;
