Soak: organisations, keys and limits with real processes

Cause: organisations and limits are tested by simulations and at the listener only. No test with processes, kills, freezes and cuts has keys.

The stand-in of an upstream tells the second field of START for each statement that it executes. The oracle checks that a statement is executed only for the organisation that holds its caller's key, that an unknown key executes nothing where a key is needed, that no line to an upstream, no log line and no error text has a key, and that all callers are served after the faults. Runs without the flag draw the same random numbers as before; callers no longer end START with a space, which would be part of their key.

--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -26,6 +26,7 @@
 constexpr std::size_t FirstEntry = 50;
 constexpr std::size_t PlatformNumber = 250;
 constexpr std::size_t FirstGroup = 200;
+constexpr const char *PublicSuffix = "-public";
 constexpr int HttpOk = 200;
 constexpr int HttpConflict = 409;
 
@@ -38,6 +39,20 @@
   return "despacho" + std::to_string(Index + 1);
 }
 
+json routeJson(const std::string &Service, const std::string &Suffix,
+               const std::string &Kind, std::uint64_t TimeoutMs) {
+  return {{"name", Service + Suffix},
+          {"host", Service + Suffix},
+          {"path_prefix", "/"},
+          {"route_kind", Kind},
+          {"timeout_ms", TimeoutMs},
+          {"target_latency_ms", 400},
+          {"priority", 1},
+          {"service", Service},
+          {"max_attempts", 2},
+          {"max_staleness_ms", 1500}};
+}
+
 } // namespace
 
 soak_deployment::soak_deployment(daemon_context &Context, oracle &Oracle,
@@ -45,8 +60,21 @@
     : Context(Context), Oracle(Oracle), Options(std::move(Given)),
       Random(Options.Seed), ReportedVersions(Options.Controls) {
   startPlatform();
+  if (Options.HasOrganisations) {
+    Roster = std::make_unique<organisation_roster>(Options.Seed);
+    OrganisationOracle = std::make_unique<organisation_oracle>(Oracle);
+  }
   for (std::size_t Index = 0; Index < Options.Groups; ++Index) {
     group_settings Settings;
+    if (OrganisationOracle) {
+      Settings.OnLine = [this](const std::string &Line) {
+        OrganisationOracle->checkText(Line, "a line to an upstream");
+      };
+      Settings.OnExecution = [this](const std::string &Id,
+                                    const std::string &User) {
+        OrganisationOracle->checkExecution(Id, User);
+      };
+    }
     Settings.Group = group_id(groupName(Index));
     Settings.Address = {address(FirstGroup + Index), UpstreamPort};
     Groups.push_back(std::make_unique<upstream_group>(
@@ -223,27 +251,33 @@
                         {"tls", false},
                         {"sync_replicas", 1}});
     for (const auto *Kind : Kinds)
-      Routes.push_back({{"name", Service + "-" + Kind},
-                        {"host", Service + "-" + Kind},
-                        {"path_prefix", "/"},
-                        {"route_kind", Kind},
-                        {"timeout_ms", 1500 + Version % 100},
-                        {"target_latency_ms", 400},
-                        {"priority", 1},
-                        {"service", Service},
-                        {"max_attempts", 2},
-                        {"max_staleness_ms", 1500}});
+      Routes.push_back(routeJson(Service, "-" + std::string(Kind), Kind,
+                                 1500 + Version % 100));
+    if (Roster) {
+      Routes.push_back(
+          routeJson(Service, PublicSuffix, Kinds[0], 1500 + Version % 100));
+      Routes.back()["public"] = true;
+    }
   }
   json Limits = {{"max_header_bytes", 16384},
                  {"max_body_bytes", 262144},
                  {"header_timeout_ms", 3000},
                  {"idle_timeout_ms", 15000},
                  {"tx_idle_ms", 3000}};
-  return json({{"version", Version},
-               {"routes", Routes},
-               {"services", Services},
-               {"limits", Limits}})
-      .dump();
+  json Document = {{"version", Version},
+                   {"routes", Routes},
+                   {"services", Services},
+                   {"limits", Limits}};
+  if (Roster)
+    Document["tenants"] =
+        tenantsJson(Roster->organisations(), Roster->holders());
+  return Document.dump();
+}
+
+/// Records a version that is sent for the first time.
+void soak_deployment::recordVersion() {
+  if (Version > std::exchange(SentVersion, Version) && OrganisationOracle)
+    OrganisationOracle->recordVersion(Roster->holders());
 }
 
 void soak_deployment::changeDeployment() { ++Version; }
@@ -255,6 +289,7 @@
     queryDeployment(Index);
   if (AcknowledgedVersion >= Version)
     return;
+  recordVersion();
   const auto &Control = Controls[Random() % Controls.size()];
   call({Control.Address, HttpPort}, "POST", "/Config.Put",
        deploymentText(Version),
@@ -308,12 +343,27 @@
         {Group.Value + "-read_your_writes", {Group, Stale}});
     Caller.Databases.push_back(
         {Group.Value + "-bounded_staleness", {Group, Stale}});
+    if (Roster)
+      Caller.Databases.push_back(
+          {Group.Value + PublicSuffix, {Group, {}}, true});
   }
+  Caller.Organisations = OrganisationOracle.get();
   for (std::size_t Index = 0; Index < Options.Callers; ++Index) {
     Caller.Number = Index + 1;
     Caller.Seed = Random();
+    if (Roster)
+      Caller.Key = Roster->keyOf(Index);
     Callers.push_back(std::make_unique<soak_caller>(Context, Oracle, Caller));
   }
 }
 
+void soak_deployment::moderateCallers() {
+  for (std::size_t Index = 0; Roster && Index < Callers.size(); ++Index) {
+    double Rate = Roster->moderateRateOf(Index, Callers.size());
+    if (Rate > 0)
+      Callers[Index]->setOperationPause(std::chrono::duration_cast<duration>(
+          std::chrono::duration<double>(1 / Rate)));
+  }
+}
+
 } // namespace teasellock::soak
--- a/tests/soak/deployment.h
+++ b/tests/soak/deployment.h
@@ -27,6 +27,8 @@
   unsigned Network = 0;
   /// Settings file of the entry VMs; empty: none.
   std::string EntrySettings;
+  /// Whether the deployment has organisations with keys and limits.
+  bool HasOrganisations = false;
 };
 
 /// A VM: its process and the relay in front of its internal address.
@@ -48,6 +50,9 @@
   std::vector<soak_vm> Controls;
   std::vector<std::unique_ptr<upstream_group>> Groups;
   std::vector<std::unique_ptr<soak_caller>> Callers;
+  /// Null without organisations.
+  std::unique_ptr<organisation_roster> Roster;
+  std::unique_ptr<organisation_oracle> OrganisationOracle;
 
   /// Addresses at which an entry VM accepts callers and HTTP requests.
   endpoint callerEndpoint(std::size_t Entry) const;
@@ -55,6 +60,8 @@
 
   /// Starts the callers.
   void startCallers();
+  /// Slows the callers of organisations down, so that none reaches its limit.
+  void moderateCallers();
   /// Creates the next version of the deployment, with another statement
   /// timeout.
   void changeDeployment();
@@ -87,6 +94,7 @@
                 const std::string &Service);
   void sendDeployment();
   std::string deploymentText(std::uint64_t Version) const;
+  void recordVersion();
   std::string address(std::size_t Number) const;
   void call(const endpoint &Server, const std::string &Method,
             const std::string &Path, const std::string &Body,
@@ -103,6 +111,8 @@
   std::vector<timer_subscription> DelayedPromotions;
   std::vector<timer_subscription> LaterSteps;
   std::uint64_t Version = 1;
+  /// The newest version that was sent.
+  std::uint64_t SentVersion = 0;
   std::uint64_t AcknowledgedVersion = 0;
   std::uint64_t Sequence = 0;
   std::vector<std::uint64_t> ReportedVersions;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -40,7 +40,7 @@
 
   /// Prints the result. Returns the exit code: zero if no guarantee was
   /// violated.
-  int report() const;
+  int report();
 
 private:
   enum class phase { Starting, Faults, Recovering, Leaving };
@@ -54,6 +54,7 @@
   bool hasWritten(std::size_t Group) const;
   void startLeaving();
   void checkLeaving();
+  void reportOrganisations() const;
 
   daemon_context &Context;
   const soak_options &Options;
@@ -125,6 +126,7 @@
       std::exchange(End, nullptr)();
   for (const auto &Group : Deployment.Groups)
     LogSizes.push_back(Group->primaryLog().size());
+  Deployment.moderateCallers();
   event("soak.recovering");
 }
 
@@ -188,7 +190,17 @@
   Context.Loop.stop();
 }
 
-int soak_test::report() const {
+/// Prints how many statements were executed for each organisation.
+void soak_test::reportOrganisations() const {
+  std::cout << "executed";
+  for (const auto &[Name, Count] : Deployment.OrganisationOracle->executions())
+    std::cout << " " << Name << "=" << Count;
+  std::cout << "\n";
+}
+
+int soak_test::report() {
+  if (Deployment.OrganisationOracle)
+    checkLogs(*Deployment.OrganisationOracle, Options.Deployment.Folder);
   caller_counts Sum;
   for (const auto &Caller : Deployment.Callers) {
     Sum.Succeeded += Caller->counts().Succeeded;
@@ -210,6 +222,8 @@
             << " writes_acknowledged=" << Oracle.acknowledgedWrites()
             << " promotions=" << Promotions << " unexpected_ends=" << Ends
             << "\n";
+  if (Deployment.OrganisationOracle)
+    reportOrganisations();
   for (const auto &Line : Oracle.violations())
     std::cout << "  " << Line << "\n";
   return Oracle.violations().empty() && Ends <= MaxUnexpectedExits &&
@@ -237,6 +251,8 @@
   App.add_option(
       "--network", Deployment.Network,
       "number of the loopback network; concurrent tests need different ones");
+  App.add_flag("--organisations", Deployment.HasOrganisations,
+               "a deployment with organisations, keys and limits");
   App.add_flag("!--calm", Options.Faults, "no faults");
 }
 
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -3,6 +3,7 @@
 #   SEEDS="1 2 3" SPAN=20 tests/soak/soak.sh   these seeds, 20 s of faults each
 #   SEEDS=regressions tests/soak/soak.sh       those of regressions.txt
 #   COUNT=50 tests/soak/soak.sh                fresh ones
+# A seed with the suffix +organisations runs a deployment with organisations.
 # More flags for teasellock_soak go behind. Logs of failed seeds are kept.
 set -u
 cd "$(dirname "$0")/../.."
@@ -12,14 +13,15 @@
 folder=$(mktemp -d)
 
 run_seed() { # seed, number of the loopback network, flags...
-  local seed=$1 network=$2; shift 2
+  local name=$1 seed=${1%+organisations} network=$2; shift 2
+  [ "$name" = "$seed" ] || set -- --organisations "$@"
   timeout $((SPAN + 60)) "$BUILD/teasellock_soak" --program "$BUILD/teasellockd" \
-    --folder "$folder/$seed" --seed "$seed" --seconds "$SPAN" --network "$network" "$@" \
-    >"$folder/$seed.out" 2>&1
+    --folder "$folder/$name" --seed "$seed" --seconds "$SPAN" --network "$network" "$@" \
+    >"$folder/$name.out" 2>&1
   local verdict=$?
-  sed -n '/^seed=/,$p' "$folder/$seed.out" | head -20
-  [ $verdict -eq 0 ] && rm -rf "${folder:?}/$seed" "$folder/$seed.out" && return 0
-  echo "FAILED: seed $seed, verdict $verdict, logs in $folder/$seed"
+  sed -n '/^seed=/,$p' "$folder/$name.out" | head -20
+  [ $verdict -eq 0 ] && rm -rf "${folder:?}/$name" "$folder/$name.out" && return 0
+  echo "FAILED: seed $name, verdict $verdict, logs in $folder/$name"
   touch "$folder/failed"
 }
 
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -10,7 +10,6 @@
 /// The caller abandons the connection if a result takes longer.
 constexpr duration AnswerTimeout = std::chrono::milliseconds(4000);
 constexpr duration ReconnectPause = std::chrono::milliseconds(50);
-constexpr duration OperationPause = std::chrono::milliseconds(10);
 /// One caller of this many leaves within MaxOpeningMs after it has sent the
 /// first statement of a transaction, without waiting for the result.
 constexpr std::uint64_t LeavingShare = 12;
@@ -22,13 +21,27 @@
 constexpr const char *PreparedName = "p1";
 constexpr const char *PreparedShape = "booking";
 
-const line_protocol &protocol() { return platform::lineProtocol(); }
+/// Appends a caller's START message, which doesn't name an upstream.
+void appendCallerStart(std::string &Out, const std::string &Database,
+                       const std::string &Key, const std::string &) {
+  Out += "START " + Database + " " + Key + "\r\n";
+}
+
+const line_protocol &protocol() {
+  static const line_protocol Protocol = [] {
+    auto Result = platform::lineProtocol();
+    Result.AppendStart = appendCallerStart;
+    return Result;
+  }();
+  return Protocol;
+}
 
 /// Reports whether the error guarantees that nothing is committed.
 bool guaranteesNotCommitted(line_error Code) {
   return Code == line_error::Busy || Code == line_error::Aborted ||
          Code == line_error::Lagging || Code == line_error::ReadOnly ||
-         Code == line_error::Misrouted || Code == line_error::TooMany;
+         Code == line_error::Misrouted || Code == line_error::TooMany ||
+         Code == line_error::Unauthorized;
 }
 
 } // namespace
@@ -59,7 +72,8 @@
     line_target Target;
     Target.Address = Options.Entries[randomBelow(Options.Entries.size())];
     Target.Service = Database.Name;
-    Target.User = "u" + std::to_string(Options.Number);
+    Target.User = Options.Key.empty() ? "u" + std::to_string(Options.Number)
+                                      : Options.Key;
     Target.ConnectTimeout = ConnectTimeout;
     Connection = std::make_unique<line_connection>(
         Context, protocol(), Target,
@@ -158,6 +172,9 @@
   if (Data)
     Oracle.recordSent({StatementId, Step.ExpectedText, Options.Number,
                        Transaction, Settings, Step.Writes});
+  if (Data && Options.Organisations)
+    Options.Organisations->recordSent(StatementId,
+                                      {Options.Key, Database.IsPublic});
   if (Data && !Step.Writes)
     Oracle.recordReadStart(StatementId, Session, Database.Allowance,
                            Transaction ? StartedAt : Context.Timers.now());
@@ -220,6 +237,8 @@
 }
 
 void soak_caller::handleFailure(const line_failure &Failure, char State) {
+  if (Options.Organisations)
+    Options.Organisations->checkText(Failure.Text, "an error's text");
   // A transaction is never committed before its COMMIT has been sent.
   if (guaranteesNotCommitted(Failure.Code) || !CommitSent) {
     Oracle.recordNotCommitted(WriteIds);
--- a/tests/soak/soak_caller.h
+++ b/tests/soak/soak_caller.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "modules/line/line_connection.h"
-#include "tests/soak/oracle.h"
+#include "tests/soak/organisation_oracle.h"
 
 #include <random>
 
@@ -13,6 +13,8 @@
 struct caller_database {
   std::string Name;
   read_allowance Allowance;
+  /// Whether callers need no key.
+  bool IsPublic = false;
 };
 
 /// Parameters of a caller.
@@ -21,6 +23,10 @@
   std::vector<endpoint> Entries;
   std::vector<caller_database> Databases;
   std::uint64_t Seed = 0;
+  /// The key that the caller presents, and who judges it. Empty and null in a
+  /// deployment without organisations.
+  std::string Key;
+  organisation_oracle *Organisations = nullptr;
 };
 
 /// Numbers of operations by outcome.
@@ -39,6 +45,8 @@
   const caller_counts &counts() const { return Counts; }
   /// Time of the last operation that succeeded.
   time_point lastSuccess() const { return LastSuccess; }
+  /// Sets the time between two operations.
+  void setOperationPause(duration Pause) { OperationPause = Pause; }
   /// Closes the session, also within an operation, and starts no other.
   void stop();
 
@@ -82,6 +90,7 @@
   oracle &Oracle;
   caller_options Options;
   std::mt19937_64 Random;
+  duration OperationPause = std::chrono::milliseconds(10);
   std::unique_ptr<line_connection> Connection;
   std::uint64_t Session = 0;
   caller_database Database;
--- a/tests/soak/upstream_group.h
+++ b/tests/soak/upstream_group.h
@@ -50,6 +50,12 @@
   /// Delay between receiving and applying a commit on a replica.
   duration Lag = std::chrono::milliseconds(20);
   duration PromotionTime = std::chrono::milliseconds(300);
+  /// Called with each line that an upstream receives; may be empty.
+  std::function<void(const std::string &Line)> OnLine;
+  /// Called with each read or write that an upstream executes, and with the
+  /// user of its connection; may be empty.
+  std::function<void(const std::string &Id, const std::string &User)>
+      OnExecution;
 };
 
 /// The state of an upstream, as it announces it.
--- a/tests/soak/upstream_statements.cpp
+++ b/tests/soak/upstream_statements.cpp
@@ -68,6 +68,8 @@
       return;
     std::string Line(Input.substr(0, End));
     Session->Connection->consume(End + 2);
+    if (Settings.OnLine)
+      Settings.OnLine(Line);
     if (!Servers[Index].Node.IsSilent)
       handleLine(Index, Session, Line);
   }
@@ -362,6 +364,8 @@
     return sendError(Server, Session, "READONLY");
   auto Number = Session.Transaction ? Session.Transaction->Number : 0;
   Oracle.checkExecution({Statement.Id, Text, Number, Session.Settings});
+  if (Settings.OnExecution)
+    Settings.OnExecution(Statement.Id, Session.User);
   if (!Writes) {
     Oracle.checkRead(Statement.Id, Server.Node.Log, Server.Node.AppliedCount);
     auto Value = readItem(Server.Node, Session.Transaction, Fields.at(0));
