Soak: keys that versions remove, move and add again

Cause: no test with processes checks that a new version's keys are in force 4 s after its acknowledgement.

Change: in runs with organisations three keys change at random and, for the last 8 s, without faults. The oracle knows the versions, when they were sent and acknowledged, and when a fault may have kept control from a VM. It reports a removed key that is admitted, an added one that is refused, and statements for a key's former organisation. A run that judged no such answer fails.

--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -72,7 +72,8 @@
       };
       Settings.OnExecution = [this](const std::string &Id,
                                     const std::string &User) {
-        OrganisationOracle->checkExecution(Id, User);
+        OrganisationOracle->checkExecution(Id, User,
+                                           this->Context.Timers.now());
       };
     }
     Settings.Group = group_id(groupName(Index));
@@ -277,11 +278,27 @@
 /// Records a version that is sent for the first time.
 void soak_deployment::recordVersion() {
   if (Version > std::exchange(SentVersion, Version) && OrganisationOracle)
-    OrganisationOracle->recordVersion(Roster->holders());
+    OrganisationOracle->recordVersion(Version, Roster->holders(),
+                                      Context.Timers.now());
 }
 
 void soak_deployment::changeDeployment() { ++Version; }
 
+void soak_deployment::changeKey() {
+  Roster->changeKey();
+  ++Version;
+}
+
+void soak_deployment::changeKeys() {
+  Roster->changeKeys();
+  ++Version;
+}
+
+void soak_deployment::restoreKeys() {
+  Roster->restoreKeys();
+  ++Version;
+}
+
 /// Sends the newest version until it is acknowledged, and queries the version
 /// of each control VM.
 void soak_deployment::sendDeployment() {
@@ -298,6 +315,9 @@
            return;
          AcknowledgedVersion = std::max(AcknowledgedVersion, Sent);
          Oracle.recordDeploymentAcknowledged(Sent, Context.Timers.now());
+         if (OrganisationOracle)
+           OrganisationOracle->recordAcknowledgement(Sent,
+                                                     Context.Timers.now());
        });
 }
 
--- a/tests/soak/deployment.h
+++ b/tests/soak/deployment.h
@@ -65,11 +65,18 @@
   /// Creates the next version of the deployment, with another statement
   /// timeout.
   void changeDeployment();
+  /// Creates a version in which a random key has changed.
+  void changeKey();
+  /// Creates a version in which all keys that change have changed.
+  void changeKeys();
+  /// Creates the last version: all keys are known.
+  void restoreKeys();
   /// Sets the probability, 0 to 1, that a promotion request gets no reply. The
   /// promotion is still performed, after a random delay.
   void setPromotionLossProbability(double Share) {
     PromotionLossProbability = Share;
   }
+  time_point now() const { return Context.Timers.now(); }
   /// Runs a step of a fault after a delay.
   void runLater(duration Delay, std::function<void()> Step) {
     LaterSteps.push_back(Context.Timers.after(Delay, std::move(Step)));
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -1,6 +1,7 @@
 #include "tests/soak/faults.h"
 
 #include "core/event_log.h"
+#include "tests/soak/organisation_faults.h"
 
 #include <array>
 #include <csignal>
@@ -32,7 +33,7 @@
     "silence_upstream", "cut_primary",       "lag_replicas",
     "leaving_primary",  "lose_orders",       "silence_upstreams",
     "reset_upstreams",  "change_deployment", "blinking_primary",
-    "joining_replica"};
+    "joining_replica",  "change_key"};
 
 /// When the primary of BlinkingPrimary goes down after it has announced that it
 /// is leaving, and for how long.
@@ -104,6 +105,52 @@
   return [&Group, Upstream] { Group.recover(Upstream); };
 }
 
+/// Time in which a killed process has started again.
+constexpr duration RestartTime = std::chrono::milliseconds(500);
+/// Likewise a process that drains for the grace period of 3 s first.
+constexpr duration DrainedRestartTime = std::chrono::seconds(4);
+
+/// Tells the oracle which VMs control may not reach because of a fault.
+void recordDisturbance(soak_deployment &Deployment, const fault &Fault,
+                       time_point Now) {
+  std::size_t Entries = Deployment.Entries.size();
+  std::optional<std::size_t> Entry = Fault.TargetSelector % Entries;
+  duration Length = RestartTime;
+  switch (Fault.Kind) {
+  case fault_kind::KillEntry:
+    break;
+  case fault_kind::StopEntry:
+    Length = DrainedRestartTime;
+    break;
+  case fault_kind::FreezeEntry:
+    Length = Fault.Duration;
+    break;
+  case fault_kind::CutVm:
+  case fault_kind::DelayVm:
+  case fault_kind::ResetVm:
+    Entry = Fault.TargetSelector % vmCount(Deployment);
+    if (*Entry >= Entries)
+      Entry.reset();
+    Length = Fault.Duration;
+    break;
+  case fault_kind::FreezeControl:
+    Entry.reset();
+    Length = Fault.Duration;
+    break;
+  case fault_kind::KillEveryEntry:
+  case fault_kind::KillControl:
+  case fault_kind::KillEveryControl:
+  case fault_kind::WipeControl:
+  case fault_kind::TearLog:
+  case fault_kind::SilenceLinks:
+    Entry.reset();
+    break;
+  default:
+    return;
+  }
+  Deployment.OrganisationOracle->recordDisturbance(Entry, Now, Now + Length);
+}
+
 undo_function beginVmFault(soak_deployment &Deployment, const fault &Fault) {
   auto &Entry =
       Deployment.Entries[Fault.TargetSelector % Deployment.Entries.size()];
@@ -275,6 +322,10 @@
       .with("kind", toString(Fault.Kind))
       .with("for_ms", toMilliseconds(Fault.Duration))
       .with("pick", Fault.TargetSelector);
+  if (Deployment.OrganisationOracle)
+    recordDisturbance(Deployment, Fault, Deployment.now());
+  if (Fault.Kind >= fault_kind::ChangeKey)
+    return beginOrganisationFault(Deployment, Fault);
   if (Fault.Kind < fault_kind::CrashUpstream)
     return beginVmFault(Deployment, Fault);
   return beginUpstreamFault(Deployment, Fault);
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -35,6 +35,9 @@
   BlinkingPrimary,
   /// A replica that was down starts while the failed primary is replaced.
   JoiningReplica,
+  /// A key is removed, moved or added. Only in runs with organisations, as are
+  /// all further ones.
+  ChangeKey,
 };
 
 /// Returns the name of a kind, for logs.
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,6 +1,6 @@
 #include "core/error.h"
 #include "core/event_log.h"
-#include "tests/soak/faults.h"
+#include "tests/soak/organisation_faults.h"
 
 #include <CLI/CLI.hpp>
 #include <csignal>
@@ -19,6 +19,9 @@
 /// upstreams for longer than this. Entries end idle transactions after 3 s.
 constexpr duration LeavingTimeout = std::chrono::seconds(8);
 constexpr duration CheckPeriod = std::chrono::milliseconds(100);
+/// Last part of the faults' time of a run with organisations: keys change and
+/// nothing fails. Control reaches each VM for the last two seconds.
+constexpr duration QuietTime = std::chrono::seconds(8);
 /// Accepted number of process exits that no signal of the test explains.
 constexpr std::size_t MaxUnexpectedExits = 0;
 
@@ -43,17 +46,26 @@
   int report();
 
 private:
-  enum class phase { Starting, Faults, Recovering, Leaving };
+  enum class phase { Starting, Faults, Quiet, Recovering, Leaving };
 
+  /// How long faults are injected.
+  duration faultTime() const {
+    auto Total = std::chrono::milliseconds(
+        static_cast<std::int64_t>(Options.Seconds * 1000));
+    return Deployment.Roster ? Total - QuietTime : Total;
+  }
   duration elapsed() const { return Context.Timers.now() - StartedAt; }
   void check();
   void startFaults();
   void begin(const fault &Fault);
+  void endFaults();
+  void startQuiet();
   void startRecovery();
   void checkRecovery();
   bool hasWritten(std::size_t Group) const;
   void startLeaving();
   void checkLeaving();
+  void checkOrganisations();
   void reportOrganisations() const;
 
   daemon_context &Context;
@@ -79,8 +91,11 @@
     Oracle.reportViolation("start", "no deployment was accepted in time");
     return Context.Loop.stop();
   case phase::Faults:
-    if (elapsed() >= std::chrono::milliseconds(
-                         static_cast<std::int64_t>(Options.Seconds * 1000)))
+    if (elapsed() >= faultTime())
+      Deployment.Roster ? startQuiet() : startRecovery();
+    return;
+  case phase::Quiet:
+    if (elapsed() >= QuietTime)
       startRecovery();
     return;
   case phase::Recovering:
@@ -98,9 +113,10 @@
     return;
   // The callers open their sessions before the first fault.
   constexpr duration Lead = std::chrono::seconds(1);
-  auto Span = std::chrono::milliseconds(
-      static_cast<std::int64_t>(Options.Seconds * 1000));
-  for (const auto &Fault : generateFaults(Options.Deployment.Seed, Span - Lead))
+  auto Generate =
+      Deployment.Roster ? generateOrganisationFaults : generateFaults;
+  for (const auto &Fault :
+       Generate(Options.Deployment.Seed, faultTime() - Lead))
     FaultTimers.push_back(Context.Timers.after(
         Lead + Fault.StartOffset, [this, Fault] { begin(Fault); }));
 }
@@ -117,13 +133,27 @@
   }));
 }
 
-void soak_test::startRecovery() {
-  Phase = phase::Recovering;
-  StartedAt = Context.Timers.now();
+void soak_test::endFaults() {
   FaultTimers.clear();
   for (auto &End : UndoActions)
     if (End)
       std::exchange(End, nullptr)();
+}
+
+void soak_test::startQuiet() {
+  Phase = phase::Quiet;
+  StartedAt = Context.Timers.now();
+  endFaults();
+  Deployment.changeKeys();
+  event("soak.quiet");
+}
+
+void soak_test::startRecovery() {
+  Phase = phase::Recovering;
+  StartedAt = Context.Timers.now();
+  endFaults();
+  if (Deployment.Roster)
+    Deployment.restoreKeys();
   for (const auto &Group : Deployment.Groups)
     LogSizes.push_back(Group->primaryLog().size());
   Deployment.moderateCallers();
@@ -190,17 +220,27 @@
   Context.Loop.stop();
 }
 
+/// Checks the logs, and that answers after changes of keys were judged.
+void soak_test::checkOrganisations() {
+  auto &Keys = *Deployment.OrganisationOracle;
+  checkLogs(Keys, Options.Deployment.Folder);
+  if (Keys.judgedRefusals() == 0 || Keys.judgedAdmissions() == 0)
+    Oracle.reportViolation("keys", "no answer after a change was judged");
+}
+
 /// Prints how many statements were executed for each organisation.
 void soak_test::reportOrganisations() const {
+  const auto &Oracle = *Deployment.OrganisationOracle;
   std::cout << "executed";
-  for (const auto &[Name, Count] : Deployment.OrganisationOracle->executions())
+  for (const auto &[Name, Count] : Oracle.executions())
     std::cout << " " << Name << "=" << Count;
-  std::cout << "\n";
+  std::cout << " judged_refusals=" << Oracle.judgedRefusals()
+            << " judged_admissions=" << Oracle.judgedAdmissions() << "\n";
 }
 
 int soak_test::report() {
   if (Deployment.OrganisationOracle)
-    checkLogs(*Deployment.OrganisationOracle, Options.Deployment.Folder);
+    checkOrganisations();
   caller_counts Sum;
   for (const auto &Caller : Deployment.Callers) {
     Sum.Succeeded += Caller->counts().Succeeded;
--- a/tests/soak/organisation_oracle.cpp
+++ b/tests/soak/organisation_oracle.cpp
@@ -1,5 +1,6 @@
 #include "tests/soak/organisation_oracle.h"
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 
@@ -10,36 +11,116 @@
 /// Name of connections for callers without an organisation: the default of
 /// line_group_settings.
 constexpr const char *FixedName = "teasellock";
+/// Stands for "no organisation" among the names that are possible for a key.
+constexpr const char *NoName = "";
+/// A VM that control reaches acts on a version from this time after its
+/// acknowledgement.
+constexpr duration MaxApplyTime = std::chrono::seconds(4);
+/// Time after a fault in which processes start, control elects a leader and
+/// silent links are noticed. Control reaches a VM only after it.
+constexpr duration SettleTime = std::chrono::seconds(2);
 
 } // namespace
 
+void organisation_oracle::recordVersion(std::uint64_t Version,
+                                        const key_holders &Holders,
+                                        time_point Now) {
+  Versions.push_back({Version, Holders, Now, std::nullopt});
+}
+
+void organisation_oracle::recordAcknowledgement(std::uint64_t Version,
+                                                time_point Now) {
+  for (auto &Record : Versions)
+    if (Record.Version == Version && !Record.AcknowledgedAt)
+      Record.AcknowledgedAt = Now;
+}
+
+void organisation_oracle::recordDisturbance(std::optional<std::size_t> Entry,
+                                            time_point Begin, time_point End) {
+  Disturbances.push_back({Entry, Begin, End});
+}
+
+/// Reports whether control has reached the VM for long enough that it acts on
+/// each version that was acknowledged MaxApplyTime ago.
+bool organisation_oracle::isReached(std::size_t Entry, time_point Now) const {
+  return std::none_of(
+      Disturbances.begin(), Disturbances.end(), [&](const auto &Disturbance) {
+        return (!Disturbance.Entry || *Disturbance.Entry == Entry) &&
+               Disturbance.Begin <= Now &&
+               Disturbance.End + SettleTime + MaxApplyTime > Now;
+      });
+}
+
+/// Returns the organisations that the key may have at the request's VM between
+/// two times, NoName included.
 std::set<std::string>
-organisation_oracle::possibleNames(const caller_request &Request) const {
+organisation_oracle::possibleNames(const caller_request &Request,
+                                   time_point From, time_point Now) const {
+  bool Reached = isReached(Request.Entry, From);
   std::set<std::string> Names;
-  for (const auto &Holders : Versions) {
-    auto Found = Holders.find(Request.Key);
-    if (Found != Holders.end())
-      Names.insert(Found->second);
-    else if (Request.IsPublic)
-      Names.insert(FixedName);
+  for (auto Record = Versions.rbegin(); Record != Versions.rend(); ++Record) {
+    if (Record->SentAt > Now)
+      continue;
+    auto Found = Record->Holders.find(Request.Key);
+    Names.insert(Found == Record->Holders.end() ? NoName : Found->second);
+    if (Reached && Record->AcknowledgedAt &&
+        *Record->AcknowledgedAt + MaxApplyTime <= From)
+      break;
   }
   return Names;
 }
 
 void organisation_oracle::checkExecution(const std::string &Id,
-                                         const std::string &Name) {
+                                         const std::string &Name,
+                                         time_point Now) {
   ++Executions[Name];
   auto Found = Requests.find(Id);
   // The general oracle reports statements that nobody sent.
   if (Found == Requests.end())
     return;
-  auto Names = possibleNames(Found->second);
-  if (Names.empty())
-    return Violations.reportViolation(
-        "key", Id + " was executed with a key that no version has");
+  const auto &Request = Found->second;
+  if (!Request.IsPublic && possibleNames(Request, Request.Sent, Now) ==
+                               std::set<std::string>{NoName})
+    return Violations.reportViolation("key", Id + " was executed for " + Name +
+                                                 " with an unknown key");
+  auto Names = possibleNames(Request, Request.OperationSent, Now);
+  if (Request.IsPublic && Names.erase(NoName) > 0)
+    Names.insert(FixedName);
   if (!Names.contains(Name))
-    Violations.reportViolation("organisation", Id + " of " + *Names.begin() +
-                                                   " was executed for " + Name);
+    Violations.reportViolation("organisation", Id + " was executed for " +
+                                                   Name + ", not for " +
+                                                   *Names.begin());
+}
+
+void organisation_oracle::checkAnswer(const caller_request &Request,
+                                      bool IsAdmitted, time_point Now) {
+  auto Names = possibleNames(Request, Request.Sent, Now);
+  bool MayAdmit = Request.IsPublic || Names.size() > Names.count(NoName);
+  bool MayRefuse = !Request.IsPublic && Names.contains(NoName);
+  if (IsAdmitted ? MayAdmit : MayRefuse) {
+    bool IsJudged =
+        MayAdmit != MayRefuse && !Request.IsPublic && hasChanged(Request.Key);
+    auto &Count = IsAdmitted ? JudgedAdmissions : JudgedRefusals;
+    Count += IsJudged ? 1 : 0;
+    return;
+  }
+  std::string Entry = "entry " + std::to_string(Request.Entry + 1);
+  Violations.reportViolation(IsAdmitted ? "revoked" : "added",
+                             IsAdmitted ? Entry + " admitted an unknown key"
+                                        : Entry + " refused a known key");
+}
+
+bool organisation_oracle::hasChanged(const std::string &Key) const {
+  auto IsSame = [&](const version_record &Record) {
+    auto First = Versions.front().Holders.find(Key);
+    auto Found = Record.Holders.find(Key);
+    if (First == Versions.front().Holders.end() ||
+        Found == Record.Holders.end())
+      return First == Versions.front().Holders.end() &&
+             Found == Record.Holders.end();
+    return First->second == Found->second;
+  };
+  return !std::all_of(Versions.begin(), Versions.end(), IsSame);
 }
 
 void organisation_oracle::checkText(const std::string &Text,
--- a/tests/soak/organisations.cpp
+++ b/tests/soak/organisations.cpp
@@ -12,6 +12,7 @@
 constexpr const char *LowName = "cantera";
 /// Callers of the hot organisation among the callers that take turns.
 constexpr std::size_t HotCallers = 4;
+constexpr std::size_t ChangingKeyCount = 3;
 
 } // namespace
 
@@ -28,6 +29,12 @@
   CallerKeys.insert(CallerKeys.end(), {First, Second, Second, Low});
   // A key that no version has.
   CallerKeys.push_back(makeKey());
+  for (std::size_t Index = 0; Index < ChangingKeyCount; ++Index)
+    ChangingKeys.push_back(makeKey());
+  CallerKeys.insert(CallerKeys.end(), ChangingKeys.begin(), ChangingKeys.end());
+  // The last one is added later.
+  Holders[ChangingKeys[0]] = TwoKeysName;
+  Holders[ChangingKeys[1]] = HotName;
 }
 
 std::string organisation_roster::makeKey() {
@@ -61,6 +68,40 @@
   return 0;
 }
 
+/// Gives a key to another organisation than it has.
+void organisation_roster::moveKey(const std::string &Key) {
+  const auto &Plans = organisations();
+  auto Found = Holders.find(Key);
+  std::string Before = Found == Holders.end() ? std::string() : Found->second;
+  std::size_t Index = Random() % Plans.size();
+  if (Plans[Index].Name == Before)
+    Index = (Index + 1) % Plans.size();
+  Holders[Key] = Plans[Index].Name;
+}
+
+void organisation_roster::changeKey() {
+  const auto &Key = ChangingKeys[Random() % ChangingKeys.size()];
+  if (Holders.contains(Key) && Random() % 2 == 0)
+    Holders.erase(Key);
+  else
+    moveKey(Key);
+}
+
+void organisation_roster::changeKeys() {
+  bool HasRemoved = false;
+  for (const auto &Key : ChangingKeys) {
+    if (Holders.contains(Key) && !HasRemoved)
+      HasRemoved = Holders.erase(Key) > 0;
+    else
+      moveKey(Key);
+  }
+}
+
+void organisation_roster::restoreKeys() {
+  for (const auto &Key : ChangingKeys)
+    Holders[Key] = TwoKeysName;
+}
+
 nlohmann::json tenantsJson(const std::vector<organisation_plan> &Organisations,
                            const key_holders &Holders) {
   auto Tenants = nlohmann::json::array();
--- a/tests/soak/organisations.h
+++ b/tests/soak/organisations.h
@@ -42,12 +42,22 @@
 
   const key_holders &holders() const { return Holders; }
 
+  /// Removes, moves or adds a random one of the keys that change.
+  void changeKey();
+  /// Removes one of the keys that change, moves or adds the others.
+  void changeKeys();
+  /// Gives all keys that change to one organisation.
+  void restoreKeys();
+
 private:
   std::string makeKey();
+  void moveKey(const std::string &Key);
 
   std::mt19937_64 Random;
   /// Keys of the callers, in turns.
   std::vector<std::string> CallerKeys;
+  /// Keys that later versions remove, move or add.
+  std::vector<std::string> ChangingKeys;
   key_holders Holders;
 };
 
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -14,7 +14,8 @@
 
 run_seed() { # seed, number of the loopback network, flags...
   local name=$1 seed=${1%+organisations} network=$2; shift 2
-  [ "$name" = "$seed" ] || set -- --organisations "$@"
+  # The last 8 s of a run with organisations have no faults.
+  [ "$name" = "$seed" ] || { set -- --organisations "$@"; SPAN=$((SPAN + 8)); }
   timeout $((SPAN + 60)) "$BUILD/teasellock_soak" --program "$BUILD/teasellockd" \
     --folder "$folder/$name" --seed "$seed" --seconds "$SPAN" --network "$network" "$@" \
     >"$folder/$name.out" 2>&1
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -70,14 +70,18 @@
     Settings.clear();
     Prepared = false;
     line_target Target;
-    Target.Address = Options.Entries[randomBelow(Options.Entries.size())];
+    Entry = randomBelow(Options.Entries.size());
+    Target.Address = Options.Entries[Entry];
     Target.Service = Database.Name;
     Target.User = Options.Key.empty() ? "u" + std::to_string(Options.Number)
                                       : Options.Key;
     Target.ConnectTimeout = ConnectTimeout;
+    Request = nextRequest();
     Connection = std::make_unique<line_connection>(
         Context, protocol(), Target,
         [this](const line_connect_result &Opening) {
+          if (!Opening.Problem || Opening.Code == line_error::Unauthorized)
+            checkAdmission(Request, !Opening.Problem);
           if (Opening.Problem)
             return reconnect();
           nextOperation();
@@ -85,12 +89,26 @@
   });
 }
 
+/// Returns the origin of a message that is sent now.
+caller_request soak_caller::nextRequest() const {
+  auto Now = Context.Timers.now();
+  return {Options.Key, Entry, Database.IsPublic, Now, DataSentAt.value_or(Now)};
+}
+
+void soak_caller::checkAdmission(const caller_request &Request,
+                                 bool IsAdmitted) {
+  if (Options.Organisations)
+    Options.Organisations->checkAnswer(Request, IsAdmitted,
+                                       Context.Timers.now());
+}
+
 void soak_caller::nextOperation() {
   PauseTimer = Context.Timers.after(OperationPause, [this] {
     if (!Connection->isOpen() || randomBelow(MeanSessionOperations) == 0)
       return reconnect();
     planOperation();
     StartedAt = Context.Timers.now();
+    DataSentAt.reset();
     NextStep = 0;
     CommitSent = false;
     WriteIds.clear();
@@ -172,9 +190,11 @@
   if (Data)
     Oracle.recordSent({StatementId, Step.ExpectedText, Options.Number,
                        Transaction, Settings, Step.Writes});
+  if (Data && !DataSentAt)
+    DataSentAt = Context.Timers.now();
+  Request = nextRequest();
   if (Data && Options.Organisations)
-    Options.Organisations->recordSent(StatementId,
-                                      {Options.Key, Database.IsPublic});
+    Options.Organisations->recordSent(StatementId, Request);
   if (Data && !Step.Writes)
     Oracle.recordReadStart(StatementId, Session, Database.Allowance,
                            Transaction ? StartedAt : Context.Timers.now());
@@ -211,6 +231,9 @@
 
 void soak_caller::handleSuccess(const line_answer &Answer) {
   const auto &Step = Steps[NextStep];
+  // The end of a failed transaction executes nothing and needs no key.
+  if (Step.Kind != step_kind::Rollback)
+    checkAdmission(Request, true);
   switch (Step.Kind) {
   case step_kind::Set:
     Settings["zone"] = Step.ExpectedText;
@@ -239,6 +262,8 @@
 void soak_caller::handleFailure(const line_failure &Failure, char State) {
   if (Options.Organisations)
     Options.Organisations->checkText(Failure.Text, "an error's text");
+  if (Failure.Code == line_error::Unauthorized)
+    checkAdmission(Request, false);
   // A transaction is never committed before its COMMIT has been sent.
   if (guaranteesNotCommitted(Failure.Code) || !CommitSent) {
     Oracle.recordNotCommitted(WriteIds);
--- a/tests/soak/soak_caller.h
+++ b/tests/soak/soak_caller.h
@@ -84,6 +84,8 @@
   void handleFailure(const line_failure &Failure, char State);
   void endOperation();
   void abandonConnection();
+  caller_request nextRequest() const;
+  void checkAdmission(const caller_request &Request, bool IsAdmitted);
   std::uint64_t randomBelow(std::uint64_t Below);
 
   daemon_context &Context;
@@ -93,7 +95,10 @@
   duration OperationPause = std::chrono::milliseconds(10);
   std::unique_ptr<line_connection> Connection;
   std::uint64_t Session = 0;
+  std::size_t Entry = 0;
   caller_database Database;
+  /// The message that was sent last.
+  caller_request Request;
   std::map<std::string, std::string> Settings;
   bool Prepared = false;
   std::vector<step> Steps;
@@ -102,6 +107,8 @@
   std::string StatementId;
   std::uint64_t Transaction = 0;
   time_point StartedAt;
+  /// When the operation's first read or write was sent.
+  std::optional<time_point> DataSentAt;
   std::vector<std::string> WriteIds;
   bool CommitSent = false;
   bool Stopped = false;
