Soak: limits while limiters are killed, stopped and cut off

Cause: limits over all VMs are tested by simulations only; no test with processes ends or stops a VM that counts operations.

Change: in runs with organisations the oracle counts each organisation's operations when an upstream first executes them, and reports more than (rate * 5 s + burst) * 1.1 + 20 in any window of 5 s. An entry or control process that is killed would end the freeze or delay the new assignment, so these faults are left out there (control's in every second one).

--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -2,6 +2,7 @@
 
 #include "core/error.h"
 #include "core/event_log.h"
+#include "modules/limits/limiter_slot.h"
 
 #include <filesystem>
 #include <nlohmann/json.hpp>
@@ -62,7 +63,8 @@
   startPlatform();
   if (Options.HasOrganisations) {
     Roster = std::make_unique<organisation_roster>(Options.Seed);
-    OrganisationOracle = std::make_unique<organisation_oracle>(Oracle);
+    OrganisationOracle =
+        std::make_unique<organisation_oracle>(Oracle, Roster->organisations());
   }
   for (std::size_t Index = 0; Index < Options.Groups; ++Index) {
     group_settings Settings;
@@ -304,6 +306,8 @@
 void soak_deployment::sendDeployment() {
   for (std::size_t Index = 0; Index < Controls.size(); ++Index)
     queryDeployment(Index);
+  if (Roster)
+    queryLimiters();
   if (AcknowledgedVersion >= Version)
     return;
   recordVersion();
@@ -333,6 +337,26 @@
        });
 }
 
+void soak_deployment::queryLimiters() {
+  const auto &Control = Controls[Random() % Controls.size()];
+  call({Control.Address, HttpPort}, "GET", "/v1/limiters", "",
+       [this](const std::optional<http_message> &Response) {
+         if (!Response || Response->statusCode() != HttpOk)
+           return;
+         auto Body = json::parse(Response->Body, nullptr, false);
+         for (const auto &Slot : Body.value("slots", json::array()))
+           for (std::size_t Entry = 0; Entry < Entries.size(); ++Entry)
+             if (Slot.value("vm", "") == Entries[Entry].Process->name())
+               LimiterEntries[Slot.value("slot", 0U)] = Entry;
+       });
+}
+
+std::size_t soak_deployment::limiterOf(std::size_t Organisation) const {
+  const auto &Plan = Roster->organisations().at(Organisation);
+  auto Found = LimiterEntries.find(limiterSlotOf(organisation_id(Plan.Name)));
+  return Found == LimiterEntries.end() ? 0 : Found->second;
+}
+
 void soak_deployment::call(
     const endpoint &Server, const std::string &Method, const std::string &Path,
     const std::string &Body,
--- a/tests/soak/deployment.h
+++ b/tests/soak/deployment.h
@@ -65,6 +65,9 @@
   /// Creates the next version of the deployment, with another statement
   /// timeout.
   void changeDeployment();
+  /// Returns the index of the entry that counts the operations of an
+  /// organisation. Another one if no control VM has told yet.
+  std::size_t limiterOf(std::size_t Organisation) const;
   /// Creates a version in which a random key has changed.
   void changeKey();
   /// Creates a version in which all keys that change have changed.
@@ -102,6 +105,7 @@
   void sendDeployment();
   std::string deploymentText(std::uint64_t Version) const;
   void recordVersion();
+  void queryLimiters();
   std::string address(std::size_t Number) const;
   void call(const endpoint &Server, const std::string &Method,
             const std::string &Path, const std::string &Body,
@@ -123,6 +127,8 @@
   std::uint64_t AcknowledgedVersion = 0;
   std::uint64_t Sequence = 0;
   std::vector<std::uint64_t> ReportedVersions;
+  /// The entry that holds each limiter slot, as last reported.
+  std::map<std::uint32_t, std::size_t> LimiterEntries;
   std::map<std::uint64_t, std::unique_ptr<http_call>> Calls;
   std::uint64_t LastCall = 0;
   timer_subscription AnnouncementTimer;
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -33,7 +33,8 @@
     "silence_upstream", "cut_primary",       "lag_replicas",
     "leaving_primary",  "lose_orders",       "silence_upstreams",
     "reset_upstreams",  "change_deployment", "blinking_primary",
-    "joining_replica",  "change_key"};
+    "joining_replica",  "change_key",        "kill_limiter",
+    "cut_limiter",      "freeze_limiter"};
 
 /// When the primary of BlinkingPrimary goes down after it has announced that it
 /// is leaving, and for how long.
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -38,6 +38,11 @@
   /// A key is removed, moved or added. Only in runs with organisations, as are
   /// all further ones.
   ChangeKey,
+  /// Faults of a VM that counts an organisation's operations. It is frozen for
+  /// longer than its limiter lease.
+  KillLimiter,
+  CutLimiter,
+  FreezeLimiter,
 };
 
 /// Returns the name of a kind, for logs.
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -228,12 +228,16 @@
     Oracle.reportViolation("keys", "no answer after a change was judged");
 }
 
-/// Prints how many statements were executed for each organisation.
+/// Prints how many statements were executed for each organisation, and the
+/// most operations in a window beside the allowed number.
 void soak_test::reportOrganisations() const {
   const auto &Oracle = *Deployment.OrganisationOracle;
   std::cout << "executed";
-  for (const auto &[Name, Count] : Oracle.executions())
-    std::cout << " " << Name << "=" << Count;
+  for (const auto &[Name, Executed] : Oracle.executions()) {
+    std::cout << " " << Name << "=" << Executed.Statements;
+    if (Executed.Bound > 0)
+      std::cout << " (" << Executed.Peak << " of " << Executed.Bound << ")";
+  }
   std::cout << " judged_refusals=" << Oracle.judgedRefusals()
             << " judged_admissions=" << Oracle.judgedAdmissions() << "\n";
 }
--- a/tests/soak/organisation_oracle.cpp
+++ b/tests/soak/organisation_oracle.cpp
@@ -19,9 +19,25 @@
 /// Time after a fault in which processes start, control elects a leader and
 /// silent links are noticed. Control reaches a VM only after it.
 constexpr duration SettleTime = std::chrono::seconds(2);
+/// Limits hold in each window of this length, with the tolerances below.
+constexpr duration LimitWindow = std::chrono::seconds(5);
+constexpr double LimitTolerance = 1.1;
+constexpr double LimitSlack = 20;
+
+double limitBound(const organisation_plan &Plan) {
+  double Seconds = std::chrono::duration<double>(LimitWindow).count();
+  return (Plan.Rate * Seconds + Plan.Burst) * LimitTolerance + LimitSlack;
+}
 
 } // namespace
 
+organisation_oracle::organisation_oracle(
+    oracle &Violations, const std::vector<organisation_plan> &Organisations)
+    : Violations(Violations) {
+  for (const auto &Plan : Organisations)
+    Executions[Plan.Name].Bound = limitBound(Plan);
+}
+
 void organisation_oracle::recordVersion(std::uint64_t Version,
                                         const key_holders &Holders,
                                         time_point Now) {
@@ -73,12 +89,13 @@
 void organisation_oracle::checkExecution(const std::string &Id,
                                          const std::string &Name,
                                          time_point Now) {
-  ++Executions[Name];
+  ++Executions[Name].Statements;
   auto Found = Requests.find(Id);
   // The general oracle reports statements that nobody sent.
   if (Found == Requests.end())
     return;
   const auto &Request = Found->second;
+  countOperation(Request.Operation, Name, Now);
   if (!Request.IsPublic && possibleNames(Request, Request.Sent, Now) ==
                                std::set<std::string>{NoName})
     return Violations.reportViolation("key", Id + " was executed for " + Name +
@@ -92,6 +109,29 @@
                                                    *Names.begin());
 }
 
+/// Counts an operation when its first statement is executed.
+void organisation_oracle::countOperation(const std::string &Operation,
+                                         const std::string &Name,
+                                         time_point Now) {
+  auto &Executed = Executions[Name];
+  if (!Executed.Operations.insert(Operation).second)
+    return;
+  auto &Recent = Executed.Recent;
+  Recent.push_back(Now);
+  while (Recent.front() + LimitWindow <= Now)
+    Recent.pop_front();
+  if (Recent.size() <= Executed.Peak)
+    return;
+  Executed.Peak = Recent.size();
+  // Without a bound: connections for callers without an organisation.
+  if (Executed.Bound > 0 && static_cast<double>(Executed.Peak) > Executed.Bound)
+    Violations.reportViolation(
+        "limit", std::to_string(Executed.Peak) + " operations of " + Name +
+                     " within a window, at most " +
+                     std::to_string(static_cast<std::size_t>(Executed.Bound)) +
+                     " are allowed");
+}
+
 void organisation_oracle::checkAnswer(const caller_request &Request,
                                       bool IsAdmitted, time_point Now) {
   auto Names = possibleNames(Request, Request.Sent, Now);
--- a/tests/soak/organisation_oracle.h
+++ b/tests/soak/organisation_oracle.h
@@ -5,6 +5,7 @@
 #include "tests/soak/oracle.h"
 #include "tests/soak/organisations.h"
 
+#include <deque>
 #include <optional>
 
 namespace teasellock::soak {
@@ -20,13 +21,28 @@
   /// When the first read or write of the operation was sent. A transaction
   /// keeps its organisation when its key is moved.
   time_point OperationSent;
+  /// Id of that first read or write.
+  std::string Operation;
+};
+
+/// The operations of one organisation that upstreams have executed.
+struct executed_operations {
+  std::uint64_t Statements = 0;
+  std::set<std::string> Operations;
+  /// When the operations of the last window were first executed.
+  std::deque<time_point> Recent;
+  /// The highest number in a window so far, and the highest allowed one; zero
+  /// for a name without a limit.
+  std::size_t Peak = 0;
+  double Bound = 0;
 };
 
 /// Records the versions of the organisations' keys and the statements of a run,
 /// and reports violated guarantees to the general oracle.
 class organisation_oracle {
 public:
-  explicit organisation_oracle(oracle &Violations) : Violations(Violations) {}
+  organisation_oracle(oracle &Violations,
+                      const std::vector<organisation_plan> &Organisations);
 
   /// Records a version of the deployment when it is sent for the first time,
   /// and when control acknowledges it.
@@ -47,7 +63,8 @@
   /// Checks a statement that an upstream executes on a connection that was
   /// opened with this name: the name is that of the organisation that holds the
   /// caller's key. Without an organisation it is the gateways' fixed name, on a
-  /// public route only.
+  /// public route only. The operations of all organisations stay inside their
+  /// limits.
   void checkExecution(const std::string &Id, const std::string &Name,
                       time_point Now);
 
@@ -60,8 +77,8 @@
   /// key.
   void checkText(const std::string &Text, const std::string &Where);
 
-  /// Number of executed statements by the name of their connection.
-  const std::map<std::string, std::uint64_t> &executions() const {
+  /// What was executed, by the name of the connection.
+  const std::map<std::string, executed_operations> &executions() const {
     return Executions;
   }
   /// Numbers of answers that were the only allowed ones after a change of their
@@ -86,13 +103,15 @@
   bool isReached(std::size_t Entry, time_point Now) const;
   std::set<std::string> possibleNames(const caller_request &Request,
                                       time_point From, time_point Now) const;
+  void countOperation(const std::string &Operation, const std::string &Name,
+                      time_point Now);
   bool hasChanged(const std::string &Key) const;
 
   oracle &Violations;
   std::vector<version_record> Versions;
   std::vector<disturbance> Disturbances;
   std::map<std::string, caller_request> Requests;
-  std::map<std::string, std::uint64_t> Executions;
+  std::map<std::string, executed_operations> Executions;
   std::uint64_t JudgedRefusals = 0;
   std::uint64_t JudgedAdmissions = 0;
 };
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -92,7 +92,8 @@
 /// Returns the origin of a message that is sent now.
 caller_request soak_caller::nextRequest() const {
   auto Now = Context.Timers.now();
-  return {Options.Key, Entry, Database.IsPublic, Now, DataSentAt.value_or(Now)};
+  return {Options.Key, Entry, Database.IsPublic, Now, DataSentAt.value_or(Now),
+          OperationId};
 }
 
 void soak_caller::checkAdmission(const caller_request &Request,
@@ -190,8 +191,10 @@
   if (Data)
     Oracle.recordSent({StatementId, Step.ExpectedText, Options.Number,
                        Transaction, Settings, Step.Writes});
-  if (Data && !DataSentAt)
+  if (Data && !DataSentAt) {
     DataSentAt = Context.Timers.now();
+    OperationId = StatementId;
+  }
   Request = nextRequest();
   if (Data && Options.Organisations)
     Options.Organisations->recordSent(StatementId, Request);
--- a/tests/soak/soak_caller.h
+++ b/tests/soak/soak_caller.h
@@ -107,8 +107,9 @@
   std::string StatementId;
   std::uint64_t Transaction = 0;
   time_point StartedAt;
-  /// When the operation's first read or write was sent.
+  /// When the operation's first read or write was sent, and its id.
   std::optional<time_point> DataSentAt;
+  std::string OperationId;
   std::vector<std::string> WriteIds;
   bool CommitSent = false;
   bool Stopped = false;
--- a/tests/test_soak_organisations.cpp
+++ b/tests/test_soak_organisations.cpp
@@ -17,7 +17,7 @@
 /// An oracle of a deployment in which one organisation holds one key.
 struct organisation_fixture {
   oracle General;
-  organisation_oracle Oracle{General};
+  organisation_oracle Oracle{General, {{"a", 4, 5}}};
 
   organisation_fixture() { change(1, {{"key-a", "a"}}, 0); }
 
@@ -29,14 +29,15 @@
   }
 
   void execute(const std::string &Key, bool IsPublic, const std::string &Name) {
-    Oracle.recordSent("s", {Key, 0, IsPublic, at(5000), at(5000)});
+    Oracle.recordSent("s", {Key, 0, IsPublic, at(5000), at(5000), "s"});
     Oracle.checkExecution("s", Name, at(5010));
   }
 
   void answer(bool IsAdmitted, std::int64_t Milliseconds,
               bool IsPublic = false) {
     auto Sent = at(Milliseconds);
-    Oracle.checkAnswer({"key-a", 0, IsPublic, Sent, Sent}, IsAdmitted, Sent);
+    Oracle.checkAnswer({"key-a", 0, IsPublic, Sent, Sent, ""}, IsAdmitted,
+                       Sent);
   }
 
   std::string rule() const {
@@ -133,8 +134,8 @@
   auto RuleOf = [](std::int64_t OperationSent, const std::string &Name) {
     organisation_fixture Bed;
     Bed.change(2, {{"key-a", "b"}}, 10000);
-    Bed.Oracle.recordSent("s",
-                          {"key-a", 0, false, at(15000), at(OperationSent)});
+    Bed.Oracle.recordSent(
+        "s", {"key-a", 0, false, at(15000), at(OperationSent), "s"});
     Bed.Oracle.checkExecution("s", Name, at(15010));
     return Bed.rule();
   };
@@ -154,6 +155,51 @@
   CHECK(Bed.rule() == "added");
 }
 
+TEST_CASE("soak: the oracle reports more operations in a window than the limit "
+          "allows") {
+  // Rate 4, burst 5: (4 * 5 + 5) * 1.1 + 20 = 47.5.
+  auto RuleOf = [](std::size_t Operations, std::int64_t GapMs,
+                   std::size_t Statements) {
+    organisation_fixture Bed;
+    for (std::size_t Number = 0; Number < Operations * Statements; ++Number) {
+      auto Id = "s" + std::to_string(Number);
+      auto Operation = std::to_string(Number / Statements);
+      auto Now = at(5000 + static_cast<std::int64_t>(Number) * GapMs);
+      Bed.Oracle.recordSent(Id, {"key-a", 0, false, Now, Now, Operation});
+      Bed.Oracle.checkExecution(Id, "a", Now);
+    }
+    return Bed.rule();
+  };
+  CHECK(RuleOf(47, 1, 1) == "none");
+  CHECK(RuleOf(48, 1, 1) == "limit");
+  // Further statements of an operation are not counted.
+  CHECK(RuleOf(47, 1, 3) == "none");
+  // 47 operations in each window, and one more.
+  CHECK(RuleOf(200, 107, 1) == "none");
+  CHECK(RuleOf(200, 104, 1) == "limit");
+}
+
+TEST_CASE(
+    "soak: a run freezes at most one limiter, for longer than its lease") {
+  duration Span = std::chrono::seconds(14);
+  std::size_t Runs = 0;
+  std::size_t Kills = 0;
+  for (std::uint64_t Seed = 1; Seed <= 50; ++Seed) {
+    std::size_t Freezes = 0;
+    for (const auto &Fault : generateOrganisationFaults(Seed, Span)) {
+      Kills += Fault.Kind == fault_kind::KillLimiter ? 1 : 0;
+      if (Fault.Kind != fault_kind::FreezeLimiter)
+        continue;
+      ++Freezes;
+      CHECK((Fault.Duration > std::chrono::seconds(12)));
+    }
+    CHECK(Freezes <= 1);
+    Runs += Freezes;
+  }
+  CHECK(Runs == 25);
+  CHECK(Kills > 0);
+}
+
 TEST_CASE("soak: runs with organisations have fewer faults, and all end in "
           "time") {
   duration Span = std::chrono::seconds(14);
