--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -106,9 +106,8 @@
   return [&Group, Upstream] { Group.recover(Upstream); };
 }
 
-/// Time in which a killed process has started again.
-constexpr duration RestartTime = std::chrono::milliseconds(500);
-/// Likewise a process that drains for the grace period of 3 s first.
+/// Time in which a process has started again that drains for the grace
+/// period of 3 s first.
 constexpr duration DrainedRestartTime = std::chrono::seconds(4);
 
 /// Tells the oracle which VMs control may not reach because of a fault.
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -45,6 +45,9 @@
   FreezeLimiter,
 };
 
+/// Time in which a killed process has started again.
+inline constexpr duration RestartTime = std::chrono::milliseconds(500);
+
 /// Returns the name of a kind, for logs.
 const char *toString(fault_kind Kind);
 
--- a/tests/soak/organisation_faults.cpp
+++ b/tests/soak/organisation_faults.cpp
@@ -16,8 +16,6 @@
 /// Longer than the limiter lease of 10 s with the leader's margin, after which
 /// another VM gets the slots.
 constexpr std::int64_t FreezeMs = 12500;
-/// Time in which a killed process has started again.
-constexpr duration RestartTime = std::chrono::milliseconds(500);
 
 bool isFreeze(fault_kind Kind) {
   return Kind == fault_kind::FreezeEntry || Kind == fault_kind::FreezeControl;
