Merge the soak with organisations, keys and limits

Random faults against processes of a deployment with organisations: keys that versions remove, move and add again, limits while limiters are killed, stopped beyond their lease and cut off.

--- a/tests/soak/deployment.h
+++ b/tests/soak/deployment.h
@@ -27,6 +27,8 @@
   unsigned Network = 0;
   /// Settings file of the entry VMs; empty: none.
   std::string EntrySettings;
+  /// Whether the deployment has organisations with keys and limits.
+  bool HasOrganisations = false;
 };
 
 /// A VM: its process and the relay in front of its internal address.
@@ -48,6 +50,9 @@
   std::vector<soak_vm> Controls;
   std::vector<std::unique_ptr<upstream_group>> Groups;
   std::vector<std::unique_ptr<soak_caller>> Callers;
+  /// Null without organisations.
+  std::unique_ptr<organisation_roster> Roster;
+  std::unique_ptr<organisation_oracle> OrganisationOracle;
 
   /// Addresses at which an entry VM accepts callers and HTTP requests.
   endpoint callerEndpoint(std::size_t Entry) const;
@@ -55,14 +60,26 @@
 
   /// Starts the callers.
   void startCallers();
+  /// Slows the callers of organisations down, so that none reaches its limit.
+  void moderateCallers();
   /// Creates the next version of the deployment, with another statement
   /// timeout.
   void changeDeployment();
+  /// Returns the index of the entry that counts the operations of an
+  /// organisation. Another one if no control VM has told yet.
+  std::size_t limiterOf(std::size_t Organisation) const;
+  /// Creates a version in which a random key has changed.
+  void changeKey();
+  /// Creates a version in which all keys that change have changed.
+  void changeKeys();
+  /// Creates the last version: all keys are known.
+  void restoreKeys();
   /// Sets the probability, 0 to 1, that a promotion request gets no reply. The
   /// promotion is still performed, after a random delay.
   void setPromotionLossProbability(double Share) {
     PromotionLossProbability = Share;
   }
+  time_point now() const { return Context.Timers.now(); }
   /// Runs a step of a fault after a delay.
   void runLater(duration Delay, std::function<void()> Step) {
     LaterSteps.push_back(Context.Timers.after(Delay, std::move(Step)));
@@ -87,6 +104,8 @@
                 const std::string &Service);
   void sendDeployment();
   std::string deploymentText(std::uint64_t Version) const;
+  void recordVersion();
+  void queryLimiters();
   std::string address(std::size_t Number) const;
   void call(const endpoint &Server, const std::string &Method,
             const std::string &Path, const std::string &Body,
@@ -103,9 +122,13 @@
   std::vector<timer_subscription> DelayedPromotions;
   std::vector<timer_subscription> LaterSteps;
   std::uint64_t Version = 1;
+  /// The newest version that was sent.
+  std::uint64_t SentVersion = 0;
   std::uint64_t AcknowledgedVersion = 0;
   std::uint64_t Sequence = 0;
   std::vector<std::uint64_t> ReportedVersions;
+  /// The entry that holds each limiter slot, as last reported.
+  std::map<std::uint32_t, std::size_t> LimiterEntries;
   std::map<std::uint64_t, std::unique_ptr<http_call>> Calls;
   std::uint64_t LastCall = 0;
   timer_subscription AnnouncementTimer;
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -35,8 +35,19 @@
   BlinkingPrimary,
   /// A replica that was down starts while the failed primary is replaced.
   JoiningReplica,
+  /// A key is removed, moved or added. Only in runs with organisations, as are
+  /// all further ones.
+  ChangeKey,
+  /// Faults of a VM that counts an organisation's operations. It is frozen for
+  /// longer than its limiter lease.
+  KillLimiter,
+  CutLimiter,
+  FreezeLimiter,
 };
 
+/// Time in which a killed process has started again.
+inline constexpr duration RestartTime = std::chrono::milliseconds(500);
+
 /// Returns the name of a kind, for logs.
 const char *toString(fault_kind Kind);
 
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -10,7 +10,6 @@
 /// The caller abandons the connection if a result takes longer.
 constexpr duration AnswerTimeout = std::chrono::milliseconds(4000);
 constexpr duration ReconnectPause = std::chrono::milliseconds(50);
-constexpr duration OperationPause = std::chrono::milliseconds(10);
 /// One caller of this many leaves within MaxOpeningMs after it has sent the
 /// first statement of a transaction, without waiting for the result.
 constexpr std::uint64_t LeavingShare = 12;
@@ -22,13 +21,27 @@
 constexpr const char *PreparedName = "p1";
 constexpr const char *PreparedShape = "booking";
 
-const line_protocol &protocol() { return platform::lineProtocol(); }
+/// Appends a caller's START message, which doesn't name an upstream.
+void appendCallerStart(std::string &Out, const std::string &Database,
+                       const std::string &Key, const std::string &) {
+  Out += "START " + Database + " " + Key + "\r\n";
+}
+
+const line_protocol &protocol() {
+  static const line_protocol Protocol = [] {
+    auto Result = platform::lineProtocol();
+    Result.AppendStart = appendCallerStart;
+    return Result;
+  }();
+  return Protocol;
+}
 
 /// Reports whether the error guarantees that nothing is committed.
 bool guaranteesNotCommitted(line_error Code) {
   return Code == line_error::Busy || Code == line_error::Aborted ||
          Code == line_error::Lagging || Code == line_error::ReadOnly ||
-         Code == line_error::Misrouted || Code == line_error::TooMany;
+         Code == line_error::Misrouted || Code == line_error::TooMany ||
+         Code == line_error::Unauthorized;
 }
 
 } // namespace
@@ -57,13 +70,18 @@
     Settings.clear();
     Prepared = false;
     line_target Target;
-    Target.Address = Options.Entries[randomBelow(Options.Entries.size())];
+    Entry = randomBelow(Options.Entries.size());
+    Target.Address = Options.Entries[Entry];
     Target.Service = Database.Name;
-    Target.User = "u" + std::to_string(Options.Number);
+    Target.User = Options.Key.empty() ? "u" + std::to_string(Options.Number)
+                                      : Options.Key;
     Target.ConnectTimeout = ConnectTimeout;
+    Request = nextRequest();
     Connection = std::make_unique<line_connection>(
         Context, protocol(), Target,
         [this](const line_connect_result &Opening) {
+          if (!Opening.Problem || Opening.Code == line_error::Unauthorized)
+            checkAdmission(Request, !Opening.Problem);
           if (Opening.Problem)
             return reconnect();
           nextOperation();
@@ -71,12 +89,27 @@
   });
 }
 
+/// Returns the origin of a message that is sent now.
+caller_request soak_caller::nextRequest() const {
+  auto Now = Context.Timers.now();
+  return {Options.Key, Entry, Database.IsPublic, Now, DataSentAt.value_or(Now),
+          OperationId};
+}
+
+void soak_caller::checkAdmission(const caller_request &Request,
+                                 bool IsAdmitted) {
+  if (Options.Organisations)
+    Options.Organisations->checkAnswer(Request, IsAdmitted,
+                                       Context.Timers.now());
+}
+
 void soak_caller::nextOperation() {
   PauseTimer = Context.Timers.after(OperationPause, [this] {
     if (!Connection->isOpen() || randomBelow(MeanSessionOperations) == 0)
       return reconnect();
     planOperation();
     StartedAt = Context.Timers.now();
+    DataSentAt.reset();
     NextStep = 0;
     CommitSent = false;
     WriteIds.clear();
@@ -158,6 +191,13 @@
   if (Data)
     Oracle.recordSent({StatementId, Step.ExpectedText, Options.Number,
                        Transaction, Settings, Step.Writes});
+  if (Data && !DataSentAt) {
+    DataSentAt = Context.Timers.now();
+    OperationId = StatementId;
+  }
+  Request = nextRequest();
+  if (Data && Options.Organisations)
+    Options.Organisations->recordSent(StatementId, Request);
   if (Data && !Step.Writes)
     Oracle.recordReadStart(StatementId, Session, Database.Allowance,
                            Transaction ? StartedAt : Context.Timers.now());
@@ -194,6 +234,9 @@
 
 void soak_caller::handleSuccess(const line_answer &Answer) {
   const auto &Step = Steps[NextStep];
+  // The end of a failed transaction executes nothing and needs no key.
+  if (Step.Kind != step_kind::Rollback)
+    checkAdmission(Request, true);
   switch (Step.Kind) {
   case step_kind::Set:
     Settings["zone"] = Step.ExpectedText;
@@ -220,6 +263,10 @@
 }
 
 void soak_caller::handleFailure(const line_failure &Failure, char State) {
+  if (Options.Organisations)
+    Options.Organisations->checkText(Failure.Text, "an error's text");
+  if (Failure.Code == line_error::Unauthorized)
+    checkAdmission(Request, false);
   // A transaction is never committed before its COMMIT has been sent.
   if (guaranteesNotCommitted(Failure.Code) || !CommitSent) {
     Oracle.recordNotCommitted(WriteIds);
--- a/tests/soak/soak_caller.h
+++ b/tests/soak/soak_caller.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "modules/line/line_connection.h"
-#include "tests/soak/oracle.h"
+#include "tests/soak/organisation_oracle.h"
 
 #include <random>
 
@@ -13,6 +13,8 @@
 struct caller_database {
   std::string Name;
   read_allowance Allowance;
+  /// Whether callers need no key.
+  bool IsPublic = false;
 };
 
 /// Parameters of a caller.
@@ -21,6 +23,10 @@
   std::vector<endpoint> Entries;
   std::vector<caller_database> Databases;
   std::uint64_t Seed = 0;
+  /// The key that the caller presents, and who judges it. Empty and null in a
+  /// deployment without organisations.
+  std::string Key;
+  organisation_oracle *Organisations = nullptr;
 };
 
 /// Numbers of operations by outcome.
@@ -39,6 +45,8 @@
   const caller_counts &counts() const { return Counts; }
   /// Time of the last operation that succeeded.
   time_point lastSuccess() const { return LastSuccess; }
+  /// Sets the time between two operations.
+  void setOperationPause(duration Pause) { OperationPause = Pause; }
   /// Closes the session, also within an operation, and starts no other.
   void stop();
 
@@ -76,15 +84,21 @@
   void handleFailure(const line_failure &Failure, char State);
   void endOperation();
   void abandonConnection();
+  caller_request nextRequest() const;
+  void checkAdmission(const caller_request &Request, bool IsAdmitted);
   std::uint64_t randomBelow(std::uint64_t Below);
 
   daemon_context &Context;
   oracle &Oracle;
   caller_options Options;
   std::mt19937_64 Random;
+  duration OperationPause = std::chrono::milliseconds(10);
   std::unique_ptr<line_connection> Connection;
   std::uint64_t Session = 0;
+  std::size_t Entry = 0;
   caller_database Database;
+  /// The message that was sent last.
+  caller_request Request;
   std::map<std::string, std::string> Settings;
   bool Prepared = false;
   std::vector<step> Steps;
@@ -93,6 +107,9 @@
   std::string StatementId;
   std::uint64_t Transaction = 0;
   time_point StartedAt;
+  /// When the operation's first read or write was sent, and its id.
+  std::optional<time_point> DataSentAt;
+  std::string OperationId;
   std::vector<std::string> WriteIds;
   bool CommitSent = false;
   bool Stopped = false;
