Line: the positions in all answers of an upstream can be learnt

Cause: the position in the READY message was ignored where it opens a connection, ends a rollback or an attempt that nobody waits for, or follows a refused BEGIN; and reads that waited for a replica's position were tried at the next tick (up to 100 ms later), not when a probe's answer brought it.

With "positions" in the new setting even-load, learnPosition() records the position of all these answers, and an answer to a probe that raises it starts the queue. No further messages are sent. The setting is a list of names, so that each measure can be turned on alone; it is off by default. The fixtures of the gateway's tests take the setting, and transactions that are read-only.

Measured: teasellock_tests -tc="line:*", 67 test cases passed; the two new cases of test_line_group_load.cpp passed in 5 of 5 further runs: after a rollback the replica's known position is 0 commits behind with the setting and 1 without. Not measured on a deployment.

--- a/modules/line/line_connection.cpp
+++ b/modules/line/line_connection.cpp
@@ -158,13 +158,14 @@
   if (const auto *Failure = std::get_if<line_failure>(&Line))
     return closeWithError("upstream.start", Failure->Text, false,
                           Failure->Code);
-  if (!std::holds_alternative<line_ready>(Line))
+  const auto *Ready = std::get_if<line_ready>(&Line);
+  if (!Ready)
     return closeWithError("upstream.start", "an unexpected message", false);
   Phase = phase::Open;
   OpenedAt = Context.Timers.now();
   Timeout.cancel();
   if (auto Callback = std::exchange(Opened, nullptr))
-    Callback({});
+    Callback({{}, false, {}, *Ready});
 }
 
 void line_connection::state::handleLine(std::string_view Text) {
@@ -227,7 +228,7 @@
   release();
   if (auto Callback = std::exchange(Opened, nullptr))
     return Callback(
-        {error(Step, Target.Upstream.Value, Reason), Refused, Code});
+        {error(Step, Target.Upstream.Value, Reason), Refused, Code, {}});
   if (auto Callback = std::exchange(Done, nullptr)) {
     Result.ConnectionLost = true;
     Result.Problem = Step + ": " + Reason;
--- a/modules/line/line_connection.h
+++ b/modules/line/line_connection.h
@@ -56,6 +56,8 @@
   bool Refused = false;
   /// The upstream's error code if it rejected the session.
   std::optional<line_error> Code;
+  /// The message that opened the session.
+  line_ready Ready = {};
 };
 
 /// A connection to an upstream that speaks the line protocol. Executes one
--- a/modules/line/line_group.cpp
+++ b/modules/line/line_group.cpp
@@ -244,6 +244,7 @@
     Upstream->ConnectDelay = duration::zero();
     ++Upstream->ConnectionsInUse;
     ++Upstream->ConnectionUses[Session->Organisation].InUse;
+    learnPosition(*Upstream, Opening.Ready);
     return releaseSession(Id, std::move(Session));
   }
   Upstream->ConnectDelay =
--- a/modules/line/line_group.h
+++ b/modules/line/line_group.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "modules/gateway/group_handler.h"
+#include "modules/line/even_load.h"
 #include "modules/line/line_protocol.h"
 
 #include <memory>
@@ -28,6 +29,7 @@
   /// A replica is probed for its position when nothing was received from it for
   /// this long.
   duration PositionInterval = fromMilliseconds(600);
+  even_load_settings EvenLoad;
 };
 
 /// Creates the gateway of one group whose upstreams speak the line protocol.
--- a/modules/line/line_group_outcomes.cpp
+++ b/modules/line/line_group_outcomes.cpp
@@ -39,6 +39,7 @@
     return false;
   auto &Detached = Extracted.mapped();
   endDetachedAttempt(Detached);
+  learnPositions(Detached.Upstream, Result);
   bool IsIdle =
       !Result.ConnectionLost && Result.Answers.back().Ready.State == 'I';
   if (IsIdle)
--- a/modules/line/line_group_probes.cpp
+++ b/modules/line/line_group_probes.cpp
@@ -147,6 +147,7 @@
         Upstream->ProbeConnectionOpening = false;
         if (!Opening.Problem) {
           Self->handleReachable(*Upstream);
+          Self->learnPosition(*Upstream, Opening.Ready);
           return Self->sendNextProbeRequest(Id);
         }
         Upstream->ProbeNotBefore = Self->now() + ProbeConnectDelay;
@@ -183,13 +184,19 @@
     return;
   auto Request = std::move(*Upstream->ProbeInFlight);
   Upstream->ProbeInFlight.reset();
+  position Before = Upstream->Applied;
+  bool HasAdvanced = false;
   if (!Result.ConnectionLost) {
     handleReachable(*Upstream);
     if (Result.Answers.back().Ready.Position)
       Upstream->Applied = *Result.Answers.back().Ready.Position;
+    HasAdvanced = Upstream->Applied > Before;
   }
   Request.OnResult(Result);
   sendNextProbeRequest(Id);
+  // Reads may wait for this position.
+  if (Settings.EvenLoad.LearnPositions && HasAdvanced && !Queue.empty())
+    startQueued();
 }
 
 //===----------------------------------------------------------------------===//
--- a/modules/line/line_group_state.h
+++ b/modules/line/line_group_state.h
@@ -2,7 +2,8 @@
 /// its source files: connections and scheduling in line_group.cpp,
 /// line_group_connections.cpp and line_group_statements.cpp, outcomes in
 /// line_group_outcomes.cpp, probes and reports in line_group_probes.cpp, orders
-/// of control in line_group_pauses.cpp.
+/// of control in line_group_pauses.cpp, measures for even load in
+/// line_group_load.cpp.
 #pragma once
 
 #include "modules/line/admission_control.h"
@@ -297,6 +298,10 @@
                        line_upstream &Upstream);
   void replaceIdleSession(line_upstream &Upstream, std::size_t Index);
 
+  // line_group_load.cpp
+  void learnPosition(line_upstream &Upstream, const line_ready &Ready) const;
+  void learnPositions(const upstream_id &Id, const line_batch_result &Result);
+
   // line_group_statements.cpp
   void startQueued();
   bool tryStart(line_pending_statement &Statement);
--- a/modules/line/line_group_statements.cpp
+++ b/modules/line/line_group_statements.cpp
@@ -313,6 +313,7 @@
     return;
   if (Result.ConnectionLost)
     return handleLostAttempt(*Statement, Result.Problem);
+  learnPositions(Statement->Upstream, Result);
   for (const auto &Answer : Result.Answers)
     if (Answer.Failure)
       return handleFailure(*Statement, *Answer.Failure);
--- /dev/null
+++ b/modules/line/tests/test_even_load.cpp
@@ -0,0 +1,24 @@
+#include "modules/line/even_load.h"
+
+#include "core/error.h"
+
+#include <doctest/doctest.h>
+
+using namespace teasellock;
+
+// Guards against deployments that don't ask for even load and are served
+// differently.
+TEST_CASE("line: without names no measure for even load is on") {
+  CHECK_FALSE(parseEvenLoad("").LearnPositions);
+}
+
+TEST_CASE("line: measures for even load are turned on by name") {
+  CHECK(parseEvenLoad("positions").LearnPositions);
+}
+
+// Guards against a misspelt name that turns nothing on without notice.
+TEST_CASE("line: unknown names of measures for even load are rejected") {
+  CHECK_THROWS_AS(parseEvenLoad("position"), error);
+  CHECK_THROWS_AS(parseEvenLoad("positions,,"), error);
+  CHECK_THROWS_AS(parseEvenLoad(" positions"), error);
+}
--- a/tests/line_group_fixture.h
+++ b/tests/line_group_fixture.h
@@ -29,7 +29,8 @@
 
   /// The gateway knows the first KnownUpstreams of the three.
   explicit line_group_fixture(std::size_t KnownUpstreams = 3,
-                              bool HasOrganisations = false) {
+                              bool HasOrganisations = false,
+                              even_load_settings EvenLoad = {}) {
     View.Group = group_id("g");
     View.Revision = revision(1);
     View.Row.Group = View.Group;
@@ -45,6 +46,7 @@
     View.Gateways.push_back(Share);
     Settings.Protocol = &platform::lineProtocol();
     Settings.ProbeTimeout = fromMilliseconds(200);
+    Settings.EvenLoad = EvenLoad;
     Gateway = makeLineGroup(
         Context,
         membership_hooks{[] { return true; }, [] {},
@@ -133,6 +135,8 @@
     std::string Organisation = "";
     /// 0 is the highest priority.
     std::int32_t Priority = 0;
+    /// Of a transaction that the statement opens.
+    bool ReadOnly = false;
   };
 
   struct collected_reply {
@@ -164,6 +168,7 @@
         Writes ? wire::statement_access::write : wire::statement_access::read;
     Request.transaction = Statement.Transaction;
     Request.opens_transaction = Statement.OpensTransaction;
+    Request.read_only = Statement.ReadOnly;
     Request.settings = Statement.Settings;
     Request.timeout_ms = toMilliseconds(Statement.Timeout);
     Request.max_staleness_ms = toMilliseconds(Statement.MaxStaleness);
--- /dev/null
+++ b/tests/test_line_group_load.cpp
@@ -0,0 +1,64 @@
+#include "tests/line_group_fixture.h"
+
+using namespace teasellock;
+
+namespace {
+
+constexpr std::size_t Primary = 0;
+constexpr std::size_t Replica = 1;
+/// Longer than a replica's lag, and shorter than the interval of the probes of
+/// a replica.
+constexpr duration CatchUpTime = std::chrono::milliseconds(100);
+/// Longer than a rollback takes.
+constexpr duration RollbackTime = std::chrono::milliseconds(30);
+
+position positionOf(line_group_fixture &Fixture, std::size_t Upstream) {
+  for (const auto &Report : Fixture.Gateway->report().upstreams)
+    if (Report.upstream == Fixture.Upstreams.statusOf(Upstream).Id)
+      return fromWire(Report.replayed);
+  return {};
+}
+
+even_load_settings learningPositions(bool On) {
+  even_load_settings Settings;
+  Settings.LearnPositions = On;
+  return Settings;
+}
+
+/// Opens a transaction on the replica, which lags, lets it catch up with a
+/// write, and rolls the transaction back. Returns the offset by which the known
+/// position of the replica is behind the primary's then.
+std::uint64_t lagAfterRollback(bool LearnsPositions) {
+  constexpr std::int64_t Transaction = 5;
+  line_group_fixture Fixture(2, false, learningPositions(LearnsPositions));
+  REQUIRE(Fixture.succeeded(
+      Fixture.finish({"w0", wire::line_verb::write, "WRITE item a"})));
+  Fixture.run(fromMilliseconds(800));
+  line_group_fixture::statement Read{"r1", wire::line_verb::read, "READ item",
+                                     Transaction, true};
+  Read.ReadOnly = true;
+  Read.MaxStaleness = fromMilliseconds(5000);
+  auto Reply = Fixture.finish(Read);
+  REQUIRE(Fixture.succeeded(Reply));
+  REQUIRE(Reply.upstream == Fixture.Upstreams.statusOf(Replica).Id);
+  REQUIRE(Fixture.succeeded(
+      Fixture.finish({"w1", wire::line_verb::write, "WRITE item b"})));
+  Fixture.run(CatchUpTime);
+  Fixture.Gateway->release(link_id(1), transaction_id(Transaction));
+  Fixture.run(RollbackTime);
+  return positionOf(Fixture, Primary).Offset -
+         positionOf(Fixture, Replica).Offset;
+}
+
+} // namespace
+
+// Guards against reads that go to the primary, or wait, although the replica's
+// answers to other statements have shown that it has the data.
+TEST_CASE("line: the position in the answer to a rollback is learnt") {
+  CHECK(lagAfterRollback(true) == 0);
+}
+
+// Guards against a measure for even load that is on without being asked for.
+TEST_CASE("line: without the measure that position is not learnt") {
+  CHECK(lagAfterRollback(false) == 1);
+}
