Line: reads can be spread over the best upstreams

Cause: all gateways chose the upstream with the lowest average of few answers. Equal replicas got the reads of all gateways in turns, an upstream that had been slow once was not tried again, and the variation of single statements sent reads to another zone although the near replica was not congested.

With "spread" in the setting even-load, a random number decides between the upstream that is expected to answer first and those close to it, with probabilities inverse to their expected latencies. A replica takes part if it is as near; a farther upstream or the primary only if the first one is congested. The cost of opening a connection is apart from that of the distance, so that a replica without a free connection stays as near.

Measured: teasellock_tests -tc="line:*", 76 test cases passed. Not measured on a deployment.

--- a/modules/line/even_load.cpp
+++ b/modules/line/even_load.cpp
@@ -11,8 +11,10 @@
 void turnOn(even_load_settings &Settings, const std::string &Name) {
   if (Name == "positions")
     Settings.LearnPositions = true;
+  else if (Name == "spread")
+    Settings.SpreadReads = true;
   else
-    throw error("settings.check", "", "must be a list of: positions");
+    throw error("settings.check", "", "must be a list of: positions, spread");
 }
 
 } // namespace
--- a/modules/line/even_load.h
+++ b/modules/line/even_load.h
@@ -11,6 +11,9 @@
   /// Positions are learnt from every answer of an upstream, and an answer to a
   /// probe that raises a position starts the reads that wait for it.
   bool LearnPositions = false;
+  /// The choice of an upstream for a read is random among the best; see
+  /// chooseUpstream().
+  bool SpreadReads = false;
 };
 
 /// Parses the names of measures, separated by commas; an empty text turns none
--- a/modules/line/line_group.cpp
+++ b/modules/line/line_group.cpp
@@ -47,6 +47,8 @@
           "teasellock_gateway_open_transactions", {{"group", Group.Value}})),
       ConnectionsInUse(Context.Metrics.gaugeOf(
           "teasellock_gateway_connections_in_use", {{"group", Group.Value}})) {
+  Random.seed(static_cast<std::minstd_rand::result_type>(
+      std::hash<std::string>()(Context.Self.Vm.Value + "/" + Group.Value)));
   View.Group = std::move(Group);
 }
 
--- a/modules/line/line_group_load.cpp
+++ b/modules/line/line_group_load.cpp
@@ -18,4 +18,19 @@
       learnPosition(*Upstream, Answer.Ready);
 }
 
+/// Adds what the choice of an upstream needs for spreading reads.
+void line_group::addLoadEvidence(read_candidate &Candidate,
+                                 const line_upstream &Upstream) const {
+  if (!Settings.EvenLoad.SpreadReads)
+    return;
+  Candidate.Baseline = Upstream.LatencyTrend.Baseline;
+  Candidate.LatencyAge = now() - Upstream.LastAnswerAt;
+}
+
+std::optional<double> line_group::drawForRead() {
+  if (!Settings.EvenLoad.SpreadReads)
+    return std::nullopt;
+  return std::uniform_real_distribution<>()(Random);
+}
+
 } // namespace teasellock
--- a/modules/line/line_group_state.h
+++ b/modules/line/line_group_state.h
@@ -18,6 +18,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 
 namespace teasellock {
@@ -89,6 +90,7 @@
   /// Moving average over the latest statements, from sending to the answer.
   duration Latency{};
   latency_trend LatencyTrend;
+  time_point LastAnswerAt;
   /// When the oldest write was sent that is unanswered, if no write has been
   /// answered since.
   std::optional<time_point> WriteUnansweredSince;
@@ -301,6 +303,9 @@
   // line_group_load.cpp
   void learnPosition(line_upstream &Upstream, const line_ready &Ready) const;
   void learnPositions(const upstream_id &Id, const line_batch_result &Result);
+  void addLoadEvidence(read_candidate &Candidate,
+                       const line_upstream &Upstream) const;
+  std::optional<double> drawForRead();
 
   // line_group_statements.cpp
   void startQueued();
@@ -416,6 +421,8 @@
   /// Connections that are being opened, by attempt.
   std::map<std::uint64_t, line_opening> Connecting;
   position_history PositionHistory;
+  /// For the choice of upstreams; seeded differently by each gateway.
+  std::minstd_rand Random;
   std::uint64_t LastId = 0;
   bool StartingQueued = false;
   bool StartQueuedAgain = false;
--- a/modules/line/line_group_statements.cpp
+++ b/modules/line/line_group_statements.cpp
@@ -201,8 +201,9 @@
         distanceCostTo(Context.Self, Upstream.Announcement);
     Candidate.HasConnection = canGetConnection(Upstream, Organisation);
     if (!hasIdleConnection(Upstream, Organisation))
-      Candidate.DistanceCost += ConnectCost;
+      Candidate.ConnectCost = ConnectCost;
     Candidate.Latency = Upstream.Latency;
+    addLoadEvidence(Candidate, Upstream);
     Candidate.InFlight = Upstream.InFlight;
     Candidate.Slots = Upstream.Announcement.Slots;
     Candidates.push_back(Candidate);
@@ -219,8 +220,8 @@
     return false;
   }
   auto Candidates = readCandidates(Statement.organisation());
-  if (const auto *Best =
-          chooseUpstream(Candidates, *Required, Statement.TriedUpstreams))
+  if (const auto *Best = chooseUpstream(
+          Candidates, *Required, Statement.TriedUpstreams, drawForRead()))
     return tryStartOn(Statement, Best->Upstream, Required);
   Statement.Reason = "no upstream with the data has a free connection";
   recordWaitingRead(Statement, *Required);
@@ -443,6 +444,7 @@
   if (!Answer.Failure) {
     if (Queue.empty())
       recordExecutionTime(Estimates, Statement.kind(), Elapsed);
+    Upstream->LastAnswerAt = now();
     recordLatency(Upstream->LatencyTrend, Elapsed);
     Upstream->Latency += (Elapsed - Upstream->Latency) / LatencyWeightDivisor;
     if (Statement.changesData())
--- a/modules/line/read_choice.h
+++ b/modules/line/read_choice.h
@@ -60,20 +60,36 @@
   bool HasConnection = false;
   /// Cost of the distance to it, as latency.
   duration DistanceCost{};
+  /// Cost of opening a connection first, as latency; zero if one is free.
+  duration ConnectCost{};
   /// Average latency of its latest answers.
   duration Latency{};
+  /// Its latency without congestion; zero: not known, Latency counts as it is.
+  duration Baseline{};
+  /// Time since its latest answer; only with a baseline.
+  duration LatencyAge{};
   /// Statements of this gateway in flight there.
   std::uint32_t InFlight = 0;
   /// Statements that it executes concurrently.
   std::uint32_t Slots = 1;
 };
 
-/// Returns the upstream that is expected to answer first among those that have
-/// the needed position and a connection and are not in Tried, or null when
-/// there is none. The primary is penalised because its slots also serve the
-/// statements that no replica can. The result points into Candidates.
+/// Returns the upstream for a read among those that have the needed position
+/// and a connection and are not in Tried, or null when there is none: the one
+/// that is expected to answer first. The primary is penalised because its slots
+/// also serve the statements that no replica can.
+///
+/// With Draw, a random number in [0, 1), the choice is random among the best,
+/// so that many gateways don't all choose the same one: that upstream and those
+/// whose expected latencies are close to its own, weighted by the inverse of
+/// these. Another replica takes part if it is as near, because traffic is
+/// billed by distance; a farther upstream or the primary only if the first one
+/// is congested.
+///
+/// The result points into Candidates.
 const read_candidate *
 chooseUpstream(const std::vector<read_candidate> &Candidates,
-               const position &Required, const std::set<upstream_id> &Tried);
+               const position &Required, const std::set<upstream_id> &Tried,
+               std::optional<double> Draw = std::nullopt);
 
 } // namespace teasellock
--- a/modules/line/tests/test_even_load.cpp
+++ b/modules/line/tests/test_even_load.cpp
@@ -10,10 +10,16 @@
 // differently.
 TEST_CASE("line: without names no measure for even load is on") {
   CHECK_FALSE(parseEvenLoad("").LearnPositions);
+  CHECK_FALSE(parseEvenLoad("").SpreadReads);
 }
 
 TEST_CASE("line: measures for even load are turned on by name") {
   CHECK(parseEvenLoad("positions").LearnPositions);
+  CHECK_FALSE(parseEvenLoad("positions").SpreadReads);
+  CHECK(parseEvenLoad("spread").SpreadReads);
+  CHECK_FALSE(parseEvenLoad("spread").LearnPositions);
+  CHECK(parseEvenLoad("spread,positions").LearnPositions);
+  CHECK(parseEvenLoad("spread,positions").SpreadReads);
 }
 
 // Guards against a misspelt name that turns nothing on without notice.
