Line: reads can avoid upstreams that fail statements or lose connections

Cause: an upstream that fails part of its statements, resets connections or alternates between down and up answers most probes, and was chosen for all reads of its zone again at once.

Not measured on a deployment.

--- a/main/daemon_settings.cpp
+++ b/main/daemon_settings.cpp
@@ -348,7 +348,8 @@
       makeSetting("even-load",
                   "measures for even load over upstreams of the line protocol, "
                   "comma-separated: positions (learnt from every answer), "
-                  "spread (reads over the best); empty: none",
+                  "spread (reads over the best), reliability (avoids upstreams "
+                  "that fail; needs spread); empty: none",
                   "", [](daemon_settings &S, const std::string &Text) {
                     S.LineGroupSettings.EvenLoad = parseEvenLoad(Text);
                   }));
--- a/modules/line/even_load.cpp
+++ b/modules/line/even_load.cpp
@@ -8,13 +8,19 @@
 
 namespace {
 
+error invalidValue(const std::string &Reason) {
+  return error("settings.check", "", Reason);
+}
+
 void turnOn(even_load_settings &Settings, const std::string &Name) {
   if (Name == "positions")
     Settings.LearnPositions = true;
   else if (Name == "spread")
     Settings.SpreadReads = true;
+  else if (Name == "reliability")
+    Settings.AvoidUnreliable = true;
   else
-    throw error("settings.check", "", "must be a list of: positions, spread");
+    throw invalidValue("must be a list of: positions, spread, reliability");
 }
 
 } // namespace
@@ -26,6 +32,8 @@
     turnOn(Settings, Text.substr(Start, End - Start));
     Start = End + 1;
   }
+  if (Settings.AvoidUnreliable && !Settings.SpreadReads)
+    throw invalidValue("reliability needs spread");
   return Settings;
 }
 
--- a/modules/line/even_load.h
+++ b/modules/line/even_load.h
@@ -14,6 +14,9 @@
   /// The choice of an upstream for a read is random among the best; see
   /// chooseUpstream().
   bool SpreadReads = false;
+  /// Reads avoid upstreams that fail statements or lose connections; needs
+  /// SpreadReads.
+  bool AvoidUnreliable = false;
 };
 
 /// Parses the names of measures, separated by commas; an empty text turns none
--- a/modules/line/line_group_load.cpp
+++ b/modules/line/line_group_load.cpp
@@ -25,6 +25,8 @@
     return;
   Candidate.Baseline = Upstream.LatencyTrend.Baseline;
   Candidate.LatencyAge = now() - Upstream.LastAnswerAt;
+  if (Settings.EvenLoad.AvoidUnreliable)
+    Candidate.CostFactor = costFactor(Upstream.Score, now());
 }
 
 std::optional<double> line_group::drawForRead() {
--- a/modules/line/line_group_outcomes.cpp
+++ b/modules/line/line_group_outcomes.cpp
@@ -108,6 +108,8 @@
         .with("upstream", Statement.Upstream.Value)
         .with("after_ms", toMilliseconds(now() - Statement.SentAt));
     detachAttempt(Statement);
+    if (auto *Upstream = findUpstream(Statement.Upstream))
+      recordEvidence(Upstream->Score, upstream_evidence::Failed, now());
     if (Statement.Destination == line_destination::AnyUpstream)
       Statement.TriedUpstreams.insert(Statement.Upstream);
     retryStatement(Statement, "no answer for much longer than usual");
@@ -304,8 +306,10 @@
   if (WasStarted && IsPastDeadline) {
     detachAttempt(Statement);
   } else if (WasStarted) {
-    if (auto *Upstream = findUpstream(Id))
+    if (auto *Upstream = findUpstream(Id)) {
       --Upstream->InFlight;
+      recordEvidence(Upstream->Score, upstream_evidence::ConnectionLost, now());
+    }
     closeSession(Id, std::move(Statement.Session));
   }
   auto Key = Statement.transactionKey();
--- a/modules/line/line_group_probes.cpp
+++ b/modules/line/line_group_probes.cpp
@@ -94,6 +94,7 @@
       Upstream->HasReceived
           ? std::max(Upstream->LastReceivedAt, now() - WriteStallTimeout)
           : now();
+  recordEvidence(Upstream->Score, upstream_evidence::ConnectionLost, now());
   event("upstream.unreachable", severity::Warning)
       .with("group", View.Group.Value)
       .with("upstream", Id.Value)
--- a/modules/line/line_group_state.h
+++ b/modules/line/line_group_state.h
@@ -13,6 +13,7 @@
 #include "modules/line/queue_order.h"
 #include "modules/line/read_choice.h"
 #include "modules/line/session_values.h"
+#include "modules/line/upstream_score.h"
 #include "modules/line/write_fence.h"
 
 #include <deque>
@@ -91,6 +92,7 @@
   duration Latency{};
   latency_trend LatencyTrend;
   time_point LastAnswerAt;
+  upstream_score Score;
   /// When the oldest write was sent that is unanswered, if no write has been
   /// answered since.
   std::optional<time_point> WriteUnansweredSince;
--- a/modules/line/line_group_statements.cpp
+++ b/modules/line/line_group_statements.cpp
@@ -441,6 +441,11 @@
     Upstream->Applied = *Answer.Ready.Position;
   duration Elapsed = now() - Statement.SentAt;
   StatementSeconds.observe(Elapsed);
+  bool HasFailed = Answer.Failure && Answer.Failure->Code == line_error::Failed;
+  recordEvidence(Upstream->Score,
+                 HasFailed ? upstream_evidence::Failed
+                           : upstream_evidence::Answered,
+                 now());
   if (!Answer.Failure) {
     if (Queue.empty())
       recordExecutionTime(Estimates, Statement.kind(), Elapsed);
--- a/modules/line/read_choice.cpp
+++ b/modules/line/read_choice.cpp
@@ -27,7 +27,8 @@
 }
 
 bool isCongested(const read_candidate &Candidate) {
-  return Candidate.InFlight >= Candidate.Slots || isAboveBaseline(Candidate);
+  return Candidate.InFlight >= Candidate.Slots || Candidate.CostFactor > 1 ||
+         isAboveBaseline(Candidate);
 }
 
 /// Returns the latency that counts now. Below the limit for congestion it is
@@ -53,6 +54,8 @@
                static_cast<std::int64_t>(Slots);
   duration Expected = Candidate.DistanceCost + Candidate.ConnectCost +
                       presentLatency(Candidate) * (1 + Ahead);
+  Expected =
+      std::chrono::duration_cast<duration>(Expected * Candidate.CostFactor);
   return Candidate.IsPrimary ? Expected * PrimaryPenalty : Expected;
 }
 
--- a/modules/line/read_choice.h
+++ b/modules/line/read_choice.h
@@ -68,6 +68,8 @@
   duration Baseline{};
   /// Time since its latest answer; only with a baseline.
   duration LatencyAge{};
+  /// Factor on its expected latency; see costFactor().
+  double CostFactor = 1;
   /// Statements of this gateway in flight there.
   std::uint32_t InFlight = 0;
   /// Statements that it executes concurrently.
@@ -84,7 +86,7 @@
 /// whose expected latencies are close to its own, weighted by the inverse of
 /// these. Another replica takes part if it is as near, because traffic is
 /// billed by distance; a farther upstream or the primary only if the first one
-/// is congested.
+/// is congested or unreliable.
 ///
 /// The result points into Candidates.
 const read_candidate *
--- a/modules/line/tests/test_even_load.cpp
+++ b/modules/line/tests/test_even_load.cpp
@@ -11,6 +11,7 @@
 TEST_CASE("line: without names no measure for even load is on") {
   CHECK_FALSE(parseEvenLoad("").LearnPositions);
   CHECK_FALSE(parseEvenLoad("").SpreadReads);
+  CHECK_FALSE(parseEvenLoad("").AvoidUnreliable);
 }
 
 TEST_CASE("line: measures for even load are turned on by name") {
@@ -20,6 +21,9 @@
   CHECK_FALSE(parseEvenLoad("spread").LearnPositions);
   CHECK(parseEvenLoad("spread,positions").LearnPositions);
   CHECK(parseEvenLoad("spread,positions").SpreadReads);
+  CHECK_FALSE(parseEvenLoad("spread,positions").AvoidUnreliable);
+  CHECK(parseEvenLoad("reliability,spread").AvoidUnreliable);
+  CHECK(parseEvenLoad("reliability,spread").SpreadReads);
 }
 
 // Guards against a misspelt name that turns nothing on without notice.
@@ -28,3 +32,9 @@
   CHECK_THROWS_AS(parseEvenLoad("positions,,"), error);
   CHECK_THROWS_AS(parseEvenLoad(" positions"), error);
 }
+
+// Guards against a measure that is on without the one that it builds on.
+TEST_CASE("line: reliability without spread is rejected") {
+  CHECK_THROWS_AS(parseEvenLoad("reliability"), error);
+  CHECK_THROWS_AS(parseEvenLoad("positions,reliability"), error);
+}
--- a/modules/line/tests/test_read_choice.cpp
+++ b/modules/line/tests/test_read_choice.cpp
@@ -142,3 +142,23 @@
   CHECK(chooseUpstream({Primary, Replica}, positionAt(1, 4), {})
             ->Upstream.Value == "p");
 }
+
+// Guards against reads that go to a near upstream that fails part of them.
+TEST_CASE("line: an unreliable upstream is left for one that is farther") {
+  read_candidate Near{upstream_id("near"), positionAt(1, 5)};
+  Near.HasConnection = true;
+  Near.Latency = Near.Baseline = fromMilliseconds(25);
+  read_candidate Far = Near;
+  Far.Upstream = upstream_id("far");
+  Far.DistanceCost = fromMilliseconds(8);
+  CHECK(
+      chooseUpstream({Near, Far}, positionAt(1, 5), {}, 0.9)->Upstream.Value ==
+      "near");
+  Near.CostFactor = 4;
+  for (double Draw : {0.0, 0.5, 0.9})
+    CHECK(chooseUpstream({Near, Far}, positionAt(1, 5), {}, Draw)
+              ->Upstream.Value == "far");
+  // It is still used where no other has the data.
+  CHECK(chooseUpstream({Near}, positionAt(1, 5), {}, 0)->Upstream.Value ==
+        "near");
+}
--- a/tests/test_line_group_load.cpp
+++ b/tests/test_line_group_load.cpp
@@ -62,3 +62,41 @@
 TEST_CASE("line: without the measure that position is not learnt") {
   CHECK(lagAfterRollback(false) == 1);
 }
+
+namespace {
+
+/// Lets the replica be silent until the gateway finds it unreachable and
+/// reachable again, and returns how many of the reads after that it gets.
+int countReadsAfterOutage(const std::string &EvenLoad) {
+  line_group_fixture Fixture(3, false, parseEvenLoad(EvenLoad));
+  REQUIRE(Fixture.succeeded(
+      Fixture.finish({"w0", wire::line_verb::write, "WRITE item a"})));
+  Fixture.run(CatchUpTime);
+  Fixture.Upstreams.injectFault(Replica, soak::upstream_fault::Silent);
+  REQUIRE(Fixture.runUntil([&] { return Fixture.countReachable() == 2; }));
+  Fixture.Upstreams.recover(Replica);
+  REQUIRE(Fixture.runUntil([&] { return Fixture.countReachable() == 3; }));
+  Fixture.run(CatchUpTime);
+  int Count = 0;
+  for (int Number = 0; Number < 20; ++Number) {
+    line_group_fixture::statement Read{"r" + std::to_string(Number),
+                                       wire::line_verb::read, "READ item"};
+    Read.MaxStaleness = fromMilliseconds(5000);
+    auto Reply = Fixture.finish(Read);
+    CHECK(Fixture.succeeded(Reply));
+    Count += Reply.upstream == Fixture.Upstreams.statusOf(Replica).Id;
+  }
+  return Count;
+}
+
+} // namespace
+
+// Guards against an upstream that flaps and gets its part of the reads at once
+// each time that it answers.
+TEST_CASE("line: a replica that was unreachable gets no reads at first") {
+  CHECK(countReadsAfterOutage("spread,reliability") == 0);
+}
+
+TEST_CASE("line: without the measure it gets its part of the reads at once") {
+  CHECK(countReadsAfterOutage("spread") > 0);
+}
