Line: a gateway's limit in flight can follow BUSY answers and latency

Cause: a gateway's part of a primary is computed for the gateways of the primary's region. When all replicas lag, the other gateways send their reads to the primary too, and all parts together exceed its queue, which rejects statements, also those of open transactions.

With "limit" in the setting even-load, in_flight_limit lowers the limit by a factor on a BUSY answer or a long queue, at most once in the time of an answer, with a phase that differs between gateways, and raises it by small steps. Without such signs the limit is the fixed one. New: the limit falls to one while the upstream is unreachable, and upstream.limit_halved is logged when it falls to half of the fixed one, at most once in 10 s for each upstream.

Not measured on a deployment.

--- a/main/daemon_settings.cpp
+++ b/main/daemon_settings.cpp
@@ -344,15 +344,15 @@
       [](daemon_settings &S) -> duration & {
         return S.GatewaySettings.ConnectTimeout;
       }));
-  Definitions.push_back(
-      makeSetting("even-load",
-                  "measures for even load over upstreams of the line protocol, "
-                  "comma-separated: positions (learnt from every answer), "
-                  "spread (reads over the best), reliability (avoids upstreams "
-                  "that fail; needs spread); empty: none",
-                  "", [](daemon_settings &S, const std::string &Text) {
-                    S.LineGroupSettings.EvenLoad = parseEvenLoad(Text);
-                  }));
+  Definitions.push_back(makeSetting(
+      "even-load",
+      "measures for even load over upstreams of the line protocol, "
+      "comma-separated: positions (learnt from every answer), spread (reads "
+      "over the best), reliability (avoids upstreams that fail; needs spread), "
+      "limit (in flight, follows BUSY answers and latency); empty: none",
+      "", [](daemon_settings &S, const std::string &Text) {
+        S.LineGroupSettings.EvenLoad = parseEvenLoad(Text);
+      }));
 }
 
 void appendTimeSettings(std::vector<daemon_setting> &Definitions) {
--- a/modules/line/admission_control.cpp
+++ b/modules/line/admission_control.cpp
@@ -60,6 +60,12 @@
   Trend.Baseline += (Trend.Typical - Trend.Baseline) / BaselineWeightDivisor;
 }
 
+std::int64_t latencyPercent(const latency_trend &Trend) {
+  return Trend.Baseline == duration::zero()
+             ? 100
+             : Trend.Typical * 100 / Trend.Baseline;
+}
+
 std::uint32_t maxInFlight(const latency_trend &Trend, std::uint32_t Slots,
                           std::size_t Gateways) {
   Slots = std::max<std::uint32_t>(Slots, 1);
@@ -72,9 +78,8 @@
       std::max(GatewayLimit, Slots * UncongestedStatementsPerSlot);
   if (Trend.Baseline == duration::zero())
     return GatewayLimit;
-  std::int64_t Percent = Trend.Typical * 100 / Trend.Baseline;
   std::int64_t Congestion =
-      std::clamp(Percent, UncongestedPercent, CongestedPercent) -
+      std::clamp(latencyPercent(Trend), UncongestedPercent, CongestedPercent) -
       UncongestedPercent;
   auto Reduction = (Limit - GatewayLimit) * Congestion /
                    (CongestedPercent - UncongestedPercent);
--- a/modules/line/admission_control.h
+++ b/modules/line/admission_control.h
@@ -59,6 +59,10 @@
 /// Records the latency of a statement.
 void recordLatency(latency_trend &Trend, duration Latency);
 
+/// Returns the typical latency as a percentage of the baseline; 100 if the
+/// baseline is not known yet.
+std::int64_t latencyPercent(const latency_trend &Trend);
+
 /// Returns how many statements one of Gateways gateways may have in flight on
 /// an upstream with Slots slots.
 ///
--- a/modules/line/even_load.cpp
+++ b/modules/line/even_load.cpp
@@ -19,8 +19,11 @@
     Settings.SpreadReads = true;
   else if (Name == "reliability")
     Settings.AvoidUnreliable = true;
+  else if (Name == "limit")
+    Settings.AdaptLimit = true;
   else
-    throw invalidValue("must be a list of: positions, spread, reliability");
+    throw invalidValue(
+        "must be a list of: positions, spread, reliability, limit");
 }
 
 } // namespace
--- a/modules/line/even_load.h
+++ b/modules/line/even_load.h
@@ -17,6 +17,9 @@
   /// Reads avoid upstreams that fail statements or lose connections; needs
   /// SpreadReads.
   bool AvoidUnreliable = false;
+  /// The limit of statements in flight on an upstream follows its BUSY answers
+  /// and its latency.
+  bool AdaptLimit = false;
 };
 
 /// Parses the names of measures, separated by commas; an empty text turns none
--- a/modules/line/line_group.cpp
+++ b/modules/line/line_group.cpp
@@ -71,13 +71,6 @@
                                  1);
 }
 
-std::uint32_t line_group::maxInFlightOn(const line_upstream &Upstream) const {
-  std::size_t Gateways =
-      Upstream.IsPrimary ? PrimaryGatewayCount : View.Gateways.size();
-  return maxInFlight(Upstream.LatencyTrend, Upstream.Announcement.Slots,
-                     Gateways);
-}
-
 bool line_group::canConnect(const line_upstream &Upstream) const {
   std::uint32_t ConnectionCount =
       Upstream.ConnectionsInUse + Upstream.ConnectionsOpening +
@@ -162,6 +155,7 @@
       continue;
     auto &Upstream = Upstreams[Id];
     Upstream.Announcement = Announcement;
+    Upstream.FlightLimit.Phase = phaseOf(Context.Self.Vm, Id);
     // The probe connects first: if the upstream has few free connections,
     // nothing is known of it without a probe.
     if (!Known)
--- a/modules/line/line_group_load.cpp
+++ b/modules/line/line_group_load.cpp
@@ -1,3 +1,4 @@
+#include "core/event_log.h"
 #include "modules/line/line_group_state.h"
 
 #include <algorithm>
@@ -35,4 +36,43 @@
   return std::uniform_real_distribution<>()(Random);
 }
 
+std::uint32_t line_group::fixedLimitOn(const line_upstream &Upstream) const {
+  std::size_t Gateways =
+      Upstream.IsPrimary ? PrimaryGatewayCount : View.Gateways.size();
+  return maxInFlight(Upstream.LatencyTrend, Upstream.Announcement.Slots,
+                     Gateways);
+}
+
+std::uint32_t line_group::maxInFlightOn(const line_upstream &Upstream) const {
+  return limitInForce(Upstream.FlightLimit, fixedLimitOn(Upstream));
+}
+
+/// Adapts the limit in flight to what the upstream has shown.
+void line_group::adaptLimit(line_upstream &Upstream, limit_evidence Evidence) {
+  if (!Settings.EvenLoad.AdaptLimit)
+    return;
+  auto &Limit = Upstream.FlightLimit;
+  std::uint32_t Fixed = fixedLimitOn(Upstream);
+  switch (Evidence) {
+  case limit_evidence::Busy:
+    recordBusyAnswer(Limit, Upstream.LatencyTrend, Upstream.InFlight, Fixed,
+                     now());
+    break;
+  case limit_evidence::Executed:
+    recordExecuted(Limit, Upstream.LatencyTrend, Upstream.InFlight, Fixed,
+                   now());
+    break;
+  case limit_evidence::Unanswered:
+    recordUnanswered(Limit, now());
+    break;
+  }
+  if (takeHalvingReport(Limit, Fixed, now()))
+    event("upstream.limit_halved")
+        .with("group", View.Group.Value)
+        .with("upstream", Upstream.Announcement.Upstream.Value)
+        .with("limit", std::uint64_t{limitInForce(Limit, Fixed)})
+        .with("fixed_limit", std::uint64_t{Fixed})
+        .with("in_flight", std::uint64_t{Upstream.InFlight});
+}
+
 } // namespace teasellock
--- a/modules/line/line_group_outcomes.cpp
+++ b/modules/line/line_group_outcomes.cpp
@@ -198,8 +198,10 @@
   auto Id = Statement.Upstream;
   if (Failure.Code == line_error::ReadOnly)
     handleLeadership(Id, false, term());
-  if (Failure.Code == line_error::Busy && Upstream)
+  if (Failure.Code == line_error::Busy && Upstream) {
     Upstream->BusyUntil = now() + BusyDelay;
+    adaptLimit(*Upstream, limit_evidence::Busy);
+  }
   if (Failure.Code == line_error::Lagging && findPrimary() == Id)
     Statement.ReadRequirement.IgnoreFloor = true;
   event("statement.refused", severity::Debug)
--- a/modules/line/line_group_probes.cpp
+++ b/modules/line/line_group_probes.cpp
@@ -95,6 +95,7 @@
           ? std::max(Upstream->LastReceivedAt, now() - WriteStallTimeout)
           : now();
   recordEvidence(Upstream->Score, upstream_evidence::ConnectionLost, now());
+  adaptLimit(*Upstream, limit_evidence::Unanswered);
   event("upstream.unreachable", severity::Warning)
       .with("group", View.Group.Value)
       .with("upstream", Id.Value)
--- a/modules/line/line_group_state.h
+++ b/modules/line/line_group_state.h
@@ -8,6 +8,7 @@
 
 #include "modules/line/admission_control.h"
 #include "modules/line/connection_choice.h"
+#include "modules/line/in_flight_limit.h"
 #include "modules/line/line_connection.h"
 #include "modules/line/line_group.h"
 #include "modules/line/queue_order.h"
@@ -93,6 +94,7 @@
   latency_trend LatencyTrend;
   time_point LastAnswerAt;
   upstream_score Score;
+  in_flight_limit FlightLimit;
   /// When the oldest write was sent that is unanswered, if no write has been
   /// answered since.
   std::optional<time_point> WriteUnansweredSince;
@@ -117,6 +119,10 @@
 /// The phase of a statement: queued, session being prepared, or sent.
 enum class line_phase { Queued, Preparing, Executing };
 
+/// What an upstream has shown of its load: it rejected a statement as busy,
+/// executed one, or does not answer any more.
+enum class limit_evidence { Busy, Executed, Unanswered };
+
 /// Names one attempt to execute a statement.
 struct line_attempt_key {
   std::uint64_t Statement = 0;
@@ -271,7 +277,6 @@
   void armDeadlineTimer();
   void expireStatements();
   std::uint32_t connectionLimit() const;
-  std::uint32_t maxInFlightOn(const line_upstream &Upstream) const;
   bool canConnect(const line_upstream &Upstream) const;
   void connect(const upstream_id &Id, const organisation_id &Organisation);
   void onConnected(const upstream_id &Id, std::uint64_t Attempt,
@@ -308,6 +313,9 @@
   void addLoadEvidence(read_candidate &Candidate,
                        const line_upstream &Upstream) const;
   std::optional<double> drawForRead();
+  std::uint32_t fixedLimitOn(const line_upstream &Upstream) const;
+  std::uint32_t maxInFlightOn(const line_upstream &Upstream) const;
+  void adaptLimit(line_upstream &Upstream, limit_evidence Evidence);
 
   // line_group_statements.cpp
   void startQueued();
--- a/modules/line/line_group_statements.cpp
+++ b/modules/line/line_group_statements.cpp
@@ -451,6 +451,7 @@
       recordExecutionTime(Estimates, Statement.kind(), Elapsed);
     Upstream->LastAnswerAt = now();
     recordLatency(Upstream->LatencyTrend, Elapsed);
+    adaptLimit(*Upstream, limit_evidence::Executed);
     Upstream->Latency += (Elapsed - Upstream->Latency) / LatencyWeightDivisor;
     if (Statement.changesData())
       Upstream->WriteUnansweredSince.reset();
--- a/modules/line/tests/test_even_load.cpp
+++ b/modules/line/tests/test_even_load.cpp
@@ -12,6 +12,7 @@
   CHECK_FALSE(parseEvenLoad("").LearnPositions);
   CHECK_FALSE(parseEvenLoad("").SpreadReads);
   CHECK_FALSE(parseEvenLoad("").AvoidUnreliable);
+  CHECK_FALSE(parseEvenLoad("").AdaptLimit);
 }
 
 TEST_CASE("line: measures for even load are turned on by name") {
@@ -24,6 +25,9 @@
   CHECK_FALSE(parseEvenLoad("spread,positions").AvoidUnreliable);
   CHECK(parseEvenLoad("reliability,spread").AvoidUnreliable);
   CHECK(parseEvenLoad("reliability,spread").SpreadReads);
+  CHECK_FALSE(parseEvenLoad("reliability,spread").AdaptLimit);
+  CHECK(parseEvenLoad("limit").AdaptLimit);
+  CHECK_FALSE(parseEvenLoad("limit").SpreadReads);
 }
 
 // Guards against a misspelt name that turns nothing on without notice.
