Line: with an adaptive limit an overload does not become the baseline

Cause: the baseline latency rose by 1/4096 of the difference with every answer, so that after a minute of overload the gateways took the upstream for calm again and filled its queue.

With "limit" in the setting even-load, the baseline rises eight times more slowly while the latency is above 1.75 times the baseline. Without it the baseline rises as before.

In the model of test_in_flight_limit.cpp after a minute of 1.5 times the load, summed over 10 s: 237,721 queued statement-ms (bound 240,000) and 444,843 with the uniform rise, at which the test fails; slots in use all the time in both. Not measured on a deployment.

--- a/modules/line/admission_control.cpp
+++ b/modules/line/admission_control.cpp
@@ -29,6 +29,10 @@
 constexpr int TypicalWeightDivisor = 32;
 /// The baseline follows a lasting change within some thousand answers.
 constexpr int BaselineWeightDivisor = 4096;
+/// While the upstream is congested the baseline follows more slowly. With the
+/// divisor above, a minute of overload raised it to four times its value, and
+/// the overload counted as the usual state.
+constexpr int CongestedBaselineWeightDivisor = 32768;
 /// Percentages of the baseline latency: up to the first an upstream counts as
 /// not congested, from the second on as fully congested: its slots are then in
 /// use and as many statements wait.
@@ -51,13 +55,17 @@
   return Rate.StartInterval * static_cast<std::int64_t>(QueueDepth);
 }
 
-void recordLatency(latency_trend &Trend, duration Latency) {
+void recordLatency(latency_trend &Trend, duration Latency, baseline_rise Rise) {
   if (Trend.Typical == duration::zero())
     Trend.Typical = Latency;
   Trend.Typical += (Latency - Trend.Typical) / TypicalWeightDivisor;
   if (Trend.Baseline == duration::zero() || Trend.Typical < Trend.Baseline)
     Trend.Baseline = Trend.Typical;
-  Trend.Baseline += (Trend.Typical - Trend.Baseline) / BaselineWeightDivisor;
+  bool IsSlow = Rise == baseline_rise::SlowWhileCongested &&
+                latencyPercent(Trend) > UncongestedPercent;
+  Trend.Baseline +=
+      (Trend.Typical - Trend.Baseline) /
+      (IsSlow ? CongestedBaselineWeightDivisor : BaselineWeightDivisor);
 }
 
 std::int64_t latencyPercent(const latency_trend &Trend) {
--- a/modules/line/admission_control.h
+++ b/modules/line/admission_control.h
@@ -56,8 +56,14 @@
   duration Baseline{};
 };
 
+/// How fast the baseline follows a higher latency: always alike, or more slowly
+/// while the upstream is congested, so that a long overload does not become the
+/// baseline.
+enum class baseline_rise { Uniform, SlowWhileCongested };
+
 /// Records the latency of a statement.
-void recordLatency(latency_trend &Trend, duration Latency);
+void recordLatency(latency_trend &Trend, duration Latency,
+                   baseline_rise Rise = baseline_rise::Uniform);
 
 /// Returns the typical latency as a percentage of the baseline; 100 if the
 /// baseline is not known yet.
--- a/modules/line/line_group_statements.cpp
+++ b/modules/line/line_group_statements.cpp
@@ -450,7 +450,10 @@
     if (Queue.empty())
       recordExecutionTime(Estimates, Statement.kind(), Elapsed);
     Upstream->LastAnswerAt = now();
-    recordLatency(Upstream->LatencyTrend, Elapsed);
+    recordLatency(Upstream->LatencyTrend, Elapsed,
+                  Settings.EvenLoad.AdaptLimit
+                      ? baseline_rise::SlowWhileCongested
+                      : baseline_rise::Uniform);
     adaptLimit(*Upstream, limit_evidence::Executed);
     Upstream->Latency += (Elapsed - Upstream->Latency) / LatencyWeightDivisor;
     if (Statement.changesData())
--- a/modules/line/tests/test_in_flight_limit.cpp
+++ b/modules/line/tests/test_in_flight_limit.cpp
@@ -35,13 +35,16 @@
   struct result {
     int Arrivals = 0;
     int Rejected = 0;
+    /// Sums over time of the slots in use and the length of the queue.
     std::int64_t BusySlotMs = 0;
+    std::int64_t QueuedMs = 0;
   };
 
   std::vector<gateway> Gateways{6};
   /// Gateways in the primary's region, for which the fixed limit is computed.
   std::size_t SharingGateways = 2;
   bool IsAdaptive = true;
+  baseline_rise Rise = baseline_rise::SlowWhileCongested;
   std::vector<statement> Running;
   std::deque<statement> Queue;
   std::mt19937 Random{20261204};
@@ -80,7 +83,8 @@
 
   void finish(const statement &Statement, std::int64_t Now) {
     auto &Gateway = Gateways[Statement.Gateway];
-    recordLatency(Gateway.Trend, fromMilliseconds(Now - Statement.SentAt));
+    recordLatency(Gateway.Trend, fromMilliseconds(Now - Statement.SentAt),
+                  Rise);
     recordExecuted(Gateway.Limit, Gateway.Trend, Gateway.InFlight,
                    fixedLimit(Gateway), timeAt(Now));
     --Gateway.InFlight;
@@ -119,6 +123,7 @@
         Queue.pop_front();
       }
       Result.BusySlotMs += static_cast<std::int64_t>(Running.size());
+      Result.QueuedMs += static_cast<std::int64_t>(Queue.size());
     }
     return Result;
   }
@@ -191,3 +196,12 @@
   CHECK_FALSE(takeHalvingReport(Limit, 12, timeAt(31999)));
   CHECK(takeHalvingReport(Limit, 12, timeAt(32000)));
 }
+
+// Guards against an overload that counts as the usual state after some time:
+// the upstream's queue, which knows no priorities, then becomes ever longer.
+TEST_CASE("line: an upstream's queue stays short in a minute of overload") {
+  shared_upstream Upstream(true);
+  Upstream.run(0, 60000, 1.5);
+  auto Later = Upstream.run(60000, 70000, 1.5);
+  CHECK(Later.QueuedMs < 10000 * 4 * shared_upstream::Slots);
+}
