Line: the load on each upstream is in the metrics

Cause: neither the statements in flight on an upstream and their limit nor the upstream's share of a gateway's statements could be seen, so that measures for even load could not be compared.

Change: load_metrics has two gauges and a counter by group and upstream. They are there with and without the measures, and the gauges fall to zero when the gateway does not use the upstream any more.

--- a/modules/line/line_group.cpp
+++ b/modules/line/line_group.cpp
@@ -156,6 +156,9 @@
     auto &Upstream = Upstreams[Id];
     Upstream.Announcement = Announcement;
     Upstream.FlightLimit.Phase = phaseOf(Context.Self.Vm, Id);
+    if (!Upstream.Load)
+      Upstream.Load =
+          std::make_unique<load_metrics>(Context.Metrics, View.Group, Id);
     // The probe connects first: if the upstream has few free connections,
     // nothing is known of it without a probe.
     if (!Known)
@@ -402,6 +405,7 @@
     InUse += Upstream.ConnectionsInUse;
   ConnectionsInUse.set(InUse);
   OpenTransactions.set(static_cast<double>(Transactions.size()));
+  updateLoadMetrics();
 }
 
 //===----------------------------------------------------------------------===//
--- a/modules/line/line_group_load.cpp
+++ b/modules/line/line_group_load.cpp
@@ -47,6 +47,12 @@
   return limitInForce(Upstream.FlightLimit, fixedLimitOn(Upstream));
 }
 
+void line_group::updateLoadMetrics() {
+  for (auto &[Id, Upstream] : Upstreams)
+    if (Upstream.Load)
+      Upstream.Load->update(Upstream.InFlight, maxInFlightOn(Upstream));
+}
+
 /// Adapts the limit in flight to what the upstream has shown.
 void line_group::adaptLimit(line_upstream &Upstream, limit_evidence Evidence) {
   if (!Settings.EvenLoad.AdaptLimit)
--- a/modules/line/line_group_state.h
+++ b/modules/line/line_group_state.h
@@ -11,6 +11,7 @@
 #include "modules/line/in_flight_limit.h"
 #include "modules/line/line_connection.h"
 #include "modules/line/line_group.h"
+#include "modules/line/load_metrics.h"
 #include "modules/line/queue_order.h"
 #include "modules/line/read_choice.h"
 #include "modules/line/session_values.h"
@@ -95,6 +96,7 @@
   time_point LastAnswerAt;
   upstream_score Score;
   in_flight_limit FlightLimit;
+  std::unique_ptr<load_metrics> Load;
   /// When the oldest write was sent that is unanswered, if no write has been
   /// answered since.
   std::optional<time_point> WriteUnansweredSince;
@@ -315,6 +317,7 @@
   std::optional<double> drawForRead();
   std::uint32_t fixedLimitOn(const line_upstream &Upstream) const;
   std::uint32_t maxInFlightOn(const line_upstream &Upstream) const;
+  void updateLoadMetrics();
   void adaptLimit(line_upstream &Upstream, limit_evidence Evidence);
 
   // line_group_statements.cpp
--- a/modules/line/line_group_statements.cpp
+++ b/modules/line/line_group_statements.cpp
@@ -243,6 +243,8 @@
   if (!claimConnection(Statement, Id))
     return false;
   ++Upstream.InFlight;
+  if (Upstream.Load)
+    Upstream.Load->countStatement();
   Statement.Upstream = Id;
   Statement.RequiredPosition = After;
   Queue.erase(Statement.QueueKey);
@@ -425,8 +427,11 @@
   Statement.Destination = line_destination::Primary;
   Statement.Upstream = Transaction.Upstream;
   Statement.Session = std::move(Transaction.Session);
-  if (auto *Upstream = findUpstream(Statement.Upstream))
+  if (auto *Upstream = findUpstream(Statement.Upstream)) {
     ++Upstream->InFlight;
+    if (Upstream->Load)
+      Upstream->Load->countStatement();
+  }
   prepareSession(Statement);
   armDeadlineTimer();
 }
--- a/tests/test_line_group_load.cpp
+++ b/tests/test_line_group_load.cpp
@@ -100,3 +100,35 @@
 TEST_CASE("line: without the measure it gets its part of the reads at once") {
   CHECK(countReadsAfterOutage("spread") > 0);
 }
+
+// Guards against load that can't be seen by upstream, and against gauges that
+// keep their values when an upstream has left.
+TEST_CASE("line: the load on each upstream is in the metrics") {
+  line_group_fixture Fixture;
+  auto ValueOf = [&](const std::string &Name, const std::string &Upstream) {
+    return Fixture.Metrics
+        .gaugeOf("teasellock_gateway_upstream_" + Name,
+                 {{"group", "g"}, {"upstream", Upstream}})
+        .Value;
+  };
+  auto CountOf = [&](const std::string &Upstream) {
+    return Fixture.Metrics
+        .counterOf("teasellock_gateway_upstream_statements_total",
+                   {{"group", "g"}, {"upstream", Upstream}})
+        .Value;
+  };
+  REQUIRE(Fixture.succeeded(
+      Fixture.finish({"w1", wire::line_verb::write, "WRITE item a"})));
+  CHECK(CountOf("g-1") == 1);
+  CHECK(CountOf("g-2") + CountOf("g-3") == 0);
+  Fixture.Upstreams.injectFault(Primary, soak::upstream_fault::Silent);
+  auto Open = Fixture.start({"w2", wire::line_verb::write, "WRITE item b"});
+  CHECK(Fixture.runUntil([&] { return ValueOf("in_flight", "g-1") == 1; }));
+  CHECK(ValueOf("in_flight_limit", "g-1") > 1);
+  CHECK(ValueOf("in_flight_limit", "g-2") > 1);
+  Fixture.View.Upstreams.erase(Fixture.View.Upstreams.begin());
+  Fixture.View.Revision = revision(Fixture.View.Revision.Value + 1);
+  Fixture.Gateway->apply(Fixture.View);
+  CHECK(ValueOf("in_flight", "g-1") == 0);
+  CHECK(ValueOf("in_flight_limit", "g-1") == 0);
+}
