Tests: sessions are intact with all measures for even load

Cause: the property test of sessions ran with all measures off only.

Change: its body is a function of the measures, and a second case turns all of them on.

--- a/tests/test_line_group_property.cpp
+++ b/tests/test_line_group_property.cpp
@@ -46,7 +46,8 @@
   int LastStatement = 0;
   std::size_t Succeeded = 0;
 
-  property_fixture() {
+  explicit property_fixture(even_load_settings EvenLoad)
+      : line_group_fixture(3, false, EvenLoad) {
     Upstreams.selectFaults([this](const std::string &) { return nextFault(); });
   }
 
@@ -177,15 +178,10 @@
   }
 };
 
-} // namespace
-
-// Guards against statements that run with values or names that their session
-// does not have, and against sessions and counters that are left over, whatever
-// upstreams answer to any statement of a session and whenever callers leave.
-TEST_CASE("line: sessions are intact whatever upstreams answer") {
+void checkSessions(even_load_settings EvenLoad) {
   std::size_t Succeeded = 0;
   CHECK(rc::check([&] {
-    property_fixture Fixture;
+    property_fixture Fixture(EvenLoad);
     int Events = *rc::gen::inRange(MinEvents, MaxEvents);
     for (int Event = 0; Event < Events; ++Event)
       Fixture.step();
@@ -195,3 +191,18 @@
   // The runs must contain enough answers to be meaningful.
   CHECK(Succeeded > 300);
 }
+
+} // namespace
+
+// Guards against statements that run with values or names that their session
+// does not have, and against sessions and counters that are left over, whatever
+// upstreams answer to any statement of a session and whenever callers leave.
+TEST_CASE("line: sessions are intact whatever upstreams answer") {
+  checkSessions({});
+}
+
+// The same, and guards against measures for even load that break the rules of
+// consistency or lose count of the statements in flight.
+TEST_CASE("line: sessions are intact with all measures for even load") {
+  checkSessions(parseEvenLoad("positions,spread,reliability,limit"));
+}
