Line: a rejected rollback of a read on the primary is repeated

Cause: a read on the primary is sent with a ROLLBACK. If the upstream rejected just that, the connection went back to the idle ones with the transaction open, and stayed there. In the new test the next write on it failed.

Change: a connection whose last answer does not have the state I is rolled back before it is reused.

--- a/modules/line/line_group_outcomes.cpp
+++ b/modules/line/line_group_outcomes.cpp
@@ -171,6 +171,8 @@
                                     : !Transactions.contains(Key));
   if (!Statement.isInTransaction()) {
     finishStatement(Statement, std::move(Reply));
+    if (std::exchange(Session->IsRollbackDue, false))
+      return rollBack(Id, std::move(Session));
     return releaseSession(Id, std::move(Session));
   }
   if (Statement.isCommit()) {
--- a/modules/line/line_group_state.h
+++ b/modules/line/line_group_state.h
@@ -34,6 +34,9 @@
   /// No statement has used it since it was opened.
   bool IsUnused = false;
   session_values Values;
+  /// Whether the transaction of a read outside a transaction is still open: its
+  /// ROLLBACK was rejected.
+  bool IsRollbackDue = false;
   /// The changes of the batch in flight, in its order.
   std::vector<session_change> PendingChanges;
   time_point LastUsedAt;
--- a/modules/line/line_group_statements.cpp
+++ b/modules/line/line_group_statements.cpp
@@ -413,6 +413,9 @@
   if (Result.Answers.empty())
     return handleLostAttempt(*Statement, Result.Problem);
   const auto &Answer = Result.Answers.front();
+  Statement->Session->IsRollbackDue = !Result.ConnectionLost &&
+                                      !Statement->isInTransaction() &&
+                                      Result.Answers.back().Ready.State != 'I';
   recordAnswer(*Statement, Answer);
   if (Answer.Failure)
     return handleFailure(*Statement, *Answer.Failure);
--- a/tests/test_line_group_session.cpp
+++ b/tests/test_line_group_session.cpp
@@ -84,3 +84,27 @@
   CHECK(Fixture.Upstreams.unknownNames() == UnknownNames);
   CHECK(Fixture.Oracle.violations().empty());
 }
+
+// Guards against a connection with an open transaction among the idle ones: a
+// write on it would be acknowledged and never committed.
+TEST_CASE("line: a rejected rollback of a read on the primary is repeated") {
+  using soak::statement_fault;
+  line_group_fixture Fixture(1);
+  bool IsRejected = false;
+  std::string Previous;
+  // Probes send ROLLBACK as well, but no READ before it.
+  Fixture.Upstreams.selectFaults([&](const std::string &Verb) {
+    bool Rejects = Verb == "ROLLBACK" && Previous == "READ" && !IsRejected;
+    IsRejected = IsRejected || Rejects;
+    Previous = Verb;
+    return Rejects ? statement_fault::Failed : statement_fault::None;
+  });
+  CHECK(Fixture.succeeded(
+      Fixture.finish({"r1", wire::line_verb::read, "READ item"})));
+  REQUIRE(IsRejected);
+  CHECK(Fixture.runUntil(
+      [&] { return Fixture.Upstreams.openTransactions() == 0; }));
+  CHECK(Fixture.succeeded(
+      Fixture.finish({"w1", wire::line_verb::write, "WRITE item a"})));
+  CHECK(Fixture.Oracle.violations().empty());
+}
