Merge the measures for even load over upstreams

Off by default; the setting even-load turns on positions, spread, reliability and limit, each alone. With the fix of a rejected rollback, which left a transaction open on an idle connection.

--- a/modules/line/admission_control.h
+++ b/modules/line/admission_control.h
@@ -56,8 +56,18 @@
   duration Baseline{};
 };
 
+/// How fast the baseline follows a higher latency: always alike, or more slowly
+/// while the upstream is congested, so that a long overload does not become the
+/// baseline.
+enum class baseline_rise { Uniform, SlowWhileCongested };
+
 /// Records the latency of a statement.
-void recordLatency(latency_trend &Trend, duration Latency);
+void recordLatency(latency_trend &Trend, duration Latency,
+                   baseline_rise Rise = baseline_rise::Uniform);
+
+/// Returns the typical latency as a percentage of the baseline; 100 if the
+/// baseline is not known yet.
+std::int64_t latencyPercent(const latency_trend &Trend);
 
 /// Returns how many statements one of Gateways gateways may have in flight on
 /// an upstream with Slots slots.
--- a/modules/line/line_group.cpp
+++ b/modules/line/line_group.cpp
@@ -47,6 +47,8 @@
           "teasellock_gateway_open_transactions", {{"group", Group.Value}})),
       ConnectionsInUse(Context.Metrics.gaugeOf(
           "teasellock_gateway_connections_in_use", {{"group", Group.Value}})) {
+  Random.seed(static_cast<std::minstd_rand::result_type>(
+      std::hash<std::string>()(Context.Self.Vm.Value + "/" + Group.Value)));
   View.Group = std::move(Group);
 }
 
@@ -69,13 +71,6 @@
                                  1);
 }
 
-std::uint32_t line_group::maxInFlightOn(const line_upstream &Upstream) const {
-  std::size_t Gateways =
-      Upstream.IsPrimary ? PrimaryGatewayCount : View.Gateways.size();
-  return maxInFlight(Upstream.LatencyTrend, Upstream.Announcement.Slots,
-                     Gateways);
-}
-
 bool line_group::canConnect(const line_upstream &Upstream) const {
   std::uint32_t ConnectionCount =
       Upstream.ConnectionsInUse + Upstream.ConnectionsOpening +
@@ -160,6 +155,10 @@
       continue;
     auto &Upstream = Upstreams[Id];
     Upstream.Announcement = Announcement;
+    Upstream.FlightLimit.Phase = phaseOf(Context.Self.Vm, Id);
+    if (!Upstream.Load)
+      Upstream.Load =
+          std::make_unique<load_metrics>(Context.Metrics, View.Group, Id);
     // The probe connects first: if the upstream has few free connections,
     // nothing is known of it without a probe.
     if (!Known)
@@ -244,6 +243,7 @@
     Upstream->ConnectDelay = duration::zero();
     ++Upstream->ConnectionsInUse;
     ++Upstream->ConnectionUses[Session->Organisation].InUse;
+    learnPosition(*Upstream, Opening.Ready);
     return releaseSession(Id, std::move(Session));
   }
   Upstream->ConnectDelay =
@@ -405,6 +405,7 @@
     InUse += Upstream.ConnectionsInUse;
   ConnectionsInUse.set(InUse);
   OpenTransactions.set(static_cast<double>(Transactions.size()));
+  updateLoadMetrics();
 }
 
 //===----------------------------------------------------------------------===//
--- a/modules/line/line_group_outcomes.cpp
+++ b/modules/line/line_group_outcomes.cpp
@@ -39,6 +39,7 @@
     return false;
   auto &Detached = Extracted.mapped();
   endDetachedAttempt(Detached);
+  learnPositions(Detached.Upstream, Result);
   bool IsIdle =
       !Result.ConnectionLost && Result.Answers.back().Ready.State == 'I';
   if (IsIdle)
@@ -107,6 +108,8 @@
         .with("upstream", Statement.Upstream.Value)
         .with("after_ms", toMilliseconds(now() - Statement.SentAt));
     detachAttempt(Statement);
+    if (auto *Upstream = findUpstream(Statement.Upstream))
+      recordEvidence(Upstream->Score, upstream_evidence::Failed, now());
     if (Statement.Destination == line_destination::AnyUpstream)
       Statement.TriedUpstreams.insert(Statement.Upstream);
     retryStatement(Statement, "no answer for much longer than usual");
@@ -168,6 +171,8 @@
                                     : !Transactions.contains(Key));
   if (!Statement.isInTransaction()) {
     finishStatement(Statement, std::move(Reply));
+    if (std::exchange(Session->IsRollbackDue, false))
+      return rollBack(Id, std::move(Session));
     return releaseSession(Id, std::move(Session));
   }
   if (Statement.isCommit()) {
@@ -195,8 +200,10 @@
   auto Id = Statement.Upstream;
   if (Failure.Code == line_error::ReadOnly)
     handleLeadership(Id, false, term());
-  if (Failure.Code == line_error::Busy && Upstream)
+  if (Failure.Code == line_error::Busy && Upstream) {
     Upstream->BusyUntil = now() + BusyDelay;
+    adaptLimit(*Upstream, limit_evidence::Busy);
+  }
   if (Failure.Code == line_error::Lagging && findPrimary() == Id)
     Statement.ReadRequirement.IgnoreFloor = true;
   event("statement.refused", severity::Debug)
@@ -303,8 +310,10 @@
   if (WasStarted && IsPastDeadline) {
     detachAttempt(Statement);
   } else if (WasStarted) {
-    if (auto *Upstream = findUpstream(Id))
+    if (auto *Upstream = findUpstream(Id)) {
       --Upstream->InFlight;
+      recordEvidence(Upstream->Score, upstream_evidence::ConnectionLost, now());
+    }
     closeSession(Id, std::move(Statement.Session));
   }
   auto Key = Statement.transactionKey();
--- a/modules/line/line_group_state.h
+++ b/modules/line/line_group_state.h
@@ -2,21 +2,26 @@
 /// its source files: connections and scheduling in line_group.cpp,
 /// line_group_connections.cpp and line_group_statements.cpp, outcomes in
 /// line_group_outcomes.cpp, probes and reports in line_group_probes.cpp, orders
-/// of control in line_group_pauses.cpp.
+/// of control in line_group_pauses.cpp, measures for even load in
+/// line_group_load.cpp.
 #pragma once
 
 #include "modules/line/admission_control.h"
 #include "modules/line/connection_choice.h"
+#include "modules/line/in_flight_limit.h"
 #include "modules/line/line_connection.h"
 #include "modules/line/line_group.h"
+#include "modules/line/load_metrics.h"
 #include "modules/line/queue_order.h"
 #include "modules/line/read_choice.h"
 #include "modules/line/session_values.h"
+#include "modules/line/upstream_score.h"
 #include "modules/line/write_fence.h"
 
 #include <deque>
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 
 namespace teasellock {
@@ -29,6 +34,9 @@
   /// No statement has used it since it was opened.
   bool IsUnused = false;
   session_values Values;
+  /// Whether the transaction of a read outside a transaction is still open: its
+  /// ROLLBACK was rejected.
+  bool IsRollbackDue = false;
   /// The changes of the batch in flight, in its order.
   std::vector<session_change> PendingChanges;
   time_point LastUsedAt;
@@ -88,6 +96,10 @@
   /// Moving average over the latest statements, from sending to the answer.
   duration Latency{};
   latency_trend LatencyTrend;
+  time_point LastAnswerAt;
+  upstream_score Score;
+  in_flight_limit FlightLimit;
+  std::unique_ptr<load_metrics> Load;
   /// When the oldest write was sent that is unanswered, if no write has been
   /// answered since.
   std::optional<time_point> WriteUnansweredSince;
@@ -112,6 +124,10 @@
 /// The phase of a statement: queued, session being prepared, or sent.
 enum class line_phase { Queued, Preparing, Executing };
 
+/// What an upstream has shown of its load: it rejected a statement as busy,
+/// executed one, or does not answer any more.
+enum class limit_evidence { Busy, Executed, Unanswered };
+
 /// Names one attempt to execute a statement.
 struct line_attempt_key {
   std::uint64_t Statement = 0;
@@ -266,7 +282,6 @@
   void armDeadlineTimer();
   void expireStatements();
   std::uint32_t connectionLimit() const;
-  std::uint32_t maxInFlightOn(const line_upstream &Upstream) const;
   bool canConnect(const line_upstream &Upstream) const;
   void connect(const upstream_id &Id, const organisation_id &Organisation);
   void onConnected(const upstream_id &Id, std::uint64_t Attempt,
@@ -297,6 +312,17 @@
                        line_upstream &Upstream);
   void replaceIdleSession(line_upstream &Upstream, std::size_t Index);
 
+  // line_group_load.cpp
+  void learnPosition(line_upstream &Upstream, const line_ready &Ready) const;
+  void learnPositions(const upstream_id &Id, const line_batch_result &Result);
+  void addLoadEvidence(read_candidate &Candidate,
+                       const line_upstream &Upstream) const;
+  std::optional<double> drawForRead();
+  std::uint32_t fixedLimitOn(const line_upstream &Upstream) const;
+  std::uint32_t maxInFlightOn(const line_upstream &Upstream) const;
+  void updateLoadMetrics();
+  void adaptLimit(line_upstream &Upstream, limit_evidence Evidence);
+
   // line_group_statements.cpp
   void startQueued();
   bool tryStart(line_pending_statement &Statement);
@@ -411,6 +437,8 @@
   /// Connections that are being opened, by attempt.
   std::map<std::uint64_t, line_opening> Connecting;
   position_history PositionHistory;
+  /// For the choice of upstreams; seeded differently by each gateway.
+  std::minstd_rand Random;
   std::uint64_t LastId = 0;
   bool StartingQueued = false;
   bool StartQueuedAgain = false;
--- a/modules/line/line_group_statements.cpp
+++ b/modules/line/line_group_statements.cpp
@@ -201,8 +201,9 @@
         distanceCostTo(Context.Self, Upstream.Announcement);
     Candidate.HasConnection = canGetConnection(Upstream, Organisation);
     if (!hasIdleConnection(Upstream, Organisation))
-      Candidate.DistanceCost += ConnectCost;
+      Candidate.ConnectCost = ConnectCost;
     Candidate.Latency = Upstream.Latency;
+    addLoadEvidence(Candidate, Upstream);
     Candidate.InFlight = Upstream.InFlight;
     Candidate.Slots = Upstream.Announcement.Slots;
     Candidates.push_back(Candidate);
@@ -219,8 +220,8 @@
     return false;
   }
   auto Candidates = readCandidates(Statement.organisation());
-  if (const auto *Best =
-          chooseUpstream(Candidates, *Required, Statement.TriedUpstreams))
+  if (const auto *Best = chooseUpstream(
+          Candidates, *Required, Statement.TriedUpstreams, drawForRead()))
     return tryStartOn(Statement, Best->Upstream, Required);
   Statement.Reason = "no upstream with the data has a free connection";
   recordWaitingRead(Statement, *Required);
@@ -242,6 +243,8 @@
   if (!claimConnection(Statement, Id))
     return false;
   ++Upstream.InFlight;
+  if (Upstream.Load)
+    Upstream.Load->countStatement();
   Statement.Upstream = Id;
   Statement.RequiredPosition = After;
   Queue.erase(Statement.QueueKey);
@@ -313,6 +316,7 @@
     return;
   if (Result.ConnectionLost)
     return handleLostAttempt(*Statement, Result.Problem);
+  learnPositions(Statement->Upstream, Result);
   for (const auto &Answer : Result.Answers)
     if (Answer.Failure)
       return handleFailure(*Statement, *Answer.Failure);
@@ -409,6 +413,9 @@
   if (Result.Answers.empty())
     return handleLostAttempt(*Statement, Result.Problem);
   const auto &Answer = Result.Answers.front();
+  Statement->Session->IsRollbackDue = !Result.ConnectionLost &&
+                                      !Statement->isInTransaction() &&
+                                      Result.Answers.back().Ready.State != 'I';
   recordAnswer(*Statement, Answer);
   if (Answer.Failure)
     return handleFailure(*Statement, *Answer.Failure);
@@ -423,8 +430,11 @@
   Statement.Destination = line_destination::Primary;
   Statement.Upstream = Transaction.Upstream;
   Statement.Session = std::move(Transaction.Session);
-  if (auto *Upstream = findUpstream(Statement.Upstream))
+  if (auto *Upstream = findUpstream(Statement.Upstream)) {
     ++Upstream->InFlight;
+    if (Upstream->Load)
+      Upstream->Load->countStatement();
+  }
   prepareSession(Statement);
   armDeadlineTimer();
 }
@@ -439,10 +449,20 @@
     Upstream->Applied = *Answer.Ready.Position;
   duration Elapsed = now() - Statement.SentAt;
   StatementSeconds.observe(Elapsed);
+  bool HasFailed = Answer.Failure && Answer.Failure->Code == line_error::Failed;
+  recordEvidence(Upstream->Score,
+                 HasFailed ? upstream_evidence::Failed
+                           : upstream_evidence::Answered,
+                 now());
   if (!Answer.Failure) {
     if (Queue.empty())
       recordExecutionTime(Estimates, Statement.kind(), Elapsed);
-    recordLatency(Upstream->LatencyTrend, Elapsed);
+    Upstream->LastAnswerAt = now();
+    recordLatency(Upstream->LatencyTrend, Elapsed,
+                  Settings.EvenLoad.AdaptLimit
+                      ? baseline_rise::SlowWhileCongested
+                      : baseline_rise::Uniform);
+    adaptLimit(*Upstream, limit_evidence::Executed);
     Upstream->Latency += (Elapsed - Upstream->Latency) / LatencyWeightDivisor;
     if (Statement.changesData())
       Upstream->WriteUnansweredSince.reset();
