Review: an upstream's id with a line end carries statements to the primary

Cause: the id of a heartbeat is taken from the path and never checked, and is written into the line that opens a session with the upstream. What follows a line end in it reaches the upstream as a message of its own.

The stand-in databases hold a first commit, so that they report a position from the start. Nothing is fixed.

--- a/review/stand_in_2/world.cpp
+++ b/review/stand_in_2/world.cpp
@@ -111,6 +111,8 @@
   std::uint64_t HighestToken = 0;
   /// Signatures by statement id.
   std::map<std::string, std::set<std::string>> Signatures;
+  /// Ids of the statements that callers have sent.
+  std::set<std::string> Sent;
   std::uint64_t Succeeded = 0;
   std::vector<std::string> Violations;
 
@@ -396,6 +398,11 @@
                    const std::string &Text) {
   const auto &Upstream = Session.node();
   record("run " + Id + " at " + Upstream.Id + " " + Text);
+  if (!World.Sent.contains(Id)) {
+    World.Violations.push_back("UNASKED: " + Upstream.Id + " runs " + Id + " " +
+                               Text + ", which no caller sent");
+    record(World.Violations.back());
+  }
   bool IsFirst = !Session.InTransaction || Session.Statements++ == 0;
   if (!IsFirst || !Upstream.LeavingAcknowledgedAt)
     return;
@@ -771,6 +778,7 @@
   {
     std::lock_guard Lock(World.Mutex);
     record("sent " + Id + " " + Text);
+    World.Sent.insert(Id);
   }
   if (!sendAll(Reader.Socket, "QUERY " + Id + " " + Text + "\r\n"))
     return std::nullopt;
@@ -886,7 +894,32 @@
   return !World.HasTrouble || World.LostAnswers > 0;
 }
 
+/// With trouble, another writer sends one heartbeat with the primary's fields.
+/// Its id has a line end in it, and after that the text of a statement.
+bool playUnreadableId() {
+  sleepFor(milliseconds(3000));
+  std::string Path;
+  std::string Body;
+  {
+    std::lock_guard Lock(World.Mutex);
+    const auto &Primary = World.Upstreams.front();
+    Path = "/Instances.Heartbeat/" + Primary.Id +
+           "%0D%0AQUERY%20forged%20WRITE%20i0%20forged";
+    Body = heartbeatBody(Primary, true);
+  }
+  if (World.HasTrouble) {
+    auto Answer = callHttp(machine(1), ControlPort, "POST", Path, Body);
+    std::lock_guard Lock(World.Mutex);
+    record("another writer's heartbeat " + Path + " -> " +
+           std::to_string(Answer ? Answer->Status : 0));
+  }
+  sleepFor(milliseconds(6000));
+  return true;
+}
+
 bool playCase() {
+  if (World.Case == "unreadable-id")
+    return playUnreadableId();
   if (World.Case == "foreign-heartbeat")
     return playForeignHeartbeat();
   return playLostAnswer();
@@ -906,6 +939,10 @@
       Upstream.ReplicationDelay = FarDelay;
     Upstream.Born = Born + Index;
     Upstream.IsPrimary = Index == 0;
+    // What the database held before.
+    Upstream.Log.push_back(
+        {{1, 1}, "", {{"i0", "first"}}, World.Start, World.Start});
+    Upstream.Applied = 1;
     World.Upstreams.push_back(Upstream);
   }
   std::thread(runReplication).detach();
