Control: a heartbeat without its start time no longer hides a drain

Cause: a heartbeat of another writer without `born` was read as incarnation 0. Control took that for a new process of the upstream and recorded the true one as departed, so that its drain and its departure counted as outdated. Outdated announcements were answered with success and not logged.

An announcement without an incarnation never replaces a known or departed one that has it. An announcement that is not applied is answered with a conflict, counted and logged, which also tells "not received" from "ignored". A late announcement no longer replaces the time of a later incarnation.

Looked at as well: departures (sent without fields; completed from the known upstream), announcements in renewals and of the product's own interface (no incarnations), upstreams that were silent for long (still return).

--- a/modules/control/control_deployment.cpp
+++ b/modules/control/control_deployment.cpp
@@ -15,6 +15,7 @@
 
 constexpr int Done = 200;
 constexpr int BadRequest = 400;
+constexpr int Conflict = 409;
 constexpr int ServiceUnavailable = 503;
 /// The HTTP server accepts no larger body.
 constexpr std::size_t MaxDocumentBytes = 16 * 1024 * 1024;
@@ -186,6 +187,28 @@
   return Known->second == Announcement;
 }
 
+bool control_service::state::rejectOutdated(
+    const group_state &Group, const upstream_announcement &Announcement,
+    const answer_callback &Answer) {
+  // A departure that is outdated has already taken effect. An upstream that was
+  // silent for long is in use again once it has announced itself twice.
+  if (Announcement.Gone || !isOutdated(Group, Announcement) ||
+      mayReturn(Group, Announcement))
+    return false;
+  OutdatedAnnouncements.add();
+  auto Known = Group.Upstreams.find(Announcement.Upstream);
+  event("control.announcement_outdated", severity::Warning)
+      .with("group", Announcement.Group.Value)
+      .with("upstream", Announcement.Upstream.Value)
+      .with("incarnation", Announcement.Incarnation.Value)
+      .with("known", Known == Group.Upstreams.end()
+                         ? std::uint64_t(0)
+                         : Known->second.Incarnation.Value)
+      .with("leaving", Announcement.Leaving);
+  Answer(Conflict, "a later incarnation is known, or this one has left");
+  return true;
+}
+
 void control_service::state::handleAnnouncement(const std::string &Body,
                                                 const answer_callback &Answer) {
   auto Wire = decode<wire::announcement>(Body, "announcement");
@@ -199,6 +222,9 @@
   bool HasReturned = Group != Replicated.Groups.end() && !Announcement.Gone &&
                      mayReturn(Group->second, Announcement) &&
                      hasReturned(Leader, Announcement, now());
+  if (Group != Replicated.Groups.end() && !HasReturned &&
+      rejectOutdated(Group->second, Announcement, Answer))
+    return;
   if (!HasReturned && isKnownAnnouncement(Announcement)) {
     Answer(Done, "");
     return;
--- a/modules/control/control_service.cpp
+++ b/modules/control/control_service.cpp
@@ -56,6 +56,8 @@
       Promotions(
           Context.Metrics.counterOf("teasellock_control_promotions_total")),
       Renewals(Context.Metrics.counterOf("teasellock_control_renewals_total")),
+      OutdatedAnnouncements(Context.Metrics.counterOf(
+          "teasellock_control_outdated_announcements_total")),
       DeploymentCopies(Context.Metrics.counterOf(
           "teasellock_control_deployment_copies_total")),
       DeploymentBytes(Context.Metrics.counterOf(
@@ -401,8 +403,12 @@
 
 void control_service::recordAnnouncement(
     const upstream_announcement &Announcement) {
-  State->Leader.LastAnnouncements[{Announcement.Group, Announcement.Upstream}] =
-      {Announcement.Incarnation, State->now()};
+  auto &Last =
+      State->Leader
+          .LastAnnouncements[{Announcement.Group, Announcement.Upstream}];
+  // One that arrives late says nothing about the present process.
+  if (Announcement.Incarnation >= Last.Incarnation)
+    Last = {Announcement.Incarnation, State->now()};
 }
 
 store_id control_service::store() const { return State->Consensus.storeId(); }
--- a/modules/control/control_service_state.h
+++ b/modules/control/control_service_state.h
@@ -88,6 +88,7 @@
   timer_subscription TickTimer;
   counter &Promotions;
   counter &Renewals;
+  counter &OutdatedAnnouncements;
   /// Copies of the deployment sent to VMs, and their bytes.
   counter &DeploymentCopies;
   counter &DeploymentBytes;
@@ -148,6 +149,12 @@
   /// Reports whether an announcement changes nothing; records when it was
   /// received unless its incarnation is outdated.
   bool isKnownAnnouncement(upstream_announcement Announcement);
+  /// Answers an announcement of an outdated incarnation with a conflict, so
+  /// that nothing is acknowledged that has no effect. Returns false if the
+  /// announcement has to be handled.
+  bool rejectOutdated(const group_state &Group,
+                      const upstream_announcement &Announcement,
+                      const answer_callback &Answer);
   void handleAnnouncement(const std::string &Body,
                           const answer_callback &Answer);
   void recordDeploymentVersion();
--- a/modules/control/control_state.cpp
+++ b/modules/control/control_state.cpp
@@ -263,16 +263,17 @@
 
 bool isOutdated(const group_state &Group,
                 const upstream_announcement &Announcement) {
-  // Without an incarnation, successive processes cannot be distinguished.
-  if (Announcement.Incarnation == incarnation())
-    return false;
+  // An announcement without an incarnation never replaces one that has it.
   auto Known = Group.Upstreams.find(Announcement.Upstream);
   if (Known != Group.Upstreams.end() &&
       Known->second.Incarnation > Announcement.Incarnation)
     return true;
+  // Processes that left without an incarnation cannot be distinguished from
+  // later ones.
   return std::any_of(Group.Departed.begin(), Group.Departed.end(),
                      [&](const departed_upstream &Departed) {
                        return Departed.Upstream == Announcement.Upstream &&
+                              Departed.Incarnation != incarnation() &&
                               Departed.Incarnation >= Announcement.Incarnation;
                      });
 }
--- a/modules/control/tests/test_control_service.cpp
+++ b/modules/control/tests/test_control_service.cpp
@@ -173,6 +173,17 @@
     Second.Agent->announce(Announcement);
   }
 
+  /// Submits an announcement as the platform does; returns the status of the
+  /// answer.
+  int submit(const upstream_announcement &Announcement) {
+    std::optional<int> Result;
+    Control->handleOperator(
+        "POST", AnnouncementPath, encode(toWire(Announcement)),
+        [&](int Status, const std::string &) { Result = Status; });
+    REQUIRE(runUntil([&] { return Result.has_value(); }));
+    return *Result;
+  }
+
   const group_view *view() { return Third.Agent->find(group_id("fares")); }
 
   bool primaryIs(const std::string &Upstream) {
@@ -478,3 +489,30 @@
   CHECK(First["burst"] == 10);
   CHECK(Shown["organisations"][1]["rate_per_s"].is_null());
 }
+
+// Guards against a drain that is acknowledged and ignored: the announcement of
+// an incarnation that counts as outdated was answered like one that took
+// effect.
+TEST_CASE("control: an announcement without effect is not acknowledged") {
+  test_deployment Deployment;
+  Deployment.found();
+  upstream_announcement Announcement;
+  Announcement.Group = group_id("fares");
+  Announcement.Upstream = upstream_id("a");
+  Announcement.Address = {"10.0.0.1", 5432};
+  Announcement.Incarnation = incarnation(7);
+  CHECK(Deployment.submit(Announcement) == 200);
+  Announcement.Incarnation = incarnation(6);
+  Announcement.Leaving = true;
+  CHECK(Deployment.submit(Announcement) == 409);
+  CHECK(Deployment.First.Metrics
+            .counterOf("teasellock_control_outdated_announcements_total")
+            .Value == 1);
+  Announcement.Incarnation = incarnation(7);
+  CHECK(Deployment.submit(Announcement) == 200);
+  CHECK(Deployment.submit(Announcement) == 200);
+  Announcement.Gone = true;
+  CHECK(Deployment.submit(Announcement) == 200);
+  // The answer to a departure may have been lost.
+  CHECK(Deployment.submit(Announcement) == 200);
+}
--- a/modules/control/tests/test_departures.cpp
+++ b/modules/control/tests/test_departures.cpp
@@ -116,3 +116,29 @@
                makeAnnouncementCommand(announcementOf(2, 4)));
   CHECK_FALSE(mayReturn(State.Groups[Group], announcementOf(2, 3)));
 }
+
+// Guards against an announcement of another writer without an incarnation that
+// takes the place of the upstream's own: control then ignored that the upstream
+// was leaving, and acknowledged it.
+TEST_CASE("control: an announcement without an incarnation does not replace "
+          "one that has it") {
+  control_state State;
+  applyCommand(State, revision(1),
+               makeAnnouncementCommand(announcementOf(1, 7)));
+  applyCommand(State, revision(2),
+               makeAnnouncementCommand(announcementOf(1, 0)));
+  auto &Group = State.Groups[::Group];
+  CHECK(Group.Upstreams.at(upstream_id("u1")).Incarnation.Value == 7);
+  CHECK(Group.Departed.empty());
+  CHECK_FALSE(Group.Dirty);
+  auto Leaving = announcementOf(1, 7);
+  Leaving.Leaving = true;
+  CHECK_FALSE(isOutdated(Group, Leaving));
+  applyCommand(State, revision(3), makeAnnouncementCommand(Leaving));
+  CHECK(Group.Upstreams.at(upstream_id("u1")).Leaving);
+  Leaving.Gone = true;
+  applyCommand(State, revision(4), makeAnnouncementCommand(Leaving));
+  applyCommand(State, revision(5),
+               makeAnnouncementCommand(announcementOf(1, 0)));
+  CHECK(Group.Upstreams.empty());
+}
