Platform: a name with a line end no longer carries statements to an upstream

Cause: the id of a heartbeat comes from its path, decoded, and was not checked; the encoder wrote it into START as it was, so that the upstream read the rest of the id as the first message of the session.

Change: names of upstreams, groups and availability zones that arrive are printable ASCII without a space; groups of a configuration are fields of a line; a message with a line break of its own is malformed; a gateway refuses a forwarded statement that can't be encoded. The encoder refuses every text that could end a line or a field, and appends nothing then. Refused calls are counted by field, and their log lines are bounded.

Looked at as well: keys and organisations (the same function now), settings and prepared names, rows and signatures towards callers, the order to the platform, the product's own announcements (now checked), log lines and metrics (escaped).

--- a/main/daemon_process.cpp
+++ b/main/daemon_process.cpp
@@ -118,7 +118,7 @@
         platform::orderPromotion(Context, Service, Order, std::move(Done));
       };
   platform::api_target Target{
-      Member, [this] { return isReady(); }, Settings.RegionByZone,
+      Member, Metrics, [this] { return isReady(); }, Settings.RegionByZone,
       [this](const upstream_announcement &Announcement) {
         if (Control)
           Control->recordAnnouncement(Announcement);
--- a/modules/admin/tests/test_admin.cpp
+++ b/modules/admin/tests/test_admin.cpp
@@ -84,6 +84,8 @@
   CHECK(parseError("[]").find("body") == 0);
   CHECK(rc::check("any text is rejected without other exceptions",
                   [](const std::string &Text) { parseError(Text); }));
+  // Names are fields of messages to upstreams.
+  CHECK_THROWS_AS(parseAnnouncement(replaceIn("despacho-1", "a b")), error);
 }
 
 TEST_CASE("admin: a handler may reply immediately or later") {
--- a/modules/deployment/deployment.cpp
+++ b/modules/deployment/deployment.cpp
@@ -1,5 +1,7 @@
 #include "modules/deployment/deployment.h"
 
+#include "core/text_check.h"
+
 #include <algorithm>
 #include <cmath>
 #include <map>
@@ -46,13 +48,15 @@
 
 bool isValidRate(double Rate) { return std::isfinite(Rate) && Rate >= 0; }
 
-/// The name is a field of the first message to an upstream, so it can't contain
+/// Names are fields of the first message to an upstream, so they can't contain
 /// a separator.
-bool isValidName(const std::string &Name) {
-  return std::all_of(Name.begin(), Name.end(), [](char Char) {
-    auto Byte = static_cast<unsigned char>(Char);
-    return Byte > 0x20 && Byte != 0x7f;
-  });
+void checkName(const std::string &Name, const std::string &Location,
+               std::vector<deployment_problem> &Problems) {
+  if (Name.empty())
+    Problems.push_back({Location, "the name is empty"});
+  else if (!isLineField(Name))
+    Problems.push_back(
+        {Location, "the name has a space or a control character"});
 }
 
 /// Problems never contain a key: they are logged.
@@ -63,11 +67,7 @@
   for (const auto &Organisation : Organisations) {
     const auto &Name = Organisation.Name;
     std::string Location = "organisation " + Name.Value;
-    if (Name.Value.empty())
-      Problems.push_back({Location, "the name is empty"});
-    if (!isValidName(Name.Value))
-      Problems.push_back(
-          {Location, "the name has a space or a control character"});
+    checkName(Name.Value, Location, Problems);
     if (!Names.insert(Name).second)
       Problems.push_back({Location, "is named twice"});
     const auto &Limit = Organisation.Limit;
@@ -92,6 +92,8 @@
   for (const auto &Group : Proposal.Groups) {
     if (Group.Group.Value.empty())
       Problems.push_back({"groups", "a group has no name"});
+    else
+      checkName(Group.Group.Value, "group " + Group.Group.Value, Problems);
     if (!Groups.insert(Group.Group).second)
       Problems.push_back({"group " + Group.Group.Value, "is named twice"});
   }
--- a/modules/line/line_connection.cpp
+++ b/modules/line/line_connection.cpp
@@ -108,7 +108,12 @@
     return closeWithError("upstream.connect", std::strerror(Status),
                           Status == ECONNREFUSED);
   Phase = phase::Starting;
-  Protocol.AppendStart(Out, Target.Service, Target.User, Target.Upstream.Value);
+  try {
+    Protocol.AppendStart(Out, Target.Service, Target.User,
+                         Target.Upstream.Value);
+  } catch (const error &Problem) {
+    return closeWithError(Problem.step(), Problem.what(), false);
+  }
   flush();
 }
 
--- a/modules/line/line_group_statements.cpp
+++ b/modules/line/line_group_statements.cpp
@@ -2,6 +2,7 @@
 #include "modules/gateway/primary_gateways.h"
 #include "modules/gateway/refusals.h"
 #include "modules/line/line_group_state.h"
+#include "modules/line/statement_check.h"
 
 #include <algorithm>
 
@@ -70,6 +71,9 @@
   Statement->Arrived = std::move(Arrived);
   auto &Added = *Statement;
   PendingStatements[Added.Id] = std::move(Statement);
+  if (!isEncodable(Added.request()))
+    return refuseStatement(Added, line_error::Malformed,
+                           "a text has a line break or is not a field");
   if (Added.isInTransaction() && !Added.opensTransaction()) {
     auto Found = Transactions.find(Added.transactionKey());
     if (Found == Transactions.end() || !Found->second.Session)
--- a/tests/test_line_group_session.cpp
+++ b/tests/test_line_group_session.cpp
@@ -108,3 +108,25 @@
       Fixture.finish({"w1", wire::line_verb::write, "WRITE item a"})));
   CHECK(Fixture.Oracle.violations().empty());
 }
+
+// Guards against an upstream's id that reaches the upstream as messages of its
+// own, and against a forwarded statement that does.
+TEST_CASE("line: neither an id nor a statement carries messages of its own to "
+          "an upstream") {
+  line_group_fixture Fixture(2);
+  auto Forged = Fixture.View.Upstreams.front();
+  Forged.Upstream = upstream_id("g-1\r\nQUERY forged WRITE i0 forged");
+  Fixture.View.Upstreams.push_back(Forged);
+  Fixture.View.Revision = revision(2);
+  Fixture.Gateway->apply(Fixture.View);
+  Fixture.run(fromMilliseconds(400));
+  line_group_fixture::statement Statement{
+      "w1", wire::line_verb::write, "WRITE item a", 0, false, {}};
+  Statement.Settings = {{"tag", "x\r\nQUERY forged WRITE i0 forged"}};
+  auto Reply = Fixture.finish(Statement);
+  CHECK(Reply.outcome == wire::statement_outcome::not_run);
+  CHECK(Reply.code == sqlStateOf(line_error::Malformed));
+  CHECK(line_group_fixture::succeeded(Fixture.finish(
+      {"w2", wire::line_verb::write, "WRITE item a", 0, false, {}})));
+  CHECK(Fixture.Oracle.violations().empty());
+}
