--- a/modules/control/control_codec.cpp
+++ b/modules/control/control_codec.cpp
@@ -160,7 +160,14 @@
   Result.watermark = toWire(Group.Watermark);
   Result.dirty = Group.Dirty;
   Result.dirty_since = toSigned(Group.DirtySince.Value);
-  Result.unsettled_orders = Group.HasUnsettledOrders;
+  Result.unsettled_orders = !Group.OpenOrders.empty();
+  for (const auto &[Name, Count] : Group.OpenOrders) {
+    wire::open_order Order;
+    Order.upstream = Name.Value;
+    Order.count = static_cast<std::int32_t>(Count);
+    Result.open_orders.push_back(std::move(Order));
+  }
+  Result.order_number = toSigned(Group.OrderNumber);
   Result.least_ack_replicas = static_cast<std::int32_t>(Group.MinAckReplicas);
   Result.budget_epoch = toSigned(Group.BudgetEpoch);
   if (Group.Promotion)
@@ -192,11 +199,19 @@
   Result.Watermark = fromWire(Record.watermark);
   Result.Dirty = Record.dirty;
   Result.DirtySince = revision(toUnsigned(Record.dirty_since));
-  Result.HasUnsettledOrders = Record.unsettled_orders;
+  for (const auto &Order : Record.open_orders)
+    Result.OpenOrders[upstream_id(Order.upstream)] = toCount(Order.count);
+  Result.OrderNumber = toUnsigned(Record.order_number);
   Result.MinAckReplicas = toCount(Record.least_ack_replicas);
   Result.BudgetEpoch = toUnsigned(Record.budget_epoch);
   if (Record.__isset.promotion)
     Result.Promotion = fromWire(Record.promotion);
+  // A record of an earlier build does not list its orders.
+  if (Result.OpenOrders.empty() && Record.unsettled_orders)
+    Result.OpenOrders[upstream_id()] = 1;
+  if (Result.OpenOrders.empty() && Result.OrderNumber == 0 &&
+      Result.Promotion && Result.Promotion->Chosen)
+    Result.OpenOrders[*Result.Promotion->Chosen] = Result.Promotion->Attempt;
   Result.Removed = Record.removed;
   for (const auto &Departed : Record.departed)
     Result.Departed.push_back({upstream_id(Departed.upstream),
--- a/modules/control/control_commands.thrift
+++ b/modules/control/control_commands.thrift
@@ -53,6 +53,13 @@
   3: bool was_silent;
 }
 
+/// Orders to promote an upstream that may still take effect.
+struct open_order {
+  /// Empty: not known which.
+  1: string upstream;
+  2: i32 count;
+}
+
 /// The replicated state of a group.
 struct group_record {
   1: string group;
@@ -72,8 +79,12 @@
   15: bool removed;
   /// Upstream incarnations that have left permanently, oldest first.
   16: list<departed_upstream> departed;
-  /// An order to promote an upstream may still be carried out.
+  /// An order to promote an upstream may still be carried out. Read by earlier
+  /// builds, and from their records.
   17: bool unsettled_orders;
+  18: list<open_order> open_orders;
+  /// Number of orders that were ever decided for the group.
+  19: i64 order_number;
 }
 
 /// Replaces the whole table if its version is still the base version.
--- a/modules/control/control_decisions.cpp
+++ b/modules/control/control_decisions.cpp
@@ -4,6 +4,7 @@
 #include "core/event_log.h"
 #include "modules/control/assignment.h"
 #include "modules/control/leases.h"
+#include "modules/control/open_orders.h"
 #include "modules/control/operator_json.h"
 #include "modules/control/pause_progress.h"
 #include "modules/control/pause_promotion.h"
@@ -102,6 +103,7 @@
     sendOrder(Group, *Decision.Promoter);
   for (const auto &Vm : Decision.NudgeTargets)
     nudge(Vm);
+  recordOrderDecided(Decision, Leader);
   if (Decision.Next)
     commit(*Decision.Next, Decision.Kind, Decision.Reason);
 }
@@ -117,7 +119,7 @@
     Promotions.add();
   Committing.insert(Next.Group);
   if (Settings.Method == promotion_method::Pause && Kind != "assign")
-    recordAttempt(Next, Leader);
+    recordPausingBegins(Next, Leader);
   propose(makeGroupCommand(Next),
           [this, Name = Next.Group, Epoch = LeadershipEpoch](proposal_outcome) {
             if (Epoch != LeadershipEpoch)
@@ -197,22 +199,20 @@
       .with("group", Order.Group.Value)
       .with("upstream", Order.Upstream.Value)
       .with("token", Order.FencingToken.Value)
-      .with("attempt", static_cast<std::uint64_t>(Group.Promotion->Attempt));
-  OrderPromotion(
-      Order, [this, Order, Epoch = LeadershipEpoch,
-              Attempt = Group.Promotion->Attempt](promotion_answer Answer) {
-        constexpr const char *Names[] = {"accepted", "refused", "unknown"};
-        event("control.platform_answered")
-            .with("group", Order.Group.Value)
-            .with("upstream", Order.Upstream.Value)
-            .with("token", Order.FencingToken.Value)
-            .with("answer", Names[static_cast<int>(Answer)]);
-        auto Known = Replicated.Groups.find(Order.Group);
-        if (Epoch != LeadershipEpoch || Known == Replicated.Groups.end())
-          return;
-        recordPlatformAnswer(Known->second, Leader, Attempt, Answer);
-        scheduleDecision(Order.Group);
-      });
+      .with("order", Group.OrderNumber);
+  OrderPromotion(Order, [this, Order, Epoch = LeadershipEpoch,
+                         Number = Group.OrderNumber](promotion_answer Answer) {
+    constexpr const char *Names[] = {"accepted", "refused", "unknown"};
+    event("control.platform_answered")
+        .with("group", Order.Group.Value)
+        .with("upstream", Order.Upstream.Value)
+        .with("token", Order.FencingToken.Value)
+        .with("answer", Names[static_cast<int>(Answer)]);
+    if (Epoch != LeadershipEpoch)
+      return;
+    recordPlatformAnswer(Order.Group, Leader, Number, Answer, now());
+    scheduleDecision(Order.Group);
+  });
 }
 
 void control_service::state::sendOrder(const group_state &Group,
--- a/modules/control/control_state.h
+++ b/modules/control/control_state.h
@@ -123,9 +123,13 @@
   bool Dirty = false;
   /// The revision that last made the group dirty.
   revision DirtySince;
-  /// The platform has not answered the last order to promote an upstream, so it
-  /// may still carry out one.
-  bool HasUnsettledOrders = false;
+  /// Number of orders to the platform that were ever decided for this group.
+  /// Identifies an order beyond a change of leader.
+  std::uint64_t OrderNumber = 0;
+  /// How many orders for each upstream may still take effect; empty if none. An
+  /// order ends when its upstream leads a new term, when the platform refuses
+  /// it, and when a later one was answered long enough ago (see open_orders.h).
+  std::map<upstream_id, std::uint32_t> OpenOrders;
   /// The smallest AckReplicas in effect during this term.
   std::uint32_t MinAckReplicas = 0;
   std::uint64_t BudgetEpoch = 0;
--- a/modules/control/gen/control_commands_types.cpp
+++ b/modules/control/gen/control_commands_types.cpp
@@ -924,6 +924,129 @@
 }
 
 
+open_order::~open_order() noexcept {
+}
+
+
+void open_order::__set_upstream(const std::string& val) {
+  this->upstream = val;
+}
+
+void open_order::__set_count(const int32_t val) {
+  this->count = val;
+}
+std::ostream& operator<<(std::ostream& out, const open_order& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t open_order::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->upstream);
+          this->__isset.upstream = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->count);
+          this->__isset.count = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t open_order::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("open_order");
+
+  xfer += oprot->writeFieldBegin("upstream", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->upstream);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("count", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->count);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(open_order &a, open_order &b) {
+  using ::std::swap;
+  swap(a.upstream, b.upstream);
+  swap(a.count, b.count);
+  swap(a.__isset, b.__isset);
+}
+
+open_order::open_order(const open_order& other16) {
+  upstream = other16.upstream;
+  count = other16.count;
+  __isset = other16.__isset;
+}
+open_order::open_order(open_order&& other17) noexcept {
+  upstream = std::move(other17.upstream);
+  count = other17.count;
+  __isset = other17.__isset;
+}
+open_order& open_order::operator=(const open_order& other18) {
+  upstream = other18.upstream;
+  count = other18.count;
+  __isset = other18.__isset;
+  return *this;
+}
+open_order& open_order::operator=(open_order&& other19) noexcept {
+  upstream = std::move(other19.upstream);
+  count = other19.count;
+  __isset = other19.__isset;
+  return *this;
+}
+void open_order::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "open_order(";
+  out << "upstream=" << to_string(upstream);
+  out << ", " << "count=" << to_string(count);
+  out << ")";
+}
+
+
 group_record::~group_record() noexcept {
 }
 
@@ -996,6 +1119,14 @@
 void group_record::__set_unsettled_orders(const bool val) {
   this->unsettled_orders = val;
 }
+
+void group_record::__set_open_orders(const std::vector<open_order> & val) {
+  this->open_orders = val;
+}
+
+void group_record::__set_order_number(const int64_t val) {
+  this->order_number = val;
+}
 std::ostream& operator<<(std::ostream& out, const group_record& obj)
 {
   obj.printTo(out);
@@ -1068,14 +1199,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->upstreams.clear();
-            uint32_t _size16;
-            ::apache::thrift::protocol::TType _etype19;
-            xfer += iprot->readListBegin(_etype19, _size16);
-            this->upstreams.resize(_size16);
-            uint32_t _i20;
-            for (_i20 = 0; _i20 < _size16; ++_i20)
+            uint32_t _size20;
+            ::apache::thrift::protocol::TType _etype23;
+            xfer += iprot->readListBegin(_etype23, _size20);
+            this->upstreams.resize(_size20);
+            uint32_t _i24;
+            for (_i24 = 0; _i24 < _size20; ++_i24)
             {
-              xfer += this->upstreams[_i20].read(iprot);
+              xfer += this->upstreams[_i24].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1088,14 +1219,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->gateways.clear();
-            uint32_t _size21;
-            ::apache::thrift::protocol::TType _etype24;
-            xfer += iprot->readListBegin(_etype24, _size21);
-            this->gateways.resize(_size21);
-            uint32_t _i25;
-            for (_i25 = 0; _i25 < _size21; ++_i25)
+            uint32_t _size25;
+            ::apache::thrift::protocol::TType _etype28;
+            xfer += iprot->readListBegin(_etype28, _size25);
+            this->gateways.resize(_size25);
+            uint32_t _i29;
+            for (_i29 = 0; _i29 < _size25; ++_i29)
             {
-              xfer += this->gateways[_i25].read(iprot);
+              xfer += this->gateways[_i29].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1108,14 +1239,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->holders.clear();
-            uint32_t _size26;
-            ::apache::thrift::protocol::TType _etype29;
-            xfer += iprot->readListBegin(_etype29, _size26);
-            this->holders.resize(_size26);
-            uint32_t _i30;
-            for (_i30 = 0; _i30 < _size26; ++_i30)
+            uint32_t _size30;
+            ::apache::thrift::protocol::TType _etype33;
+            xfer += iprot->readListBegin(_etype33, _size30);
+            this->holders.resize(_size30);
+            uint32_t _i34;
+            for (_i34 = 0; _i34 < _size30; ++_i34)
             {
-              xfer += this->holders[_i30].read(iprot);
+              xfer += this->holders[_i34].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1184,14 +1315,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->departed.clear();
-            uint32_t _size31;
-            ::apache::thrift::protocol::TType _etype34;
-            xfer += iprot->readListBegin(_etype34, _size31);
-            this->departed.resize(_size31);
-            uint32_t _i35;
-            for (_i35 = 0; _i35 < _size31; ++_i35)
+            uint32_t _size35;
+            ::apache::thrift::protocol::TType _etype38;
+            xfer += iprot->readListBegin(_etype38, _size35);
+            this->departed.resize(_size35);
+            uint32_t _i39;
+            for (_i39 = 0; _i39 < _size35; ++_i39)
             {
-              xfer += this->departed[_i35].read(iprot);
+              xfer += this->departed[_i39].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1208,6 +1339,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->open_orders.clear();
+            uint32_t _size40;
+            ::apache::thrift::protocol::TType _etype43;
+            xfer += iprot->readListBegin(_etype43, _size40);
+            this->open_orders.resize(_size40);
+            uint32_t _i44;
+            for (_i44 = 0; _i44 < _size40; ++_i44)
+            {
+              xfer += this->open_orders[_i44].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.open_orders = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->order_number);
+          this->__isset.order_number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1248,10 +1407,10 @@
   xfer += oprot->writeFieldBegin("upstreams", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upstreams.size()));
-    std::vector< ::teasellock::wire::announcement> ::const_iterator _iter36;
-    for (_iter36 = this->upstreams.begin(); _iter36 != this->upstreams.end(); ++_iter36)
+    std::vector< ::teasellock::wire::announcement> ::const_iterator _iter45;
+    for (_iter45 = this->upstreams.begin(); _iter45 != this->upstreams.end(); ++_iter45)
     {
-      xfer += (*_iter36).write(oprot);
+      xfer += (*_iter45).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1260,10 +1419,10 @@
   xfer += oprot->writeFieldBegin("gateways", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->gateways.size()));
-    std::vector< ::teasellock::wire::gateway_share> ::const_iterator _iter37;
-    for (_iter37 = this->gateways.begin(); _iter37 != this->gateways.end(); ++_iter37)
+    std::vector< ::teasellock::wire::gateway_share> ::const_iterator _iter46;
+    for (_iter46 = this->gateways.begin(); _iter46 != this->gateways.end(); ++_iter46)
     {
-      xfer += (*_iter37).write(oprot);
+      xfer += (*_iter46).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1272,10 +1431,10 @@
   xfer += oprot->writeFieldBegin("holders", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holders.size()));
-    std::vector<share_holder> ::const_iterator _iter38;
-    for (_iter38 = this->holders.begin(); _iter38 != this->holders.end(); ++_iter38)
+    std::vector<share_holder> ::const_iterator _iter47;
+    for (_iter47 = this->holders.begin(); _iter47 != this->holders.end(); ++_iter47)
     {
-      xfer += (*_iter38).write(oprot);
+      xfer += (*_iter47).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1313,10 +1472,10 @@
   xfer += oprot->writeFieldBegin("departed", ::apache::thrift::protocol::T_LIST, 16);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->departed.size()));
-    std::vector<departed_upstream> ::const_iterator _iter39;
-    for (_iter39 = this->departed.begin(); _iter39 != this->departed.end(); ++_iter39)
+    std::vector<departed_upstream> ::const_iterator _iter48;
+    for (_iter48 = this->departed.begin(); _iter48 != this->departed.end(); ++_iter48)
     {
-      xfer += (*_iter39).write(oprot);
+      xfer += (*_iter48).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1326,6 +1485,22 @@
   xfer += oprot->writeBool(this->unsettled_orders);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("open_orders", ::apache::thrift::protocol::T_LIST, 18);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->open_orders.size()));
+    std::vector<open_order> ::const_iterator _iter49;
+    for (_iter49 = this->open_orders.begin(); _iter49 != this->open_orders.end(); ++_iter49)
+    {
+      xfer += (*_iter49).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("order_number", ::apache::thrift::protocol::T_I64, 19);
+  xfer += oprot->writeI64(this->order_number);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1350,89 +1525,99 @@
   swap(a.removed, b.removed);
   swap(a.departed, b.departed);
   swap(a.unsettled_orders, b.unsettled_orders);
+  swap(a.open_orders, b.open_orders);
+  swap(a.order_number, b.order_number);
   swap(a.__isset, b.__isset);
 }
 
-group_record::group_record(const group_record& other40) {
-  group = other40.group;
-  revision = other40.revision;
-  row = other40.row;
-  term = other40.term;
-  primary = other40.primary;
-  upstreams = other40.upstreams;
-  gateways = other40.gateways;
-  holders = other40.holders;
-  watermark = other40.watermark;
-  dirty = other40.dirty;
-  dirty_since = other40.dirty_since;
-  least_ack_replicas = other40.least_ack_replicas;
-  budget_epoch = other40.budget_epoch;
-  promotion = other40.promotion;
-  removed = other40.removed;
-  departed = other40.departed;
-  unsettled_orders = other40.unsettled_orders;
-  __isset = other40.__isset;
-}
-group_record::group_record(group_record&& other41) noexcept {
-  group = std::move(other41.group);
-  revision = other41.revision;
-  row = std::move(other41.row);
-  term = other41.term;
-  primary = std::move(other41.primary);
-  upstreams = std::move(other41.upstreams);
-  gateways = std::move(other41.gateways);
-  holders = std::move(other41.holders);
-  watermark = std::move(other41.watermark);
-  dirty = other41.dirty;
-  dirty_since = other41.dirty_since;
-  least_ack_replicas = other41.least_ack_replicas;
-  budget_epoch = other41.budget_epoch;
-  promotion = std::move(other41.promotion);
-  removed = other41.removed;
-  departed = std::move(other41.departed);
-  unsettled_orders = other41.unsettled_orders;
-  __isset = other41.__isset;
-}
-group_record& group_record::operator=(const group_record& other42) {
-  group = other42.group;
-  revision = other42.revision;
-  row = other42.row;
-  term = other42.term;
-  primary = other42.primary;
-  upstreams = other42.upstreams;
-  gateways = other42.gateways;
-  holders = other42.holders;
-  watermark = other42.watermark;
-  dirty = other42.dirty;
-  dirty_since = other42.dirty_since;
-  least_ack_replicas = other42.least_ack_replicas;
-  budget_epoch = other42.budget_epoch;
-  promotion = other42.promotion;
-  removed = other42.removed;
-  departed = other42.departed;
-  unsettled_orders = other42.unsettled_orders;
-  __isset = other42.__isset;
+group_record::group_record(const group_record& other50) {
+  group = other50.group;
+  revision = other50.revision;
+  row = other50.row;
+  term = other50.term;
+  primary = other50.primary;
+  upstreams = other50.upstreams;
+  gateways = other50.gateways;
+  holders = other50.holders;
+  watermark = other50.watermark;
+  dirty = other50.dirty;
+  dirty_since = other50.dirty_since;
+  least_ack_replicas = other50.least_ack_replicas;
+  budget_epoch = other50.budget_epoch;
+  promotion = other50.promotion;
+  removed = other50.removed;
+  departed = other50.departed;
+  unsettled_orders = other50.unsettled_orders;
+  open_orders = other50.open_orders;
+  order_number = other50.order_number;
+  __isset = other50.__isset;
+}
+group_record::group_record(group_record&& other51) noexcept {
+  group = std::move(other51.group);
+  revision = other51.revision;
+  row = std::move(other51.row);
+  term = other51.term;
+  primary = std::move(other51.primary);
+  upstreams = std::move(other51.upstreams);
+  gateways = std::move(other51.gateways);
+  holders = std::move(other51.holders);
+  watermark = std::move(other51.watermark);
+  dirty = other51.dirty;
+  dirty_since = other51.dirty_since;
+  least_ack_replicas = other51.least_ack_replicas;
+  budget_epoch = other51.budget_epoch;
+  promotion = std::move(other51.promotion);
+  removed = other51.removed;
+  departed = std::move(other51.departed);
+  unsettled_orders = other51.unsettled_orders;
+  open_orders = std::move(other51.open_orders);
+  order_number = other51.order_number;
+  __isset = other51.__isset;
+}
+group_record& group_record::operator=(const group_record& other52) {
+  group = other52.group;
+  revision = other52.revision;
+  row = other52.row;
+  term = other52.term;
+  primary = other52.primary;
+  upstreams = other52.upstreams;
+  gateways = other52.gateways;
+  holders = other52.holders;
+  watermark = other52.watermark;
+  dirty = other52.dirty;
+  dirty_since = other52.dirty_since;
+  least_ack_replicas = other52.least_ack_replicas;
+  budget_epoch = other52.budget_epoch;
+  promotion = other52.promotion;
+  removed = other52.removed;
+  departed = other52.departed;
+  unsettled_orders = other52.unsettled_orders;
+  open_orders = other52.open_orders;
+  order_number = other52.order_number;
+  __isset = other52.__isset;
   return *this;
 }
-group_record& group_record::operator=(group_record&& other43) noexcept {
-  group = std::move(other43.group);
-  revision = other43.revision;
-  row = std::move(other43.row);
-  term = other43.term;
-  primary = std::move(other43.primary);
-  upstreams = std::move(other43.upstreams);
-  gateways = std::move(other43.gateways);
-  holders = std::move(other43.holders);
-  watermark = std::move(other43.watermark);
-  dirty = other43.dirty;
-  dirty_since = other43.dirty_since;
-  least_ack_replicas = other43.least_ack_replicas;
-  budget_epoch = other43.budget_epoch;
-  promotion = std::move(other43.promotion);
-  removed = other43.removed;
-  departed = std::move(other43.departed);
-  unsettled_orders = other43.unsettled_orders;
-  __isset = other43.__isset;
+group_record& group_record::operator=(group_record&& other53) noexcept {
+  group = std::move(other53.group);
+  revision = other53.revision;
+  row = std::move(other53.row);
+  term = other53.term;
+  primary = std::move(other53.primary);
+  upstreams = std::move(other53.upstreams);
+  gateways = std::move(other53.gateways);
+  holders = std::move(other53.holders);
+  watermark = std::move(other53.watermark);
+  dirty = other53.dirty;
+  dirty_since = other53.dirty_since;
+  least_ack_replicas = other53.least_ack_replicas;
+  budget_epoch = other53.budget_epoch;
+  promotion = std::move(other53.promotion);
+  removed = other53.removed;
+  departed = std::move(other53.departed);
+  unsettled_orders = other53.unsettled_orders;
+  open_orders = std::move(other53.open_orders);
+  order_number = other53.order_number;
+  __isset = other53.__isset;
   return *this;
 }
 void group_record::printTo(std::ostream& out) const {
@@ -1455,6 +1640,8 @@
   out << ", " << "removed=" << to_string(removed);
   out << ", " << "departed=" << to_string(departed);
   out << ", " << "unsettled_orders=" << to_string(unsettled_orders);
+  out << ", " << "open_orders=" << to_string(open_orders);
+  out << ", " << "order_number=" << to_string(order_number);
   out << ")";
 }
 
@@ -1522,14 +1709,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size44;
-            ::apache::thrift::protocol::TType _etype47;
-            xfer += iprot->readListBegin(_etype47, _size44);
-            this->rows.resize(_size44);
-            uint32_t _i48;
-            for (_i48 = 0; _i48 < _size44; ++_i48)
+            uint32_t _size54;
+            ::apache::thrift::protocol::TType _etype57;
+            xfer += iprot->readListBegin(_etype57, _size54);
+            this->rows.resize(_size54);
+            uint32_t _i58;
+            for (_i58 = 0; _i58 < _size54; ++_i58)
             {
-              xfer += this->rows[_i48].read(iprot);
+              xfer += this->rows[_i58].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1566,10 +1753,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector< ::teasellock::wire::table_row> ::const_iterator _iter49;
-    for (_iter49 = this->rows.begin(); _iter49 != this->rows.end(); ++_iter49)
+    std::vector< ::teasellock::wire::table_row> ::const_iterator _iter59;
+    for (_iter59 = this->rows.begin(); _iter59 != this->rows.end(); ++_iter59)
     {
-      xfer += (*_iter49).write(oprot);
+      xfer += (*_iter59).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1588,30 +1775,30 @@
   swap(a.__isset, b.__isset);
 }
 
-table_edit::table_edit(const table_edit& other50) {
-  edit_id = other50.edit_id;
-  base_version = other50.base_version;
-  rows = other50.rows;
-  __isset = other50.__isset;
+table_edit::table_edit(const table_edit& other60) {
+  edit_id = other60.edit_id;
+  base_version = other60.base_version;
+  rows = other60.rows;
+  __isset = other60.__isset;
 }
-table_edit::table_edit(table_edit&& other51) noexcept {
-  edit_id = std::move(other51.edit_id);
-  base_version = other51.base_version;
-  rows = std::move(other51.rows);
-  __isset = other51.__isset;
+table_edit::table_edit(table_edit&& other61) noexcept {
+  edit_id = std::move(other61.edit_id);
+  base_version = other61.base_version;
+  rows = std::move(other61.rows);
+  __isset = other61.__isset;
 }
-table_edit& table_edit::operator=(const table_edit& other52) {
-  edit_id = other52.edit_id;
-  base_version = other52.base_version;
-  rows = other52.rows;
-  __isset = other52.__isset;
+table_edit& table_edit::operator=(const table_edit& other62) {
+  edit_id = other62.edit_id;
+  base_version = other62.base_version;
+  rows = other62.rows;
+  __isset = other62.__isset;
   return *this;
 }
-table_edit& table_edit::operator=(table_edit&& other53) noexcept {
-  edit_id = std::move(other53.edit_id);
-  base_version = other53.base_version;
-  rows = std::move(other53.rows);
-  __isset = other53.__isset;
+table_edit& table_edit::operator=(table_edit&& other63) noexcept {
+  edit_id = std::move(other63.edit_id);
+  base_version = other63.base_version;
+  rows = std::move(other63.rows);
+  __isset = other63.__isset;
   return *this;
 }
 void table_edit::printTo(std::ostream& out) const {
@@ -1750,34 +1937,34 @@
   swap(a.__isset, b.__isset);
 }
 
-edit_record::edit_record(const edit_record& other54) {
-  edit_id = other54.edit_id;
-  accepted = other54.accepted;
-  version = other54.version;
-  winning_edit = other54.winning_edit;
-  __isset = other54.__isset;
-}
-edit_record::edit_record(edit_record&& other55) noexcept {
-  edit_id = std::move(other55.edit_id);
-  accepted = other55.accepted;
-  version = other55.version;
-  winning_edit = std::move(other55.winning_edit);
-  __isset = other55.__isset;
-}
-edit_record& edit_record::operator=(const edit_record& other56) {
-  edit_id = other56.edit_id;
-  accepted = other56.accepted;
-  version = other56.version;
-  winning_edit = other56.winning_edit;
-  __isset = other56.__isset;
+edit_record::edit_record(const edit_record& other64) {
+  edit_id = other64.edit_id;
+  accepted = other64.accepted;
+  version = other64.version;
+  winning_edit = other64.winning_edit;
+  __isset = other64.__isset;
+}
+edit_record::edit_record(edit_record&& other65) noexcept {
+  edit_id = std::move(other65.edit_id);
+  accepted = other65.accepted;
+  version = other65.version;
+  winning_edit = std::move(other65.winning_edit);
+  __isset = other65.__isset;
+}
+edit_record& edit_record::operator=(const edit_record& other66) {
+  edit_id = other66.edit_id;
+  accepted = other66.accepted;
+  version = other66.version;
+  winning_edit = other66.winning_edit;
+  __isset = other66.__isset;
   return *this;
 }
-edit_record& edit_record::operator=(edit_record&& other57) noexcept {
-  edit_id = std::move(other57.edit_id);
-  accepted = other57.accepted;
-  version = other57.version;
-  winning_edit = std::move(other57.winning_edit);
-  __isset = other57.__isset;
+edit_record& edit_record::operator=(edit_record&& other67) noexcept {
+  edit_id = std::move(other67.edit_id);
+  accepted = other67.accepted;
+  version = other67.version;
+  winning_edit = std::move(other67.winning_edit);
+  __isset = other67.__isset;
   return *this;
 }
 void edit_record::printTo(std::ostream& out) const {
@@ -1846,14 +2033,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size58;
-            ::apache::thrift::protocol::TType _etype61;
-            xfer += iprot->readListBegin(_etype61, _size58);
-            this->rows.resize(_size58);
-            uint32_t _i62;
-            for (_i62 = 0; _i62 < _size58; ++_i62)
+            uint32_t _size68;
+            ::apache::thrift::protocol::TType _etype71;
+            xfer += iprot->readListBegin(_etype71, _size68);
+            this->rows.resize(_size68);
+            uint32_t _i72;
+            for (_i72 = 0; _i72 < _size68; ++_i72)
             {
-              xfer += this->rows[_i62].read(iprot);
+              xfer += this->rows[_i72].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1894,10 +2081,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector< ::teasellock::wire::table_row> ::const_iterator _iter63;
-    for (_iter63 = this->rows.begin(); _iter63 != this->rows.end(); ++_iter63)
+    std::vector< ::teasellock::wire::table_row> ::const_iterator _iter73;
+    for (_iter73 = this->rows.begin(); _iter73 != this->rows.end(); ++_iter73)
     {
-      xfer += (*_iter63).write(oprot);
+      xfer += (*_iter73).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1920,30 +2107,30 @@
   swap(a.__isset, b.__isset);
 }
 
-deployment_change::deployment_change(const deployment_change& other64) {
-  content = other64.content;
-  rows = other64.rows;
-  document = other64.document;
-  __isset = other64.__isset;
+deployment_change::deployment_change(const deployment_change& other74) {
+  content = other74.content;
+  rows = other74.rows;
+  document = other74.document;
+  __isset = other74.__isset;
 }
-deployment_change::deployment_change(deployment_change&& other65) noexcept {
-  content = std::move(other65.content);
-  rows = std::move(other65.rows);
-  document = std::move(other65.document);
-  __isset = other65.__isset;
+deployment_change::deployment_change(deployment_change&& other75) noexcept {
+  content = std::move(other75.content);
+  rows = std::move(other75.rows);
+  document = std::move(other75.document);
+  __isset = other75.__isset;
 }
-deployment_change& deployment_change::operator=(const deployment_change& other66) {
-  content = other66.content;
-  rows = other66.rows;
-  document = other66.document;
-  __isset = other66.__isset;
+deployment_change& deployment_change::operator=(const deployment_change& other76) {
+  content = other76.content;
+  rows = other76.rows;
+  document = other76.document;
+  __isset = other76.__isset;
   return *this;
 }
-deployment_change& deployment_change::operator=(deployment_change&& other67) noexcept {
-  content = std::move(other67.content);
-  rows = std::move(other67.rows);
-  document = std::move(other67.document);
-  __isset = other67.__isset;
+deployment_change& deployment_change::operator=(deployment_change&& other77) noexcept {
+  content = std::move(other77.content);
+  rows = std::move(other77.rows);
+  document = std::move(other77.document);
+  __isset = other77.__isset;
   return *this;
 }
 void deployment_change::printTo(std::ostream& out) const {
@@ -2082,34 +2269,34 @@
   swap(a.__isset, b.__isset);
 }
 
-limiter_slot::limiter_slot(const limiter_slot& other68) {
-  holder = other68.holder;
-  former_vm = other68.former_vm;
-  former_incarnation = other68.former_incarnation;
-  removed_at = other68.removed_at;
-  __isset = other68.__isset;
-}
-limiter_slot::limiter_slot(limiter_slot&& other69) noexcept {
-  holder = std::move(other69.holder);
-  former_vm = std::move(other69.former_vm);
-  former_incarnation = other69.former_incarnation;
-  removed_at = other69.removed_at;
-  __isset = other69.__isset;
-}
-limiter_slot& limiter_slot::operator=(const limiter_slot& other70) {
-  holder = other70.holder;
-  former_vm = other70.former_vm;
-  former_incarnation = other70.former_incarnation;
-  removed_at = other70.removed_at;
-  __isset = other70.__isset;
+limiter_slot::limiter_slot(const limiter_slot& other78) {
+  holder = other78.holder;
+  former_vm = other78.former_vm;
+  former_incarnation = other78.former_incarnation;
+  removed_at = other78.removed_at;
+  __isset = other78.__isset;
+}
+limiter_slot::limiter_slot(limiter_slot&& other79) noexcept {
+  holder = std::move(other79.holder);
+  former_vm = std::move(other79.former_vm);
+  former_incarnation = other79.former_incarnation;
+  removed_at = other79.removed_at;
+  __isset = other79.__isset;
+}
+limiter_slot& limiter_slot::operator=(const limiter_slot& other80) {
+  holder = other80.holder;
+  former_vm = other80.former_vm;
+  former_incarnation = other80.former_incarnation;
+  removed_at = other80.removed_at;
+  __isset = other80.__isset;
   return *this;
 }
-limiter_slot& limiter_slot::operator=(limiter_slot&& other71) noexcept {
-  holder = std::move(other71.holder);
-  former_vm = std::move(other71.former_vm);
-  former_incarnation = other71.former_incarnation;
-  removed_at = other71.removed_at;
-  __isset = other71.__isset;
+limiter_slot& limiter_slot::operator=(limiter_slot&& other81) noexcept {
+  holder = std::move(other81.holder);
+  former_vm = std::move(other81.former_vm);
+  former_incarnation = other81.former_incarnation;
+  removed_at = other81.removed_at;
+  __isset = other81.__isset;
   return *this;
 }
 void limiter_slot::printTo(std::ostream& out) const {
@@ -2174,14 +2361,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->slots.clear();
-            uint32_t _size72;
-            ::apache::thrift::protocol::TType _etype75;
-            xfer += iprot->readListBegin(_etype75, _size72);
-            this->slots.resize(_size72);
-            uint32_t _i76;
-            for (_i76 = 0; _i76 < _size72; ++_i76)
+            uint32_t _size82;
+            ::apache::thrift::protocol::TType _etype85;
+            xfer += iprot->readListBegin(_etype85, _size82);
+            this->slots.resize(_size82);
+            uint32_t _i86;
+            for (_i86 = 0; _i86 < _size82; ++_i86)
             {
-              xfer += this->slots[_i76].read(iprot);
+              xfer += this->slots[_i86].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2214,10 +2401,10 @@
   xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->slots.size()));
-    std::vector<limiter_slot> ::const_iterator _iter77;
-    for (_iter77 = this->slots.begin(); _iter77 != this->slots.end(); ++_iter77)
+    std::vector<limiter_slot> ::const_iterator _iter87;
+    for (_iter87 = this->slots.begin(); _iter87 != this->slots.end(); ++_iter87)
     {
-      xfer += (*_iter77).write(oprot);
+      xfer += (*_iter87).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2235,26 +2422,26 @@
   swap(a.__isset, b.__isset);
 }
 
-limiter_record::limiter_record(const limiter_record& other78) {
-  revision = other78.revision;
-  slots = other78.slots;
-  __isset = other78.__isset;
+limiter_record::limiter_record(const limiter_record& other88) {
+  revision = other88.revision;
+  slots = other88.slots;
+  __isset = other88.__isset;
 }
-limiter_record::limiter_record(limiter_record&& other79) noexcept {
-  revision = other79.revision;
-  slots = std::move(other79.slots);
-  __isset = other79.__isset;
+limiter_record::limiter_record(limiter_record&& other89) noexcept {
+  revision = other89.revision;
+  slots = std::move(other89.slots);
+  __isset = other89.__isset;
 }
-limiter_record& limiter_record::operator=(const limiter_record& other80) {
-  revision = other80.revision;
-  slots = other80.slots;
-  __isset = other80.__isset;
+limiter_record& limiter_record::operator=(const limiter_record& other90) {
+  revision = other90.revision;
+  slots = other90.slots;
+  __isset = other90.__isset;
   return *this;
 }
-limiter_record& limiter_record::operator=(limiter_record&& other81) noexcept {
-  revision = other81.revision;
-  slots = std::move(other81.slots);
-  __isset = other81.__isset;
+limiter_record& limiter_record::operator=(limiter_record&& other91) noexcept {
+  revision = other91.revision;
+  slots = std::move(other91.slots);
+  __isset = other91.__isset;
   return *this;
 }
 void limiter_record::printTo(std::ostream& out) const {
@@ -2438,42 +2625,42 @@
   swap(a.__isset, b.__isset);
 }
 
-control_command::control_command(const control_command& other82) {
-  edit = other82.edit;
-  vm = other82.vm;
-  announcement = other82.announcement;
-  group = other82.group;
-  change = other82.change;
-  limiters = other82.limiters;
-  __isset = other82.__isset;
-}
-control_command::control_command(control_command&& other83) noexcept {
-  edit = std::move(other83.edit);
-  vm = std::move(other83.vm);
-  announcement = std::move(other83.announcement);
-  group = std::move(other83.group);
-  change = std::move(other83.change);
-  limiters = std::move(other83.limiters);
-  __isset = other83.__isset;
-}
-control_command& control_command::operator=(const control_command& other84) {
-  edit = other84.edit;
-  vm = other84.vm;
-  announcement = other84.announcement;
-  group = other84.group;
-  change = other84.change;
-  limiters = other84.limiters;
-  __isset = other84.__isset;
+control_command::control_command(const control_command& other92) {
+  edit = other92.edit;
+  vm = other92.vm;
+  announcement = other92.announcement;
+  group = other92.group;
+  change = other92.change;
+  limiters = other92.limiters;
+  __isset = other92.__isset;
+}
+control_command::control_command(control_command&& other93) noexcept {
+  edit = std::move(other93.edit);
+  vm = std::move(other93.vm);
+  announcement = std::move(other93.announcement);
+  group = std::move(other93.group);
+  change = std::move(other93.change);
+  limiters = std::move(other93.limiters);
+  __isset = other93.__isset;
+}
+control_command& control_command::operator=(const control_command& other94) {
+  edit = other94.edit;
+  vm = other94.vm;
+  announcement = other94.announcement;
+  group = other94.group;
+  change = other94.change;
+  limiters = other94.limiters;
+  __isset = other94.__isset;
   return *this;
 }
-control_command& control_command::operator=(control_command&& other85) noexcept {
-  edit = std::move(other85.edit);
-  vm = std::move(other85.vm);
-  announcement = std::move(other85.announcement);
-  group = std::move(other85.group);
-  change = std::move(other85.change);
-  limiters = std::move(other85.limiters);
-  __isset = other85.__isset;
+control_command& control_command::operator=(control_command&& other95) noexcept {
+  edit = std::move(other95.edit);
+  vm = std::move(other95.vm);
+  announcement = std::move(other95.announcement);
+  group = std::move(other95.group);
+  change = std::move(other95.change);
+  limiters = std::move(other95.limiters);
+  __isset = other95.__isset;
   return *this;
 }
 void control_command::printTo(std::ostream& out) const {
@@ -2586,14 +2773,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->vms.clear();
-            uint32_t _size86;
-            ::apache::thrift::protocol::TType _etype89;
-            xfer += iprot->readListBegin(_etype89, _size86);
-            this->vms.resize(_size86);
-            uint32_t _i90;
-            for (_i90 = 0; _i90 < _size86; ++_i90)
+            uint32_t _size96;
+            ::apache::thrift::protocol::TType _etype99;
+            xfer += iprot->readListBegin(_etype99, _size96);
+            this->vms.resize(_size96);
+            uint32_t _i100;
+            for (_i100 = 0; _i100 < _size96; ++_i100)
             {
-              xfer += this->vms[_i90].read(iprot);
+              xfer += this->vms[_i100].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2606,14 +2793,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->groups.clear();
-            uint32_t _size91;
-            ::apache::thrift::protocol::TType _etype94;
-            xfer += iprot->readListBegin(_etype94, _size91);
-            this->groups.resize(_size91);
-            uint32_t _i95;
-            for (_i95 = 0; _i95 < _size91; ++_i95)
+            uint32_t _size101;
+            ::apache::thrift::protocol::TType _etype104;
+            xfer += iprot->readListBegin(_etype104, _size101);
+            this->groups.resize(_size101);
+            uint32_t _i105;
+            for (_i105 = 0; _i105 < _size101; ++_i105)
             {
-              xfer += this->groups[_i95].read(iprot);
+              xfer += this->groups[_i105].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2626,14 +2813,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->edits.clear();
-            uint32_t _size96;
-            ::apache::thrift::protocol::TType _etype99;
-            xfer += iprot->readListBegin(_etype99, _size96);
-            this->edits.resize(_size96);
-            uint32_t _i100;
-            for (_i100 = 0; _i100 < _size96; ++_i100)
+            uint32_t _size106;
+            ::apache::thrift::protocol::TType _etype109;
+            xfer += iprot->readListBegin(_etype109, _size106);
+            this->edits.resize(_size106);
+            uint32_t _i110;
+            for (_i110 = 0; _i110 < _size106; ++_i110)
             {
-              xfer += this->edits[_i100].read(iprot);
+              xfer += this->edits[_i110].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2698,10 +2885,10 @@
   xfer += oprot->writeFieldBegin("vms", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->vms.size()));
-    std::vector<vm_record> ::const_iterator _iter101;
-    for (_iter101 = this->vms.begin(); _iter101 != this->vms.end(); ++_iter101)
+    std::vector<vm_record> ::const_iterator _iter111;
+    for (_iter111 = this->vms.begin(); _iter111 != this->vms.end(); ++_iter111)
     {
-      xfer += (*_iter101).write(oprot);
+      xfer += (*_iter111).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2710,10 +2897,10 @@
   xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
-    std::vector<group_record> ::const_iterator _iter102;
-    for (_iter102 = this->groups.begin(); _iter102 != this->groups.end(); ++_iter102)
+    std::vector<group_record> ::const_iterator _iter112;
+    for (_iter112 = this->groups.begin(); _iter112 != this->groups.end(); ++_iter112)
     {
-      xfer += (*_iter102).write(oprot);
+      xfer += (*_iter112).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2722,10 +2909,10 @@
   xfer += oprot->writeFieldBegin("edits", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->edits.size()));
-    std::vector<edit_record> ::const_iterator _iter103;
-    for (_iter103 = this->edits.begin(); _iter103 != this->edits.end(); ++_iter103)
+    std::vector<edit_record> ::const_iterator _iter113;
+    for (_iter113 = this->edits.begin(); _iter113 != this->edits.end(); ++_iter113)
     {
-      xfer += (*_iter103).write(oprot);
+      xfer += (*_iter113).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2764,54 +2951,54 @@
   swap(a.__isset, b.__isset);
 }
 
-control_snapshot::control_snapshot(const control_snapshot& other104) {
-  applied = other104.applied;
-  table_version = other104.table_version;
-  last_edit = other104.last_edit;
-  vms = other104.vms;
-  groups = other104.groups;
-  edits = other104.edits;
-  in_force = other104.in_force;
-  deployment_revision = other104.deployment_revision;
-  limiters = other104.limiters;
-  __isset = other104.__isset;
-}
-control_snapshot::control_snapshot(control_snapshot&& other105) noexcept {
-  applied = other105.applied;
-  table_version = other105.table_version;
-  last_edit = std::move(other105.last_edit);
-  vms = std::move(other105.vms);
-  groups = std::move(other105.groups);
-  edits = std::move(other105.edits);
-  in_force = std::move(other105.in_force);
-  deployment_revision = other105.deployment_revision;
-  limiters = std::move(other105.limiters);
-  __isset = other105.__isset;
-}
-control_snapshot& control_snapshot::operator=(const control_snapshot& other106) {
-  applied = other106.applied;
-  table_version = other106.table_version;
-  last_edit = other106.last_edit;
-  vms = other106.vms;
-  groups = other106.groups;
-  edits = other106.edits;
-  in_force = other106.in_force;
-  deployment_revision = other106.deployment_revision;
-  limiters = other106.limiters;
-  __isset = other106.__isset;
+control_snapshot::control_snapshot(const control_snapshot& other114) {
+  applied = other114.applied;
+  table_version = other114.table_version;
+  last_edit = other114.last_edit;
+  vms = other114.vms;
+  groups = other114.groups;
+  edits = other114.edits;
+  in_force = other114.in_force;
+  deployment_revision = other114.deployment_revision;
+  limiters = other114.limiters;
+  __isset = other114.__isset;
+}
+control_snapshot::control_snapshot(control_snapshot&& other115) noexcept {
+  applied = other115.applied;
+  table_version = other115.table_version;
+  last_edit = std::move(other115.last_edit);
+  vms = std::move(other115.vms);
+  groups = std::move(other115.groups);
+  edits = std::move(other115.edits);
+  in_force = std::move(other115.in_force);
+  deployment_revision = other115.deployment_revision;
+  limiters = std::move(other115.limiters);
+  __isset = other115.__isset;
+}
+control_snapshot& control_snapshot::operator=(const control_snapshot& other116) {
+  applied = other116.applied;
+  table_version = other116.table_version;
+  last_edit = other116.last_edit;
+  vms = other116.vms;
+  groups = other116.groups;
+  edits = other116.edits;
+  in_force = other116.in_force;
+  deployment_revision = other116.deployment_revision;
+  limiters = other116.limiters;
+  __isset = other116.__isset;
   return *this;
 }
-control_snapshot& control_snapshot::operator=(control_snapshot&& other107) noexcept {
-  applied = other107.applied;
-  table_version = other107.table_version;
-  last_edit = std::move(other107.last_edit);
-  vms = std::move(other107.vms);
-  groups = std::move(other107.groups);
-  edits = std::move(other107.edits);
-  in_force = std::move(other107.in_force);
-  deployment_revision = other107.deployment_revision;
-  limiters = std::move(other107.limiters);
-  __isset = other107.__isset;
+control_snapshot& control_snapshot::operator=(control_snapshot&& other117) noexcept {
+  applied = other117.applied;
+  table_version = other117.table_version;
+  last_edit = std::move(other117.last_edit);
+  vms = std::move(other117.vms);
+  groups = std::move(other117.groups);
+  edits = std::move(other117.edits);
+  in_force = std::move(other117.in_force);
+  deployment_revision = other117.deployment_revision;
+  limiters = std::move(other117.limiters);
+  __isset = other117.__isset;
   return *this;
 }
 void control_snapshot::printTo(std::ostream& out) const {
--- a/modules/control/gen/control_commands_types.h
+++ b/modules/control/gen/control_commands_types.h
@@ -30,6 +30,8 @@
 
 class departed_upstream;
 
+class open_order;
+
 class group_record;
 
 class table_edit;
@@ -386,8 +388,60 @@
 
 std::ostream& operator<<(std::ostream& out, const departed_upstream& obj);
 
+typedef struct _open_order__isset {
+  _open_order__isset() : upstream(false), count(false) {}
+  bool upstream :1;
+  bool count :1;
+} _open_order__isset;
+
+class open_order : public virtual ::apache::thrift::TBase {
+ public:
+
+  open_order(const open_order&);
+  open_order(open_order&&) noexcept;
+  open_order& operator=(const open_order&);
+  open_order& operator=(open_order&&) noexcept;
+  open_order() noexcept
+             : upstream(),
+               count(0) {
+  }
+
+  virtual ~open_order() noexcept;
+  std::string upstream;
+  int32_t count;
+
+  _open_order__isset __isset;
+
+  void __set_upstream(const std::string& val);
+
+  void __set_count(const int32_t val);
+
+  bool operator == (const open_order & rhs) const
+  {
+    if (!(upstream == rhs.upstream))
+      return false;
+    if (!(count == rhs.count))
+      return false;
+    return true;
+  }
+  bool operator != (const open_order &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const open_order & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(open_order &a, open_order &b);
+
+std::ostream& operator<<(std::ostream& out, const open_order& obj);
+
 typedef struct _group_record__isset {
-  _group_record__isset() : group(false), revision(false), row(false), term(false), primary(false), upstreams(false), gateways(false), holders(false), watermark(false), dirty(false), dirty_since(false), least_ack_replicas(false), budget_epoch(false), promotion(false), removed(false), departed(false), unsettled_orders(false) {}
+  _group_record__isset() : group(false), revision(false), row(false), term(false), primary(false), upstreams(false), gateways(false), holders(false), watermark(false), dirty(false), dirty_since(false), least_ack_replicas(false), budget_epoch(false), promotion(false), removed(false), departed(false), unsettled_orders(false), open_orders(false), order_number(false) {}
   bool group :1;
   bool revision :1;
   bool row :1;
@@ -405,6 +459,8 @@
   bool removed :1;
   bool departed :1;
   bool unsettled_orders :1;
+  bool open_orders :1;
+  bool order_number :1;
 } _group_record__isset;
 
 class group_record : public virtual ::apache::thrift::TBase {
@@ -424,7 +480,8 @@
                  least_ack_replicas(0),
                  budget_epoch(0),
                  removed(0),
-                 unsettled_orders(0) {
+                 unsettled_orders(0),
+                 order_number(0) {
   }
 
   virtual ~group_record() noexcept;
@@ -445,6 +502,8 @@
   bool removed;
   std::vector<departed_upstream>  departed;
   bool unsettled_orders;
+  std::vector<open_order>  open_orders;
+  int64_t order_number;
 
   _group_record__isset __isset;
 
@@ -482,6 +541,10 @@
 
   void __set_unsettled_orders(const bool val);
 
+  void __set_open_orders(const std::vector<open_order> & val);
+
+  void __set_order_number(const int64_t val);
+
   bool operator == (const group_record & rhs) const
   {
     if (!(group == rhs.group))
@@ -520,6 +583,10 @@
       return false;
     if (!(unsettled_orders == rhs.unsettled_orders))
       return false;
+    if (!(open_orders == rhs.open_orders))
+      return false;
+    if (!(order_number == rhs.order_number))
+      return false;
     return true;
   }
   bool operator != (const group_record &rhs) const {
--- a/modules/control/leader_state.h
+++ b/modules/control/leader_state.h
@@ -127,12 +127,19 @@
   std::map<upstream_id, paused_replica> PausedReplicas;
   /// No gateway that answered has acknowledged a commit beyond this position.
   position Acknowledged;
-  /// The attempt that this leader itself has committed; it sends no order for
-  /// attempts of earlier leaders.
-  std::uint32_t DecidedAttempt = 0;
-  std::uint32_t SentAttempt = 0;
-  time_point OrderSentAt;
+};
+
+/// Progress of a group's last order to the platform, as this leader has driven
+/// it.
+struct order_progress {
+  /// The last order that this leader itself has committed, by
+  /// group_state::OrderNumber; it sends no order of earlier leaders.
+  std::uint64_t DecidedNumber = 0;
+  std::uint64_t SentNumber = 0;
+  time_point SentAt;
+  /// The platform's answer to the order SentNumber, and when it arrived.
   std::optional<promotion_answer> Answer;
+  time_point AnsweredAt;
 };
 
 /// When an upstream's last announcement was received, and from which
@@ -179,6 +186,7 @@
   std::map<vm_id, vm_observation> Vms;
   std::map<group_id, group_orders> Orders;
   std::map<group_id, pause_progress> PausePromotions;
+  std::map<group_id, order_progress> PlatformOrders;
   std::map<std::pair<group_id, upstream_id>, received_announcement>
       LastAnnouncements;
   /// The first announcements of upstreams that were given up.
@@ -265,6 +273,9 @@
   duration PlatformTimeout = fromMilliseconds(400);
   /// An accepted order is sent again if the upstream is not primary after this.
   duration PromotionTimeout = fromMilliseconds(3000);
+  /// An accepted order has no effect any more after this: twice what a slow
+  /// platform takes to promote an upstream (up to 1,000 ms).
+  duration OrderEffectTimeout = fromMilliseconds(2000);
   /// A promotion without an order is abandoned after this if the former primary
   /// is reachable again.
   duration StuckPromotionTimeout = fromMilliseconds(2000);
@@ -301,6 +312,8 @@
   std::optional<upstream_id> DemotionTarget;
   /// Gateways are asked to resume replication to paused replicas.
   bool ShouldResume = false;
+  /// Next contains a new order, which is sent once it is committed.
+  bool AddsOrder = false;
   /// The order to send to the platform.
   std::optional<promotion_order> Order;
   /// The gateway that is ordered to promote Promotion->Chosen.
--- a/modules/control/pause_progress.cpp
+++ b/modules/control/pause_progress.cpp
@@ -42,37 +42,11 @@
   }
 }
 
-void recordAttempt(const group_state &Next, leader_state &Leader) {
-  if (!Next.Promotion) {
+void recordPausingBegins(const group_state &Next, leader_state &Leader) {
+  // Replies to earlier pause requests do not count for new ones. They are kept
+  // when a promotion ends: the commit may be overtaken by another change.
+  if (Next.Promotion && Next.Promotion->Phase == promotion_phase::Fencing)
     Leader.PausePromotions.erase(Next.Group);
-    return;
-  }
-  if (Next.Promotion->Phase == promotion_phase::Fencing) {
-    // Replies to earlier pause requests do not count for new ones.
-    Leader.PausePromotions.erase(Next.Group);
-    return;
-  }
-  auto &Progress = Leader.PausePromotions[Next.Group];
-  Progress.DecidedAttempt = Next.Promotion->Attempt;
-  Progress.Answer.reset();
-}
-
-void recordPlatformOrderSent(const group_state &Group, leader_state &Leader,
-                             time_point Now) {
-  auto &Progress = Leader.PausePromotions[Group.Group];
-  Progress.SentAttempt = Group.Promotion->Attempt;
-  Progress.OrderSentAt = Now;
-  Progress.Answer.reset();
-}
-
-void recordPlatformAnswer(const group_state &Group, leader_state &Leader,
-                          std::uint32_t Attempt, promotion_answer Answer) {
-  auto Progress = Leader.PausePromotions.find(Group.Group);
-  if (!Group.Promotion || Progress == Leader.PausePromotions.end() ||
-      Progress->second.SentAttempt != Attempt ||
-      Group.Promotion->Attempt != Attempt)
-    return;
-  Progress->second.Answer = Answer;
 }
 
 } // namespace teasellock
--- a/modules/control/pause_progress.h
+++ b/modules/control/pause_progress.h
@@ -20,17 +20,8 @@
 void recordPauseReply(const group_state &Group, leader_state &Leader,
                       const wire::fence_reply &Reply, time_point Now);
 
-/// Records the attempt of a group state that this leader is about to commit.
-/// Discards the progress if the promotion has ended or pauses replicas again.
-void recordAttempt(const group_state &Next, leader_state &Leader);
-
-/// Records that the order of the current attempt was sent to the platform.
-void recordPlatformOrderSent(const group_state &Group, leader_state &Leader,
-                             time_point Now);
-
-/// Records the platform's answer to the order of an attempt; ignored if a later
-/// attempt has been made.
-void recordPlatformAnswer(const group_state &Group, leader_state &Leader,
-                          std::uint32_t Attempt, promotion_answer Answer);
+/// Discards the answers to earlier pauses if the group state, which this leader
+/// is about to commit, begins to pause the replicas.
+void recordPausingBegins(const group_state &Next, leader_state &Leader);
 
 } // namespace teasellock
--- a/modules/control/pause_promotion.cpp
+++ b/modules/control/pause_promotion.cpp
@@ -3,6 +3,7 @@
 #include "modules/control/departed_upstreams.h"
 #include "modules/control/group_reports.h"
 #include "modules/control/leases.h"
+#include "modules/control/open_orders.h"
 #include "modules/control/pause_answers.h"
 #include "modules/control/pause_progress.h"
 #include "modules/control/primary_health.h"
@@ -14,10 +15,6 @@
 
 namespace {
 
-/// An order that failed without being refused is sent again after this: the
-/// platform accepts tens of calls per second. After a refusal the replicas are
-/// paused again at once.
-const duration FailedOrderDelay = fromMilliseconds(200);
 constexpr const char *FormerPrimaryReason =
     "promotion abandoned: the former primary is reachable again";
 
@@ -32,39 +29,26 @@
   return Best;
 }
 
-/// Reports whether the platform may still carry out an order once this upstream
-/// is primary. It refuses all earlier orders once it has answered the last one.
-bool hasUnsettledOrders(const group_state &Group, const leader_state &Leader,
-                        const upstream_id &Primary) {
-  // The first primary of a group needs no order; its term is not known before.
-  if (!Group.Promotion)
-    return Group.Term != term() || Group.HasUnsettledOrders;
-  const auto &Promotion = *Group.Promotion;
-  if (Promotion.Attempt == 0)
-    return Promotion.Deposed != Primary || Group.HasUnsettledOrders;
-  const auto *Progress = progressOf(Group, Leader);
-  return !Progress || Progress->SentAttempt != Promotion.Attempt ||
-         Progress->Answer != promotion_answer::Accepted ||
-         Promotion.Chosen != Primary;
-}
-
-group_decision adopt(const group_state &Group, const leader_state &Leader,
-                     const upstream_id &Primary, term Term,
-                     const std::string &Reason) {
+group_decision adopt(const group_state &Group, const upstream_id &Primary,
+                     term Term, const std::string &Reason) {
   group_state Next = Group;
   Next.Primary = Primary;
   Next.Term = std::max(Term, Group.Term);
   Next.MinAckReplicas = Group.Row.AckReplicas;
-  Next.HasUnsettledOrders = hasUnsettledOrders(Group, Leader, Primary);
+  // Its order has taken effect, or has none as it led already.
+  endOrder(Next, Primary);
   Next.Promotion.reset();
   return changeTo(std::move(Next), "promoted", Reason);
 }
 
 /// Adopts an upstream that is primary already: the first one of a group without
-/// a primary, or one that a late order has promoted to a higher term.
-std::optional<group_decision> adoptExistingPrimary(
-    const group_state &Group, const leader_state &Leader,
-    const std::map<upstream_id, upstream_observation> &Probes) {
+/// a primary, or one that a late order has promoted to a higher term. None is
+/// adopted while an order for another one may still take effect: that would
+/// discard what is written to the first one meanwhile.
+std::optional<group_decision>
+adoptExistingPrimary(const group_state &Group, const leader_state &Leader,
+                     const decision_settings &Settings, time_point Now) {
+  auto Probes = latestProbes(Group, Leader, Settings, Now);
   const auto *Leading = findLeadingUpstream(Probes);
   if (!Leading || !Group.Upstreams.contains(Leading->Upstream))
     return std::nullopt;
@@ -72,7 +56,10 @@
   bool Missing = !Group.Primary && !Group.Promotion;
   if (!Newer && !(Missing && Leading->Replayed.Term == Group.Term))
     return std::nullopt;
-  return adopt(Group, Leader, Leading->Upstream, Leading->Replayed.Term,
+  if (Group.Promotion && hasOrdersForOthers(Group, Leading->Upstream) &&
+      mayOrdersTakeEffect(Group, Leader, Settings, Now))
+    return std::nullopt;
+  return adopt(Group, Leading->Upstream, Leading->Replayed.Term,
                Leading->Upstream.Value + " is primary of term " +
                    toString(Leading->Replayed.Term));
 }
@@ -92,6 +79,13 @@
   });
 }
 
+/// Reports whether an abandoned promotion has left a replica paused.
+bool hasPausedReplica(
+    const std::map<upstream_id, upstream_observation> &Probes) {
+  return std::any_of(Probes.begin(), Probes.end(),
+                     [](const auto &Entry) { return Entry.second.Paused; });
+}
+
 group_decision decideWithPrimary(const group_state &Group,
                                  const leader_state &Leader,
                                  const decision_settings &Settings,
@@ -108,13 +102,16 @@
         "primary " + Group.Primary->Value + " failed: " + Health.Summary;
     return changeTo(beginFencing(Group, Reason), "failover", Reason);
   }
+  // An open order for the primary would take effect once it is demoted.
+  if (Rules.CheckOpenOrders && !Group.OpenOrders.empty()) {
+    auto Decision = decideOpenOrders(Group, Leader, Settings, Now);
+    Decision.ShouldResume = hasPausedReplica(Probes);
+    return Decision;
+  }
   if (Known->second.Leaving && !Group.Dirty && hasSuccessor(Group, Probes)) {
     std::string Reason = "primary " + Group.Primary->Value + " is leaving";
     group_state Next = beginFencing(Group, Reason);
-    // An unsettled order for the primary would take effect once it is demoted.
-    Next.Promotion->Planned =
-        Rules.DemoteFirst &&
-        !(Rules.CheckUnsettledOrders && Group.HasUnsettledOrders);
+    Next.Promotion->Planned = Rules.DemoteFirst;
     return changeTo(std::move(Next), "handover", Reason);
   }
   if (auto Lost = decideLostReplica(Group, Leader, Probes, Settings, Now);
@@ -125,20 +122,17 @@
   if (!Health.Summary.empty())
     Decision.WaitingReason =
         "the primary has not failed for all gateways: " + Health.Summary;
-  // An abandoned promotion may have left a replica paused.
-  for (const auto &[Name, Probe] : Probes)
-    Decision.ShouldResume = Decision.ShouldResume || Probe.Paused;
+  Decision.ShouldResume = hasPausedReplica(Probes);
   return Decision;
 }
 
 /// Decides on a group without a primary and without a promotion. Adopts an
 /// upstream that claims to be primary, so that it is monitored and replaced if
 /// it fails.
-group_decision decideWithoutPrimary(const group_state &Group,
-                                    const leader_state &Leader) {
+group_decision decideWithoutPrimary(const group_state &Group) {
   for (const auto &[Name, Upstream] : Group.Upstreams)
     if (Upstream.ClaimsPrimary)
-      return adopt(Group, Leader, Name, Group.Term,
+      return adopt(Group, Name, Group.Term,
                    Name.Value + " claims to be the primary");
   return waitingFor("no upstream is primary");
 }
@@ -165,12 +159,15 @@
   return Due;
 }
 
-term highestTerm(const group_state &Group,
+/// Returns the term under which replicas are paused. Gateways write to no
+/// primary of a lower term on their own; open orders may begin one such term
+/// each before the order that is still to be made takes effect.
+term pauseTermOf(const group_state &Group,
                  const std::map<upstream_id, upstream_observation> &Probes) {
   term Highest = Group.Term;
   for (const auto &[Name, Probe] : Probes)
     Highest = std::max({Highest, Probe.Replayed.Term, Probe.Received.Term});
-  return Highest;
+  return term(Highest.Value + 1 + countOrdersForOthers(Group));
 }
 
 /// Returns the former primary if it is reachable and still primary of its term,
@@ -197,21 +194,22 @@
   Next.Promotion->Chosen = Candidate.first;
   Next.Promotion->ChosenPosition = Candidate.second.Received;
   ++Next.Promotion->Attempt;
+  addOrder(Next, Candidate.first);
   std::string Reason = Group.Promotion->Reason + " -> " +
                        Candidate.first.Value + " at " +
                        toString(Candidate.second.Received);
-  return changeTo(std::move(Next), "promote", Reason);
+  auto Decision = changeTo(std::move(Next), "promote", Reason);
+  Decision.AddsOrder = true;
+  return Decision;
 }
 
 /// Lets the former primary go on. Earlier orders to promote another upstream
 /// may still be carried out, so it is ordered to be promoted itself: that
 /// changes nothing, but the platform then refuses the earlier orders.
 group_decision decideAbandonment(const group_state &Group,
-                                 const leader_state &Leader,
                                  const upstream_observation &Former) {
   if (Group.Promotion->Attempt == 0)
-    return adopt(Group, Leader, Former.Upstream, Group.Term,
-                 FormerPrimaryReason);
+    return adopt(Group, Former.Upstream, Group.Term, FormerPrimaryReason);
   paused_replica Position;
   Position.Received = Former.Received;
   return decideCandidate(Group, {Former.Upstream, Position});
@@ -225,7 +223,7 @@
   auto Answers = collectAnswers(Group, Leader, Settings, Now, Rules);
   group_decision Decision;
   Decision.FenceTargets = duePauses(Group, Answers.Progress, Settings, Now);
-  Decision.PauseTerm = term(highestTerm(Group, Probes).Value + 1);
+  Decision.PauseTerm = pauseTermOf(Group, Probes);
   if (auto Target = demotionTarget(Group)) {
     if (const auto *Best = candidateAfterDemotion(Group, Answers, Now))
       return decideCandidate(Group, *Best);
@@ -239,12 +237,18 @@
     }
   }
   if (const auto *Best =
-          candidateOfPauses(Group, Leader, Answers, Settings, Now, Rules))
-    return decideCandidate(Group, *Best);
+          candidateOfPauses(Group, Leader, Answers, Settings, Now, Rules)) {
+    if (!hasOrdersForOthers(Group, Best->first) ||
+        !mayOrdersTakeEffect(Group, Leader, Settings, Now))
+      return decideCandidate(Group, *Best);
+    Decision.WaitingReason =
+        "an earlier order may still promote another upstream";
+    return Decision;
+  }
   bool IsStuck =
       Group.Dirty || Answers.isOlderThan(Settings.StuckPromotionTimeout, Now);
   if (const auto *Former = findFormerPrimary(Group, Probes); Former && IsStuck)
-    return decideAbandonment(Group, Leader, *Former);
+    return decideAbandonment(Group, *Former);
   Decision.WaitingReason =
       "waiting for replicas to be paused: " + Answers.Missing +
       (Group.Dirty ? "(writes of a lost replica are not covered yet)" : "") +
@@ -259,18 +263,34 @@
 group_decision retryOrder(const group_state &Group, const std::string &Reason) {
   group_state Next = Group;
   ++Next.Promotion->Attempt;
-  return changeTo(std::move(Next), "promote_again",
-                  Group.Promotion->Chosen->Value + ": " + Reason);
+  addOrder(Next, *Group.Promotion->Chosen);
+  auto Decision = changeTo(std::move(Next), "promote_again",
+                           Group.Promotion->Chosen->Value + ": " + Reason);
+  Decision.AddsOrder = true;
+  return Decision;
 }
 
 group_decision restartPausing(const group_state &Group,
                               const std::string &Reason) {
   group_state Next = Group;
+  endOrder(Next, *Group.Promotion->Chosen);
   Next.Promotion->Phase = promotion_phase::Fencing;
   Next.Promotion->Chosen.reset();
   return changeTo(std::move(Next), "promotion_refused", Reason);
 }
 
+/// Lets the former primary go on once the platform has confirmed that it leads
+/// and no order that was accepted before can take effect any more.
+group_decision decideReturn(const group_state &Group,
+                            const leader_state &Leader,
+                            const decision_settings &Settings, time_point Now) {
+  const auto &Former = *Group.Promotion->Chosen;
+  if (hasOrdersForOthers(Group, Former) &&
+      mayOrdersTakeEffect(Group, Leader, Settings, Now))
+    return waitingFor("an earlier order may still promote another upstream");
+  return adopt(Group, Former, Group.Term, FormerPrimaryReason);
+}
+
 /// Returns the next step of an order that was decided: to send it, to wait for
 /// the platform, to send it again, or to pause the replicas again.
 group_decision decideOrderProgress(const group_state &Group,
@@ -278,10 +298,10 @@
                                    const decision_settings &Settings,
                                    time_point Now) {
   const auto &Promotion = *Group.Promotion;
-  const auto *Progress = progressOf(Group, Leader);
-  if (!Progress || Progress->DecidedAttempt != Promotion.Attempt)
+  const auto *Progress = orderProgressOf(Group, Leader);
+  if (!Progress)
     return retryOrder(Group, "this leader has not sent an order yet");
-  if (Progress->SentAttempt != Promotion.Attempt) {
+  if (Progress->SentNumber != Group.OrderNumber) {
     group_decision Decision;
     Decision.Order =
         promotion_order{Group.Group, *Promotion.Chosen, Group.Revision};
@@ -289,7 +309,7 @@
         "ordering the promotion of " + Promotion.Chosen->Value;
     return Decision;
   }
-  duration Since = Now - Progress->OrderSentAt;
+  duration Since = Now - Progress->SentAt;
   if (!Progress->Answer)
     return Since < Settings.PlatformTimeout
                ? waitingFor("the platform has not answered")
@@ -305,8 +325,7 @@
   case promotion_answer::Accepted:
     if (findFormerPrimary(Group, latestProbes(Group, Leader, Settings, Now)) &&
         Promotion.Chosen == Promotion.Deposed)
-      return adopt(Group, Leader, *Promotion.Chosen, Group.Term,
-                   FormerPrimaryReason);
+      return decideReturn(Group, Leader, Settings, Now);
     if (Since >= Settings.PromotionTimeout)
       return retryOrder(Group, "accepted, but it has not become primary");
     break;
@@ -327,7 +346,7 @@
     return Decision;
   auto Probes = latestProbes(Group, Leader, Settings, Now);
   Decision.FenceTargets = duePauses(Group, Answers.Progress, Settings, Now);
-  Decision.PauseTerm = term(highestTerm(Group, Probes).Value + 1);
+  Decision.PauseTerm = pauseTermOf(Group, Probes);
   return Decision;
 }
 
@@ -339,15 +358,14 @@
                                     time_point Now, const pause_rules &Rules) {
   if (Group.Removed)
     return {};
-  if (auto Adopted = adoptExistingPrimary(
-          Group, Leader, latestProbes(Group, Leader, Settings, Now)))
+  if (auto Adopted = adoptExistingPrimary(Group, Leader, Settings, Now))
     return std::move(*Adopted);
   if (auto Succession = decideSuccession(Group); Succession.Next)
     return Succession;
   if (!Group.Promotion)
     return Group.Primary
                ? decideWithPrimary(Group, Leader, Settings, Now, Rules)
-               : decideWithoutPrimary(Group, Leader);
+               : decideWithoutPrimary(Group);
   if (Group.Promotion->Phase == promotion_phase::Fencing)
     return decidePausing(Group, Leader, Settings, Now, Rules);
   return decideOrder(Group, Leader, Settings, Now, Rules);
--- a/modules/control/pause_promotion.h
+++ b/modules/control/pause_promotion.h
@@ -34,8 +34,8 @@
   bool CheckDirty = true;
   /// A primary that works is demoted before it is replaced.
   bool DemoteFirst = true;
-  /// But not while an order to promote it again may still be carried out.
-  bool CheckUnsettledOrders = true;
+  /// But not while an order to promote it again may still take effect.
+  bool CheckOpenOrders = true;
   /// A new leader waits until it must have heard of every replica.
   bool AwaitAnnouncements = true;
   /// If no known replica has all writes that gateways may have acknowledged,
