Line: pauses after the choice no longer raise what is acknowledged

Callers could lose an acknowledged commit: a replica that joined after control had chosen another one was paused at a higher position, and gateways then acknowledged commits up to there.

Cause: each attempt to pause the replicas raised the covered position of the gateway's write fence, also attempts after the choice.

Change: only the first attempt since the fence was closed counts, and the reply tells control up to where the gateway may still acknowledge. Looked at as well: the demoted primary's end (part of the first attempt), commits that are held until the first attempt has ended, fences that arrive late.

--- a/modules/line/line_group_pauses.cpp
+++ b/modules/line/line_group_pauses.cpp
@@ -120,7 +120,8 @@
   wire::fence_reply Reply;
   Reply.group = View.Group.Value;
   Reply.term = Pause.FencedTerm;
-  Reply.acknowledged = toWire(Acknowledged);
+  // Commits up to the covered position may still be acknowledged.
+  Reply.acknowledged = toWire(std::max(Acknowledged, WriteFence.Covered));
   for (const auto &[Id, Upstream] : Upstreams) {
     auto Report = reportOf(Id, Upstream);
     // Only replicas that answered this order certainly had their position read
--- a/modules/line/tests/test_write_fence.cpp
+++ b/modules/line/tests/test_write_fence.cpp
@@ -65,3 +65,18 @@
   CHECK(judgeCommit(Fence, position{term(3), 9}) ==
         commit_verdict::Acknowledge);
 }
+
+// Guards against a commit that is acknowledged because a replica has it which
+// was paused after control had chosen another one.
+TEST_CASE("line: later pauses do not raise what may be acknowledged") {
+  write_fence Fence;
+  closeWriteFence(Fence, term(3), revision(20));
+  recordPauses(Fence, {term(3), 8});
+  recordPauses(Fence, {term(3), 10});
+  CHECK(judgeCommit(Fence, position{term(3), 9}) == commit_verdict::Unknown);
+  applyView(Fence, viewOf(21, 3, true));
+  closeWriteFence(Fence, term(3), revision(22));
+  recordPauses(Fence, {term(3), 10});
+  CHECK(judgeCommit(Fence, position{term(3), 9}) ==
+        commit_verdict::Acknowledge);
+}
--- a/modules/line/write_fence.cpp
+++ b/modules/line/write_fence.cpp
@@ -1,6 +1,7 @@
 #include "modules/line/write_fence.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace teasellock {
 
@@ -32,8 +33,9 @@
 }
 
 void recordPauses(write_fence &Fence, const position &Covered) {
-  Fence.HasPaused = true;
-  Fence.Covered = std::max(Fence.Covered, Covered);
+  // Control may have chosen an upstream after the first answer.
+  if (!std::exchange(Fence.HasPaused, true))
+    Fence.Covered = Covered;
 }
 
 bool mayWrite(const write_fence &Fence, term Term) {
--- a/modules/line/write_fence.h
+++ b/modules/line/write_fence.h
@@ -25,8 +25,8 @@
   /// Whether this gateway has tried to pause the replicas since the fence was
   /// closed.
   bool HasPaused = false;
-  /// Highest position in the logs of the replicas that this gateway has paused
-  /// and of the primary if it was demoted.
+  /// Highest position in the logs of the replicas that this gateway's first
+  /// attempt has paused, and of the primary if it was demoted.
   position Covered;
 };
 
@@ -49,7 +49,9 @@
 void applyView(write_fence &Fence, const group_view &View);
 
 /// Records the end of an attempt to pause the replicas, and the highest
-/// position that one of them had after that.
+/// position that one of them had after that. Only the first attempt since the
+/// fence was closed raises what may be acknowledged: control has its answer
+/// when it chooses an upstream.
 void recordPauses(write_fence &Fence, const position &Covered);
 
 /// Reports whether data may be changed at a primary of this term; zero if its
