Line: an answer is taken only for a statement of its kind

Cause: answers were matched to the statements of a batch by their place alone, so the answer to the ROLLBACK behind a read passed for that of the read once the connection had ended.

Change: each batch says of which kind its answers must be, by signature, rows and the session's state after it. An answer that does not fit is dropped, ends the connection, is logged and counted; the statement is tried again or in doubt.

Looked at as well: settings, prepared statements, BEGIN, probes, status, pause, demote and resume orders, commits, links between VMs (matched by id).

--- a/modules/line/line_connection.cpp
+++ b/modules/line/line_connection.cpp
@@ -1,5 +1,7 @@
 #include "modules/line/line_connection.h"
 
+#include "core/event_log.h"
+
 #include <cerrno>
 #include <cstring>
 #include <netinet/in.h>
@@ -33,7 +35,9 @@
   std::function<void(line_connect_result)> Opened;
   std::function<void()> OnLost;
   std::function<void(line_batch_result)> Done;
-  std::size_t ExpectedAnswers = 0;
+  std::vector<answer_kind> ExpectedAnswers;
+  /// From the last READY message.
+  char SessionState = 'I';
   line_batch_result Result;
   line_answer CurrentAnswer;
   std::string Input;
@@ -55,6 +59,7 @@
   void handleLines();
   void handleLine(std::string_view Line);
   void handleStartLine(line_upstream_message Line);
+  void rejectAnswer();
   void flush();
   void closeWithError(const std::string &Step, const std::string &Reason,
                       bool Refused,
@@ -167,6 +172,7 @@
   if (!Ready)
     return closeWithError("upstream.start", "an unexpected message", false);
   Phase = phase::Open;
+  SessionState = Ready->State;
   OpenedAt = Context.Timers.now();
   Timeout.cancel();
   if (auto Callback = std::exchange(Opened, nullptr))
@@ -193,13 +199,28 @@
     return;
   }
   CurrentAnswer.Ready = std::get<line_ready>(Line);
+  char StateBefore = std::exchange(SessionState, CurrentAnswer.Ready.State);
+  if (!fits(CurrentAnswer, ExpectedAnswers[Result.Answers.size()], StateBefore))
+    return rejectAnswer();
   Result.Answers.push_back(std::exchange(CurrentAnswer, {}));
-  if (Result.Answers.size() < ExpectedAnswers)
+  if (Result.Answers.size() < ExpectedAnswers.size())
     return;
   auto Callback = std::exchange(Done, nullptr);
   Callback(std::exchange(Result, {}));
 }
 
+/// The answer of this statement, or of an earlier one, was lost.
+void line_connection::state::rejectAnswer() {
+  event("line.unexpected_answer", severity::Warning)
+      .with("upstream", Target.Upstream.Value)
+      .with("group", Target.Service)
+      .with("place", static_cast<std::uint64_t>(Result.Answers.size()))
+      .with("of", static_cast<std::uint64_t>(ExpectedAnswers.size()));
+  Context.Metrics.counterOf("teasellock_line_unexpected_answers_total").add();
+  closeWithError("upstream.read", "an answer does not fit its statement",
+                 false);
+}
+
 void line_connection::state::flush() {
   std::size_t Start = 0;
   while (Start < Out.size()) {
@@ -243,6 +264,27 @@
     OnLost();
 }
 
+bool fits(const line_answer &Answer, answer_kind Kind, char StateBefore) {
+  if (Answer.Failure)
+    return true;
+  bool IsPlain = Answer.Rows.empty() && Answer.Signature.empty();
+  switch (Kind) {
+  case answer_kind::Any:
+    return true;
+  case answer_kind::Signed:
+    return !Answer.Signature.empty();
+  case answer_kind::Session:
+    return IsPlain && Answer.Ready.State == StateBefore;
+  case answer_kind::Begin:
+    return IsPlain && Answer.Ready.State == 'T';
+  case answer_kind::Rollback:
+    return IsPlain && Answer.Ready.State == 'I';
+  case answer_kind::Status:
+    return Answer.Rows.size() == 1 && Answer.Signature.empty();
+  }
+  return false;
+}
+
 line_connection::line_connection(
     daemon_context &Context, const line_protocol &Protocol, line_target Target,
     std::function<void(line_connect_result)> Opened)
@@ -266,10 +308,10 @@
 }
 
 void line_connection::executeBatch(
-    std::string Bytes, std::size_t Count,
+    std::string Bytes, std::vector<answer_kind> Kinds,
     std::function<void(line_batch_result)> Done) {
   State->Done = std::move(Done);
-  State->ExpectedAnswers = Count;
+  State->ExpectedAnswers = std::move(Kinds);
   State->Result = {};
   State->CurrentAnswer = {};
   if (State->Phase != state::phase::Open) {
--- a/modules/line/line_connection.h
+++ b/modules/line/line_connection.h
@@ -26,10 +26,29 @@
   duration ConnectTimeout;
 };
 
+/// What a statement's answer must look like if the statement succeeded. An
+/// upstream's answers carry no id, and one may be lost, so that the place of an
+/// answer alone does not tell which statement it belongs to.
+enum class answer_kind {
+  /// Not checked.
+  Any,
+  /// A read, a write or a commit: it has the upstream's signature.
+  Signed,
+  /// A statement about the session: no rows, no signature, and the session's
+  /// state is as before.
+  Session,
+  /// No rows, no signature; the session is in a transaction.
+  Begin,
+  /// No rows, no signature; the session is idle.
+  Rollback,
+  /// A row with the upstream's status, and no signature.
+  Status,
+};
+
 /// An upstream's answer to one statement.
 struct line_answer {
   std::vector<std::string> Rows;
-  /// From the DONE message of a statement that succeeded.
+  /// From the DONE message of a statement that succeeded; empty if it had none.
   std::string Signature;
   std::optional<line_failure> Failure;
   /// The READY message that ended the answer.
@@ -60,6 +79,11 @@
   line_ready Ready = {};
 };
 
+/// Reports whether an answer can belong to a statement of this kind.
+/// StateBefore is the session's state before the answer. A failure can belong
+/// to any.
+bool fits(const line_answer &Answer, answer_kind Kind, char StateBefore);
+
 /// A connection to an upstream that speaks the line protocol. Executes one
 /// batch of statements at a time.
 class line_connection {
@@ -78,10 +102,12 @@
   /// flight.
   void onLost(std::function<void()> Callback);
 
-  /// Sends a batch of Count statements, encoded in Bytes. Done is called once
-  /// with the result, never from within run(), unless the connection is closed
-  /// or destroyed before. No other batch may be in flight.
-  void executeBatch(std::string Bytes, std::size_t Count,
+  /// Sends a batch of statements, encoded in Bytes; Kinds has an entry for
+  /// each. Done is called once with the result, never from within run(), unless
+  /// the connection is closed or destroyed before. An answer that does not fit
+  /// its statement is not part of the result and ends the connection. No other
+  /// batch may be in flight.
+  void executeBatch(std::string Bytes, std::vector<answer_kind> Kinds,
                     std::function<void(line_batch_result)> Done);
 
   /// Closes the connection immediately, without invoking callbacks.
--- a/modules/line/line_group_outcomes.cpp
+++ b/modules/line/line_group_outcomes.cpp
@@ -69,7 +69,7 @@
   DetachedAttempts[Key] = {Id, std::move(Session),
                            now() + DetachedAttemptTimeout, true};
   Connection->executeBatch(
-      std::move(Bytes), 1,
+      std::move(Bytes), {answer_kind::Rollback},
       [Weak = weak_from_this(), Key](const line_batch_result &Result) {
         if (auto Self = Weak.lock())
           Self->handleDetachedAnswer(Key, Result);
--- a/modules/line/line_group_probes.cpp
+++ b/modules/line/line_group_probes.cpp
@@ -172,7 +172,7 @@
   Upstream->ProbeQueue.pop_front();
   Upstream->ProbeSentAt = now();
   Upstream->ProbeConnection->executeBatch(
-      Upstream->ProbeInFlight->Bytes, Upstream->ProbeInFlight->Count,
+      Upstream->ProbeInFlight->Bytes, Upstream->ProbeInFlight->Kinds,
       [Weak = weak_from_this(), Id](const line_batch_result &Result) {
         if (auto Self = Weak.lock())
           Self->onProbeResult(Id, Result);
@@ -220,7 +220,7 @@
   line_probe_request Request;
   protocol().AppendBegin(Request.Bytes, false, std::nullopt);
   protocol().AppendRollback(Request.Bytes);
-  Request.Count = 2;
+  Request.Kinds = {answer_kind::Begin, answer_kind::Rollback};
   Upstream->PositionRequestedAt = now();
   Request.OnResult = [Weak = weak_from_this(),
                       Id](const line_batch_result &Result) {
--- a/modules/line/line_group_state.h
+++ b/modules/line/line_group_state.h
@@ -45,9 +45,9 @@
 /// A request on an upstream's probe connection: a probe, a status request, or
 /// an order to pause or resume replication.
 struct line_probe_request {
-  /// The statements to send, encoded, and their number.
+  /// The statements to send, encoded, and the kinds of their answers.
   std::string Bytes;
-  std::size_t Count = 1;
+  std::vector<answer_kind> Kinds = {answer_kind::Status};
   /// Called with the result; not called when the request is dropped because
   /// the upstream is unreachable.
   std::function<void(const line_batch_result &)> OnResult;
--- a/modules/line/line_group_statements.cpp
+++ b/modules/line/line_group_statements.cpp
@@ -275,7 +275,8 @@
                               Statement.request().settings, Statement.step());
   Session.PendingChanges = std::move(Plan.Changes);
   std::string Bytes = std::move(Plan.Bytes);
-  std::size_t Count = Session.PendingChanges.size();
+  std::vector<answer_kind> Kinds(Session.PendingChanges.size(),
+                                 answer_kind::Session);
   // The statement is not sent together with BEGIN: if BEGIN failed, it would be
   // executed outside of a transaction.
   if (Statement.opensTransaction() ||
@@ -284,13 +285,13 @@
                     Statement.Destination == line_destination::AnyUpstream;
     protocol().AppendBegin(
         Bytes, ReadOnly, ReadOnly ? Statement.RequiredPosition : std::nullopt);
-    ++Count;
+    Kinds.push_back(answer_kind::Begin);
   }
   Statement.SentAt = now();
-  if (Count == 0)
+  if (Kinds.empty())
     return execute(Statement);
   Session.Connection->executeBatch(
-      std::move(Bytes), Count,
+      std::move(Bytes), std::move(Kinds),
       [Weak = weak_from_this(),
        Key = Statement.key()](const line_batch_result &Result) {
         if (auto Self = Weak.lock())
@@ -380,17 +381,17 @@
                              After);
   else
     protocol().AppendStatement(Bytes, Step.id, Step.text, After);
-  std::size_t Count = 1;
+  std::vector<answer_kind> Kinds = {answer_kind::Signed};
   if (Statement.Destination == line_destination::PrimaryRead &&
       !Statement.isInTransaction()) {
     protocol().AppendRollback(Bytes);
-    ++Count;
+    Kinds.push_back(answer_kind::Rollback);
   }
   auto *Upstream = findUpstream(Statement.Upstream);
   if (Upstream && Statement.changesData() && !Upstream->WriteUnansweredSince)
     Upstream->WriteUnansweredSince = now();
   Statement.Session->Connection->executeBatch(
-      std::move(Bytes), Count,
+      std::move(Bytes), std::move(Kinds),
       [Weak = weak_from_this(),
        Key = Statement.key()](line_batch_result Result) {
         if (auto Self = Weak.lock())
--- a/modules/line/line_protocol.h
+++ b/modules/line/line_protocol.h
@@ -110,7 +110,8 @@
   std::string Text;
 };
 
-/// The statement succeeded. The signature is passed on to the caller unchanged.
+/// The statement succeeded. The signature is passed on to the caller unchanged;
+/// it is empty if the upstream gave none.
 struct line_done {
   std::string Signature;
 };
@@ -145,8 +146,8 @@
 
 /// Parses and encodes the messages. All functions are pure; the Append
 /// functions append one message with its line end to Out. They throw error
-/// "line.encode", with the field as its peer, and append nothing if a text could
-/// end a line or a field early.
+/// "line.encode", with the field as its peer, and append nothing if a text
+/// could end a line or a field early.
 struct line_protocol {
   /// Parses a caller's message, given without its line end.
   line_caller_message (*ParseCaller)(std::string_view Line);
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -214,7 +214,7 @@
              : AnswerTimeout,
       [this] { abandonConnection(); });
   Connection->executeBatch(
-      std::move(Bytes), 1,
+      std::move(Bytes), {answer_kind::Any},
       [this, Used = Connection.get()](const line_batch_result &Run) {
         // An abandoned connection may receive its answer before it is closed.
         if (Used == Connection.get())
--- a/tests/soak/upstream_group.h
+++ b/tests/soak/upstream_group.h
@@ -33,6 +33,8 @@
   Reset,
   /// No answer, to this statement or a later one of the connection.
   Silent,
+  /// No answer to this statement; later ones are answered.
+  Lost,
 };
 
 /// Size and timing of a group.
--- a/tests/soak/upstream_statements.cpp
+++ b/tests/soak/upstream_statements.cpp
@@ -235,6 +235,8 @@
   case statement_fault::Silent:
     Session->IsBusy = true;
     return true;
+  case statement_fault::Lost:
+    return true;
   }
   return true;
 }
--- a/tests/test_line_group_session.cpp
+++ b/tests/test_line_group_session.cpp
@@ -130,3 +130,28 @@
       {"w2", wire::line_verb::write, "WRITE item a", 0, false, {}})));
   CHECK(Fixture.Oracle.violations().empty());
 }
+
+// Guards against a read on the primary whose answer is lost and that succeeds
+// with the answer to the ROLLBACK behind it, without a row or a signature.
+TEST_CASE("line: the answer to another statement is not taken for a read's") {
+  line_group_fixture Fixture(2);
+  REQUIRE(Fixture.succeeded(
+      Fixture.finish({"w1", wire::line_verb::write, "WRITE item a"})));
+  int Lost = 0;
+  Fixture.Upstreams.selectFaults([&](const std::string &Verb) {
+    return Verb == "READ" && Lost++ == 0 ? soak::statement_fault::Lost
+                                         : soak::statement_fault::None;
+  });
+  auto Answer = Fixture.start({"r1", wire::line_verb::read, "READ item"});
+  REQUIRE(Fixture.runUntil([&] { return Lost > 0; }));
+  Fixture.run(fromMilliseconds(20));
+  Fixture.Upstreams.resetConnections(1, 1);
+  REQUIRE(Fixture.runUntil([&] { return Answer->Done; }));
+  const auto &Reply = Answer->Reply;
+  CHECK(Lost > 1);
+  CHECK(Fixture.succeeded(Reply));
+  CHECK(Reply.messages.find("ROW ") != std::string::npos);
+  CHECK(Reply.messages.find("DONE -") == std::string::npos);
+  CHECK(Fixture.Metrics.counterOf("teasellock_line_unexpected_answers_total")
+            .Value == 1);
+}
