Core: queued tasks end before the event loop

Cause: the loop was destroyed before the tasks still queued; a task that owns a connection then stopped its watch on a loop that was gone.

Change: both queues are dropped before the loop, again until nothing is queued, as what ends with a task may post another. Looked at as well: timers (stopped on the same loop), signal watches, references of dropped tasks (none is used when they end).

--- a/core/event_loop.cpp
+++ b/core/event_loop.cpp
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <deque>
 #include <ev.h>
+#include <iterator>
 #include <list>
 #include <mutex>
 
@@ -89,6 +90,7 @@
   std::list<signal_watch> SignalWatches;
 
   void runTasks();
+  void dropTasks();
 };
 
 void event_loop::state::runTasks() {
@@ -109,6 +111,22 @@
     ev_idle_stop(Loop, &QueuedTasksIdle);
 }
 
+/// Destroys the queued tasks. What they own may post further ones.
+void event_loop::state::dropTasks() {
+  for (;;) {
+    std::deque<std::function<void()>> Dropped;
+    {
+      std::lock_guard Lock(ThreadTasksMutex);
+      Dropped.swap(ThreadTasks);
+    }
+    Dropped.insert(Dropped.end(), std::make_move_iterator(Tasks.begin()),
+                   std::make_move_iterator(Tasks.end()));
+    Tasks.clear();
+    if (Dropped.empty())
+      return;
+  }
+}
+
 event_loop::event_loop() : State(std::make_unique<state>()) {
   State->Loop = ev_loop_new(EVFLAG_AUTO);
   State->WakeupWatcher.data = State.get();
@@ -128,6 +146,8 @@
 }
 
 event_loop::~event_loop() {
+  // A queued task may own a connection, whose watch must end before the loop.
+  State->dropTasks();
   for (auto &Signal : State->SignalWatches)
     ev_signal_stop(State->Loop, &Signal.Watcher);
   ev_idle_stop(State->Loop, &State->QueuedTasksIdle);
--- a/core/tests/test_core.cpp
+++ b/core/tests/test_core.cpp
@@ -101,6 +101,51 @@
   CHECK(Order == "abc");
 }
 
+// Guards against an abort at exit: queued tasks were destroyed after the loop,
+// and one that owned a watch then stopped it on a loop that was gone.
+TEST_CASE("core: queued tasks end before the loop, with all that they own") {
+  int Pipe[2];
+  REQUIRE(::pipe(Pipe) == 0);
+  int Ended = 0;
+  {
+    event_loop Loop;
+    timer_service Timers(Loop);
+    struct owner {
+      event_loop &Loop;
+      int &Ended;
+      descriptor_watch Watch;
+      timer_subscription Timer;
+      int Posts;
+      ~owner() {
+        ++Ended;
+        // What ends with a task may post another one.
+        if (Posts > 0)
+          Loop.post(
+              [Next = makeOwner(Loop, Timer, Ended, Watch, Posts - 1)] {});
+      }
+      static std::shared_ptr<owner>
+      makeOwner(event_loop &Loop, timer_subscription &Timer, int &Ended,
+                descriptor_watch &Watch, int Posts) {
+        return std::shared_ptr<owner>(
+            new owner{Loop, Ended, std::move(Watch), std::move(Timer), Posts});
+      }
+    };
+    for (bool FromThread : {false, true}) {
+      auto Watch = Loop.watch(Pipe[0], {true, false}, [](readiness) {});
+      auto Timer = Timers.after(fromMilliseconds(1000), [] {});
+      auto Owner = owner::makeOwner(Loop, Timer, Ended, Watch, 2);
+      if (FromThread)
+        Loop.postFromThread([Owner] {});
+      else
+        Loop.post([Owner] {});
+    }
+    CHECK(Ended == 0);
+  }
+  CHECK(Ended == 6);
+  ::close(Pipe[0]);
+  ::close(Pipe[1]);
+}
+
 TEST_CASE("core: an exception of a task, a timer or a descriptor's callback "
           "does not end the loop") {
   event_loop Loop;
