--- a/modules/control/tests/pause_simulation.h
+++ b/modules/control/tests/pause_simulation.h
@@ -63,6 +63,11 @@
 /// A replica starts while control is down, and the primary crashes.
 inline constexpr scenario ControlRestart{true,  false, false, false,
                                          false, false, true};
+/// The same while primaries leave.
+inline constexpr scenario ChangedIdsDuringHandover{.PrimaryLeaves = true,
+                                                   .ChangesIds = true};
+inline constexpr scenario ControlRestartDuringHandover{.PrimaryLeaves = true,
+                                                       .ControlRestarts = true};
 /// A replica starts and is announced late, and the primary crashes.
 inline constexpr scenario LateAnnouncement{.LosesAnnouncements = true};
 /// All upstreams are replaced again and again while leaders of control change.
--- a/modules/control/tests/test_pause_promotion.cpp
+++ b/modules/control/tests/test_pause_promotion.cpp
@@ -71,7 +71,7 @@
   }
   SUBCASE("no demotion while an order is open") {
     Rules.CheckOpenOrders = false;
-    Scenario = CrashDuringHandover;
+    Scenario = ChangedIdsDuringHandover;
   }
   SUBCASE("announcements of all replicas") {
     Rules.AwaitAnnouncements = false;
@@ -229,6 +229,20 @@
   }
 }
 
+// Guards against the loss of writes when primaries leave and upstreams come
+// back under other ids, or control restarts meanwhile.
+TEST_CASE("control: no acknowledged commit is lost when primaries leave while "
+          "ids change or control restarts") {
+  scenario Scenario = ChangedIdsDuringHandover;
+  SUBCASE("changed ids") {}
+  SUBCASE("control restarts") { Scenario = ControlRestartDuringHandover; }
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    pause_simulation Simulation(Seed, {}, Scenario);
+    CAPTURE(Seed);
+    REQUIRE_FALSE(Simulation.losesCommit(Steps));
+  }
+}
+
 // Guards against a first primary that is never demoted because it counted as
 // promoted by a late order when its term became known.
 TEST_CASE("control: the first primary of a group is demoted before it is "
