--- a/core/event_loop.h
+++ b/core/event_loop.h
@@ -36,10 +36,10 @@
 /// The event loop of the process, based on libev. All tasks run on its thread.
 /// Exceptions of callbacks are logged; see guarded_call.h.
 ///
-/// Watches, timers and all that owns one must be destroyed before the loop. Only
-/// queued tasks may own such objects longer: the destructor destroys the queued
-/// tasks without running them, and those that are posted meanwhile, before it
-/// ends the loop. No other thread may post any more by then.
+/// Watches, timers and all that owns one must be destroyed before the loop.
+/// Only queued tasks may own such objects longer: the destructor destroys the
+/// queued tasks without running them, and those that are posted meanwhile,
+/// before it ends the loop. No other thread may post any more by then.
 class event_loop {
 public:
   event_loop();
