Control: a certain departure ends open orders in one place

Cause: both callers of rememberDeparture() erased the open orders of an upstream that has certainly left, each by itself.

Change: rememberDeparture() ends them; both comments are corrected. No behaviour changes.

--- a/modules/control/control_state.cpp
+++ b/modules/control/control_state.cpp
@@ -92,8 +92,6 @@
 void recordDeparture(group_state &Group, const upstream_announcement &Departed,
                      revision Index) {
   rememberDeparture(Group, Departed, false);
-  // No order can promote a process that has ended.
-  Group.OpenOrders.erase(Departed.Upstream);
   if (Group.Primary == Departed.Upstream)
     return;
   Group.Dirty = true;
@@ -177,6 +175,9 @@
       {Departed.Upstream, Departed.Incarnation, WasSilent});
   if (Group.Departed.size() > MaxRememberedDepartures)
     Group.Departed.pop_front();
+  // No order can promote a process that has certainly ended.
+  if (!WasSilent)
+    Group.OpenOrders.erase(Departed.Upstream);
 }
 
 group_index buildGroupIndex(const control_state &State) {
--- a/modules/control/control_state.h
+++ b/modules/control/control_state.h
@@ -240,7 +240,7 @@
 };
 
 /// Remembers an upstream incarnation that has left. WasSilent: it was given up
-/// after a long silence and may still run.
+/// after a long silence and may still run; otherwise its open orders end.
 void rememberDeparture(group_state &Group,
                        const upstream_announcement &Departed, bool WasSilent);
 
--- a/modules/control/departed_upstreams.cpp
+++ b/modules/control/departed_upstreams.cpp
@@ -12,8 +12,6 @@
 void removeUpstream(group_state &Group, const upstream_id &Upstream,
                     bool WasSilent) {
   rememberDeparture(Group, Group.Upstreams.at(Upstream), WasSilent);
-  if (!WasSilent)
-    Group.OpenOrders.erase(Upstream);
   Group.Upstreams.erase(Upstream);
 }
 
--- a/modules/control/open_orders.h
+++ b/modules/control/open_orders.h
@@ -7,8 +7,8 @@
 /// order before it lost the leadership, and the next one sends another. So
 /// each order is counted in the replicated state until one of these ends it:
 ///
-/// - its upstream leads a new term: one order of this upstream has taken
-/// effect;
+/// - its upstream leads a new term: an order for it has taken effect;
+/// - its upstream has left;
 /// - the platform refuses it;
 /// - OrderEffectTimeout has passed since the answer to a later one: those that
 ///   were accepted before have taken effect, and the others are refused.
