Control: a former leader no longer reports waiting groups

Operators saw, after a change of leader, a process that went on reporting groups without a candidate: the gauge kept the value that it had when the leadership ended.

Cause: the leader's state is reset with the leadership, the gauge derived from it was not.

Change: the gauge is reset with the state. Looked at as well: the other figures of the control service are counters, and the waiting reasons are part of the state that is reset.

Result: `control: a change of leadership resets the number of waiting groups` failed before (1, not 0) and passes.

--- a/modules/control/control_service.cpp
+++ b/modules/control/control_service.cpp
@@ -122,6 +122,7 @@
   Announcing.clear();
   PendingFences.clear();
   ControlStores.clear();
+  GroupsWithoutCandidate.set(0);
   Queue = decision_queue();
   event("control.leadership").with("leading", IsLeading);
   if (IsLeading)
--- a/modules/control/tests/test_control_service.cpp
+++ b/modules/control/tests/test_control_service.cpp
@@ -516,3 +516,15 @@
   // The answer to a departure may have been lost.
   CHECK(Deployment.submit(Announcement) == 200);
 }
+
+// Guards against a former leader that goes on reporting groups which wait: what
+// it knew of them ends with its leadership.
+TEST_CASE("control: a change of leadership resets the number of waiting "
+          "groups") {
+  test_deployment Deployment;
+  auto &Waiting = Deployment.First.Metrics.gaugeOf(
+      "teasellock_control_groups_without_candidate");
+  Waiting.set(1);
+  Deployment.found();
+  CHECK(Waiting.Value == 0);
+}
