--- a/review/stand_in_3/deployment.cpp
+++ b/review/stand_in_3/deployment.cpp
@@ -291,26 +291,58 @@
          (CutMachines.contains(Pair.From) || CutMachines.contains(Pair.To));
 }
 
-void deployment::startRelay(std::size_t Machine, std::uint16_t Port) {
-  int Listener = listenOn(at(Machine, Port));
-  auto Forward = [this](const std::shared_ptr<relayed> &Pair, int From,
-                        int To) {
-    char Bytes[65536];
+/// Forwards bytes in one direction, each after the delay between the regions.
+void deployment::forward(const std::shared_ptr<relayed> &Pair, int From,
+                         int To) {
+  bool Crosses = Pair->From < Machines.size() &&
+                 std::string(Regions[Pair->From % 3]) != Regions[Pair->To % 3];
+  milliseconds Delay = Crosses ? Options.RegionDelay : milliseconds(0);
+  struct delayed {
+    steady::time_point At;
+    std::string Bytes;
+  };
+  std::list<delayed> Queue;
+  std::mutex QueueMutex;
+  std::condition_variable Filled;
+  bool Ended = false;
+  std::thread Sender([&] {
+    std::unique_lock Lock(QueueMutex);
     for (;;) {
-      ssize_t Count = ::recv(From, Bytes, sizeof(Bytes), 0);
-      if (Count <= 0)
-        break;
+      Filled.wait(Lock, [&] { return Ended || !Queue.empty(); });
+      if (Queue.empty())
+        return;
+      delayed Next = std::move(Queue.front());
+      Queue.pop_front();
+      Lock.unlock();
+      std::this_thread::sleep_until(Next.At);
       // A connection that has lost bytes stays silent.
       Pair->IsDead = Pair->IsDead || isCut(*Pair);
-      if (!Pair->IsDead &&
-          !sendAll(To, std::string(Bytes, static_cast<std::size_t>(Count))))
-        break;
+      if (!Pair->IsDead)
+        sendAll(To, Next.Bytes);
+      Lock.lock();
     }
-    // The end of a connection does not pass a cut either.
-    if (!Pair->IsDead && !isCut(*Pair))
-      ::shutdown(To, SHUT_RDWR);
-  };
-  std::thread([this, Machine, Port, Listener, Forward] {
+  });
+  char Bytes[65536];
+  for (;;) {
+    ssize_t Count = ::recv(From, Bytes, sizeof(Bytes), 0);
+    std::lock_guard Lock(QueueMutex);
+    Ended = Count <= 0;
+    if (!Ended)
+      Queue.push_back({steady::now() + Delay,
+                       std::string(Bytes, static_cast<std::size_t>(Count))});
+    Filled.notify_one();
+    if (Ended)
+      break;
+  }
+  Sender.join();
+  // The end of a connection does not pass a cut either.
+  if (!Pair->IsDead && !isCut(*Pair))
+    ::shutdown(To, SHUT_RDWR);
+}
+
+void deployment::startRelay(std::size_t Machine, std::uint16_t Port) {
+  int Listener = listenOn(at(Machine, Port));
+  std::thread([this, Machine, Port, Listener] {
     for (;;) {
       int Client = ::accept4(Listener, nullptr, nullptr, SOCK_CLOEXEC);
       if (Client < 0)
@@ -325,8 +357,12 @@
         ::close(Client);
         continue;
       }
-      std::thread(Forward, Pair, Client, Pair->Server).detach();
-      std::thread(Forward, Pair, Pair->Server, Client).detach();
+      std::thread([this, Pair] {
+        forward(Pair, Pair->Client, Pair->Server);
+      }).detach();
+      std::thread([this, Pair] {
+        forward(Pair, Pair->Server, Pair->Client);
+      }).detach();
     }
   }).detach();
 }
@@ -406,8 +442,7 @@
   }
 }
 
-void deployment::sendHeartbeats(const std::string &Id) {
-  std::size_t Next = std::hash<std::string>()(Id);
+void deployment::sendHeartbeats(const std::string &Id, std::size_t Next) {
   std::string LastState;
   auto LastSentAt = steady::time_point();
   while (!Stopping) {
@@ -428,6 +463,8 @@
                    "/Instances.Heartbeat/" + Id, Body, milliseconds(1000));
       bool IsAcknowledged =
           Answer && Answer->Status >= 200 && Answer->Status < 300;
+      if (!IsAcknowledged && Body.find("\"sequence\":1,") != Body.npos)
+        Record.write("heartbeat of " + Id + " gets no 2xx within a second");
       if (State != LastState && IsAcknowledged)
         Record.write("heartbeat of " + Id + " " + Body + " -> 200");
       if (IsAcknowledged) {
@@ -441,10 +478,20 @@
   }
 }
 
-void deployment::addBackend(std::size_t Machine, const std::string &Id) {
+void deployment::addBackend(std::size_t Machine, const std::string &Id,
+                            std::optional<std::size_t> FirstControl) {
   Group.add(Id, {Network + std::to_string(100 + Machine), BackendPort},
             Zones[Machine % 3]);
-  Threads.emplace_back([this, Id] { sendHeartbeats(Id); });
+  std::size_t First = FirstControl.value_or(std::hash<std::string>()(Id));
+  Threads.emplace_back([this, Id, First] { sendHeartbeats(Id, First); });
+}
+
+void deployment::freeze(std::size_t Machine, bool Frozen) {
+  Record.write("machine " + Machines[Machine].Node +
+               (Frozen ? " freezes" : " wakes"));
+  for (int Pid : {Machines[Machine].ProxyPid, Machines[Machine].ControlPid})
+    if (Pid > 0)
+      ::kill(Pid, Frozen ? SIGSTOP : SIGCONT);
 }
 
 std::set<int> deployment::processesAt(const std::string &Id) {
@@ -513,8 +560,10 @@
       startControl(Index, true);
     startProxy(Index);
   }
-  for (std::size_t Index = 0; Index < 3; ++Index)
-    addBackend(Index, "i-" + std::to_string(Index + 1) + Options.Service);
+  for (std::size_t Index = 0; Index < 3; ++Index) {
+    std::size_t Machine = (Options.FirstBackend + Index) % 3;
+    addBackend(Machine, "i-" + std::to_string(Index + 1) + Options.Service);
+  }
   if (!putConfiguration())
     return false;
   auto End = steady::now() + std::chrono::seconds(20);
--- a/review/stand_in_3/deployment.h
+++ b/review/stand_in_3/deployment.h
@@ -31,6 +31,10 @@
   int StatementTimeoutMs = 800;
   /// Whether all connections between processes go through relays.
   bool UsesRelays = false;
+  /// Delay of the relays between machines of different regions, one way.
+  milliseconds RegionDelay{0};
+  /// The machine in whose zone the first primary runs.
+  std::size_t FirstBackend = 0;
   group_options Group;
 };
 
@@ -87,7 +91,11 @@
   }
   void startProxy(std::size_t Machine);
   void startControl(std::size_t Machine, bool Bootstrap);
-  void addBackend(std::size_t Machine, const std::string &Id);
+  /// Starts a backend. It sends its heartbeats to this control process first.
+  void addBackend(std::size_t Machine, const std::string &Id,
+                  std::optional<std::size_t> FirstControl = std::nullopt);
+  /// Stops the processes of a machine as a freeze does, or lets them go on.
+  void freeze(std::size_t Machine, bool Frozen);
   /// Returns the processes that hold a connection to a backend.
   std::set<int> processesAt(const std::string &Id);
   std::string newId();
@@ -107,9 +115,10 @@
   };
   void startRelay(std::size_t Machine, std::uint16_t Port);
   bool isCut(const relayed &Pair);
+  void forward(const std::shared_ptr<relayed> &Pair, int From, int To);
   std::size_t machineOf(int Pid) const;
   void servePlatform();
-  void sendHeartbeats(const std::string &Id);
+  void sendHeartbeats(const std::string &Id, std::size_t Next);
   int spawn(const std::string &Name, const std::string &SettingsFile);
   std::string render(const std::string &Template, std::size_t Machine,
                      bool Bootstrap, bool IsControl);
