Control: the answer to an earlier promotion no longer counts for a later one

Cause: a gateway's answer to an order to pause was matched to the promotion by group and term alone. A promotion that is abandoned keeps the term, its replicas are resumed, and a later one in the same term took an answer that arrived up to 10 s late for its own, with positions from before the replicas received more. Change: the answer counts only if its order was sent since this promotion began to pause (pending fences know when they were sent). Looked at: recordFenceReply() keeps the time it was sent for the same reason, recordPlatformAnswer() compares the order's number, recordPromoteReply() is of the other method.

--- a/modules/control/control_service.cpp
+++ b/modules/control/control_service.cpp
@@ -342,7 +342,8 @@
   if (Group == Replicated.Groups.end())
     return;
   if (Settings.Method == promotion_method::Pause)
-    recordPauseReply(Group->second, Leader, Reply, now());
+    recordPauseReply(Group->second, Leader, Reply, Sent.mapped().FenceSentAt,
+                     now());
   else
     recordFenceReply(Group->second, Leader, Sent.mapped().Gateway, Reply,
                      Sent.mapped().FenceSentAt);
--- a/modules/control/pause_progress.cpp
+++ b/modules/control/pause_progress.cpp
@@ -23,10 +23,12 @@
 }
 
 void recordPauseReply(const group_state &Group, leader_state &Leader,
-                      const wire::fence_reply &Reply, time_point Now) {
+                      const wire::fence_reply &Reply, time_point FenceSentAt,
+                      time_point Now) {
   auto Progress = Leader.PausePromotions.find(Group.Group);
   if (!Group.Promotion || Progress == Leader.PausePromotions.end() ||
-      static_cast<std::uint64_t>(Reply.term) != Group.Term.Value)
+      static_cast<std::uint64_t>(Reply.term) != Group.Term.Value ||
+      FenceSentAt < Progress->second.StartedAt)
     return;
   Progress->second.Acknowledged =
       std::max(Progress->second.Acknowledged, fromWire(Reply.acknowledged));
--- a/modules/control/pause_progress.h
+++ b/modules/control/pause_progress.h
@@ -17,8 +17,11 @@
 
 /// Records which replicas a gateway's reply to such a request reports as
 /// paused, and the highest position that the gateway may have acknowledged.
+/// Ignores the reply to a request of an earlier promotion: the replicas have
+/// received more since.
 void recordPauseReply(const group_state &Group, leader_state &Leader,
-                      const wire::fence_reply &Reply, time_point Now);
+                      const wire::fence_reply &Reply, time_point FenceSentAt,
+                      time_point Now);
 
 /// Discards the answers to earlier pauses if the decision, which this leader is
 /// about to commit, begins to pause the replicas.
--- a/modules/control/tests/pause_simulation.cpp
+++ b/modules/control/tests/pause_simulation.cpp
@@ -357,7 +357,7 @@
   }
   recordPauses(WriteFence, Covered);
   Reply.acknowledged = toWire(std::max(AcknowledgedEnd, WriteFence.Covered));
-  recordPauseReply(Group, Leader, Reply, Now);
+  recordPauseReply(Group, Leader, Reply, Now, Now);
 }
 
 void pause_simulation::execute(const order &Order) {
--- a/modules/control/tests/test_open_orders.cpp
+++ b/modules/control/tests/test_open_orders.cpp
@@ -213,3 +213,24 @@
   CHECK(Fixture.group().OpenOrders.size() == 1);
   CHECK(Fixture.decide().Kind == "order_primary");
 }
+
+// Guards against positions that were read before the replicas received more:
+// an earlier promotion of the same term was abandoned, and they were resumed.
+TEST_CASE("control: the answer to an earlier promotion does not count") {
+  group_fixture Fixture;
+  Fixture.group().Promotion.emplace();
+  auto &Progress = Fixture.Leader.PausePromotions[Fixture.group().Group];
+  auto SentAt = Fixture.Now;
+  Fixture.Now += fromMilliseconds(500);
+  Progress.StartedAt = Fixture.Now;
+  wire::fence_reply Late;
+  Late.term = 4;
+  auto &Seen = Late.upstreams.emplace_back();
+  Seen.upstream = Second.Value;
+  Seen.reachable = Seen.paused = Seen.replica = true;
+  recordPauseReply(Fixture.group(), Fixture.Leader, Late, SentAt, Fixture.Now);
+  CHECK(Progress.PausedReplicas.empty());
+  recordPauseReply(Fixture.group(), Fixture.Leader, Late, Fixture.Now,
+                   Fixture.Now);
+  CHECK(Progress.PausedReplicas.contains(Second));
+}
