Control: the choice of an upstream names its process

Cause: the choice and its orders named the upstream by its id alone. 3 s later the order was repeated for the new process, which had announced itself by then. Ruled out: a late effect of the first order, which the platform's stand-in drops. Change: the choice names the process that answered. If another one is known under its id, the choice is made again; an order is repeated, also by a new leader, only after the chosen process has answered a further pause. An order that a new choice leaves open may have taken effect, so that the former primary then is a replica like the others. What the ended process alone had confirmed is in the former primary's log, so that the group need not wait 20 s for it. Related paths looked at: orders for a primary, to end earlier ones, are made only while it is seen to lead; a demoted primary's answer counts only from the process that led; an open order for an id stays open when that id starts again; adoption of one that leads already can't be refused; gateways' views are keyed by incarnation already. In the simulation a demoted primary may be paused. The new unit tests fail on the code before.

--- a/modules/control/control_codec.cpp
+++ b/modules/control/control_codec.cpp
@@ -65,6 +65,12 @@
   Result.chosen_position = toWire(Promotion.ChosenPosition);
   Result.attempt = static_cast<std::int32_t>(Promotion.Attempt);
   Result.planned = Promotion.Planned;
+  Result.last_chosen = nameOf(Promotion.LastChosen);
+  Result.may_have_led = Promotion.MayHaveLed;
+  Result.has_lost_chosen = Promotion.HasLostChosen;
+  Result.deposed_incarnation = toSigned(Promotion.DeposedIncarnation.Value);
+  Result.first_ordered_at = toSigned(Promotion.FirstOrderedAt.Value);
+  Result.chosen_incarnation = toSigned(Promotion.ChosenIncarnation.Value);
   return Result;
 }
 
@@ -81,6 +87,13 @@
   Result.ChosenPosition = teasellock::fromWire(Record.chosen_position);
   Result.Attempt = toCount(Record.attempt);
   Result.Planned = Record.planned;
+  Result.LastChosen = upstreamOf(Record.last_chosen);
+  Result.MayHaveLed = Record.may_have_led;
+  Result.HasLostChosen = Record.has_lost_chosen;
+  Result.DeposedIncarnation =
+      incarnation(toUnsigned(Record.deposed_incarnation));
+  Result.FirstOrderedAt = revision(toUnsigned(Record.first_ordered_at));
+  Result.ChosenIncarnation = incarnation(toUnsigned(Record.chosen_incarnation));
   return Result;
 }
 
--- a/modules/control/control_commands.thrift
+++ b/modules/control/control_commands.thrift
@@ -43,6 +43,17 @@
   9: i32 attempt;
   /// The primary is replaced although it works.
   10: bool planned;
+  /// An order of this promotion may have taken effect.
+  11: bool may_have_led;
+  /// The process that was chosen last, also after another choice has begun.
+  12: i64 chosen_incarnation;
+  /// That process has ended.
+  13: bool has_lost_chosen;
+  /// The process that was the primary.
+  14: i64 deposed_incarnation;
+  /// Revision of the first order, 0 if there was none.
+  15: i64 first_ordered_at;
+  16: string last_chosen;
 }
 
 /// An upstream incarnation that has left.
--- a/modules/control/control_state.cpp
+++ b/modules/control/control_state.cpp
@@ -88,12 +88,18 @@
 
 /// Records the departure. A departed replica may have been the only one to hold
 /// a write that it had confirmed, so the group becomes dirty: no promotion
-/// takes place until another replica is known to hold it.
+/// takes place until another replica is known to hold it. If it was chosen to
+/// replace a primary, that primary may be known to hold it.
 void recordDeparture(group_state &Group, const upstream_announcement &Departed,
                      revision Index) {
   rememberDeparture(Group, Departed, false);
   if (Group.Primary == Departed.Upstream)
     return;
+  if (Group.Promotion && Group.Promotion->LastChosen == Departed.Upstream &&
+      Group.Promotion->ChosenIncarnation == Departed.Incarnation) {
+    Group.Promotion->HasLostChosen = true;
+    return;
+  }
   Group.Dirty = true;
   Group.DirtySince = Index;
 }
@@ -114,6 +120,9 @@
                    Known->second.Incarnation != Announcement.Incarnation))
     recordDeparture(Group, Known->second, Index);
   if (Announcement.Gone) {
+    // No order can promote an upstream that has certainly ended. One that has
+    // started again under its id may still be promoted.
+    Group.OpenOrders.erase(Announcement.Upstream);
     Group.Upstreams.erase(Announcement.Upstream);
     if (WasKnown)
       Group.Revision = Index;
@@ -150,6 +159,8 @@
   if (Found == State.Groups.end() || Found->second.Revision != Next.Revision)
     return;
   resolveRevision(Next.DirtySince, Index);
+  if (Next.Promotion)
+    resolveRevision(Next.Promotion->FirstOrderedAt, Index);
   for (auto &Holder : Next.Holders)
     resolveRevision(Holder.RemovedAt, Index);
   Next.Revision = Index;
@@ -175,9 +186,6 @@
       {Departed.Upstream, Departed.Incarnation, WasSilent});
   if (Group.Departed.size() > MaxRememberedDepartures)
     Group.Departed.pop_front();
-  // No order can promote a process that has certainly ended.
-  if (!WasSilent)
-    Group.OpenOrders.erase(Departed.Upstream);
 }
 
 group_index buildGroupIndex(const control_state &State) {
--- a/modules/control/control_state.h
+++ b/modules/control/control_state.h
@@ -68,17 +68,31 @@
   std::string Reason;
   /// The last term in which writes may have been acknowledged.
   term FencedTerm;
-  /// The primary of that term.
+  /// The primary of that term, and its process.
   std::optional<upstream_id> Deposed;
+  incarnation DeposedIncarnation;
   /// That primary works and is to be demoted before it is replaced.
   bool Planned = false;
   /// The upstream that an operator requested.
   std::optional<upstream_id> Requested;
   /// The operator accepts the loss of acknowledged writes.
   bool Forced = false;
-  /// The candidate; set during the phase Ordering.
+  /// The candidate, and the position that it answered; set during the phase
+  /// Ordering.
   std::optional<upstream_id> Chosen;
   position ChosenPosition;
+  /// The last candidate and its process, also while another one is sought.
+  std::optional<upstream_id> LastChosen;
+  incarnation ChosenIncarnation;
+  /// The revision that decided the first order; zero before.
+  revision FirstOrderedAt;
+  /// An order of this promotion may have taken effect, so that an upstream may
+  /// have led since and Deposed may have followed it. Ends with the promotion.
+  bool MayHaveLed = false;
+  /// A process that was chosen has ended. It may have been the only replica
+  /// to confirm a write of FencedTerm, which only Deposed then has. Ends with
+  /// the promotion.
+  bool HasLostChosen = false;
   /// Number of orders committed for this promotion. Each is a log entry of its
   /// own, whose index is the order's fencing token.
   std::uint32_t Attempt = 0;
@@ -240,7 +254,7 @@
 };
 
 /// Remembers an upstream incarnation that has left. WasSilent: it was given up
-/// after a long silence and may still run; otherwise its open orders end.
+/// after a long silence and may still run.
 void rememberDeparture(group_state &Group,
                        const upstream_announcement &Departed, bool WasSilent);
 
--- a/modules/control/departed_upstreams.cpp
+++ b/modules/control/departed_upstreams.cpp
@@ -12,6 +12,9 @@
 void removeUpstream(group_state &Group, const upstream_id &Upstream,
                     bool WasSilent) {
   rememberDeparture(Group, Group.Upstreams.at(Upstream), WasSilent);
+  // No order can promote an upstream that has certainly ended.
+  if (!WasSilent)
+    Group.OpenOrders.erase(Upstream);
   Group.Upstreams.erase(Upstream);
 }
 
@@ -48,6 +51,7 @@
     Next.Primary = Successor.Upstream;
   if (WasDeposed && Successor.ClaimsPrimary) {
     Next.Promotion->Deposed = Successor.Upstream;
+    Next.Promotion->DeposedIncarnation = Successor.Incarnation;
     // An order to demote the former process can't reach the later one.
     Next.Promotion->Planned = false;
   }
--- a/modules/control/gen/control_commands_types.cpp
+++ b/modules/control/gen/control_commands_types.cpp
@@ -523,6 +523,30 @@
 void promotion_record::__set_planned(const bool val) {
   this->planned = val;
 }
+
+void promotion_record::__set_may_have_led(const bool val) {
+  this->may_have_led = val;
+}
+
+void promotion_record::__set_chosen_incarnation(const int64_t val) {
+  this->chosen_incarnation = val;
+}
+
+void promotion_record::__set_has_lost_chosen(const bool val) {
+  this->has_lost_chosen = val;
+}
+
+void promotion_record::__set_deposed_incarnation(const int64_t val) {
+  this->deposed_incarnation = val;
+}
+
+void promotion_record::__set_first_ordered_at(const int64_t val) {
+  this->first_ordered_at = val;
+}
+
+void promotion_record::__set_last_chosen(const std::string& val) {
+  this->last_chosen = val;
+}
 std::ostream& operator<<(std::ostream& out, const promotion_record& obj)
 {
   obj.printTo(out);
@@ -631,6 +655,54 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->may_have_led);
+          this->__isset.may_have_led = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->chosen_incarnation);
+          this->__isset.chosen_incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->has_lost_chosen);
+          this->__isset.has_lost_chosen = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->deposed_incarnation);
+          this->__isset.deposed_incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->first_ordered_at);
+          this->__isset.first_ordered_at = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->last_chosen);
+          this->__isset.last_chosen = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -688,6 +760,30 @@
   xfer += oprot->writeBool(this->planned);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("may_have_led", ::apache::thrift::protocol::T_BOOL, 11);
+  xfer += oprot->writeBool(this->may_have_led);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("chosen_incarnation", ::apache::thrift::protocol::T_I64, 12);
+  xfer += oprot->writeI64(this->chosen_incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("has_lost_chosen", ::apache::thrift::protocol::T_BOOL, 13);
+  xfer += oprot->writeBool(this->has_lost_chosen);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("deposed_incarnation", ::apache::thrift::protocol::T_I64, 14);
+  xfer += oprot->writeI64(this->deposed_incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("first_ordered_at", ::apache::thrift::protocol::T_I64, 15);
+  xfer += oprot->writeI64(this->first_ordered_at);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("last_chosen", ::apache::thrift::protocol::T_STRING, 16);
+  xfer += oprot->writeString(this->last_chosen);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -705,6 +801,12 @@
   swap(a.chosen_position, b.chosen_position);
   swap(a.attempt, b.attempt);
   swap(a.planned, b.planned);
+  swap(a.may_have_led, b.may_have_led);
+  swap(a.chosen_incarnation, b.chosen_incarnation);
+  swap(a.has_lost_chosen, b.has_lost_chosen);
+  swap(a.deposed_incarnation, b.deposed_incarnation);
+  swap(a.first_ordered_at, b.first_ordered_at);
+  swap(a.last_chosen, b.last_chosen);
   swap(a.__isset, b.__isset);
 }
 
@@ -719,6 +821,12 @@
   chosen_position = other8.chosen_position;
   attempt = other8.attempt;
   planned = other8.planned;
+  may_have_led = other8.may_have_led;
+  chosen_incarnation = other8.chosen_incarnation;
+  has_lost_chosen = other8.has_lost_chosen;
+  deposed_incarnation = other8.deposed_incarnation;
+  first_ordered_at = other8.first_ordered_at;
+  last_chosen = other8.last_chosen;
   __isset = other8.__isset;
 }
 promotion_record::promotion_record(promotion_record&& other9) noexcept {
@@ -732,6 +840,12 @@
   chosen_position = std::move(other9.chosen_position);
   attempt = other9.attempt;
   planned = other9.planned;
+  may_have_led = other9.may_have_led;
+  chosen_incarnation = other9.chosen_incarnation;
+  has_lost_chosen = other9.has_lost_chosen;
+  deposed_incarnation = other9.deposed_incarnation;
+  first_ordered_at = other9.first_ordered_at;
+  last_chosen = std::move(other9.last_chosen);
   __isset = other9.__isset;
 }
 promotion_record& promotion_record::operator=(const promotion_record& other10) {
@@ -745,6 +859,12 @@
   chosen_position = other10.chosen_position;
   attempt = other10.attempt;
   planned = other10.planned;
+  may_have_led = other10.may_have_led;
+  chosen_incarnation = other10.chosen_incarnation;
+  has_lost_chosen = other10.has_lost_chosen;
+  deposed_incarnation = other10.deposed_incarnation;
+  first_ordered_at = other10.first_ordered_at;
+  last_chosen = other10.last_chosen;
   __isset = other10.__isset;
   return *this;
 }
@@ -759,6 +879,12 @@
   chosen_position = std::move(other11.chosen_position);
   attempt = other11.attempt;
   planned = other11.planned;
+  may_have_led = other11.may_have_led;
+  chosen_incarnation = other11.chosen_incarnation;
+  has_lost_chosen = other11.has_lost_chosen;
+  deposed_incarnation = other11.deposed_incarnation;
+  first_ordered_at = other11.first_ordered_at;
+  last_chosen = std::move(other11.last_chosen);
   __isset = other11.__isset;
   return *this;
 }
@@ -775,6 +901,12 @@
   out << ", " << "chosen_position=" << to_string(chosen_position);
   out << ", " << "attempt=" << to_string(attempt);
   out << ", " << "planned=" << to_string(planned);
+  out << ", " << "may_have_led=" << to_string(may_have_led);
+  out << ", " << "chosen_incarnation=" << to_string(chosen_incarnation);
+  out << ", " << "has_lost_chosen=" << to_string(has_lost_chosen);
+  out << ", " << "deposed_incarnation=" << to_string(deposed_incarnation);
+  out << ", " << "first_ordered_at=" << to_string(first_ordered_at);
+  out << ", " << "last_chosen=" << to_string(last_chosen);
   out << ")";
 }
 
--- a/modules/control/gen/control_commands_types.h
+++ b/modules/control/gen/control_commands_types.h
@@ -223,7 +223,7 @@
 std::ostream& operator<<(std::ostream& out, const share_holder& obj);
 
 typedef struct _promotion_record__isset {
-  _promotion_record__isset() : ordering(false), reason(false), fenced_term(false), deposed(false), wanted(false), forced(false), chosen(false), chosen_position(false), attempt(false), planned(false) {}
+  _promotion_record__isset() : ordering(false), reason(false), fenced_term(false), deposed(false), wanted(false), forced(false), chosen(false), chosen_position(false), attempt(false), planned(false), may_have_led(false), chosen_incarnation(false), has_lost_chosen(false), deposed_incarnation(false), first_ordered_at(false), last_chosen(false) {}
   bool ordering :1;
   bool reason :1;
   bool fenced_term :1;
@@ -234,6 +234,12 @@
   bool chosen_position :1;
   bool attempt :1;
   bool planned :1;
+  bool may_have_led :1;
+  bool chosen_incarnation :1;
+  bool has_lost_chosen :1;
+  bool deposed_incarnation :1;
+  bool first_ordered_at :1;
+  bool last_chosen :1;
 } _promotion_record__isset;
 
 class promotion_record : public virtual ::apache::thrift::TBase {
@@ -252,7 +258,13 @@
                      forced(0),
                      chosen(),
                      attempt(0),
-                     planned(0) {
+                     planned(0),
+                     may_have_led(0),
+                     chosen_incarnation(0),
+                     has_lost_chosen(0),
+                     deposed_incarnation(0),
+                     first_ordered_at(0),
+                     last_chosen() {
   }
 
   virtual ~promotion_record() noexcept;
@@ -266,6 +278,12 @@
    ::teasellock::wire::position chosen_position;
   int32_t attempt;
   bool planned;
+  bool may_have_led;
+  int64_t chosen_incarnation;
+  bool has_lost_chosen;
+  int64_t deposed_incarnation;
+  int64_t first_ordered_at;
+  std::string last_chosen;
 
   _promotion_record__isset __isset;
 
@@ -289,6 +307,18 @@
 
   void __set_planned(const bool val);
 
+  void __set_may_have_led(const bool val);
+
+  void __set_chosen_incarnation(const int64_t val);
+
+  void __set_has_lost_chosen(const bool val);
+
+  void __set_deposed_incarnation(const int64_t val);
+
+  void __set_first_ordered_at(const int64_t val);
+
+  void __set_last_chosen(const std::string& val);
+
   bool operator == (const promotion_record & rhs) const
   {
     if (!(ordering == rhs.ordering))
@@ -311,6 +341,18 @@
       return false;
     if (!(planned == rhs.planned))
       return false;
+    if (!(may_have_led == rhs.may_have_led))
+      return false;
+    if (!(chosen_incarnation == rhs.chosen_incarnation))
+      return false;
+    if (!(has_lost_chosen == rhs.has_lost_chosen))
+      return false;
+    if (!(deposed_incarnation == rhs.deposed_incarnation))
+      return false;
+    if (!(first_ordered_at == rhs.first_ordered_at))
+      return false;
+    if (!(last_chosen == rhs.last_chosen))
+      return false;
     return true;
   }
   bool operator != (const promotion_record &rhs) const {
--- a/modules/control/leader_state.h
+++ b/modules/control/leader_state.h
@@ -104,6 +104,8 @@
 struct paused_replica {
   incarnation Incarnation;
   position Received;
+  /// When the order that it answered was sent.
+  time_point AskedAt;
   /// Latest time at which the connection that confirmed the pause can have been
   /// opened.
   time_point ConnectedBy;
--- a/modules/control/open_orders.cpp
+++ b/modules/control/open_orders.cpp
@@ -59,6 +59,13 @@
   return countOrders(Group, Upstream) > 0;
 }
 
+bool hasOrdersExceptFor(const group_state &Group,
+                        const std::optional<upstream_id> &Upstream) {
+  return std::any_of(
+      Group.OpenOrders.begin(), Group.OpenOrders.end(),
+      [&](const auto &Order) { return Order.first != Upstream; });
+}
+
 std::uint32_t countOrdersForOthers(const group_state &Group) {
   return countOrders(Group,
                      Group.Promotion ? Group.Promotion->Chosen : std::nullopt);
@@ -75,10 +82,14 @@
 group_decision decideOpenOrders(const group_state &Group,
                                 const leader_state &Leader,
                                 const decision_settings &Settings,
-                                time_point Now) {
+                                time_point Now, bool PrimaryLeads) {
   const auto *Progress = orderProgressOf(Group, Leader);
+  auto Order = [&](const std::string &Reason) {
+    return PrimaryLeads ? orderForPrimary(Group, Reason)
+                        : waitingFor("the primary is not known to lead");
+  };
   if (!Progress)
-    return orderForPrimary(Group, "orders of an earlier leader may be open");
+    return Order("orders of an earlier leader may be open");
   if (Progress->SentNumber != Group.OrderNumber) {
     group_decision Decision;
     Decision.Order =
@@ -90,7 +101,7 @@
   bool HasFailed = Progress->Answer == promotion_answer::Unknown &&
                    Since >= FailedOrderDelay;
   if (HasFailed || (!Progress->Answer && Since >= Settings.PlatformTimeout))
-    return orderForPrimary(Group, "the last order got no answer");
+    return Order("the last order got no answer");
   if (!Progress->Answer || Progress->Answer == promotion_answer::Unknown ||
       Now - Progress->AnsweredAt < Settings.OrderEffectTimeout)
     return waitingFor("earlier orders to promote may still take effect");
--- a/modules/control/open_orders.h
+++ b/modules/control/open_orders.h
@@ -41,6 +41,10 @@
 /// primary that is being replaced without being demoted, may still take effect.
 bool hasOrdersForOthers(const group_state &Group, const upstream_id &Upstream);
 
+/// Reports whether orders may still take effect for any upstream but this one.
+bool hasOrdersExceptFor(const group_state &Group,
+                        const std::optional<upstream_id> &Upstream);
+
 /// Returns how many orders may still promote an upstream other than the one
 /// that is chosen, if any, and the primary that is being replaced.
 std::uint32_t countOrdersForOthers(const group_state &Group);
@@ -51,11 +55,13 @@
                          const decision_settings &Settings, time_point Now);
 
 /// Returns the next step that ends the open orders of a group with a primary:
-/// an order for the primary, waiting for the answer, or their end.
+/// an order for the primary, waiting for the answer, or their end. None is made
+/// unless the primary was seen to lead: a process that has started under its id
+/// has no log, and the order would promote it.
 group_decision decideOpenOrders(const group_state &Group,
                                 const leader_state &Leader,
                                 const decision_settings &Settings,
-                                time_point Now);
+                                time_point Now, bool PrimaryLeads);
 
 /// Records a decision of this leader that is about to be committed.
 void recordOrderDecided(const group_decision &Decision, leader_state &Leader);
--- a/modules/control/pause_answers.cpp
+++ b/modules/control/pause_answers.cpp
@@ -11,10 +11,11 @@
 namespace {
 
 /// Reports whether the upstream counts as a replica while the primary is
-/// replaced: all but the former primary do, unless that was demoted.
+/// replaced: all but the former primary do. That does if it was demoted, or if
+/// it may have followed another one meanwhile.
 bool isReplica(const group_state &Group, const pause_progress &Progress,
                const upstream_id &Upstream) {
-  return Group.Promotion->Deposed != Upstream ||
+  return Group.Promotion->Deposed != Upstream || Group.Promotion->MayHaveLed ||
          (demotionTarget(Group) && Progress.PausedReplicas.contains(Upstream));
 }
 
@@ -33,19 +34,6 @@
          LastAnnouncement->second.ReceivedAt >= Answer.ConnectedBy;
 }
 
-/// Returns the end of the log of a primary that was demoted for its
-/// replacement. No acknowledged write lies beyond it.
-std::optional<position> demotedPosition(const group_state &Group,
-                                        const pause_progress *Progress) {
-  auto Target = demotionTarget(Group);
-  if (!Target || !Progress)
-    return std::nullopt;
-  auto Answer = Progress->PausedReplicas.find(*Target);
-  if (Answer == Progress->PausedReplicas.end())
-    return std::nullopt;
-  return Answer->second.Received;
-}
-
 /// Returns the replicas that are paused and confirmed, by upstream; adds the
 /// others to Answers.
 std::map<upstream_id, paused_replica>
@@ -78,6 +66,19 @@
   return Result;
 }
 
+/// Returns the answer of the process that was the primary, if it is a replica
+/// now, or null. Its log has every commit of its term.
+const paused_replica *deposedAnswer(const group_state &Group,
+                                    const pause_answers &Answers) {
+  const auto &Promotion = *Group.Promotion;
+  if (!Promotion.Deposed)
+    return nullptr;
+  auto Answer = Answers.Confirmed.find(*Promotion.Deposed);
+  bool HasLog = Answer != Answers.Confirmed.end() &&
+                Answer->second.Incarnation == Promotion.DeposedIncarnation;
+  return HasLog ? &Answer->second : nullptr;
+}
+
 /// Returns the replica with the highest position, or null; of equal ones, one
 /// that is not leaving.
 const candidate *
@@ -136,10 +137,19 @@
   return Highest;
 }
 
+bool mayLackWrites(const group_state &Group, const pause_answers &Answers) {
+  const auto &Promotion = *Group.Promotion;
+  if (!deposedAnswer(Group, Answers))
+    return Group.Dirty || Promotion.HasLostChosen;
+  // Of a term that began after the first order, it need not have them.
+  return Group.Dirty && Promotion.FirstOrderedAt != revision() &&
+         Group.DirtySince > Promotion.FirstOrderedAt;
+}
+
 bool hasAllAcknowledged(const group_state &Group, const leader_state &Leader,
                         const pause_answers &Answers,
                         const paused_replica &Replica) {
-  bool IsCovered = !Group.Dirty && !Answers.HasLost;
+  bool IsCovered = !mayLackWrites(Group, Answers) && !Answers.HasLost;
   if (IsCovered && Replica.Received != position())
     return true;
   return Replica.Received >= acknowledgedPosition(Group, Leader);
@@ -154,7 +164,7 @@
     return nullptr;
   bool MayCoverWrites = !Answers.isOlderThan(Settings.UpstreamLossTimeout, Now);
   if ((Rules.RequireAllReplicas && !Answers.Missing.empty()) ||
-      (Rules.CheckDirty && Group.Dirty && MayCoverWrites))
+      (Rules.CheckDirty && mayLackWrites(Group, Answers) && MayCoverWrites))
     return nullptr;
   const auto *Best = highestReplica(Group, Answers.Confirmed);
   bool MayBeAnnounced =
@@ -171,10 +181,13 @@
 const candidate *candidateAfterDemotion(const group_state &Group,
                                         const pause_answers &Answers,
                                         time_point Now) {
-  auto End = demotedPosition(Group, Answers.Progress);
+  // Only the log of the last primary has all that was acknowledged.
+  if (Group.Promotion->MayHaveLed)
+    return nullptr;
+  const auto *Demoted = deposedAnswer(Group, Answers);
   const auto *Best = highestReplica(Group, Answers.Confirmed);
   // The log of a primary that lost it ends before what was acknowledged.
-  if (!End || !Best || Best->second.Received < *End ||
+  if (!Demoted || !Best || Best->second.Received < Demoted->Received ||
       Best->second.Received < Group.Watermark)
     return nullptr;
   bool MayWait =
--- a/modules/control/pause_answers.h
+++ b/modules/control/pause_answers.h
@@ -54,6 +54,11 @@
 position acknowledgedPosition(const group_state &Group,
                               const leader_state &Leader);
 
+/// Reports whether a replica has left that may have been the only one to
+/// confirm an acknowledged write. The log of the deposed primary has those of
+/// its term.
+bool mayLackWrites(const group_state &Group, const pause_answers &Answers);
+
 /// Reports whether the replica's log is known to have every acknowledged write.
 /// If every replica that may have confirmed one has answered, the highest has.
 /// If one is lost, only a replica that has reached the acknowledged position
@@ -65,8 +70,7 @@
 /// Returns the upstream to promote if all replicas are paused, or null. The
 /// writes of a lost replica are waited for as long as that or the former
 /// primary may still come back, and for good if no replica is known to have
-/// them. Acknowledged writes that no known replica has are waited for until
-/// every replica that runs must have announced itself.
+/// them.
 const candidate *candidateOfPauses(const group_state &Group,
                                    const leader_state &Leader,
                                    const pause_answers &Answers,
@@ -75,7 +79,8 @@
 
 /// Returns the upstream to promote if the primary was demoted, or null: any
 /// that has the primary's whole log. The former primary itself has, but
-/// replicas that have not answered yet are preferred for a while.
+/// replicas that have not answered yet are preferred for a while. Null if
+/// another upstream may have led since.
 const candidate *candidateAfterDemotion(const group_state &Group,
                                         const pause_answers &Answers,
                                         time_point Now);
--- a/modules/control/pause_progress.cpp
+++ b/modules/control/pause_progress.cpp
@@ -39,6 +39,7 @@
     paused_replica Answer;
     Answer.Incarnation = Known->second.Incarnation;
     Answer.Received = Probe.Received;
+    Answer.AskedAt = FenceSentAt;
     Answer.ConnectedBy = Now - Probe.ConnectionAge;
     Progress->second.PausedReplicas[Name] = Answer;
   }
--- a/modules/control/pause_promotion.cpp
+++ b/modules/control/pause_promotion.cpp
@@ -15,6 +15,11 @@
 
 namespace {
 
+/// How long the chosen upstream may take to answer before an order for it is
+/// repeated, and how old its answer may be then: a few round trips between
+/// regions.
+const duration ChosenAnswerTimeout = fromMilliseconds(1000);
+
 constexpr const char *FormerPrimaryReason =
     "promotion abandoned: the former primary is reachable again";
 
@@ -42,6 +47,13 @@
   if (Group.Promotion && Group.Promotion->Chosen == Primary &&
       Term > Group.Term)
     Next.Watermark = Group.Promotion->ChosenPosition;
+  // The primary that goes on may be the only one that has what the replica had
+  // confirmed.
+  if (Group.Promotion && Group.Promotion->HasLostChosen &&
+      Group.Promotion->Deposed == Primary) {
+    Next.Dirty = true;
+    Next.DirtySince = revision(CommandRevision);
+  }
   Next.Promotion.reset();
   return changeTo(std::move(Next), "promoted", Reason);
 }
@@ -109,7 +121,9 @@
   }
   // An open order for the primary would take effect once it is demoted.
   if (Rules.CheckOpenOrders && !Group.OpenOrders.empty()) {
-    auto Decision = decideOpenOrders(Group, Leader, Settings, Now);
+    auto Probe = Probes.find(*Group.Primary);
+    bool Leads = Probe != Probes.end() && !Probe->second.IsReplica;
+    auto Decision = decideOpenOrders(Group, Leader, Settings, Now, Leads);
     Decision.ShouldResume = hasPausedReplica(Probes);
     return Decision;
   }
@@ -146,16 +160,19 @@
 // Pausing
 //===----------------------------------------------------------------------===//
 
+/// Returns the gateways that are to be sent an order to pause: those that were
+/// sent none lately, and none after After.
 std::vector<gateway_incarnation> duePauses(const group_state &Group,
                                            const pause_progress *Progress,
                                            const decision_settings &Settings,
-                                           time_point Now) {
+                                           time_point Now,
+                                           time_point After = {}) {
   std::vector<gateway_incarnation> Due;
   for (const auto &Share : Group.Gateways) {
     gateway_incarnation Gateway(Share.Vm, Share.Incarnation);
     if (Progress) {
       auto LastSent = Progress->FenceSentAt.find(Gateway);
-      if (LastSent != Progress->FenceSentAt.end() &&
+      if (LastSent != Progress->FenceSentAt.end() && LastSent->second > After &&
           Now - LastSent->second < Settings.OrderTimeout)
         continue;
     }
@@ -200,8 +217,12 @@
   if (!mayOrdersTakeEffect(Group, Leader, Settings, Now))
     Next.OpenOrders.clear();
   Next.Promotion->Phase = promotion_phase::Ordering;
-  Next.Promotion->Chosen = Candidate.first;
+  Next.Promotion->Chosen = Next.Promotion->LastChosen = Candidate.first;
+  Next.Promotion->ChosenIncarnation =
+      Group.Upstreams.at(Candidate.first).Incarnation;
   Next.Promotion->ChosenPosition = Candidate.second.Received;
+  if (Next.Promotion->FirstOrderedAt == revision())
+    Next.Promotion->FirstOrderedAt = revision(CommandRevision);
   ++Next.Promotion->Attempt;
   addOrder(Next, Candidate.first);
   std::string Reason = Group.Promotion->Reason + " -> " +
@@ -233,8 +254,8 @@
 bool lacksCandidate(const group_state &Group, const leader_state &Leader,
                     const pause_answers &Answers,
                     const decision_settings &Settings, time_point Now) {
-  bool MayCoverWrites =
-      Group.Dirty && !Answers.isOlderThan(Settings.UpstreamLossTimeout, Now);
+  bool MayCoverWrites = mayLackWrites(Group, Answers) &&
+                        !Answers.isOlderThan(Settings.UpstreamLossTimeout, Now);
   return Answers.Progress && Answers.Missing.empty() && !MayCoverWrites &&
          Answers.isOlderThan(Settings.StuckPromotionTimeout, Now) &&
          hasHeardAll(Leader, Settings, Now);
@@ -266,6 +287,22 @@
   return Decision;
 }
 
+/// Returns the primary that is to be demoted by the next order to pause, if
+/// any. After a while, or if another upstream may have led since, it is one
+/// only if it is known to lead: gateways pause no replica before it is demoted.
+std::optional<upstream_id>
+dueDemotion(const group_state &Group, const pause_answers &Answers,
+            const std::map<upstream_id, upstream_observation> &Probes,
+            time_point Now) {
+  auto Target = demotionTarget(Group);
+  if (!Target || (!Group.Promotion->MayHaveLed &&
+                  !Answers.isOlderThan(DemotionTimeout, Now)))
+    return Target;
+  auto Probe = Probes.find(*Target);
+  bool Leads = Probe != Probes.end() && !Probe->second.IsReplica;
+  return Leads ? Target : std::nullopt;
+}
+
 group_decision decidePausing(const group_state &Group,
                              const leader_state &Leader,
                              const decision_settings &Settings, time_point Now,
@@ -276,16 +313,16 @@
   Decision.FenceTargets = duePauses(Group, Answers.Progress, Settings, Now);
   Decision.PauseTerm = pauseTermOf(Group, Probes);
   if (auto Target = demotionTarget(Group)) {
+    Decision.DemotionTarget = dueDemotion(Group, Answers, Probes, Now);
     if (const auto *Best = candidateAfterDemotion(Group, Answers, Now))
       return decideCandidate(Group, Leader, Settings, Now, *Best);
     Decision.WaitingReason = "waiting for " + Target->Value +
                              " to be demoted, and for replicas with all its "
                              "writes: " +
                              Answers.Missing;
-    if (!Answers.isOlderThan(DemotionTimeout, Now)) {
-      Decision.DemotionTarget = Target;
+    if (!Group.Promotion->MayHaveLed &&
+        !Answers.isOlderThan(DemotionTimeout, Now))
       return Decision;
-    }
   }
   if (const auto *Best =
           candidateOfPauses(Group, Leader, Answers, Settings, Now, Rules)) {
@@ -296,16 +333,17 @@
         "an earlier order may still promote another upstream";
     return Decision;
   }
-  bool IsStuck =
-      Group.Dirty || Answers.isOlderThan(Settings.StuckPromotionTimeout, Now);
+  bool IsStuck = mayLackWrites(Group, Answers) ||
+                 Answers.isOlderThan(Settings.StuckPromotionTimeout, Now);
   if (const auto *Former = findFormerPrimary(Group, Probes); Former && IsStuck)
     return decideAbandonment(Group, Leader, Settings, Now, *Former);
   if (lacksCandidate(Group, Leader, Answers, Settings, Now))
     return waitForCandidate(Group, Leader, Answers, std::move(Decision));
   Decision.WaitingReason =
       "waiting for replicas to be paused: " + Answers.Missing +
-      (Group.Dirty ? "(writes of a lost replica are not covered yet)" : "") +
-      (hasHeardAll(Leader, Settings, Now) ? "" : "(announcements of others)");
+      (mayLackWrites(Group, Answers)
+           ? "(writes of a lost replica are not covered yet)"
+           : "");
   return Decision;
 }
 
@@ -313,7 +351,67 @@
 // The order
 //===----------------------------------------------------------------------===//
 
-group_decision retryOrder(const group_state &Group, const std::string &Reason) {
+/// Pauses the replicas again to make another choice. Orders that remain open
+/// may have taken effect.
+group_decision restartPausing(group_state Next, const std::string &Kind,
+                              const std::string &Reason) {
+  Next.Promotion->Phase = promotion_phase::Fencing;
+  Next.Promotion->Chosen.reset();
+  Next.Promotion->MayHaveLed =
+      Next.Promotion->MayHaveLed ||
+      hasOrdersExceptFor(Next, Next.Promotion->Deposed);
+  return changeTo(std::move(Next), Kind, Reason);
+}
+
+/// Reports whether the process that was chosen is the one that is known.
+bool isChosenKnown(const group_state &Group) {
+  auto Known = Group.Upstreams.find(*Group.Promotion->Chosen);
+  return Known != Group.Upstreams.end() &&
+         Known->second.Incarnation == Group.Promotion->ChosenIncarnation;
+}
+
+/// Reports whether the upstream that was chosen has shown since the last order
+/// that it still is the same process: it has answered another order to pause,
+/// or is the former primary and leads.
+bool hasChosenAnswered(const group_state &Group, const leader_state &Leader,
+                       const pause_answers &Answers,
+                       const decision_settings &Settings, time_point Now) {
+  const auto &Promotion = *Group.Promotion;
+  if (Promotion.Chosen == Promotion.Deposed &&
+      findFormerPrimary(Group, latestProbes(Group, Leader, Settings, Now)))
+    return true;
+  const auto *Progress = orderProgressOf(Group, Leader);
+  auto Answer = Answers.Confirmed.find(*Promotion.Chosen);
+  return Answer != Answers.Confirmed.end() &&
+         Now - Answer->second.AskedAt < ChosenAnswerTimeout &&
+         (!Progress || Answer->second.AskedAt > Progress->SentAt);
+}
+
+/// Orders the promotion of the chosen upstream again, which has been due since
+/// Due. The order names it by its id alone, and a process that has started
+/// under this id since has no log: so the chosen process must answer before. If
+/// it does not, another choice is made.
+group_decision repeatOrder(const group_state &Group, const leader_state &Leader,
+                           const pause_answers &Answers,
+                           const decision_settings &Settings, time_point Now,
+                           const pause_rules &Rules, time_point Due,
+                           const std::string &Reason) {
+  if (Rules.CheckChosen &&
+      !hasChosenAnswered(Group, Leader, Answers, Settings, Now)) {
+    const auto &Chosen = Group.Promotion->Chosen->Value;
+    if (Now - Due >= ChosenAnswerTimeout)
+      return restartPausing(Group, "choose_again",
+                            Chosen + " does not answer any more");
+    auto Decision =
+        waitingFor("waiting for " + Chosen +
+                   " to answer before it is ordered again: " + Reason);
+    auto Probes = latestProbes(Group, Leader, Settings, Now);
+    const auto *Order = orderProgressOf(Group, Leader);
+    Decision.FenceTargets = duePauses(Group, Answers.Progress, Settings, Now,
+                                      Order ? Order->SentAt : time_point());
+    Decision.PauseTerm = pauseTermOf(Group, Probes);
+    return Decision;
+  }
   group_state Next = Group;
   ++Next.Promotion->Attempt;
   addOrder(Next, *Group.Promotion->Chosen);
@@ -323,15 +421,6 @@
   return Decision;
 }
 
-group_decision restartPausing(const group_state &Group,
-                              const std::string &Reason) {
-  group_state Next = Group;
-  endOrder(Next, *Group.Promotion->Chosen);
-  Next.Promotion->Phase = promotion_phase::Fencing;
-  Next.Promotion->Chosen.reset();
-  return changeTo(std::move(Next), "promotion_refused", Reason);
-}
-
 /// Lets the former primary go on once the platform has confirmed that it leads
 /// and no order that was accepted before can take effect any more.
 group_decision decideReturn(const group_state &Group,
@@ -348,12 +437,20 @@
 /// the platform, to send it again, or to pause the replicas again.
 group_decision decideOrderProgress(const group_state &Group,
                                    const leader_state &Leader,
+                                   const pause_answers &Answers,
                                    const decision_settings &Settings,
-                                   time_point Now) {
+                                   time_point Now, const pause_rules &Rules) {
   const auto &Promotion = *Group.Promotion;
+  auto Repeat = [&](time_point Due, const std::string &Reason) {
+    return repeatOrder(Group, Leader, Answers, Settings, Now, Rules, Due,
+                       Reason);
+  };
+  if (Rules.CheckChosen && !isChosenKnown(Group))
+    return restartPausing(Group, "choose_again",
+                          Promotion.Chosen->Value + " has ended");
   const auto *Progress = orderProgressOf(Group, Leader);
   if (!Progress)
-    return retryOrder(Group, "this leader has not sent an order yet");
+    return Repeat(Leader.LeadingSince, "this leader has not sent an order yet");
   if (Progress->SentNumber != Group.OrderNumber) {
     group_decision Decision;
     Decision.Order =
@@ -366,21 +463,28 @@
   if (!Progress->Answer)
     return Since < Settings.PlatformTimeout
                ? waitingFor("the platform has not answered")
-               : retryOrder(Group, "no answer from the platform");
+               : Repeat(Progress->SentAt + Settings.PlatformTimeout,
+                        "no answer from the platform");
   switch (*Progress->Answer) {
-  case promotion_answer::Refused:
-    return restartPausing(Group, Promotion.Chosen->Value +
-                                     " was refused by the platform");
+  case promotion_answer::Refused: {
+    group_state Next = Group;
+    endOrder(Next, *Promotion.Chosen);
+    return restartPausing(std::move(Next), "promotion_refused",
+                          Promotion.Chosen->Value +
+                              " was refused by the platform");
+  }
   case promotion_answer::Unknown:
     if (Since >= FailedOrderDelay)
-      return retryOrder(Group, "the call to the platform failed");
+      return Repeat(Progress->SentAt + FailedOrderDelay,
+                    "the call to the platform failed");
     break;
   case promotion_answer::Accepted:
     if (findFormerPrimary(Group, latestProbes(Group, Leader, Settings, Now)) &&
         Promotion.Chosen == Promotion.Deposed)
       return decideReturn(Group, Leader, Settings, Now);
     if (Since >= Settings.PromotionTimeout)
-      return retryOrder(Group, "accepted, but it has not become primary");
+      return Repeat(Progress->SentAt + Settings.PromotionTimeout,
+                    "accepted, but it has not become primary");
     break;
   }
   return waitingFor("waiting for " + Promotion.Chosen->Value +
@@ -391,11 +495,10 @@
 group_decision decideOrder(const group_state &Group, const leader_state &Leader,
                            const decision_settings &Settings, time_point Now,
                            const pause_rules &Rules) {
-  auto Decision = decideOrderProgress(Group, Leader, Settings, Now);
-  if (Decision.Next)
-    return Decision;
   auto Answers = collectAnswers(Group, Leader, Settings, Now, Rules);
-  if (Answers.Missing.empty())
+  auto Decision =
+      decideOrderProgress(Group, Leader, Answers, Settings, Now, Rules);
+  if (Decision.Next || Answers.Missing.empty())
     return Decision;
   auto Probes = latestProbes(Group, Leader, Settings, Now);
   Decision.FenceTargets = duePauses(Group, Answers.Progress, Settings, Now);
--- a/modules/control/pause_promotion.h
+++ b/modules/control/pause_promotion.h
@@ -41,6 +41,9 @@
   /// If no known replica has all writes that gateways may have acknowledged,
   /// waits until every replica that runs must have announced itself.
   bool CheckAcknowledged = true;
+  /// The process that is ordered to lead must be the one that was chosen, and
+  /// the order is not repeated for a later one.
+  bool CheckChosen = true;
   /// If a replica that may have confirmed a write is lost, or the log of the
   /// highest one is empty, only an upstream that has reached the acknowledged
   /// position is promoted.
--- a/modules/control/promotion_steps.cpp
+++ b/modules/control/promotion_steps.cpp
@@ -1,5 +1,7 @@
 #include "modules/control/promotion_steps.h"
 
+#include "modules/control/open_orders.h"
+
 #include <utility>
 
 namespace teasellock {
@@ -25,6 +27,11 @@
   Next.Promotion->Reason = Reason;
   Next.Promotion->FencedTerm = Group.Term;
   Next.Promotion->Deposed = Group.Primary;
+  if (Group.Primary)
+    if (auto Known = Group.Upstreams.find(*Group.Primary);
+        Known != Group.Upstreams.end())
+      Next.Promotion->DeposedIncarnation = Known->second.Incarnation;
+  Next.Promotion->MayHaveLed = hasOrdersExceptFor(Group, Group.Primary);
   Next.Primary.reset();
   return Next;
 }
--- a/modules/control/tests/pause_simulation.cpp
+++ b/modules/control/tests/pause_simulation.cpp
@@ -341,7 +341,8 @@
       continue;
     bool IsDemoted = DemotionTarget == name(Id);
     if (!Upstream.Alive ||
-        (!IsDemoted && (Id == PrimaryNumber || pick(3) == 0)))
+        (!IsDemoted &&
+         ((Id == PrimaryNumber && !PrimaryDemoted) || pick(3) == 0)))
       continue;
     wire::upstream_report Seen;
     Seen.upstream = name(Id).Value;
--- a/modules/control/tests/test_open_orders.cpp
+++ b/modules/control/tests/test_open_orders.cpp
@@ -93,17 +93,48 @@
     changeLeader();
   }
 
-  /// The order for the second upstream was sent by two leaders, and it leads
-  /// after the first of them.
-  void promoteTwice() {
+  /// The gateway has paused the upstream, which announced itself after that.
+  void confirmPause(const upstream_id &Name) {
+    recordPausesSent(group(), Leader, {{vm_id("gateway"), incarnation()}}, Now);
+    wire::fence_reply Reply;
+    Reply.term = static_cast<std::int64_t>(group().Term.Value);
+    auto &Seen = Reply.upstreams.emplace_back();
+    Seen.upstream = Name.Value;
+    Seen.reachable = Seen.paused = Seen.replica = true;
+    Seen.received = toWire(position{term(4), 7});
+    recordPauseReply(group(), Leader, Reply, Now, Now);
+    Leader.LastAnnouncements[{group().Group, Name}] = {
+        group().Upstreams.at(Name).Incarnation, Now};
+  }
+
+  /// The upstream was chosen, and has been paused.
+  promotion_state &choose(const upstream_id &Chosen,
+                          const upstream_id &Deposed) {
     group().Primary.reset();
     auto &Promotion = group().Promotion.emplace();
     Promotion.Phase = promotion_phase::Ordering;
     Promotion.FencedTerm = term(4);
-    Promotion.Deposed = First;
-    Promotion.Planned = true;
-    Promotion.Chosen = Second;
-    Promotion.Attempt = 1;
+    Promotion.Deposed = Deposed;
+    Promotion.DeposedIncarnation = incarnation(1);
+    Promotion.Chosen = Promotion.LastChosen = Chosen;
+    Promotion.ChosenIncarnation = incarnation(1);
+    Promotion.ChosenPosition = {term(4), 7};
+    confirmPause(Chosen);
+    return Promotion;
+  }
+
+  /// The upstream starts again under its id.
+  void restart(const upstream_id &Name) {
+    auto Announcement = group().Upstreams.at(Name);
+    ++Announcement.Incarnation.Value;
+    applyCommand(State, revision(++Index),
+                 makeAnnouncementCommand(Announcement));
+  }
+
+  /// The order for the second upstream was sent by two leaders, and it leads
+  /// after the first of them.
+  void promoteTwice() {
+    choose(Second, First).Planned = true;
     addOrder(group(), Second);
     REQUIRE(decide().Kind == "promote_again");
     REQUIRE(sendOrder());
@@ -166,13 +197,7 @@
 TEST_CASE("control: a change that is overtaken leaves no open order") {
   group_fixture Fixture;
   Fixture.group().Upstreams[First].Leaving = true;
-  Fixture.group().Primary.reset();
-  auto &Promotion = Fixture.group().Promotion.emplace();
-  Promotion.Phase = promotion_phase::Ordering;
-  Promotion.FencedTerm = term(4);
-  Promotion.Deposed = First;
-  Promotion.Planned = true;
-  Promotion.Chosen = Second;
+  Fixture.choose(Second, First).Planned = true;
   CHECK(Fixture.decide().Kind == "promote_again");
   CHECK(Fixture.sendOrder());
   Fixture.answer(promotion_answer::Accepted);
@@ -188,12 +213,7 @@
     "control: no upstream is adopted or chosen while an order for another "
     "one may take effect") {
   group_fixture Fixture;
-  Fixture.group().Primary.reset();
-  auto &Promotion = Fixture.group().Promotion.emplace();
-  Promotion.Phase = promotion_phase::Ordering;
-  Promotion.FencedTerm = term(4);
-  Promotion.Deposed = upstream_id("gone");
-  Promotion.Chosen = First;
+  Fixture.choose(First, upstream_id("gone"));
   CHECK(Fixture.decide().Kind == "promote_again");
   CHECK(Fixture.sendOrder());
   Fixture.answer(promotion_answer::Accepted);
@@ -214,13 +234,78 @@
   CHECK(Fixture.decide().Kind == "order_primary");
 }
 
+// Guards against the promotion of a process without a log: the one that was
+// chosen has ended, and the order for its id is repeated.
+TEST_CASE("control: the choice is made again if the chosen process has ended") {
+  group_fixture Fixture;
+  Fixture.choose(Second, First);
+  REQUIRE(Fixture.decide().Kind == "promote_again");
+  REQUIRE(Fixture.sendOrder());
+  Fixture.answer(promotion_answer::Accepted);
+  SUBCASE("this leader") {}
+  SUBCASE("the next leader") {
+    Fixture.State = decodeSnapshot(encodeSnapshot(Fixture.State));
+    Fixture.Leader = leader_state();
+    Fixture.Leader.LeadingSince = Fixture.Now;
+  }
+  Fixture.restart(Second);
+  CHECK(Fixture.decide().Kind == "choose_again");
+  auto &Promotion = *Fixture.group().Promotion;
+  CHECK((Promotion.Phase == promotion_phase::Fencing));
+  CHECK(Promotion.HasLostChosen);
+  // The order may still promote the process that has the id now.
+  CHECK(Fixture.group().OpenOrders.contains(Second));
+  CHECK(Promotion.MayHaveLed);
+}
+
+// Guards against an order that is repeated for a process which has started
+// under the id since and has not announced itself yet.
+TEST_CASE("control: an order is repeated only once the chosen process has "
+          "answered again") {
+  for (bool Answers : {true, false})
+    for (auto Answer : {std::optional<promotion_answer>(),
+                        std::optional(promotion_answer::Unknown),
+                        std::optional(promotion_answer::Accepted)}) {
+      group_fixture Fixture;
+      Fixture.choose(Second, First);
+      REQUIRE(Fixture.decide().Kind == "promote_again");
+      REQUIRE(Fixture.sendOrder());
+      if (Answer)
+        Fixture.answer(*Answer);
+      Fixture.Now += Answer == promotion_answer::Accepted
+                         ? Fixture.Settings.PromotionTimeout
+                         : Fixture.Settings.PlatformTimeout;
+      auto Waiting = Fixture.decide();
+      CHECK_FALSE(Waiting.Next);
+      CHECK(Waiting.FenceTargets.size() == 1);
+      if (Answers)
+        Fixture.confirmPause(Second);
+      else
+        Fixture.Now += fromMilliseconds(1000);
+      CHECK(Fixture.decide().Kind ==
+            (Answers ? "promote_again" : "choose_again"));
+    }
+}
+
+// Guards against an order that ends earlier orders and promotes a process
+// without a log, which has started under the primary's id.
+TEST_CASE("control: no order is made for a primary that is not seen to lead") {
+  group_fixture Fixture;
+  Fixture.promoteTwice();
+  Fixture.changeLeader();
+  Fixture.report(First, term(5));
+  auto Decision = Fixture.decide();
+  CHECK(Decision.Kind != "order_primary");
+}
+
 // Guards against positions that were read before the replicas received more:
 // an earlier promotion of the same term was abandoned, and they were resumed.
 TEST_CASE("control: the answer to an earlier promotion does not count") {
   group_fixture Fixture;
-  Fixture.group().Promotion.emplace();
-  auto &Progress = Fixture.Leader.PausePromotions[Fixture.group().Group];
+  Fixture.choose(Second, First);
+  auto &Progress = Fixture.Leader.PausePromotions.at(Fixture.group().Group);
   auto SentAt = Fixture.Now;
+  Progress = pause_progress();
   Fixture.Now += fromMilliseconds(500);
   Progress.StartedAt = Fixture.Now;
   wire::fence_reply Late;
