Line: a commit is acknowledged only once a replica that control knows has it

Cause, the same for both: a gateway acknowledged whatever the primary confirmed as long as it had not heard of a promotion, and a primary confirms with any replica, also one that control does not know. Ruled out: a fence that was opened too early (none reached the gateway before the order), and known replicas that received more after their pause (they end where they had answered). Change: a gateway acknowledges a commit once a replica of its view has told it a position at or beyond the commit's, over a connection that is older than the last view with a primary that control has confirmed. Answers to reads tell it; if none does for 30 ms, replicas are asked. The waits for announcements after an election and for positions that gateways report are gone: an unknown replica does not matter any more. Looked at: the other readers of the fence (writes and openings stay closed as before), statements that wrote nothing (not held), deployments whose commits need no replica (not held), restarted replicas and former primaries (they do not count), adoption and abandonment of a promotion. Tests: the simulation has three gateways that are cut off, restart and answer late, and no longer ends at a failover. The test that a commit waits for a paused replica now asks for a known one. A test of rollbacks has a second upstream, as writes need a replica.

--- a/modules/control/control_messages.thrift
+++ b/modules/control/control_messages.thrift
@@ -289,8 +289,8 @@
   2: i64 term;
   /// If not 0, replicas are paused under this term before they are probed.
   3: i64 pause_term;
-  /// If not empty, this primary is first demoted under the same term, and
-  /// reported as paused once it has answered.
+  /// If not empty, this primary is first demoted under the same term, and then
+  /// paused like the replicas.
   4: string demoted;
   /// Revision of the group's state without a primary that the fence belongs to.
   /// 0: not known, sent by an earlier build.
--- a/modules/control/pause_answers.cpp
+++ b/modules/control/pause_answers.cpp
@@ -160,18 +160,11 @@
                                    const pause_answers &Answers,
                                    const decision_settings &Settings,
                                    time_point Now, const pause_rules &Rules) {
-  if (Rules.AwaitAnnouncements && !hasHeardAll(Leader, Settings, Now))
-    return nullptr;
   bool MayCoverWrites = !Answers.isOlderThan(Settings.UpstreamLossTimeout, Now);
   if ((Rules.RequireAllReplicas && !Answers.Missing.empty()) ||
       (Rules.CheckDirty && mayLackWrites(Group, Answers) && MayCoverWrites))
     return nullptr;
   const auto *Best = highestReplica(Group, Answers.Confirmed);
-  bool MayBeAnnounced =
-      !Answers.isOlderThan(Settings.AnnouncementInterval, Now);
-  if (Rules.CheckAcknowledged && MayBeAnnounced && Best &&
-      Best->second.Received < Answers.Progress->Acknowledged)
-    return nullptr;
   if (Rules.RequireAcknowledged && Best &&
       !hasAllAcknowledged(Group, Leader, Answers, Best->second))
     return nullptr;
--- a/modules/control/pause_promotion.h
+++ b/modules/control/pause_promotion.h
@@ -36,21 +36,16 @@
   bool DemoteFirst = true;
   /// But not while an order to promote it again may still take effect.
   bool CheckOpenOrders = true;
-  /// A new leader waits until it must have heard of every replica.
-  bool AwaitAnnouncements = true;
-  /// If no known replica has all writes that gateways may have acknowledged,
-  /// waits until every replica that runs must have announced itself.
-  bool CheckAcknowledged = true;
   /// The process that is ordered to lead must be the one that was chosen, and
   /// the order is not repeated for a later one.
   bool CheckChosen = true;
+  /// An upstream may have led whose order took effect late: its replicas count.
+  /// Evaluated only by the tests' simulation.
+  bool CheckLateLeader = true;
   /// If a replica that may have confirmed a write is lost, or the log of the
   /// highest one is empty, only an upstream that has reached the acknowledged
   /// position is promoted.
   bool RequireAcknowledged = true;
-  /// Gateways neither write to the primary nor acknowledge its commits once the
-  /// replicas are being paused. Evaluated only by the tests' simulation.
-  bool FenceGateways = true;
 };
 
 /// Returns the next step towards a primary, if one is due.
--- a/modules/gateway/gateway_service.cpp
+++ b/modules/gateway/gateway_service.cpp
@@ -50,7 +50,8 @@
             [this] { Member.renewEarly(); },
             [this] {
               return Member.currentDeployment().Organisations.has_value();
-            }};
+            },
+            [this] { return Member.confirmedAt(); }};
   }
 
   void attach() {
--- a/modules/gateway/group_handler.h
+++ b/modules/gateway/group_handler.h
@@ -19,6 +19,9 @@
   std::function<void()> RenewEarly;
   /// Reports whether the deployment has organisations.
   std::function<bool()> HasOrganisations = [] { return false; };
+  /// Returns a time at which, or after which, control confirmed that the view
+  /// is in force.
+  std::function<time_point()> ConfirmedAt = [] { return time_point(); };
 };
 
 /// Identifies a statement among those of all entries. Link 0 is this VM's own
--- a/modules/line/line_group.cpp
+++ b/modules/line/line_group.cpp
@@ -43,6 +43,8 @@
           "teasellock_gateway_queue_seconds", {{"group", Group.Value}})),
       StatementSeconds(Context.Metrics.histogramOf(
           "teasellock_upstream_statement_seconds", {{"group", Group.Value}})),
+      HeldCommitSeconds(Context.Metrics.histogramOf(
+          "teasellock_gateway_commit_hold_seconds", {{"group", Group.Value}})),
       OpenTransactions(Context.Metrics.gaugeOf(
           "teasellock_gateway_open_transactions", {{"group", Group.Value}})),
       ConnectionsInUse(Context.Metrics.gaugeOf(
@@ -97,6 +99,7 @@
   IsAssigned = OwnShare && !View.Removed;
   Share = OwnShare ? *OwnShare : gateway_share();
   applyView(WriteFence, View);
+  Coverage.IsRequired = View.Row.AckReplicas > 0;
   applyUpstreams();
   handleHeldCommits();
   if (!IsAssigned)
@@ -342,6 +345,7 @@
 
 void line_group::tick() {
   endWorkWithoutLease();
+  refreshCoverage();
   probeUpstreams();
   hedgeSlowReads();
   refuseOverlongWaits();
--- a/modules/line/line_group_outcomes.cpp
+++ b/modules/line/line_group_outcomes.cpp
@@ -229,41 +229,6 @@
   replyFailed(Statement, Failure);
 }
 
-/// Answers a commit that the primary has confirmed, unless the commit may be
-/// missing in the upstream that replaces the primary.
-void line_group::handleConfirmedCommit(line_pending_statement &Statement,
-                                       const line_answer &Answer) {
-  switch (judgeCommit(WriteFence, Answer.Ready.Position)) {
-  case commit_verdict::Acknowledge:
-    if (Answer.Ready.Position)
-      Acknowledged = std::max(Acknowledged, *Answer.Ready.Position);
-    return handleSuccess(Statement, Answer);
-  case commit_verdict::AwaitPauses:
-    HeldCommits.push_back({Statement.key(), Answer});
-    return;
-  case commit_verdict::Unknown:
-    break;
-  }
-  auto Session = std::move(Statement.Session);
-  auto Id = Statement.Upstream;
-  if (auto *Upstream = findUpstream(Id))
-    --Upstream->InFlight;
-  Transactions.erase(Statement.transactionKey());
-  replyUnknown(Statement, line_error::InDoubt,
-               "confirmed while the primary was replaced, by none of the "
-               "replicas that may take over");
-  releaseSession(Id, std::move(Session));
-}
-
-/// Judges the held commits again.
-void line_group::handleHeldCommits() {
-  for (const auto &Held : std::exchange(HeldCommits, {})) {
-    auto *Statement = findStatement(Held.Attempt.Statement);
-    if (Statement && Statement->key() == Held.Attempt && Statement->Session)
-      handleConfirmedCommit(*Statement, Held.Answer);
-  }
-}
-
 /// Ends a statement that would change data at a primary that is being replaced.
 /// It is executed later unless it belongs to an open transaction.
 void line_group::handleFenced(line_pending_statement &Statement) {
--- a/modules/line/line_group_pauses.cpp
+++ b/modules/line/line_group_pauses.cpp
@@ -49,7 +49,9 @@
         if (auto Self = Weak.lock())
           Self->finishPause(*Pause);
       });
-  if (Pause->Demoted && Pause->Unanswered.contains(*Pause->Demoted))
+  Pause->AwaitsDemotion =
+      Pause->Demoted && Pause->Unanswered.contains(*Pause->Demoted);
+  if (Pause->AwaitsDemotion)
     sendPause(*Pause->Demoted, Pause);
   else
     sendPauses(Pause);
@@ -60,11 +62,12 @@
     sendPause(Id, Pause);
 }
 
+/// Sends the order to pause, or to demote as long as that is awaited.
 void line_group::sendPause(const upstream_id &Id,
                            const std::shared_ptr<pending_pause> &Pause) {
   line_probe_request Request;
   auto Append =
-      Id == Pause->Demoted ? protocol().AppendDemote : protocol().AppendPause;
+      Pause->AwaitsDemotion ? protocol().AppendDemote : protocol().AppendPause;
   Append(Request.Bytes, Pause->PauseTerm);
   Request.OnResult = [Weak = weak_from_this(), Id,
                       Pause](const line_batch_result &Result) {
@@ -80,9 +83,10 @@
   auto *Upstream = findUpstream(Id);
   if (!Upstream || Result.Answers.empty() || !Pause->Answer)
     return;
+  bool IsDemotion = Pause->AwaitsDemotion;
   const auto &Answer = Result.Answers.front();
   std::string Row = Answer.Rows.empty() ? "" : Answer.Rows.front();
-  event(Id == Pause->Demoted ? "gateway.demoted" : "gateway.paused")
+  event(IsDemotion ? "gateway.demoted" : "gateway.paused")
       .with("group", View.Group.Value)
       .with("upstream", Id.Value)
       .with("term", Pause->PauseTerm.Value)
@@ -91,37 +95,48 @@
   if (Answer.Failure && Answer.Failure->Code == line_error::Busy)
     return sendPause(Id, Pause);
   auto Status = protocol().ParseStatus(Row);
-  bool IsDemoted = Id == Pause->Demoted;
+  if (Status && !Status->IsPrimary)
+    handleLeadership(Id, false, term());
   if (Status)
     Upstream->Term = std::max(Upstream->Term, Status->Term);
   if (!Status || Status->IsPrimary ||
-      (!IsDemoted && Status->PauseTerm < Pause->PauseTerm))
+      (!IsDemotion && Status->PauseTerm < Pause->PauseTerm))
     return;
-  Upstream->Paused = !IsDemoted;
+  Upstream->Paused = !IsDemotion;
   Upstream->Received = Status->Received;
-  handleLeadership(Id, false, term());
+  recordReplicaPosition(*Upstream, *Upstream->ProbeConnection,
+                        Status->Received);
+  if (IsDemotion)
+    return onDemoted(Pause);
   Pause->Paused.insert(Id);
   Pause->Unanswered.erase(Id);
   if (Pause->Unanswered.empty())
     finishPause(*Pause);
-  else if (IsDemoted)
-    Pause->CatchUp =
-        Context.Timers.after(CatchUpTime, [Weak = weak_from_this(), Pause] {
-          if (auto Self = Weak.lock())
-            Self->sendPauses(Pause);
-        });
+}
+
+/// Pauses all once the replicas have had time to catch up. The former primary
+/// is paused too: if another upstream leads by now, it may receive and confirm
+/// that one's commits.
+void line_group::onDemoted(const std::shared_ptr<pending_pause> &Pause) {
+  Pause->AwaitsDemotion = false;
+  Pause->CatchUp =
+      Context.Timers.after(CatchUpTime, [Weak = weak_from_this(), Pause] {
+        if (auto Self = Weak.lock())
+          Self->sendPauses(Pause);
+      });
 }
 
 void line_group::finishPause(pending_pause &Pause) {
   auto Answer = std::exchange(Pause.Answer, nullptr);
   if (!Answer)
     return;
-  recordPausedPositions(Pause);
+  recordPauses(WriteFence);
+  handleHeldCommits();
   wire::fence_reply Reply;
   Reply.group = View.Group.Value;
   Reply.term = Pause.FencedTerm;
   // Commits up to the covered position may still be acknowledged.
-  Reply.acknowledged = toWire(std::max(Acknowledged, WriteFence.Covered));
+  Reply.acknowledged = toWire(std::max(Acknowledged, Coverage.Covered));
   for (const auto &[Id, Upstream] : Upstreams) {
     auto Report = reportOf(Id, Upstream);
     // Only replicas that answered this order certainly had their position read
@@ -132,15 +147,6 @@
   Answer(std::move(Reply));
 }
 
-void line_group::recordPausedPositions(const pending_pause &Pause) {
-  position Covered;
-  for (const auto &Id : Pause.Paused)
-    if (const auto *Upstream = findUpstream(Id))
-      Covered = std::max(Covered, Upstream->Received);
-  recordPauses(WriteFence, Covered);
-  handleHeldCommits();
-}
-
 void line_group::resume() {
   std::vector<upstream_id> Ids;
   for (const auto &[Id, Upstream] : Upstreams)
--- a/modules/line/line_group_probes.cpp
+++ b/modules/line/line_group_probes.cpp
@@ -49,9 +49,13 @@
   if (!Upstream)
     return;
   if (IsPrimary && Term != teasellock::term())
-    Upstream->Term = Term;
+    Upstream->Term = Upstream->LedTerm = Term;
   if (Upstream->IsPrimary == IsPrimary)
     return;
+  // Its log may end in commits of its term that no replica has.
+  if (Upstream->IsPrimary)
+    Upstream->LedTerm =
+        std::max({Upstream->LedTerm, Upstream->Applied.Term, Upstream->Term});
   Upstream->IsPrimary = IsPrimary;
   event("gateway.leads")
       .with("group", View.Group.Value)
@@ -193,8 +197,12 @@
     if (Result.Answers.back().Ready.Position)
       Upstream->Applied = *Result.Answers.back().Ready.Position;
     HasAdvanced = Upstream->Applied > Before;
+    recordReplicaPosition(*Upstream, *Upstream->ProbeConnection,
+                          Result.Answers.back().Ready.Position);
   }
   Request.OnResult(Result);
+  if (!HeldCommits.empty())
+    handleHeldCommits();
   sendNextProbeRequest(Id);
   // Reads may wait for this position.
   if (Settings.EvenLoad.LearnPositions && HasAdvanced && !Queue.empty())
@@ -267,8 +275,11 @@
 void line_group::applyStatus(const upstream_id &Id,
                              const line_batch_result &Result) {
   auto *Upstream = findUpstream(Id);
-  if (!Upstream || Result.Answers.empty() ||
-      Result.Answers.front().Rows.empty())
+  if (!Upstream || Result.Answers.empty())
+    return;
+  const auto &Failure = Result.Answers.front().Failure;
+  Upstream->RejectedStatus = Failure && Failure->Code == line_error::Busy;
+  if (Result.Answers.front().Rows.empty())
     return;
   auto Status = protocol().ParseStatus(Result.Answers.front().Rows.front());
   if (!Status)
@@ -277,8 +288,11 @@
   Upstream->Paused = !Status->IsPrimary && Status->PauseTerm > Status->Term;
   bool Changed = Upstream->IsPrimary != Status->IsPrimary ||
                  (Status->IsPrimary && Upstream->Term != Status->Term);
-  Upstream->Term = Status->Term;
   handleLeadership(Id, Status->IsPrimary, Status->Term);
+  Upstream->Term = Status->Term;
+  if (!Status->IsPrimary)
+    recordReplicaPosition(*Upstream, *Upstream->ProbeConnection,
+                          Status->Received);
   if (!Changed)
     return;
   Member.RenewEarly();
--- a/modules/line/line_group_state.h
+++ b/modules/line/line_group_state.h
@@ -1,12 +1,13 @@
 /// Internal declarations of the group gateway for the line protocol, shared by
 /// its source files: connections and scheduling in line_group.cpp,
 /// line_group_connections.cpp and line_group_statements.cpp, outcomes in
-/// line_group_outcomes.cpp, probes and reports in line_group_probes.cpp, orders
-/// of control in line_group_pauses.cpp, measures for even load in
-/// line_group_load.cpp.
+/// line_group_outcomes.cpp, those of commits in line_group_commits.cpp, probes
+/// and reports in line_group_probes.cpp, orders of control in
+/// line_group_pauses.cpp, measures for even load in line_group_load.cpp.
 #pragma once
 
 #include "modules/line/admission_control.h"
+#include "modules/line/commit_coverage.h"
 #include "modules/line/connection_choice.h"
 #include "modules/line/in_flight_limit.h"
 #include "modules/line/line_connection.h"
@@ -87,6 +88,12 @@
   /// When the last message was received, if any was.
   time_point LastReceivedAt;
   bool HasReceived = false;
+  /// The newest term in which it is known to have been the primary.
+  term LedTerm;
+  /// Position that it last reported as a replica, over its probe connection.
+  std::optional<replica_sighting> Sighting;
+  /// It was too busy for the last status request.
+  bool RejectedStatus = false;
   /// Whether it is a replica that does not receive the primary's log.
   bool Paused = false;
   std::optional<time_point> UnreachableSince;
@@ -219,11 +226,12 @@
   bool HasWrites = false;
 };
 
-/// The answer to a commit that is not forwarded before the replicas have been
-/// paused.
+/// The answer to a commit that is not forwarded before a replica is known to
+/// have the commit.
 struct line_held_commit {
   line_attempt_key Attempt;
   line_answer Answer;
+  time_point HeldAt;
 };
 
 /// The gateway of one group: queues statements, executes them on the group's
@@ -255,10 +263,12 @@
     std::int64_t FencedTerm = 0;
     /// The term that the orders to demote and to pause carry.
     term PauseTerm;
-    /// The primary to demote before the replicas are paused.
+    /// The primary to demote before all are paused, and whether it has not
+    /// answered yet.
     std::optional<upstream_id> Demoted;
+    bool AwaitsDemotion = false;
     std::set<upstream_id> Unanswered;
-    /// The replicas that are paused, and the primary once it is demoted.
+    /// The replicas that are paused, also the former primary.
     std::set<upstream_id> Paused;
     /// Empty once it has been called.
     std::function<void(wire::fence_reply)> Answer;
@@ -336,6 +346,7 @@
   void onSessionPrepared(line_attempt_key Key, const line_batch_result &Result);
   void execute(line_pending_statement &Statement);
   void onExecuted(line_attempt_key Key, line_batch_result Result);
+  void handleExecuted(line_attempt_key Key, line_batch_result Result);
   bool hasWrittenTransaction(const line_pending_statement &Statement) const;
   bool isFenced(const line_pending_statement &Statement) const;
   bool handleDetachedAnswer(line_attempt_key Key,
@@ -357,9 +368,6 @@
                      const line_answer &Answer);
   void handleSuccess(line_pending_statement &Statement,
                      const line_answer &Answer);
-  void handleConfirmedCommit(line_pending_statement &Statement,
-                             const line_answer &Answer);
-  void handleHeldCommits();
   void handleFenced(line_pending_statement &Statement);
   void recordAnswer(line_pending_statement &Statement,
                     const line_answer &Answer);
@@ -379,6 +387,22 @@
                     const std::string &Reason);
   void releaseFailedSession(line_pending_statement &Statement);
 
+  // line_group_commits.cpp
+  void handleConfirmedCommit(line_pending_statement &Statement,
+                             const line_answer &Answer);
+  void acknowledgeCommit(line_pending_statement &Statement,
+                         const line_answer &Answer);
+  void holdCommit(line_pending_statement &Statement, const line_answer &Answer);
+  void handleHeldCommits();
+  void recordReplicaPosition(line_upstream &Upstream,
+                             const line_connection &Connection,
+                             const std::optional<position> &Position);
+  void refreshCoverage();
+  bool countsAsReplica(const line_upstream &Upstream) const;
+  const upstream_id *findNearestReplica() const;
+  void queryReplicas();
+  void queryReplica(const upstream_id &Id);
+
   // line_group_probes.cpp
   std::optional<upstream_id> findPrimary() const;
   void handleLeadership(const upstream_id &Id, bool IsPrimary, term Term);
@@ -402,8 +426,8 @@
   void onPaused(const upstream_id &Id,
                 const std::shared_ptr<pending_pause> &Pause,
                 const line_batch_result &Result);
+  void onDemoted(const std::shared_ptr<pending_pause> &Pause);
   void finishPause(pending_pause &Pause);
-  void recordPausedPositions(const pending_pause &Pause);
   wire::upstream_report reportOf(const upstream_id &Id,
                                  const line_upstream &Upstream) const;
 
@@ -426,7 +450,11 @@
   std::map<transaction_key, line_transaction> Transactions;
   std::map<line_attempt_key, line_detached_attempt> DetachedAttempts;
   write_fence WriteFence;
+  commit_coverage Coverage;
   std::vector<line_held_commit> HeldCommits;
+  timer_subscription ReplicaQueryTimer;
+  /// The next query goes to the nearest replica only.
+  bool AsksNearest = false;
   /// Highest end of a primary's log when it confirmed a commit that this
   /// gateway acknowledged.
   position Acknowledged;
@@ -447,6 +475,8 @@
   std::optional<time_point> DeadlineAt;
   latency_histogram &QueueSeconds;
   latency_histogram &StatementSeconds;
+  /// How long the answers of commits were held.
+  latency_histogram &HeldCommitSeconds;
   /// Transactions that callers have open at upstreams.
   gauge &OpenTransactions;
   /// Connections that execute a statement or hold a transaction.
--- a/modules/line/line_group_statements.cpp
+++ b/modules/line/line_group_statements.cpp
@@ -400,6 +400,14 @@
 }
 
 void line_group::onExecuted(line_attempt_key Key, line_batch_result Result) {
+  handleExecuted(Key, std::move(Result));
+  // The upstream may have told a higher position.
+  if (!HeldCommits.empty())
+    handleHeldCommits();
+}
+
+void line_group::handleExecuted(line_attempt_key Key,
+                                line_batch_result Result) {
   bool IsDetached = handleDetachedAnswer(Key, Result);
   auto *Statement = findStatement(Key.Statement);
   if (!Statement)
@@ -452,6 +460,8 @@
   handleReachable(*Upstream);
   if (Answer.Ready.Position && *Answer.Ready.Position > Upstream->Applied)
     Upstream->Applied = *Answer.Ready.Position;
+  recordReplicaPosition(*Upstream, *Statement.Session->Connection,
+                        Answer.Ready.Position);
   duration Elapsed = now() - Statement.SentAt;
   StatementSeconds.observe(Elapsed);
   bool HasFailed = Answer.Failure && Answer.Failure->Code == line_error::Failed;
--- a/modules/line/write_fence.cpp
+++ b/modules/line/write_fence.cpp
@@ -1,7 +1,6 @@
 #include "modules/line/write_fence.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace teasellock {
 
@@ -9,7 +8,6 @@
   if (!Fence.IsClosed) {
     Fence.IsClosed = true;
     Fence.HasPaused = false;
-    Fence.Covered = {};
   }
   Fence.Term = std::max(Fence.Term, Term);
   Fence.Revision = std::max(Fence.Revision, Revision);
@@ -32,24 +30,26 @@
     Fence = {};
 }
 
-void recordPauses(write_fence &Fence, const position &Covered) {
-  // Control may have chosen an upstream after the first answer.
-  if (!std::exchange(Fence.HasPaused, true))
-    Fence.Covered = Covered;
-}
+void recordPauses(write_fence &Fence) { Fence.HasPaused = true; }
 
 bool mayWrite(const write_fence &Fence, term Term) {
   return !Fence.IsClosed || Term > Fence.Term;
 }
 
 commit_verdict judgeCommit(const write_fence &Fence,
+                           const commit_coverage &Coverage,
                            const std::optional<position> &Position) {
-  if (Fence.Term == term())
+  bool IsReplaced =
+      Fence.Term != term() && (!Position || Position->Term <= Fence.Term);
+  if (!IsReplaced && !Coverage.IsRequired)
     return commit_verdict::Acknowledge;
-  if (Position && (Position->Term > Fence.Term || *Position <= Fence.Covered))
+  if (!Position)
+    return commit_verdict::Unknown;
+  if (covers(Coverage, *Position))
     return commit_verdict::Acknowledge;
-  return Fence.IsClosed && !Fence.HasPaused ? commit_verdict::AwaitPauses
-                                            : commit_verdict::Unknown;
+  if (!IsReplaced || (Fence.IsClosed && !Fence.HasPaused))
+    return commit_verdict::Await;
+  return commit_verdict::Unknown;
 }
 
 } // namespace teasellock
--- a/modules/line/write_fence.h
+++ b/modules/line/write_fence.h
@@ -1,15 +1,15 @@
 /// Decides whether a gateway may write to a primary, and whether it may
-/// acknowledge a commit, while control replaces the primary.
+/// acknowledge a commit that the primary has confirmed.
 ///
-/// A primary confirms a commit once any replica has received it, also one that
-/// control does not know yet and therefore has not paused. Once control pauses
-/// the replicas to choose one of them, a commit that only such a replica
-/// confirms would be missing in the promoted one. So no gateway writes to the
-/// primary from then on, and a commit that was sent before is acknowledged only
-/// if a paused replica has received it.
+/// Once control begins to replace a primary, gateways write nothing to it any
+/// more: what it still commits may be missing in the promoted upstream. Nothing
+/// acknowledged depends on this fence, as it may not reach every gateway: a
+/// commit is acknowledged only once a replica that control knows has it (see
+/// commit_coverage.h).
 #pragma once
 
 #include "modules/control/group_view.h"
+#include "modules/line/commit_coverage.h"
 
 namespace teasellock {
 
@@ -25,17 +25,14 @@
   /// Whether this gateway has tried to pause the replicas since the fence was
   /// closed.
   bool HasPaused = false;
-  /// Highest position in the logs of the replicas that this gateway's first
-  /// attempt has paused, and of the primary if it was demoted.
-  position Covered;
 };
 
 /// What a commit's answer may be.
 enum class commit_verdict {
   /// The commit is in the log of every upstream that may be promoted.
   Acknowledge,
-  /// Not known before the replicas have been paused.
-  AwaitPauses,
+  /// Not known before a replica has reported a higher position.
+  Await,
   /// It may be missing in the promoted upstream.
   Unknown,
 };
@@ -48,19 +45,18 @@
 /// is newer than the fence does.
 void applyView(write_fence &Fence, const group_view &View);
 
-/// Records the end of an attempt to pause the replicas, and the highest
-/// position that one of them had after that. Only the first attempt since the
-/// fence was closed raises what may be acknowledged: control has its answer
-/// when it chooses an upstream.
-void recordPauses(write_fence &Fence, const position &Covered);
+/// Records the end of an attempt to pause the replicas.
+void recordPauses(write_fence &Fence);
 
 /// Reports whether data may be changed at a primary of this term; zero if its
 /// term is not known.
 bool mayWrite(const write_fence &Fence, term Term);
 
 /// Decides on the answer to a commit. Position is where the primary's log ended
-/// when it confirmed the commit, if it said so.
+/// when it confirmed the commit, if it said so. Commits of a primary that is
+/// replaced, and that no paused replica has, are not waited for.
 commit_verdict judgeCommit(const write_fence &Fence,
+                           const commit_coverage &Coverage,
                            const std::optional<position> &Position);
 
 } // namespace teasellock
--- a/modules/membership/member_agent.cpp
+++ b/modules/membership/member_agent.cpp
@@ -348,6 +348,10 @@
   return teasellock::isLeaseValid(State->Member, State->now());
 }
 
+time_point member_agent::confirmedAt() const {
+  return State->Member.ConfirmedAt;
+}
+
 const std::map<group_id, group_view> &member_agent::views() const {
   return State->Member.Views;
 }
--- a/modules/membership/member_agent.h
+++ b/modules/membership/member_agent.h
@@ -68,6 +68,10 @@
   /// lease is valid only if this is still true after the result was obtained.
   bool isLeaseValid() const;
 
+  /// Returns a time at which, or after which, control confirmed that all views
+  /// are in force.
+  time_point confirmedAt() const;
+
   /// Returns the views, by group.
   const std::map<group_id, group_view> &views() const;
   /// Returns the view of a group, or nullptr if there is none.
--- a/modules/membership/member_state.cpp
+++ b/modules/membership/member_state.cpp
@@ -102,6 +102,8 @@
   bool IsPartial = Reply.more && !Reply.groups.empty();
   State.AfterRevision = revision(
       IsPartial ? static_cast<std::uint64_t>(Reply.groups.back().revision) : 0);
+  if (!IsPartial)
+    State.ConfirmedAt = std::max(State.ConfirmedAt, SentAt);
   State.AfterGroup = group_id(IsPartial ? Reply.groups.back().group : "");
   return Changed;
 }
--- a/modules/membership/member_state.h
+++ b/modules/membership/member_state.h
@@ -21,6 +21,9 @@
   bool InheritsShares = false;
   /// The lease is valid before this instant.
   time_point LeaseEnd;
+  /// All views were in force at this time or later: when the last renewal was
+  /// sent whose granted reply completed them.
+  time_point ConfirmedAt;
   /// Highest revision up to which all changes are in Views.
   revision Applied;
   std::map<group_id, group_view> Views;
