--- a/modules/gateway/gateway_service.cpp
+++ b/modules/gateway/gateway_service.cpp
@@ -46,12 +46,11 @@
   }
 
   membership_hooks hooks() {
-    return {[this] { return Member.isLeaseValid(); },
-            [this] { Member.renewEarly(); },
-            [this] {
-              return Member.currentDeployment().Organisations.has_value();
-            },
-            [this] { return Member.confirmedAt(); }};
+    return {
+        [this] { return Member.isLeaseValid(); },
+        [this] { Member.renewEarly(); },
+        [this] { return Member.currentDeployment().Organisations.has_value(); },
+        [this] { return Member.confirmedAt(); }};
   }
 
   void attach() {
