--- a/modules/control/tests/simulated_gateway.cpp
+++ b/modules/control/tests/simulated_gateway.cpp
@@ -110,12 +110,12 @@
     auto Verdict = Commit.HasArrived
                        ? judgeCommit(Fence, Coverage, Commit.Position)
                        : commit_verdict::Await;
-    if (Verdict == commit_verdict::Await)
+    if (Verdict == commit_verdict::Await) {
       Held.push_back(std::move(Commit));
-    if (Verdict != commit_verdict::Acknowledge)
-      continue;
-    Acknowledged = std::max(Acknowledged, Commit.Position);
-    Answered.push_back(std::move(Commit.Log));
+    } else if (Verdict == commit_verdict::Acknowledge) {
+      Acknowledged = std::max(Acknowledged, Commit.Position);
+      Answered.push_back(std::move(Commit.Log));
+    }
   }
   return Answered;
 }
