--- a/modules/control/tests/test_pause_promotion.cpp
+++ b/modules/control/tests/test_pause_promotion.cpp
@@ -85,8 +85,7 @@
   }
   SUBCASE("a replica that control knows, a leaving primary") {
     GatewayRules.AwaitReplica = false;
-    Scenario = Handover;
-    FirstSeed = 9000;
+    Scenario = ChangedIdsDuringHandover;
   }
   SUBCASE("a replica that control knows, one joins") {
     GatewayRules.AwaitReplica = false;
