Control, line: one place each for orders to pause, for who leads, and for a commit's answer

Three places set the gateways and the term of a pause, two looked up whether an upstream was seen to lead, and a held commit was judged twice before its answer. Change: addPauses(), isSeenLeading(), answerCommit(). No behaviour changes.

--- a/modules/control/pause_promotion.cpp
+++ b/modules/control/pause_promotion.cpp
@@ -23,6 +23,13 @@
 constexpr const char *FormerPrimaryReason =
     "promotion abandoned: the former primary is reachable again";
 
+/// Reports whether the upstream was seen to lead.
+bool isSeenLeading(const std::map<upstream_id, upstream_observation> &Probes,
+                   const upstream_id &Upstream) {
+  auto Probe = Probes.find(Upstream);
+  return Probe != Probes.end() && !Probe->second.IsReplica;
+}
+
 /// Returns the upstream that is primary in the highest term, or null.
 const upstream_observation *
 findLeadingUpstream(const std::map<upstream_id, upstream_observation> &Probes) {
@@ -121,9 +128,8 @@
   }
   // An open order for the primary would take effect once it is demoted.
   if (Rules.CheckOpenOrders && !Group.OpenOrders.empty()) {
-    auto Probe = Probes.find(*Group.Primary);
-    bool Leads = Probe != Probes.end() && !Probe->second.IsReplica;
-    auto Decision = decideOpenOrders(Group, Leader, Settings, Now, Leads);
+    auto Decision = decideOpenOrders(Group, Leader, Settings, Now,
+                                     isSeenLeading(Probes, *Group.Primary));
     Decision.ShouldResume = hasPausedReplica(Probes);
     return Decision;
   }
@@ -192,6 +198,16 @@
   return term(Highest.Value + 1 + countOrdersForOthers(Group));
 }
 
+/// Has the gateways pause the replicas that are due; see duePauses().
+void addPauses(group_decision &Decision, const group_state &Group,
+               const pause_progress *Progress,
+               const std::map<upstream_id, upstream_observation> &Probes,
+               const decision_settings &Settings, time_point Now,
+               time_point After = {}) {
+  Decision.FenceTargets = duePauses(Group, Progress, Settings, Now, After);
+  Decision.PauseTerm = pauseTermOf(Group, Probes);
+}
+
 /// Returns the former primary if it is reachable and still primary of its term,
 /// so that it may go on instead of being replaced; otherwise null.
 const upstream_observation *
@@ -298,9 +314,7 @@
   if (!Target || (!Group.Promotion->MayHaveLed &&
                   !Answers.isOlderThan(DemotionTimeout, Now)))
     return Target;
-  auto Probe = Probes.find(*Target);
-  bool Leads = Probe != Probes.end() && !Probe->second.IsReplica;
-  return Leads ? Target : std::nullopt;
+  return isSeenLeading(Probes, *Target) ? Target : std::nullopt;
 }
 
 group_decision decidePausing(const group_state &Group,
@@ -310,8 +324,7 @@
   auto Probes = latestProbes(Group, Leader, Settings, Now);
   auto Answers = collectAnswers(Group, Leader, Settings, Now, Rules);
   group_decision Decision;
-  Decision.FenceTargets = duePauses(Group, Answers.Progress, Settings, Now);
-  Decision.PauseTerm = pauseTermOf(Group, Probes);
+  addPauses(Decision, Group, Answers.Progress, Probes, Settings, Now);
   if (auto Target = demotionTarget(Group)) {
     Decision.DemotionTarget = dueDemotion(Group, Answers, Probes, Now);
     if (const auto *Best = candidateAfterDemotion(Group, Answers, Now))
@@ -405,11 +418,10 @@
     auto Decision =
         waitingFor("waiting for " + Chosen +
                    " to answer before it is ordered again: " + Reason);
-    auto Probes = latestProbes(Group, Leader, Settings, Now);
     const auto *Order = orderProgressOf(Group, Leader);
-    Decision.FenceTargets = duePauses(Group, Answers.Progress, Settings, Now,
-                                      Order ? Order->SentAt : time_point());
-    Decision.PauseTerm = pauseTermOf(Group, Probes);
+    addPauses(Decision, Group, Answers.Progress,
+              latestProbes(Group, Leader, Settings, Now), Settings, Now,
+              Order ? Order->SentAt : time_point());
     return Decision;
   }
   group_state Next = Group;
@@ -500,9 +512,8 @@
       decideOrderProgress(Group, Leader, Answers, Settings, Now, Rules);
   if (Decision.Next || Answers.Missing.empty())
     return Decision;
-  auto Probes = latestProbes(Group, Leader, Settings, Now);
-  Decision.FenceTargets = duePauses(Group, Answers.Progress, Settings, Now);
-  Decision.PauseTerm = pauseTermOf(Group, Probes);
+  addPauses(Decision, Group, Answers.Progress,
+            latestProbes(Group, Leader, Settings, Now), Settings, Now);
   return Decision;
 }
 
--- a/modules/line/line_group_commits.cpp
+++ b/modules/line/line_group_commits.cpp
@@ -28,13 +28,21 @@
   if (auto *Upstream = findUpstream(Statement.Upstream); Upstream && Position)
     Upstream->LedTerm = std::max(Upstream->LedTerm, Position->Term);
   refreshCoverage();
-  switch (judgeCommit(WriteFence, Coverage, Position)) {
-  case commit_verdict::Acknowledge:
-    return acknowledgeCommit(Statement, Answer);
-  case commit_verdict::Await:
-    return holdCommit(Statement, Answer);
-  case commit_verdict::Unknown:
-    break;
+  auto Verdict = judgeCommit(WriteFence, Coverage, Position);
+  if (Verdict == commit_verdict::Await)
+    holdCommit(Statement, Answer);
+  else
+    answerCommit(Statement, Answer, Verdict);
+}
+
+/// Acknowledges the commit, or reports it as in doubt.
+void line_group::answerCommit(line_pending_statement &Statement,
+                              const line_answer &Answer,
+                              commit_verdict Verdict) {
+  if (Verdict == commit_verdict::Acknowledge) {
+    if (Answer.Ready.Position)
+      Acknowledged = std::max(Acknowledged, *Answer.Ready.Position);
+    return handleSuccess(Statement, Answer);
   }
   auto Session = std::move(Statement.Session);
   auto Id = Statement.Upstream;
@@ -47,13 +55,6 @@
   releaseSession(Id, std::move(Session));
 }
 
-void line_group::acknowledgeCommit(line_pending_statement &Statement,
-                                   const line_answer &Answer) {
-  if (Answer.Ready.Position)
-    Acknowledged = std::max(Acknowledged, *Answer.Ready.Position);
-  handleSuccess(Statement, Answer);
-}
-
 void line_group::holdCommit(line_pending_statement &Statement,
                             const line_answer &Answer) {
   HeldCommits.push_back({Statement.key(), Answer, now()});
@@ -77,13 +78,14 @@
     auto *Statement = findStatement(Held.Attempt.Statement);
     if (!Statement || Statement->key() != Held.Attempt || !Statement->Session)
       continue;
-    if (judgeCommit(WriteFence, Coverage, Held.Answer.Ready.Position) ==
-        commit_verdict::Await) {
+    auto Verdict =
+        judgeCommit(WriteFence, Coverage, Held.Answer.Ready.Position);
+    if (Verdict == commit_verdict::Await) {
       HeldCommits.push_back(Held);
       continue;
     }
     HeldCommitSeconds.observe(now() - Held.HeldAt);
-    handleConfirmedCommit(*Statement, Held.Answer);
+    answerCommit(*Statement, Held.Answer, Verdict);
   }
   if (HeldCommits.empty())
     ReplicaQueryTimer.cancel();
--- a/modules/line/line_group_state.h
+++ b/modules/line/line_group_state.h
@@ -390,8 +390,8 @@
   // line_group_commits.cpp
   void handleConfirmedCommit(line_pending_statement &Statement,
                              const line_answer &Answer);
-  void acknowledgeCommit(line_pending_statement &Statement,
-                         const line_answer &Answer);
+  void answerCommit(line_pending_statement &Statement,
+                    const line_answer &Answer, commit_verdict Verdict);
   void holdCommit(line_pending_statement &Statement, const line_answer &Answer);
   void handleHeldCommits();
   void recordReplicaPosition(line_upstream &Upstream,
